--- /dev/null
+++ b/src/yuccapoint/bench/__init__.py
@@ -0,0 +1,3 @@
+"""Measurements of the decision logic and the processes."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/yuccapoint/bench/all.py
@@ -0,0 +1,3 @@
+"""Imports all measurements, which register themselves."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/yuccapoint/connection/__init__.py
@@ -0,0 +1,3 @@
+"""What lives for one connection."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/yuccapoint/connection/entry_directory.py
@@ -0,0 +1,78 @@
+"""The entries that a process knows, from settings and from each other."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import xxhash
+
+if TYPE_CHECKING:
+    from yuccapoint.connection.messages import EntryHello
+
+ENTRY_SILENT_S = 3.0
+FORGET_AFTER_S = 60.0
+
+
+class KnownEntry:
+    """An entry's last hello and when it came."""
+
+    __slots__ = ("heard_at_s", "hello")
+
+    def __init__(self, hello: EntryHello, heard_at_s: float) -> None:
+        self.hello = hello
+        self.heard_at_s = heard_at_s
+
+
+class EntryDirectory:
+    """Learns entries from their hellos; nobody keeps a list by hand.
+
+    Parameters
+    ----------
+    seeds : list of str
+        Control addresses from the settings.
+    """
+
+    def __init__(self, seeds: list[str]) -> None:
+        self._seeds = seeds
+        self._known: dict[str, KnownEntry] = {}
+        self._learned: dict[str, float] = {}
+
+    def on_hello(self, hello: EntryHello, now_s: float) -> None:
+        """Take over an entry's hello."""
+        for name, known in list(self._known.items()):
+            same = known.hello.control_address == hello.control_address
+            if same and name != hello.entry:
+                del self._known[name]
+        self._known[hello.entry] = KnownEntry(hello, now_s)
+        for address in hello.known_addresses:
+            self._learned[address] = now_s
+
+    def alive(self, now_s: float) -> list[EntryHello]:
+        """Give the entries that were heard lately and are not stopping."""
+        return [
+            known.hello
+            for known in self._known.values()
+            if now_s - known.heard_at_s < ENTRY_SILENT_S
+            and not known.hello.stopping
+        ]
+
+    def addresses(self, now_s: float) -> list[str]:
+        """Give all control addresses worth trying."""
+        for address, learned_at_s in list(self._learned.items()):
+            if now_s - learned_at_s > FORGET_AFTER_S:
+                del self._learned[address]
+        found = dict.fromkeys(self._seeds)
+        for known in self._known.values():
+            if now_s - known.heard_at_s < FORGET_AFTER_S:
+                found[known.hello.control_address] = None
+        found.update(dict.fromkeys(self._learned))
+        return list(found)
+
+    def preferred(self, vm: str, now_s: float) -> list[str]:
+        """Order the live entries for a VM by rendezvous hashing."""
+        names = [hello.entry for hello in self.alive(now_s)]
+        return sorted(
+            names,
+            key=lambda name: xxhash.xxh64_intdigest(f"{vm}|{name}".encode()),
+            reverse=True,
+        )
--- /dev/null
+++ b/src/yuccapoint/connection/frame_stream.py
@@ -0,0 +1,100 @@
+"""Reads and writes frames on a tornado stream."""
+
+from __future__ import annotations
+
+import struct
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from yuccapoint.connection.frames import Frame
+from yuccapoint.exceptions import ProtocolError
+
+if TYPE_CHECKING:
+    import asyncio
+
+    from tornado.iostream import IOStream
+
+CHUNK_BYTES = 65_536
+MAX_FRAME_BYTES = 4 * CHUNK_BYTES
+_LENGTH = struct.Struct("!I")
+
+
+class FrameStream:
+    """Frames with a length before each.
+
+    Parameters
+    ----------
+    stream : IOStream
+        An open stream.
+    """
+
+    def __init__(self, stream: IOStream) -> None:
+        self._stream = stream
+        self._buffer = bytearray()
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(Frame)
+        stream.set_nodelay(True)
+
+    @property
+    def closed(self) -> bool:
+        """Whether the stream was closed by either side."""
+        return bool(self._stream.closed())
+
+    def write(self, frame: Frame) -> asyncio.Future[None]:
+        """Write a frame; the future is done when it left the buffer.
+
+        Raises
+        ------
+        StreamClosedError
+            The stream is closed; nothing was sent.
+        """
+        data = self._encoder.encode(frame)
+        return self._stream.write(_LENGTH.pack(len(data)) + data)
+
+    async def read(self) -> list[Frame]:
+        """Read the next frames.
+
+        Raises
+        ------
+        StreamClosedError
+            The peer closed the stream.
+        ProtocolError
+            The peer sent what is not a frame.
+        """
+        while True:
+            frames = self._split()
+            if frames:
+                return frames
+            self._buffer += await self._stream.read_bytes(
+                CHUNK_BYTES, partial=True
+            )
+
+    def close(self) -> None:
+        """Close the stream."""
+        self._stream.close()
+
+    def _split(self) -> list[Frame]:
+        frames = []
+        start = 0
+        while len(self._buffer) - start >= _LENGTH.size:
+            (length,) = _LENGTH.unpack_from(self._buffer, start)
+            if length > MAX_FRAME_BYTES:
+                raise ProtocolError(f"a frame of {length} bytes")
+            end = start + _LENGTH.size + length
+            if end > len(self._buffer):
+                break
+            body = memoryview(self._buffer)[start + _LENGTH.size : end]
+            frames.append(self._decode(body))
+            body.release()
+            start = end
+        if start:
+            del self._buffer[:start]
+        return frames
+
+    def _decode(self, body: memoryview) -> Frame:
+        try:
+            frame: Frame = self._decoder.decode(body)
+        except msgspec.DecodeError as error:
+            raise ProtocolError(f"a damaged frame: {error}") from None
+        return frame
--- /dev/null
+++ b/src/yuccapoint/connection/log_port.py
@@ -0,0 +1,69 @@
+"""The narrow interface to the platform's append-only log."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import msgspec
+
+from yuccapoint.exceptions import YuccapointError
+from yuccapoint.request.verdict import Verdict
+
+
+class LogUnavailableError(YuccapointError):
+    """The log refused an append or a read; nothing was written."""
+
+
+class LogAnswerLostError(YuccapointError):
+    """An append got no answer; it may be in the log."""
+
+    verdict = Verdict.MAY_HAVE_RUN
+
+
+class LogRecordsExpiredError(YuccapointError):
+    """The offset asked for is older than the log's retention."""
+
+    def __init__(self, earliest_offset: int) -> None:
+        super().__init__(f"the log begins at offset {earliest_offset}")
+        self.earliest_offset = earliest_offset
+
+
+class LogRecord(msgspec.Struct, frozen=True, array_like=True):
+    """One append as it is read back."""
+
+    offset: int
+    stamp_ms: int
+    data: bytes
+
+
+class LogPage(msgspec.Struct, frozen=True):
+    """Consecutive appends of a stream."""
+
+    records: list[LogRecord]
+    next_offset: int
+
+
+class LogPort(Protocol):
+    """What yuccapoint needs of a log service."""
+
+    async def append(self, data: bytes) -> int:
+        """Append bytes and give their offset.
+
+        Raises
+        ------
+        LogUnavailableError
+            Nothing was written.
+        LogAnswerLostError
+            The bytes may have been written.
+        """
+
+    async def read(self, from_offset: int) -> LogPage:
+        """Read on from an offset, waiting a while for news.
+
+        Raises
+        ------
+        LogRecordsExpiredError
+            The log no longer holds the offset.
+        LogUnavailableError
+            The log can't be read now.
+        """
--- /dev/null
+++ b/src/yuccapoint/connection/log_writer.py
@@ -0,0 +1,118 @@
+"""Group commit: batches records into appends, one append at a time."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from yuccapoint.exceptions import YuccapointError
+from yuccapoint.job.records import AppendBatch
+
+if TYPE_CHECKING:
+    from yuccapoint.job.records import Record
+
+MAX_BATCH_RECORDS = 500
+MAX_BATCH_BYTES = 256 * 1024
+MAX_QUEUED_RECORDS = 50_000
+LINGER_S = 0.01
+
+
+class LogBusyError(YuccapointError):
+    """The log is too slow: too many records wait for it."""
+
+
+class LogWriter:
+    """Collects records and forms the next append.
+
+    One append is out at a time and keeps its sequence until the log has
+    it, so a repeat after a lost answer is applied once.
+
+    Parameters
+    ----------
+    writer : str
+        Name and incarnation of this process.
+    """
+
+    def __init__(self, writer: str) -> None:
+        self.writer = writer
+        self.sequence = 0
+        self.out: bytes | None = None
+        self._queue: collections.deque[Record] = collections.deque()
+        self._oldest_s = 0.0
+        self._out_records: list[Record] = []
+        self._sent_at_s: dict[int, float] = {}
+        self._formed: dict[int, list[Record]] = {}
+        self._encoder = msgspec.msgpack.Encoder()
+
+    @property
+    def waiting(self) -> int:
+        """Records that wait or are out."""
+        return len(self._queue) + len(self._out_records)
+
+    def add(self, record: Record, now_s: float) -> None:
+        """Queue a record.
+
+        Raises
+        ------
+        LogBusyError
+            Too many records wait; the record was not queued.
+        """
+        if len(self._queue) >= MAX_QUEUED_RECORDS:
+            raise LogBusyError("too many records wait for the log")
+        if not self._queue:
+            self._oldest_s = now_s
+        self._queue.append(record)
+
+    def withdraw(self, record: Record) -> bool:
+        """Take back a record that was never sent; False if it was."""
+        for index, queued in enumerate(self._queue):
+            if queued is record:
+                del self._queue[index]
+                return True
+        return False
+
+    def next_append(self, now_s: float) -> bytes | None:
+        """Give the bytes to append now, or None when nothing is due.
+
+        An append whose fate is unknown is given again unchanged.
+        """
+        if self.out is not None:
+            return self.out
+        if not self._queue:
+            return None
+        full = len(self._queue) >= MAX_BATCH_RECORDS
+        if not full and now_s < self._oldest_s + LINGER_S:
+            return None
+        self._form_batch()
+        self._sent_at_s[self.sequence] = now_s
+        return self.out
+
+    def on_appended(self, sequence: int) -> None:
+        """Take note that the append with a sequence is in the log."""
+        if sequence != self.sequence or self.out is None:
+            return
+        self.out = None
+        self._out_records = []
+
+    def sent_at_of(self, sequence: int) -> float:
+        """Give when a batch was first sent; the past if not known."""
+        return self._sent_at_s.get(sequence, 0.0)
+
+    def take_formed(self, sequence: int) -> list[Record]:
+        """Give the records of a batch that was read back, once."""
+        self._sent_at_s.pop(sequence, None)
+        return self._formed.pop(sequence, [])
+
+    def _form_batch(self) -> None:
+        self.sequence += 1
+        size_bytes = 0
+        while self._queue and len(self._out_records) < MAX_BATCH_RECORDS:
+            size_bytes += len(self._encoder.encode(self._queue[0]))
+            if size_bytes > MAX_BATCH_BYTES and self._out_records:
+                break
+            self._out_records.append(self._queue.popleft())
+        batch = AppendBatch(self.writer, self.sequence, self._out_records)
+        self.out = self._encoder.encode(batch)
+        self._formed[self.sequence] = self._out_records
--- /dev/null
+++ b/src/yuccapoint/connection/mailbox.py
@@ -0,0 +1,124 @@
+"""Control messages over pynng: one inbox a process, one way."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING
+
+import msgspec
+import pynng
+from pynng import _nng
+
+from yuccapoint.connection.messages import ControlMessage
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+MAX_PEERS = 4_096
+MAX_QUEUED_MESSAGES = 4_096
+NNG_THREADS = 2
+_PARAMETERS = (
+    _nng.lib.NNG_INIT_NUM_TASK_THREADS,
+    _nng.lib.NNG_INIT_MAX_TASK_THREADS,
+    _nng.lib.NNG_INIT_NUM_EXPIRE_THREADS,
+    _nng.lib.NNG_INIT_MAX_EXPIRE_THREADS,
+    _nng.lib.NNG_INIT_NUM_POLLER_THREADS,
+    _nng.lib.NNG_INIT_MAX_POLLER_THREADS,
+    _nng.lib.NNG_INIT_NUM_RESOLVER_THREADS,
+)
+
+
+def limit_threads() -> None:
+    """Keep the library's own threads few; call before any socket."""
+    for parameter in _PARAMETERS:
+        _nng.lib.nng_init_set_parameter(parameter, NNG_THREADS)
+
+
+class Mailbox:
+    """Receives control messages and sends them without waiting.
+
+    A message to a peer that can't take it now is dropped and counted;
+    the decision logic sends again what still matters.
+
+    Parameters
+    ----------
+    address : str
+        IP number and port to receive on.
+    deliver : callable
+        Called with each message on the loop.
+    """
+
+    def __init__(
+        self, address: str, deliver: Callable[[ControlMessage], None]
+    ) -> None:
+        self.address = address
+        self.dropped = 0
+        self.damaged = 0
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self._deliver = deliver
+        self._peers: dict[str, pynng.Push0] = {}
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(ControlMessage)
+        self._inbox: pynng.Pull0 | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    def open(self) -> None:
+        """Listen and deliver from now on."""
+        limit_threads()
+        self._inbox = pynng.Pull0(
+            listen=f"tcp://{self.address}",
+            recv_buffer_size=MAX_QUEUED_MESSAGES,
+        )
+        self._task = asyncio.ensure_future(self._receive(self._inbox))
+
+    def send(self, address: str, message: ControlMessage) -> None:
+        """Send a message; it may be lost."""
+        data = self._encoder.encode(message)
+        try:
+            self._peer(address).send(data, block=False)
+        except pynng.NNGException:
+            self.dropped += 1
+            return
+        self.sent_bytes += len(data)
+
+    def close(self) -> None:
+        """Stop receiving and drop all peers."""
+        if self._task is not None:
+            self._task.cancel()
+        if self._inbox is not None:
+            self._inbox.close()
+        for peer in self._peers.values():
+            peer.close()
+        self._peers.clear()
+
+    def _peer(self, address: str) -> pynng.Push0:
+        peer = self._peers.get(address)
+        if peer is not None:
+            return peer
+        if len(self._peers) >= MAX_PEERS:
+            oldest = next(iter(self._peers))
+            self._peers.pop(oldest).close()
+        peer = pynng.Push0(
+            send_buffer_size=64,
+            reconnect_time_min=100,
+            reconnect_time_max=2_000,
+        )
+        peer.dial(f"tcp://{address}", block=False)
+        self._peers[address] = peer
+        return peer
+
+    async def _receive(self, inbox: pynng.Pull0) -> None:
+        with contextlib.suppress(pynng.Closed, asyncio.CancelledError):
+            while True:
+                self._take(await inbox.arecv())
+
+    def _take(self, data: bytes) -> None:
+        self.received_bytes += len(data)
+        try:
+            message = self._decoder.decode(data)
+        except msgspec.DecodeError:
+            self.damaged += 1
+            return
+        self._deliver(message)
--- /dev/null
+++ b/src/yuccapoint/connection/messages.py
@@ -0,0 +1,140 @@
+"""Control messages between entries and agents.
+
+Each is sent whole, may be lost, doubled or late, and carries what its
+receiver needs to tell: sender, incarnation, sequence or term.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from yuccapoint.job.job import Job
+from yuccapoint.job.size import Size
+from yuccapoint.version.pool import Pool
+from yuccapoint.version.route import Route
+
+
+class EndpointReport(msgspec.Struct, frozen=True, array_like=True):
+    """State and load of one endpoint beside the agent."""
+
+    name: str
+    service: str
+    state: str
+    slots: int
+    in_flight: int
+    queued: int
+
+
+class TaskReport(msgspec.Struct, frozen=True, array_like=True):
+    """State of one attempt on the VM.
+
+    ``outcome`` is empty while the attempt lives, else one of ``done``,
+    ``failed``, ``stopped``, ``refused`` and ``lapsed``.
+    """
+
+    job_id: str
+    attempt: int
+    outcome: str
+    reason: str
+    checkpoint: str
+
+
+class AgentReport(msgspec.Struct, frozen=True, tag="ar", kw_only=True):
+    """An agent's state, sent each second; it asks for the VM's lease.
+
+    ``wants_leader`` names the entry that is asked to adopt the VM under
+    ``term``; empty when the agent has a leader that answers.
+    """
+
+    vm: str
+    incarnation: int
+    sequence: int
+    term: int
+    wants_leader: str
+    leader: str
+    pool: str
+    data_centre: str
+    region: str
+    rack: str
+    control_address: str
+    session_address: str
+    capacity: Size
+    free: Size
+    ready: bool
+    stopping: bool
+    tables_version: int
+    endpoints: list[EndpointReport]
+    tasks: list[TaskReport]
+
+
+class StartAttempt(msgspec.Struct, frozen=True, array_like=True):
+    """Run an attempt of a job, from a checkpoint if there is one."""
+
+    job: Job
+    attempt: int
+    checkpoint: str
+
+
+class StopAttempt(msgspec.Struct, frozen=True, array_like=True):
+    """Stop an attempt."""
+
+    job_id: str
+    attempt: int
+    reason: str
+
+
+class AttemptNoted(msgspec.Struct, frozen=True, array_like=True):
+    """The end of an attempt is in the log; the agent may forget it."""
+
+    job_id: str
+    attempt: int
+
+
+class LeaseGrant(msgspec.Struct, frozen=True, tag="lg", kw_only=True):
+    """The right to run tasks on a VM, in answer to one report.
+
+    ``ttl_s`` counts from when the agent sent the report that
+    ``reply_to`` names, so that a late grant can't outlive its leader's
+    count. Starts are valid only as long as the lease is.
+    """
+
+    entry: str
+    vm: str
+    term: int
+    reply_to: int
+    ttl_s: float
+    starts: list[StartAttempt]
+    stops: list[StopAttempt]
+    noted: list[AttemptNoted]
+
+
+class TablesUpdate(msgspec.Struct, frozen=True, tag="tu", kw_only=True):
+    """The rows that concern an agent, at a version."""
+
+    version: int
+    routes: list[Route]
+    pools: list[Pool]
+
+
+class EntryHello(msgspec.Struct, frozen=True, tag="eh", kw_only=True):
+    """An entry's state, sent to other entries and to agents."""
+
+    entry: str
+    data_centre: str
+    region: str
+    control_address: str
+    operator_address: str
+    tables_version: int
+    log_offset: int
+    stopping: bool
+    known_addresses: list[str]
+
+
+class DrainVm(msgspec.Struct, frozen=True, tag="dv"):
+    """An operator asks the agent to take no new work and move the old."""
+
+    vm: str
+    operator: str
+
+
+ControlMessage = AgentReport | LeaseGrant | TablesUpdate | EntryHello | DrainVm
--- /dev/null
+++ b/src/yuccapoint/connection/worker_port.py
@@ -0,0 +1,47 @@
+"""The narrow interface to the platform's worker."""
+
+from __future__ import annotations
+
+from typing import Protocol
+from typing import TYPE_CHECKING
+
+from yuccapoint.exceptions import YuccapointError
+
+if TYPE_CHECKING:
+    from yuccapoint.job.actions import WorkerStart
+    from yuccapoint.job.worker_events import Inventory
+    from yuccapoint.job.worker_events import UsageSample
+    from yuccapoint.job.worker_events import WorkerNews
+
+
+class WorkerError(YuccapointError):
+    """The worker refused a call or could not be reached."""
+
+
+class WorkerPort(Protocol):
+    """What yuccapoint needs of a worker.
+
+    Lease deadlines are on the VM's monotonic clock, which the agent and
+    the worker share; the worker stops a task whose lease has passed.
+    """
+
+    async def inventory(self) -> Inventory:
+        """Give all that the worker holds and runs."""
+
+    async def start(self, start: WorkerStart) -> None:
+        """Start a task under a lease."""
+
+    async def renew(self, lease_until_s: float) -> None:
+        """Extend the lease of all tasks."""
+
+    async def throttle(self, job_id: str, attempt: int, share: float) -> None:
+        """Limit a task to a share of its processors."""
+
+    async def stop(self, job_id: str, attempt: int) -> None:
+        """Checkpoint a task and stop it."""
+
+    async def news(self, from_number: int) -> WorkerNews:
+        """Wait for the ends of tasks from an event number on."""
+
+    async def usage(self) -> list[UsageSample]:
+        """Give the newest lagging measurements."""
--- /dev/null
+++ b/src/yuccapoint/console/commands/__init__.py
@@ -0,0 +1,3 @@
+"""One module a command."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/yuccapoint/console/commands/watch.py
@@ -0,0 +1,55 @@
+"""``yuccapoint watch``: show decisions as they happen."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+import typer
+
+from yuccapoint.console import exit_codes
+from yuccapoint.console.entry_client import EntryClient
+from yuccapoint.console.options import DEFAULT_ENTRY
+from yuccapoint.console.options import Entry
+from yuccapoint.console.options import Json
+from yuccapoint.console.options import Token
+from yuccapoint.process.operator_messages import DecisionView
+
+
+def register(application: typer.Typer) -> None:
+    """Add the command."""
+    application.command("watch", epilog=exit_codes.HELP)(watch)
+
+
+def watch(
+    where: Annotated[
+        list[str] | None,
+        typer.Option(help="Only decisions with field=value, such as vm=a."),
+    ] = None,
+    json: Json = False,
+    entry: Entry = DEFAULT_ENTRY,
+    token: Token = "",
+) -> None:
+    """Show decisions as they happen, until interrupted."""
+    rest = b""
+
+    def on_data(data: bytes) -> None:
+        nonlocal rest
+        *lines, rest = (rest + data).split(b"\n")
+        for line in lines:
+            _show(line, where or [], json=json)
+
+    EntryClient(entry, token).follow("/v1/watch", on_data)
+
+
+def _show(line: bytes, where: list[str], *, json: bool) -> None:
+    decision = msgspec.json.decode(line, type=DecisionView)
+    for wanted in where:
+        field, _, value = wanted.partition("=")
+        if str(decision.fields.get(field, "")) != value:
+            return
+    if json:
+        typer.echo(line.decode())
+        return
+    fields = ", ".join(f"{k}={v}" for k, v in decision.fields.items())
+    typer.echo(f"{decision.part}: {decision.text} ({fields})")
--- /dev/null
+++ b/src/yuccapoint/console/exit_codes.py
@@ -0,0 +1,15 @@
+"""Exit codes of the commands, named in each ``--help``."""
+
+from __future__ import annotations
+
+OK = 0
+REFUSED = 1
+USAGE = 2
+UNREACHABLE = 3
+FATE_UNKNOWN = 4
+CUT = 5
+
+HELP = (
+    "Exit codes: 0 done, 1 refused or bad input, 2 wrong options, "
+    "3 entry unreachable, 4 fate unknown, 5 stopped with work cut off."
+)
--- /dev/null
+++ b/src/yuccapoint/console/run_process.py
@@ -0,0 +1,52 @@
+"""Runs an entry or an agent until a signal stops it."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+from typing import Protocol
+
+from yuccapoint.console import exit_codes
+
+
+class Stoppable(Protocol):
+    """A process that can be started, stopped and killed."""
+
+    def start(self) -> None:
+        """Start to serve."""
+
+    async def stop(self) -> list[str]:
+        """Stop as planned and say what was cut."""
+
+
+def run(make: type[Stoppable] | object, settings: object) -> int:
+    """Run a process; the first signal drains it, the second ends it.
+
+    Returns
+    -------
+    int
+        The exit code.
+    """
+    return asyncio.run(_run(make, settings))
+
+
+async def _run(make: object, settings: object) -> int:
+    process: Stoppable = make(settings)  # type: ignore[operator]
+    process.start()
+    loop = asyncio.get_running_loop()
+    asked = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, asked.set)
+    await asked.wait()
+    asked.clear()
+    stopping = asyncio.ensure_future(process.stop())
+    second = asyncio.ensure_future(asked.wait())
+    await asyncio.wait((stopping, second), return_when=asyncio.FIRST_COMPLETED)
+    second.cancel()
+    cut = ["everything: a second signal came"]
+    if stopping.done():
+        cut = stopping.result()
+    for line in cut:
+        print(f"cut off: {line}", file=sys.stderr)
+    return exit_codes.CUT if cut else exit_codes.OK
--- /dev/null
+++ b/src/yuccapoint/console/table_commands.py
@@ -0,0 +1,122 @@
+"""What the commands of both tables share."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+from typing import TypeVar
+import uuid
+
+import msgspec
+import typer
+
+from yuccapoint.console.exceptions import CommandError
+from yuccapoint.process.operator_messages import EditAnswer
+from yuccapoint.process.operator_messages import EditBody
+from yuccapoint.process.operator_messages import PoolView
+from yuccapoint.process.operator_messages import RouteView
+from yuccapoint.process.operator_messages import Status
+from yuccapoint.process.operator_messages import TablesView
+
+if TYPE_CHECKING:
+    from yuccapoint.console.entry_client import EntryClient
+
+RowT = TypeVar("RowT", bound=msgspec.Struct)
+WAIT_S = 10.0
+POLL_S = 0.2
+
+
+def find_rows(
+    client: EntryClient, table: str
+) -> list[RouteView] | list[PoolView]:
+    """Fetch the rows of a table."""
+    tables = client.call("GET", "/v1/tables", TablesView)
+    return tables.routes if table == "routes" else tables.pools
+
+
+def show_rows(client: EntryClient, table: str, name: str) -> None:
+    """Print rows as JSON lines; one of them if it is named."""
+    rows = find_rows(client, table)
+    shown = [row for row in rows if not name or row.row.name == name]
+    if name and not shown:
+        raise CommandError(f"there is no row {name} in {table}")
+    for row in shown:
+        typer.echo(msgspec.json.encode(row).decode())
+
+
+def edited_row(
+    kind: type[RowT], name: str, known: RowT | None, changes: list[str]
+) -> RowT:
+    """Apply ``field=value`` changes to a row, or make a new one.
+
+    Raises
+    ------
+    CommandError
+        A change names no field or has a wrong value.
+    """
+    values = {} if known is None else msgspec.to_builtins(known)
+    values["name"] = name
+    fields = {field.name for field in msgspec.structs.fields(kind)}
+    for change in changes:
+        field, equals, text = change.partition("=")
+        if not equals or field not in fields:
+            raise CommandError(f"{change!r} is not a field=value of the row")
+        values[field] = _parse(text)
+    try:
+        return msgspec.convert(values, kind, strict=False)
+    except msgspec.ValidationError as error:
+        raise CommandError(str(error)) from None
+
+
+def send_edit(
+    client: EntryClient, table: str, name: str, body: EditBody, *, wait: bool
+) -> None:
+    """Send an edit and report its version."""
+    answer = client.call("PUT", f"/v1/tables/{table}/{name}", EditAnswer, body)
+    typer.echo(f"accepted as version {answer.version}")
+    if wait:
+        wait_in_force(client, answer.version)
+
+
+def wait_in_force(client: EntryClient, version: int) -> None:
+    """Wait until all known members run a version.
+
+    Raises
+    ------
+    CommandError
+        Some members lag; they are named.
+    """
+    deadline_s = time.monotonic() + WAIT_S
+    while True:
+        lagging = _lagging(client, version)
+        if not lagging:
+            typer.echo(f"version {version} is in force everywhere")
+            return
+        if time.monotonic() >= deadline_s:
+            raise CommandError(f"these lag: {', '.join(lagging)}")
+        time.sleep(POLL_S)
+
+
+def new_edit_id() -> str:
+    """Name an edit so that its fate can be asked for."""
+    return uuid.uuid4().hex
+
+
+def _lagging(client: EntryClient, version: int) -> list[str]:
+    status = client.call("GET", "/v1/status", Status)
+    lagging = [
+        entry.entry
+        for entry in status.entries
+        if entry.tables_version < version
+    ]
+    for vm in status.vms:
+        if vm.tables_version < version:
+            lagging.append(vm.vm)
+    return lagging
+
+
+def _parse(text: str) -> object:
+    try:
+        return msgspec.json.decode(text.encode())
+    except msgspec.DecodeError:
+        return text
--- /dev/null
+++ b/src/yuccapoint/exceptions.py
@@ -0,0 +1,36 @@
+"""The root of the exception tree."""
+
+from __future__ import annotations
+
+from yuccapoint.request.verdict import Verdict
+
+
+class YuccapointError(Exception):
+    """An error that says whether the request may have run.
+
+    Attributes
+    ----------
+    verdict : Verdict
+        What is known about the execution of the request.
+    """
+
+    verdict = Verdict.NOT_RUN
+
+    def __init__(self, text: str, verdict: Verdict | None = None) -> None:
+        super().__init__(text)
+        if verdict is not None:
+            self.verdict = verdict
+
+
+class SettingsError(YuccapointError):
+    """Settings hold faults; the text lists all of them."""
+
+
+class UnreachableError(YuccapointError):
+    """A process could not be reached."""
+
+
+class ProtocolError(YuccapointError):
+    """A peer sent bytes that do not form a message."""
+
+    verdict = Verdict.MAY_HAVE_RUN
--- /dev/null
+++ b/src/yuccapoint/job/batch_leader.py
@@ -0,0 +1,532 @@
+"""An entry's decisions on batch work: leases, claims, lost VMs."""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING
+
+from yuccapoint.connection.messages import AttemptNoted
+from yuccapoint.connection.messages import LeaseGrant
+from yuccapoint.connection.messages import StartAttempt
+from yuccapoint.connection.messages import StopAttempt
+from yuccapoint.job import lease_rules
+from yuccapoint.job.actions import Append
+from yuccapoint.job.actions import Explain
+from yuccapoint.job.actions import Send
+from yuccapoint.job.job_entry import JobState
+import yuccapoint.job.placement.policies  # noqa: F401
+from yuccapoint.job.placement.registry import PLACEMENT_POLICIES
+from yuccapoint.job.records import EntryLapsed
+from yuccapoint.job.records import EntryRenewed
+from yuccapoint.job.records import JobClaimed
+from yuccapoint.job.records import JobFinished
+from yuccapoint.job.records import JobRejected
+from yuccapoint.job.records import JobReleased
+from yuccapoint.job.records import VmAdopted
+from yuccapoint.job.records import VmLost
+from yuccapoint.job.size import Size
+from yuccapoint.job.vm_view import VmView
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    import random
+
+    from yuccapoint.connection.messages import AgentReport
+    from yuccapoint.connection.messages import TaskReport
+    from yuccapoint.job.actions import Action
+    from yuccapoint.job.job_board import JobBoard
+    from yuccapoint.job.job_board import VmLeadership
+    from yuccapoint.job.job_entry import JobEntry
+    from yuccapoint.job.records import Record
+    from yuccapoint.version.pool import Pool
+
+CLAIMS_PER_TICK = 200
+SCAN_PER_TICK = 2_000
+MAX_START_FAILURES = 3
+QUARANTINE_S = 15.0
+MIN_TTL_S = 0.2
+
+
+class BatchLeader:
+    """Leads VMs: grants their leases, claims jobs for them, frees them.
+
+    Methods take messages and the time and return actions. What is decided
+    for good is decided by the log: the leader acts on its own claims only
+    when it reads them back.
+
+    Parameters
+    ----------
+    entry : str
+        This entry's id with its incarnation.
+    board : JobBoard
+        The state that the log's prefix gives.
+    find_pool : callable
+        Gives a pool by name.
+    rng : random.Random
+        Source of random choices.
+    """
+
+    def __init__(
+        self,
+        entry: str,
+        board: JobBoard,
+        find_pool: Callable[[str], Pool | None],
+        rng: random.Random,
+    ) -> None:
+        self.entry = entry
+        self.board = board
+        self.views: dict[str, VmView] = {}
+        self.lead_until_s = 0.0
+        self._find_pool = find_pool
+        self._rng = rng
+        self._claiming: dict[str, str] = {}
+        self._adopting: dict[str, int] = {}
+        self._ending: set[tuple[str, int]] = set()
+        self._losing: set[str] = set()
+        self._lapsing: set[str] = set()
+        self._rejecting: set[str] = set()
+        self._renew_at_s = 0.0
+
+    def on_renewal_acked(self, sent_at_s: float) -> None:
+        """Extend the right to lead after a renewal reached the log."""
+        until_s = lease_rules.lead_until_s(sent_at_s)
+        self.lead_until_s = max(self.lead_until_s, until_s)
+
+    def on_report(self, report: AgentReport, now_s: float) -> list[Action]:
+        """Answer an agent's report.
+
+        Parameters
+        ----------
+        report : AgentReport
+            What the agent says of its VM.
+        now_s : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        list of Action
+            Records to append and the lease to grant.
+        """
+        view = self._view(report, now_s)
+        if view is None:
+            return []
+        led = self.board.vms.get(report.vm)
+        leads = led is not None and led.entry == self.entry
+        if led is None or not leads or led.term != report.term:
+            if report.wants_leader == self.entry:
+                return self._adopt(report, now_s)
+            return []
+        actions: list[Action] = []
+        self._take_ended(report, actions)
+        grant = self._grant(view, report, led, now_s)
+        if grant is not None:
+            actions.append(Send(report.control_address, grant))
+        return actions
+
+    def on_record(
+        self, record: Record, refusal: str, now_s: float
+    ) -> list[Action]:
+        """Act on a record that was read from the log.
+
+        Parameters
+        ----------
+        record : Record
+            The record, applied to the board before.
+        refusal : str
+            Empty when the board accepted it.
+        now_s : float
+            Monotonic time in seconds.
+        """
+        if isinstance(record, JobClaimed):
+            return self._claim_decided(record, refusal, now_s)
+        if isinstance(record, VmAdopted):
+            self._adoption_decided(record, refusal, now_s)
+        if isinstance(record, JobReleased | JobFinished):
+            self._ending.discard((record.job_id, record.attempt))
+        if isinstance(record, VmLost):
+            self._losing.discard(record.vm)
+        if isinstance(record, EntryLapsed):
+            self._lapsing.discard(record.entry)
+        if isinstance(record, JobRejected):
+            self._rejecting.discard(record.job_id)
+        return []
+
+    def tick(self, now_s: float, wall_ms: int) -> list[Action]:
+        """Renew, free lost VMs and claim jobs.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time in seconds.
+        wall_ms : int
+            Wall-clock time, which the log's stamps are compared with.
+        """
+        actions: list[Action] = []
+        if now_s >= self._renew_at_s:
+            self._renew_at_s = now_s + lease_rules.RENEW_EVERY_S
+            actions.append(Append(EntryRenewed(self.entry)))
+        self._free_lost_vms(now_s, actions)
+        self._free_lapsed_entries(wall_ms, actions)
+        self._claim_jobs(now_s, actions)
+        return actions
+
+    def leads(self, vm: str) -> bool:
+        """Tell whether the log says that this entry leads a VM."""
+        led = self.board.vms.get(vm)
+        return led is not None and led.entry == self.entry
+
+    def _view(self, report: AgentReport, now_s: float) -> VmView | None:
+        view = self.views.get(report.vm)
+        if view is None:
+            view = VmView(report.vm)
+            self.views[report.vm] = view
+        if report.incarnation < view.incarnation:
+            return None
+        if report.incarnation > view.incarnation:
+            view.incarnation = report.incarnation
+            view.report_sequence = 0
+        if report.sequence < view.report_sequence:
+            return None
+        view.report_sequence = report.sequence
+        view.reported_at_s = now_s
+        view.pool = report.pool
+        view.rack = report.rack
+        view.data_centre = report.data_centre
+        view.address = report.control_address
+        view.capacity = report.capacity
+        view.reported_free = report.free
+        view.ready = report.ready and not report.stopping
+        view.term = report.term
+        view.attempts = {t.job_id: t.attempt for t in report.tasks}
+        self._count_free(view)
+        return view
+
+    def _count_free(self, view: VmView) -> None:
+        free = view.reported_free
+        led = self.board.vms.get(view.vm)
+        for job_id in led.job_ids if led else ():
+            if job_id not in view.attempts:
+                free = free - self.board.jobs[job_id].job.size
+        for job_id, vm in self._claiming.items():
+            if vm == view.vm:
+                free = free - self.board.jobs[job_id].job.size
+        pool = self._find_pool(view.pool)
+        if pool is not None:
+            free = free - _reserve(pool)
+        view.free = free
+
+    def _adopt(self, report: AgentReport, now_s: float) -> list[Action]:
+        if now_s > self.lead_until_s - lease_rules.VM_LEASE_S:
+            return []
+        if self._adopting.get(report.vm, 0) >= report.term:
+            return []
+        led = self.board.vms.get(report.vm)
+        if led is not None and led.term >= report.term:
+            return []
+        self._adopting[report.vm] = report.term
+        record = VmAdopted(report.vm, report.term, self.entry, report.pool)
+        text = f"asked to lead {report.vm}"
+        fields: dict[str, str | int | float] = {
+            "vm": report.vm,
+            "term": report.term,
+            "tasks": len(report.tasks),
+        }
+        return [Append(record), Explain("lease", text, fields)]
+
+    def _adoption_decided(
+        self, record: VmAdopted, refusal: str, now_s: float
+    ) -> None:
+        if self._adopting.get(record.vm, 0) <= record.term:
+            self._adopting.pop(record.vm, None)
+        if refusal or record.entry != self.entry:
+            return
+        view = self.views.setdefault(record.vm, VmView(record.vm))
+        view.reported_at_s = now_s
+        # An earlier leader may have granted a lease just before.
+        view.granted_until_s = lease_rules.granted_until_s(
+            now_s, lease_rules.VM_LEASE_S
+        )
+
+    def _take_ended(self, report: AgentReport, actions: list[Action]) -> None:
+        for task in report.tasks:
+            if not task.outcome:
+                continue
+            key = (task.job_id, task.attempt)
+            if key in self._ending or not self._holds(task):
+                continue
+            self._ending.add(key)
+            if task.outcome == "done":
+                done = JobFinished(task.job_id, task.attempt, report.term)
+                actions.append(Append(done))
+                continue
+            self._count_failure(report.vm, task)
+            record = JobReleased(
+                task.job_id,
+                task.attempt,
+                report.term,
+                f"{task.outcome} on {report.vm}: {task.reason}",
+                task.checkpoint,
+                task.outcome == "failed",
+            )
+            actions.append(Append(record))
+
+    def _count_failure(self, vm: str, task: TaskReport) -> None:
+        if task.outcome != "failed":
+            return
+        view = self.views[vm]
+        view.start_failures += 1
+
+    def _holds(self, task: TaskReport) -> bool:
+        entry = self.board.jobs.get(task.job_id)
+        if entry is None or entry.state is not JobState.RUNNING:
+            return False
+        return entry.attempt == task.attempt
+
+    def _grant(
+        self,
+        view: VmView,
+        report: AgentReport,
+        led: VmLeadership,
+        now_s: float,
+    ) -> LeaseGrant | None:
+        left_s = self.lead_until_s - now_s
+        ttl_s = min(
+            lease_rules.VM_LEASE_S, left_s / (1.0 + lease_rules.CLOCK_DRIFT)
+        )
+        if ttl_s < MIN_TTL_S or report.vm in self._losing:
+            return None
+        until_s = lease_rules.granted_until_s(now_s, ttl_s)
+        view.granted_until_s = max(view.granted_until_s, until_s)
+        return LeaseGrant(
+            entry=self.entry,
+            vm=report.vm,
+            term=report.term,
+            reply_to=report.sequence,
+            ttl_s=ttl_s,
+            starts=self._starts(report, led),
+            stops=self._stops(report),
+            noted=self._noted(report),
+        )
+
+    def _starts(
+        self, report: AgentReport, led: VmLeadership
+    ) -> list[StartAttempt]:
+        known = {task.job_id: task.attempt for task in report.tasks}
+        starts = []
+        for job_id in sorted(led.job_ids):
+            entry = self.board.jobs[job_id]
+            if known.get(job_id, 0) >= entry.attempt:
+                continue
+            starts.append(
+                StartAttempt(entry.job, entry.attempt, entry.checkpoint)
+            )
+        return starts
+
+    def _stops(self, report: AgentReport) -> list[StopAttempt]:
+        stops = []
+        for task in report.tasks:
+            if task.outcome:
+                continue
+            if not self._holds(task):
+                stops.append(
+                    StopAttempt(task.job_id, task.attempt, "superseded")
+                )
+                continue
+            if self.board.jobs[task.job_id].cancelling:
+                stops.append(
+                    StopAttempt(task.job_id, task.attempt, "cancelled")
+                )
+        return stops
+
+    def _noted(self, report: AgentReport) -> list[AttemptNoted]:
+        return [
+            AttemptNoted(task.job_id, task.attempt)
+            for task in report.tasks
+            if task.outcome and not self._holds(task)
+        ]
+
+    def _free_lost_vms(self, now_s: float, actions: list[Action]) -> None:
+        for vm, led in self.board.vms.items():
+            if led.entry != self.entry or vm in self._losing:
+                continue
+            view = self.views.get(vm)
+            if view is None:
+                continue
+            if now_s < view.reported_at_s + lease_rules.VM_SILENT_S:
+                continue
+            if now_s <= view.granted_until_s:
+                continue
+            self._losing.add(vm)
+            reason = f"{vm} is silent and its lease has run out"
+            record = VmLost(vm, led.term, self.entry, reason)
+            fields: dict[str, str | int | float] = {
+                "vm": vm,
+                "tasks": len(led.job_ids),
+                "silent_s": round(now_s - view.reported_at_s, 3),
+            }
+            actions.append(Append(record))
+            actions.append(Explain("lease", f"lost {vm}", fields))
+
+    def _free_lapsed_entries(
+        self, wall_ms: int, actions: list[Action]
+    ) -> None:
+        for entry in self.board.renewed_ms:
+            if entry == self.entry or entry in self._lapsing:
+                continue
+            if not self.board.lease_passed(entry, wall_ms):
+                continue
+            self._lapsing.add(entry)
+            actions.append(Append(EntryLapsed(entry)))
+
+    def _claim_jobs(self, now_s: float, actions: list[Action]) -> None:
+        if now_s > self.lead_until_s - lease_rules.VM_LEASE_S:
+            return
+        vms = self._open_vms(now_s)
+        claims = 0
+        for entry in self._queue_order():
+            if claims >= CLAIMS_PER_TICK:
+                return
+            if entry.job.job_id in self._claiming:
+                continue
+            claims += self._place(entry, vms, actions)
+
+    def _queue_order(self) -> list[JobEntry]:
+        queued = itertools.islice(self.board.queued.values(), 0, SCAN_PER_TICK)
+        return sorted(queued, key=lambda entry: not entry.job.urgent)
+
+    def _open_vms(self, now_s: float) -> list[VmView]:
+        vms = []
+        for vm, led in self.board.vms.items():
+            if led.entry != self.entry or vm in self._losing:
+                continue
+            view = self.views.get(vm)
+            if view is None or not view.ready or view.term != led.term:
+                continue
+            if now_s < view.quarantined_until_s:
+                continue
+            if now_s > view.reported_at_s + lease_rules.LEADER_SILENT_S:
+                continue
+            if view.start_failures >= MAX_START_FAILURES:
+                view.start_failures = MAX_START_FAILURES - 1
+                view.quarantined_until_s = now_s + QUARANTINE_S
+                continue
+            vms.append(view)
+        return vms
+
+    def _place(
+        self, entry: JobEntry, vms: list[VmView], actions: list[Action]
+    ) -> int:
+        job = entry.job
+        pool = self._find_pool(job.pool)
+        if pool is None or not pool.batch:
+            self._reject(entry, f"no pool {job.pool} runs batch", actions)
+            return 0
+        if self.board.quota_left(pool, job.team) < job.size.millicores:
+            return 0
+        fitting = [
+            vm for vm in vms if vm.pool == job.pool and job.size.fits(vm.free)
+        ]
+        choice = PLACEMENT_POLICIES[pool.placement](job, fitting, self._rng)
+        if choice is None:
+            self._reject_impossible(entry, pool, actions)
+            return 0
+        choice.free = choice.free - job.size
+        self._claiming[job.job_id] = choice.vm
+        reason = (
+            f"{pool.placement} chose it of {len(fitting)} VMs with room, "
+            f"{choice.free.millicores} millicores left"
+        )
+        record = JobClaimed(
+            job.job_id,
+            entry.attempt + 1,
+            choice.vm,
+            choice.term,
+            self.entry,
+            reason,
+        )
+        actions.append(Append(record))
+        text = f"{job.job_id} to {choice.vm}"
+        fields: dict[str, str | int | float] = {
+            "job": job.job_id,
+            "vm": choice.vm,
+            "attempt": entry.attempt + 1,
+            "team": job.team,
+            "policy": pool.placement,
+            "vms_with_room": len(fitting),
+            "vms_open": len(vms),
+            "free_millicores": choice.free.millicores,
+            "free_memory_bytes": choice.free.memory_bytes,
+        }
+        actions.append(Explain("place", text, fields))
+        return 1
+
+    def _reject_impossible(
+        self, entry: JobEntry, pool: Pool, actions: list[Action]
+    ) -> None:
+        views = [v for v in self.views.values() if v.pool == pool.name]
+        if not views:
+            return
+        size = entry.job.size
+        reserve = _reserve(pool)
+        if any(size.fits(view.capacity - reserve) for view in views):
+            return
+        most = max(view.capacity.accelerators for view in views)
+        cores = max(view.capacity.millicores for view in views)
+        memory = max(view.capacity.memory_bytes for view in views)
+        reason = (
+            f"no VM of {pool.name} can hold {size.millicores} millicores, "
+            f"{size.memory_bytes} bytes and {size.accelerators} "
+            f"accelerators beside the reserve; the largest have {cores}, "
+            f"{memory} and {most}"
+        )
+        self._reject(entry, reason, actions)
+
+    def _reject(
+        self, entry: JobEntry, reason: str, actions: list[Action]
+    ) -> None:
+        job_id = entry.job.job_id
+        if job_id in self._rejecting:
+            return
+        self._rejecting.add(job_id)
+        actions.append(Append(JobRejected(job_id, reason)))
+        actions.append(
+            Explain("place", f"{job_id} refused: {reason}", {"job": job_id})
+        )
+
+    def _claim_decided(
+        self, record: JobClaimed, refusal: str, now_s: float
+    ) -> list[Action]:
+        if record.entry != self.entry:
+            return []
+        self._claiming.pop(record.job_id, None)
+        view = self.views.get(record.vm)
+        if view is None:
+            return []
+        self._count_free(view)
+        if refusal:
+            text = f"claim of {record.job_id} refused: {refusal}"
+            return [Explain("place", text, {"job": record.job_id})]
+        return self._push_start(record, view, now_s)
+
+    def _push_start(
+        self, record: JobClaimed, view: VmView, now_s: float
+    ) -> list[Action]:
+        if now_s + MIN_TTL_S > view.granted_until_s:
+            return []
+        entry = self.board.jobs[record.job_id]
+        start = StartAttempt(entry.job, entry.attempt, entry.checkpoint)
+        grant = LeaseGrant(
+            entry=self.entry,
+            vm=record.vm,
+            term=record.term,
+            reply_to=view.report_sequence,
+            ttl_s=0.0,
+            starts=[start],
+            stops=[],
+            noted=[],
+        )
+        return [Send(view.address, grant)]
+
+
+def _reserve(pool: Pool) -> Size:
+    return Size(pool.reserved_millicores, pool.reserved_memory_bytes, 0)
--- /dev/null
+++ b/src/yuccapoint/job/job_board.py
@@ -0,0 +1,319 @@
+"""The state of all jobs, VMs and entries as a function of the log."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+from yuccapoint.job.job_entry import JobEntry
+from yuccapoint.job.job_entry import JobState
+from yuccapoint.job.records import EntryLapsed
+from yuccapoint.job.records import EntryLeft
+from yuccapoint.job.records import EntryRenewed
+from yuccapoint.job.records import JobCancelled
+from yuccapoint.job.records import JobCheckpointed
+from yuccapoint.job.records import JobClaimed
+from yuccapoint.job.records import JobFinished
+from yuccapoint.job.records import JobRejected
+from yuccapoint.job.records import JobReleased
+from yuccapoint.job.records import JobSubmitted
+from yuccapoint.job.records import VmAdopted
+from yuccapoint.job.records import VmLost
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from yuccapoint.job.records import Record
+    from yuccapoint.version.pool import Pool
+
+ENTRY_LEASE_MS = 180_000
+MAX_FINAL_JOBS = 20_000
+
+
+class VmLeadership:
+    """Which entry leads a VM, and under which term."""
+
+    __slots__ = ("entry", "job_ids", "pool", "term")
+
+    def __init__(self, entry: str, term: int, pool: str) -> None:
+        self.entry = entry
+        self.term = term
+        self.pool = pool
+        self.job_ids: set[str] = set()
+
+
+class JobBoard:
+    """Applies records in log order; every reader reaches the same state.
+
+    A record that does not fit the state is rejected, with the reason, and
+    changes nothing. No clock is read: time is the stamp of the log.
+
+    Attributes
+    ----------
+    jobs : dict of str to JobEntry
+        All live jobs and the newest final ones.
+    queued : dict of str to JobEntry
+        The jobs that wait, in order of arrival in the queue.
+    vms : dict of str to VmLeadership
+        Leadership of each VM that was adopted.
+    renewed_ms : dict of str to int
+        Stamp of each entry's newest renewal.
+    team_millicores : dict
+        Processors held by running jobs, by pool and team.
+    """
+
+    def __init__(self, find_pool: Callable[[str], Pool | None]) -> None:
+        self.jobs: dict[str, JobEntry] = {}
+        self.queued: dict[str, JobEntry] = {}
+        self.vms: dict[str, VmLeadership] = {}
+        self.renewed_ms: dict[str, int] = {}
+        self.team_millicores: dict[str, int] = {}
+        self.last_stamp_ms = 0
+        self._find_pool = find_pool
+        self._final: collections.deque[str] = collections.deque()
+
+    def apply(self, record: Record, stamp_ms: int) -> str:
+        """Apply one record.
+
+        Parameters
+        ----------
+        record : Record
+            The next record of the log.
+        stamp_ms : int
+            When the log took it, in milliseconds since the epoch.
+
+        Returns
+        -------
+        str
+            Empty when accepted, else why the record was rejected.
+        """
+        self.last_stamp_ms = max(self.last_stamp_ms, stamp_ms)
+        handler = _HANDLERS.get(type(record))
+        if handler is None:
+            return "not a record of jobs"
+        return handler(self, record, stamp_ms)
+
+    def has_lease(self, entry: str) -> bool:
+        """Tell whether an entry may still lead, by the log's time."""
+        return entry in self.renewed_ms
+
+    def lease_passed(self, entry: str, now_ms: int) -> bool:
+        """Tell whether an entry's long lease has run out at ``now_ms``."""
+        renewed_ms = self.renewed_ms.get(entry)
+        if renewed_ms is None:
+            return True
+        return now_ms > renewed_ms + ENTRY_LEASE_MS
+
+    def quota_left(self, pool: Pool, team: str) -> int:
+        """Give the processors a team may still take, in millicores."""
+        quota = pool.team_quota_millicores.get(team)
+        if quota is None:
+            return 1 << 60
+        return quota - self.team_millicores.get(f"{pool.name}/{team}", 0)
+
+    def _renew(self, record: EntryRenewed, stamp_ms: int) -> str:
+        self.renewed_ms[record.entry] = stamp_ms
+        return ""
+
+    def _lapse(self, record: EntryLapsed, stamp_ms: int) -> str:
+        if record.entry not in self.renewed_ms:
+            return "no such entry"
+        if not self.lease_passed(record.entry, stamp_ms):
+            return "the lease was renewed"
+        for vm in self._led_by(record.entry):
+            self._free_vm(vm, stamp_ms, "the entry's long lease lapsed")
+        del self.renewed_ms[record.entry]
+        return ""
+
+    def _leave(self, record: EntryLeft, stamp_ms: int) -> str:
+        del stamp_ms
+        if self.renewed_ms.pop(record.entry, None) is None:
+            return "no such entry"
+        return ""
+
+    def _led_by(self, entry: str) -> list[str]:
+        return [vm for vm, led in self.vms.items() if led.entry == entry]
+
+    def _adopt(self, record: VmAdopted, stamp_ms: int) -> str:
+        if record.entry not in self.renewed_ms:
+            return "the entry holds no lease"
+        led = self.vms.get(record.vm)
+        if led is None:
+            self.vms[record.vm] = VmLeadership(
+                record.entry, record.term, record.pool
+            )
+            return ""
+        if record.term <= led.term:
+            return f"term {led.term} is newer"
+        led.entry = record.entry
+        led.term = record.term
+        led.pool = record.pool
+        for job_id in led.job_ids:
+            text = f"{record.entry} took over the lead of {record.vm}"
+            self.jobs[job_id].note(stamp_ms, text)
+        return ""
+
+    def _lose(self, record: VmLost, stamp_ms: int) -> str:
+        led = self.vms.get(record.vm)
+        if led is None:
+            return "no such VM"
+        if led.entry != record.entry or led.term != record.term:
+            return "another entry leads the VM"
+        self._free_vm(record.vm, stamp_ms, record.reason)
+        return ""
+
+    def _free_vm(self, vm: str, stamp_ms: int, reason: str) -> None:
+        led = self.vms[vm]
+        for job_id in sorted(led.job_ids):
+            entry = self.jobs[job_id]
+            self._end_attempt(entry)
+            self._requeue(entry, stamp_ms, f"released: {reason}")
+        led.entry = ""
+
+    def _submit(self, record: JobSubmitted, stamp_ms: int) -> str:
+        job = record.job
+        if job.job_id in self.jobs:
+            return "the job is known"
+        entry = JobEntry(job, stamp_ms)
+        entry.note(stamp_ms, "submitted")
+        self.jobs[job.job_id] = entry
+        self.queued[job.job_id] = entry
+        return ""
+
+    def _claim(self, record: JobClaimed, stamp_ms: int) -> str:
+        entry = self.jobs.get(record.job_id)
+        if entry is None or entry.state is not JobState.QUEUED:
+            return "the job is not queued"
+        if record.attempt != entry.attempt + 1:
+            return f"attempt {entry.attempt} is the newest"
+        led = self.vms.get(record.vm)
+        if led is None or led.term != record.term:
+            return "the VM has another term"
+        if led.entry != record.entry or not self.has_lease(record.entry):
+            return "the claimant does not lead the VM"
+        pool = self._find_pool(entry.job.pool)
+        if pool is None:
+            return "the pool is gone"
+        if self.quota_left(pool, entry.job.team) < entry.job.size.millicores:
+            return "the team's quota is used up"
+        del self.queued[record.job_id]
+        entry.state = JobState.RUNNING
+        entry.attempt = record.attempt
+        entry.vm = record.vm
+        if record.attempt > 1:
+            entry.resumes += 1
+        led.job_ids.add(record.job_id)
+        self._charge(entry, entry.job.size.millicores)
+        text = f"attempt {record.attempt} claimed for {record.vm}"
+        entry.note(stamp_ms, f"{text}: {record.reason}")
+        return ""
+
+    def _checkpoint(self, record: JobCheckpointed, stamp_ms: int) -> str:
+        entry = self._running(record.job_id, record.attempt)
+        if entry is None:
+            return "the attempt is over"
+        entry.checkpoint = record.checkpoint
+        entry.note(stamp_ms, f"checkpoint {record.checkpoint}")
+        return ""
+
+    def _release(self, record: JobReleased, stamp_ms: int) -> str:
+        entry = self._running(record.job_id, record.attempt)
+        if entry is None:
+            return "the attempt is over"
+        if self.vms[entry.vm].term != record.term:
+            return "the VM has another term"
+        if record.checkpoint:
+            entry.checkpoint = record.checkpoint
+        self._end_attempt(entry)
+        entry.failures += record.failed
+        pool = self._find_pool(entry.job.pool)
+        if pool is not None and entry.failures >= pool.max_attempts:
+            self._finish(entry, JobState.FAILED, stamp_ms, record.reason)
+            return ""
+        self._requeue(entry, stamp_ms, f"released: {record.reason}")
+        return ""
+
+    def _done(self, record: JobFinished, stamp_ms: int) -> str:
+        entry = self._running(record.job_id, record.attempt)
+        if entry is None:
+            return "the attempt is over"
+        if self.vms[entry.vm].term != record.term:
+            return "the VM has another term"
+        self._end_attempt(entry)
+        self._finish(entry, JobState.DONE, stamp_ms, f"done on {entry.vm}")
+        return ""
+
+    def _reject(self, record: JobRejected, stamp_ms: int) -> str:
+        entry = self.queued.get(record.job_id)
+        if entry is None:
+            return "the job is not queued"
+        del self.queued[record.job_id]
+        self._finish(entry, JobState.FAILED, stamp_ms, record.reason)
+        return ""
+
+    def _cancel(self, record: JobCancelled, stamp_ms: int) -> str:
+        entry = self.jobs.get(record.job_id)
+        if entry is None or entry.state.final:
+            return "the job is over or unknown"
+        if entry.state is JobState.QUEUED:
+            del self.queued[record.job_id]
+            self._finish(entry, JobState.CANCELLED, stamp_ms, "cancelled")
+            return ""
+        entry.cancelling = True
+        entry.note(stamp_ms, "cancellation asked")
+        return ""
+
+    def _running(self, job_id: str, attempt: int) -> JobEntry | None:
+        entry = self.jobs.get(job_id)
+        if entry is None or entry.state is not JobState.RUNNING:
+            return None
+        if entry.attempt != attempt:
+            return None
+        return entry
+
+    def _end_attempt(self, entry: JobEntry) -> None:
+        self.vms[entry.vm].job_ids.discard(entry.job.job_id)
+        self._charge(entry, -entry.job.size.millicores)
+
+    def _charge(self, entry: JobEntry, millicores: int) -> None:
+        key = f"{entry.job.pool}/{entry.job.team}"
+        left = self.team_millicores.get(key, 0) + millicores
+        if left:
+            self.team_millicores[key] = left
+            return
+        self.team_millicores.pop(key, None)
+
+    def _requeue(self, entry: JobEntry, stamp_ms: int, text: str) -> None:
+        entry.vm = ""
+        if entry.cancelling:
+            self._finish(entry, JobState.CANCELLED, stamp_ms, "cancelled")
+            return
+        entry.state = JobState.QUEUED
+        entry.queued_at_ms = stamp_ms
+        entry.note(stamp_ms, text)
+        self.queued[entry.job.job_id] = entry
+
+    def _finish(
+        self, entry: JobEntry, state: JobState, stamp_ms: int, text: str
+    ) -> None:
+        entry.state = state
+        entry.note(stamp_ms, f"{state.value}: {text}")
+        self._final.append(entry.job.job_id)
+        while len(self._final) > MAX_FINAL_JOBS:
+            del self.jobs[self._final.popleft()]
+
+
+_HANDLERS: dict[type, Callable[..., str]] = {
+    EntryRenewed: JobBoard._renew,
+    EntryLapsed: JobBoard._lapse,
+    EntryLeft: JobBoard._leave,
+    VmAdopted: JobBoard._adopt,
+    VmLost: JobBoard._lose,
+    JobSubmitted: JobBoard._submit,
+    JobClaimed: JobBoard._claim,
+    JobCheckpointed: JobBoard._checkpoint,
+    JobReleased: JobBoard._release,
+    JobFinished: JobBoard._done,
+    JobRejected: JobBoard._reject,
+    JobCancelled: JobBoard._cancel,
+}
--- /dev/null
+++ b/src/yuccapoint/job/placement/policies.py
@@ -0,0 +1,59 @@
+"""The placement policies. Each gets VMs that have room for the job."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from yuccapoint.job.placement.registry import placement_policy
+
+if TYPE_CHECKING:
+    import random
+
+    from yuccapoint.job.job import Job
+    from yuccapoint.job.vm_view import VmView
+
+
+@placement_policy("random")
+def choose_random(
+    job: Job, vms: list[VmView], rng: random.Random
+) -> VmView | None:
+    """Take any VM."""
+    del job
+    return rng.choice(vms) if vms else None
+
+
+@placement_policy("first-fit")
+def choose_first_fit(
+    job: Job, vms: list[VmView], rng: random.Random
+) -> VmView | None:
+    """Take the first VM by name."""
+    del job, rng
+    return min(vms, key=lambda vm: vm.vm, default=None)
+
+
+@placement_policy("best-fit")
+def choose_best_fit(
+    job: Job, vms: list[VmView], rng: random.Random
+) -> VmView | None:
+    """Take the VM that the job leaves with the least room."""
+    del job, rng
+    return min(vms, key=lambda vm: (vm.free.millicores, vm.vm), default=None)
+
+
+@placement_policy("spread")
+def choose_spread(
+    job: Job, vms: list[VmView], rng: random.Random
+) -> VmView | None:
+    """Keep accelerators whole, then take the VM with the most room."""
+    del rng
+    wasted = job.size.accelerators == 0
+    return min(
+        vms,
+        key=lambda vm: (
+            wasted and vm.capacity.accelerators > 0,
+            len(vm.attempts),
+            -vm.free.millicores,
+            vm.vm,
+        ),
+        default=None,
+    )
--- /dev/null
+++ b/src/yuccapoint/job/size.py
@@ -0,0 +1,50 @@
+"""What a task takes of a VM, in whole units."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class Size(msgspec.Struct, frozen=True):
+    """Processors, memory and accelerators.
+
+    Attributes
+    ----------
+    millicores : int
+        Thousandths of a processor.
+    memory_bytes : int
+        Memory in bytes.
+    accelerators : int
+        Whole accelerators.
+    """
+
+    millicores: int = 0
+    memory_bytes: int = 0
+    accelerators: int = 0
+
+    def __add__(self, other: Size) -> Size:
+        return Size(
+            self.millicores + other.millicores,
+            self.memory_bytes + other.memory_bytes,
+            self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other: Size) -> Size:
+        return Size(
+            self.millicores - other.millicores,
+            self.memory_bytes - other.memory_bytes,
+            self.accelerators - other.accelerators,
+        )
+
+    def fits(self, room: Size) -> bool:
+        """Tell whether this size fits into ``room``."""
+        return (
+            self.millicores <= room.millicores
+            and self.memory_bytes <= room.memory_bytes
+            and self.accelerators <= room.accelerators
+        )
+
+    @property
+    def valid(self) -> bool:
+        """Whether no dimension is negative."""
+        return min(self.millicores, self.memory_bytes, self.accelerators) >= 0
--- /dev/null
+++ b/src/yuccapoint/process/__init__.py
@@ -0,0 +1,3 @@
+"""What lives as long as a process."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/yuccapoint/process/access.py
@@ -0,0 +1,96 @@
+"""Credentials of callers and operators."""
+
+from __future__ import annotations
+
+import configparser
+import hmac
+import pathlib
+from typing import TYPE_CHECKING
+
+from yuccapoint.exceptions import SettingsError
+from yuccapoint.request.exceptions import AccessRefusedError
+
+if TYPE_CHECKING:
+    from tornado.httputil import HTTPHeaders
+
+BEARER = "Bearer "
+ANYBODY = "anybody"
+
+
+class Access:
+    """Binds a token to a customer or an operator.
+
+    The file has sections ``callers`` and ``operators`` with lines
+    ``name = token``. Without a file, everybody is let in.
+
+    Parameters
+    ----------
+    path : str
+        The file; empty for none.
+    """
+
+    def __init__(self, path: str) -> None:
+        self._open = not path
+        self._callers: dict[str, str] = {}
+        self._operators: dict[str, str] = {}
+        if path:
+            self._load(path)
+
+    def customer(self, headers: HTTPHeaders, claimed_header: str) -> str:
+        """Give the customer that a caller's credentials name.
+
+        Raises
+        ------
+        AccessRefusedError
+            The token is missing or unknown, or names another customer.
+        """
+        claimed = str(headers.get(claimed_header, ""))
+        if self._open:
+            return claimed or ANYBODY
+        found = _find(self._callers, headers)
+        if not found or (claimed and claimed != found):
+            raise AccessRefusedError("the credentials were refused")
+        return found
+
+    def operator(self, headers: HTTPHeaders) -> str:
+        """Give the operator that a call's credentials name.
+
+        Raises
+        ------
+        AccessRefusedError
+            The token is missing or unknown.
+        """
+        if self._open:
+            return str(headers.get("Yuccapoint-Operator", "")) or ANYBODY
+        found = _find(self._operators, headers)
+        if not found:
+            raise AccessRefusedError("the credentials were refused")
+        return found
+
+    def _load(self, path: str) -> None:
+        parser = configparser.ConfigParser(interpolation=None)
+        parser.optionxform = str  # type: ignore[assignment,method-assign]
+        try:
+            parser.read_string(pathlib.Path(path).read_text("utf-8"))
+        except (OSError, UnicodeDecodeError, configparser.Error) as error:
+            text = str(error).splitlines()[0]
+            raise SettingsError(f"{path} can't be read: {text}") from None
+        for section in parser.sections():
+            if section not in ("callers", "operators"):
+                raise SettingsError(f"{path}: [{section}] is not known")
+        if parser.has_section("callers"):
+            self._callers = dict(parser["callers"])
+        if parser.has_section("operators"):
+            self._operators = dict(parser["operators"])
+
+
+def _find(names: dict[str, str], headers: HTTPHeaders) -> str:
+    given = str(headers.get("Authorization", ""))
+    if not given.startswith(BEARER):
+        return ""
+    token = given[len(BEARER) :].encode()
+    found = ""
+    for name, known in names.items():
+        if hmac.compare_digest(token, known.encode()):
+            found = name
+    return found
--- /dev/null
+++ b/src/yuccapoint/process/agent_process.py
@@ -0,0 +1,266 @@
+"""An agent: admission beside the endpoints, tasks on the VM's worker."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from tornado.httpserver import HTTPServer
+from tornado.ioloop import PeriodicCallback
+
+from yuccapoint.connection.endpoint_client import EndpointClient
+from yuccapoint.connection.entry_directory import EntryDirectory
+from yuccapoint.connection.http_worker import HttpWorker
+from yuccapoint.connection.mailbox import Mailbox
+from yuccapoint.connection.messages import AgentReport
+from yuccapoint.connection.messages import DrainVm
+from yuccapoint.connection.messages import EntryHello
+from yuccapoint.connection.messages import LeaseGrant
+from yuccapoint.connection.messages import TablesUpdate
+from yuccapoint.job.actions import Explain
+from yuccapoint.job.actions import Send
+from yuccapoint.job.guard import Guard
+from yuccapoint.job.lease_rules import REPORT_EVERY_S
+from yuccapoint.job.size import Size
+from yuccapoint.job.task_keeper import TaskKeeper
+from yuccapoint.process.announce_api import announce_application
+from yuccapoint.process.endpoint_registry import EndpointRegistry
+from yuccapoint.process.logs import Logs
+from yuccapoint.process.metrics import Metrics
+from yuccapoint.process.request_server import RequestServer
+from yuccapoint.process.worker_driver import WorkerDriver
+from yuccapoint.request.key_memory import KeyMemory
+from yuccapoint.version.compiled_version import CompiledVersion
+
+if TYPE_CHECKING:
+    from yuccapoint.connection.messages import ControlMessage
+    from yuccapoint.job.actions import Action
+    from yuccapoint.job.worker_events import Inventory
+    from yuccapoint.job.worker_events import TaskEnded
+    from yuccapoint.job.worker_events import UsageSample
+    from yuccapoint.process.endpoint_registry import LocalEndpoint
+    from yuccapoint.process.served_request import ServedRequest
+    from yuccapoint.process.settings.sections import AgentSettings
+
+TICK_MS = 50
+
+
+class AgentProcess:
+    """Wires an agent's decision logic to sockets, clock and worker.
+
+    Parameters
+    ----------
+    settings : AgentSettings
+        Checked settings.
+    """
+
+    def __init__(self, settings: AgentSettings) -> None:
+        self.settings = settings
+        self.name = settings.process.name
+        self.incarnation = time.time_ns() // 1_000_000
+        self.logs = Logs(self.name)
+        self.metrics = Metrics()
+        self.max_body_bytes = settings.limits.max_body_bytes
+        self.stopping = False
+        self.alive = True
+        self.tables = CompiledVersion(0, [], [])
+        self.endpoints = EndpointRegistry(
+            settings.limits.slots, settings.limits.connections
+        )
+        self.keys = KeyMemory()
+        self.waiting: dict[str, ServedRequest] = {}
+        self.client = EndpointClient()
+        self.keeper = TaskKeeper(self.name, self.incarnation, Size())
+        self.guard = Guard(self.keeper)
+        self.directory = EntryDirectory(settings.entries.seeds)
+        self.mailbox = Mailbox(
+            settings.listen.control_address, self._on_message
+        )
+        self._worker = HttpWorker(
+            settings.worker.address, settings.worker.timeout_s
+        )
+        self.driver = WorkerDriver(
+            self._worker, self._on_inventory, self._on_ended, self._on_usage
+        )
+        self._report_at_s = 0.0
+        self._requests = RequestServer(self)
+        self._announce = HTTPServer(announce_application(self))
+        self._ticker = PeriodicCallback(self._tick, TICK_MS)
+
+    def start(self) -> None:
+        """Listen and follow the worker."""
+        listen = self.settings.listen
+        self.mailbox.open()
+        self.driver.start()
+        self._ticker.start()
+        host, _, port = listen.announce_address.rpartition(":")
+        self._announce.listen(int(port), host)
+        host, _, port = listen.session_address.rpartition(":")
+        self._requests.listen(int(port), host)
+        self.logs.say("agent", f"started incarnation {self.incarnation}")
+
+    async def stop(self) -> list[str]:
+        """Stop as planned.
+
+        Returns
+        -------
+        list of str
+            What had to be cut because the deadline passed.
+        """
+        self.logs.say("agent", "stopping")
+        self.drain()
+        deadline_s = time.monotonic() + self.settings.limits.drain_timeout_s
+        while self._busy() and time.monotonic() < deadline_s:
+            await asyncio.sleep(TICK_MS / 1000)
+        cut = self._busy()
+        self.kill()
+        self.logs.say("agent", "stopped", cut=cut)
+        return cut
+
+    def drain(self) -> None:
+        """Take no new work and checkpoint the tasks."""
+        self.stopping = True
+        self.keeper.stopping = True
+        actions: list[Action] = []
+        for task in list(self.keeper.tasks.values()):
+            self.keeper.stop(
+                task.job_id, task.attempt, "the VM is drained", actions
+            )
+        self.act(actions)
+        self.report()
+
+    def kill(self) -> None:
+        """Drop everything at once, as if the process died."""
+        self.alive = False
+        self._ticker.stop()
+        self.driver.stop()
+        self._worker.close()
+        self.mailbox.close()
+        self._requests.stop()
+        self._requests.close_all()
+        self._announce.stop()
+        self.client.close()
+
+    def start_waiting(self, endpoint: LocalEndpoint) -> None:
+        """Start what waits for a slot, now that one may be free."""
+        now_s = time.monotonic()
+        for late in endpoint.admission.expire(now_s):
+            request = self.waiting.get(late.request_key)
+            if request is not None:
+                request.expired()
+        while True:
+            ticket = endpoint.admission.start_next(now_s)
+            if ticket is None:
+                return
+            request = self.waiting.get(ticket.request_key)
+            if request is None:
+                endpoint.admission.finish(ticket.request_key, now_s)
+                continue
+            request.admitted()
+
+    def act(self, actions: list[Action]) -> None:
+        """Carry out what decision logic asked for."""
+        for action in actions:
+            if isinstance(action, Send):
+                self.mailbox.send(action.address, action.message)
+                continue
+            if isinstance(action, Explain):
+                self.logs.say(action.part, action.text, **action.fields)
+                continue
+            self.driver.act(action)
+
+    def report(self) -> None:
+        """Report to all entries now."""
+        now_s = time.monotonic()
+        self._report_at_s = now_s + REPORT_EVERY_S
+        if self.keeper.knows_worker:
+            preferred = self.directory.preferred(self.name, now_s)
+            self.keeper.choose_leader(preferred, now_s)
+        message = self._make_report(now_s)
+        for address in self.directory.addresses(now_s):
+            self.mailbox.send(address, message)
+
+    def _make_report(self, now_s: float) -> AgentReport:
+        process = self.settings.process
+        listen = self.settings.listen
+        keeper = self.keeper
+        return AgentReport(
+            vm=self.name,
+            incarnation=self.incarnation,
+            sequence=keeper.next_sequence(now_s),
+            term=keeper.term,
+            wants_leader=keeper.candidate,
+            leader=keeper.leader,
+            pool=process.pool,
+            data_centre=process.data_centre,
+            region=process.region,
+            rack=process.rack,
+            control_address=listen.control_address,
+            session_address=listen.session_address,
+            capacity=keeper.ledger.capacity,
+            free=keeper.ledger.free,
+            ready=keeper.knows_worker,
+            stopping=self.stopping,
+            tables_version=self.tables.version,
+            endpoints=self.endpoints.reports(now_s, stopping=self.stopping),
+            tasks=[task.report for task in keeper.tasks.values()],
+        )
+
+    def _tick(self) -> None:
+        now_s = time.monotonic()
+        for endpoint in self.endpoints.all():
+            self.start_waiting(endpoint)
+        if now_s >= self._report_at_s:
+            self.report()
+
+    def _busy(self) -> list[str]:
+        busy = []
+        for endpoint in self.endpoints.all():
+            count = len(endpoint.admission.running)
+            count += endpoint.admission.queued
+            if count:
+                name = endpoint.announcement.name
+                busy.append(f"{count} requests at {name}")
+        for task in self.keeper.tasks.values():
+            busy.append(f"job {task.job_id} attempt {task.attempt}")
+        return busy
+
+    def _on_message(self, message: ControlMessage) -> None:
+        now_s = time.monotonic()
+        if isinstance(message, EntryHello):
+            self.directory.on_hello(message, now_s)
+            return
+        if isinstance(message, LeaseGrant):
+            self.act(self.keeper.on_grant(message, now_s))
+            return
+        if isinstance(message, TablesUpdate):
+            self._install(message)
+            return
+        if isinstance(message, DrainVm) and message.vm == self.name:
+            self.logs.say("agent", f"{message.operator} asked for a drain")
+            self.drain()
+
+    def _install(self, update: TablesUpdate) -> None:
+        if update.version <= self.tables.version:
+            return
+        self.tables = CompiledVersion(
+            update.version, update.routes, update.pools
+        )
+        self.logs.say("tables", f"version {update.version} is in force")
+        self.report()
+
+    def _on_inventory(self, inventory: Inventory) -> None:
+        self.keeper.ledger.capacity = inventory.capacity
+        self.act(self.keeper.on_inventory(inventory.running))
+        self.report()
+
+    def _on_ended(self, ended: TaskEnded) -> None:
+        self.act(self.keeper.on_ended(ended))
+        self.report()
+
+    def _on_usage(self, samples: list[UsageSample]) -> None:
+        pool = self.tables.pools.get(self.settings.process.pool)
+        if pool is None or not pool.guard:
+            return
+        self.act(self.guard.on_usage(samples, time.monotonic()))
--- /dev/null
+++ b/src/yuccapoint/process/caller_server.py
@@ -0,0 +1,240 @@
+"""The callers' HTTP port of an entry."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPMessageDelegate
+from tornado.httputil import HTTPServerConnectionDelegate
+from tornado.httputil import ResponseStartLine
+from tornado.iostream import StreamClosedError
+
+from yuccapoint.exceptions import YuccapointError
+from yuccapoint.request.exceptions import NoRouteError
+from yuccapoint.request.exceptions import OverloadedError
+from yuccapoint.request.exceptions import RequestError
+from yuccapoint.request.exceptions import TooLargeError
+from yuccapoint.request.header import end_to_end
+from yuccapoint.request.header import Header
+from yuccapoint.request.service_request import ServiceRequest
+from yuccapoint.request.verdict import Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
+    from tornado.httputil import HTTPConnection
+    from tornado.httputil import RequestStartLine
+
+    from yuccapoint.process.entry_process import EntryProcess
+    from yuccapoint.process.request_forwarder import Forwarded
+
+VERDICT_HEADER = "Yuccapoint-Verdict"
+REASON_HEADER = "Yuccapoint-Reason"
+REQUEST_HEADER = "Yuccapoint-Request"
+CUSTOMER_HEADER = "Yuccapoint-Customer"
+KEY_HEADER = "Idempotency-Key"
+NO_BODY_STATUSES = (204, 304)
+
+
+class CallerServer(HTTPServerConnectionDelegate):
+    """Gives each request on the callers' port its own delegate."""
+
+    def __init__(self, entry: EntryProcess) -> None:
+        self._entry = entry
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTPConnection
+    ) -> HTTPMessageDelegate:
+        """Begin a request."""
+        del server_conn
+        return CallerRequest(self._entry, request_conn)
+
+
+class CallerRequest(HTTPMessageDelegate):
+    """One caller's request and the answer to it."""
+
+    def __init__(
+        self, entry: EntryProcess, connection: HTTPConnection
+    ) -> None:
+        self._entry = entry
+        self._connection = connection
+        self._request: ServiceRequest | None = None
+        self._method = ""
+        self._size_bytes = 0
+        self._answered = False
+        self._counted = False
+        self._task: asyncio.Task[None] | None = None
+
+    def headers_received(
+        self, start_line: object, headers: HTTPHeaders
+    ) -> Awaitable[None] | None:
+        """Check what the head tells before the body is read."""
+        line: RequestStartLine = start_line  # type: ignore[assignment]
+        self._method = line.method
+        try:
+            self._request = self._begin(line, headers)
+        except RequestError as error:
+            self._refuse(error)
+        return None
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        """Keep a part of the body."""
+        if self._request is None or self._answered:
+            return None
+        self._size_bytes += len(chunk)
+        if self._size_bytes > self._entry.max_body_bytes:
+            self._refuse(self._too_large())
+            return None
+        self._request.chunks.append(chunk)
+        return None
+
+    def finish(self) -> None:
+        """Serve the request, which has come whole."""
+        if self._request is None or self._answered:
+            return
+        self._task = asyncio.ensure_future(self._serve(self._request))
+
+    def on_connection_close(self) -> None:
+        """Give up a request whose caller is gone."""
+        if self._task is not None:
+            self._task.cancel()
+        self._end()
+
+    def _begin(
+        self, line: RequestStartLine, headers: HTTPHeaders
+    ) -> ServiceRequest:
+        entry = self._entry
+        path = line.path.partition("?")[0]
+        version = entry.cell.tables.current
+        route = version.match(path)
+        if route is None:
+            raise NoRouteError(f"no route matches {path}")
+        customer = entry.access.customer(headers, CUSTOMER_HEADER)
+        if entry.stopping or entry.in_flight >= entry.max_in_flight:
+            raise OverloadedError("the entry is full", retry_after_s=1.0)
+        length = headers.get("Content-Length", "0")
+        if length.isdigit() and int(length) > entry.max_body_bytes:
+            raise self._too_large()
+        listed = [Header(name, value) for name, value in headers.get_all()]
+        request = ServiceRequest(
+            entry.next_request_id(),
+            route,
+            customer,
+            line.method,
+            line.path,
+            end_to_end(listed),
+            time.monotonic(),
+        )
+        request.key = headers.get(KEY_HEADER, "")
+        entry.in_flight += 1
+        self._counted = True
+        return request
+
+    def _too_large(self) -> TooLargeError:
+        limit = self._entry.max_body_bytes
+        return TooLargeError(f"the body is larger than {limit} bytes")
+
+    async def _serve(self, request: ServiceRequest) -> None:
+        try:
+            await self._entry.claim_key(request)
+            forwarded = await self._entry.forwarder.forward(request)
+        except RequestError as error:
+            await self._entry.release_key(request, error)
+            self._refuse(error)
+            return
+        except YuccapointError as error:
+            self._refuse(RequestError(str(error), error.verdict))
+            return
+        finally:
+            request.chunks.clear()
+        try:
+            await self._answer(forwarded, request)
+        except RequestError:
+            self._break_off()
+        except StreamClosedError:
+            pass
+        finally:
+            forwarded.close()
+            self._end()
+
+    async def _answer(
+        self, forwarded: Forwarded, request: ServiceRequest
+    ) -> None:
+        head = forwarded.head
+        headers = HTTPHeaders()
+        for header in head.headers:
+            headers.add(header.name, header.value)
+        headers[VERDICT_HEADER] = Verdict.RAN.value
+        headers[REQUEST_HEADER] = request.request_id
+        bodyless = self._method == "HEAD" or head.status in NO_BODY_STATUSES
+        if head.last and not bodyless and "Content-Length" not in headers:
+            headers["Content-Length"] = str(len(head.body))
+        line = ResponseStartLine("HTTP/1.1", head.status, head.reason)
+        self._answered = True
+        if bodyless:
+            self._connection.write_headers(line, headers)
+        else:
+            await self._connection.write_headers(line, headers, head.body)
+            if not head.last:
+                await self._stream_body(forwarded)
+        self._connection.finish()
+        forwarded.done()
+        took_s = time.monotonic() - request.started_s
+        self._entry.metrics.note_latency(took_s)
+        self._entry.metrics.count(
+            "answers", route=request.route.name, status=str(head.status)
+        )
+
+    async def _stream_body(self, forwarded: Forwarded) -> None:
+        while True:
+            chunk = await forwarded.pending.chunk()
+            if chunk.data:
+                await self._connection.write(chunk.data)
+            if chunk.last:
+                return
+
+    def _refuse(self, error: RequestError) -> None:
+        self._end()
+        if self._answered:
+            return
+        self._answered = True
+        text = f"{error}\n".encode()
+        headers = HTTPHeaders(
+            {
+                VERDICT_HEADER: error.verdict.value,
+                REASON_HEADER: type(error).__name__,
+                "Content-Type": "text/plain; charset=utf-8",
+                "Content-Length": str(len(text)),
+            }
+        )
+        if error.retry_after_s > 0:
+            headers["Retry-After"] = str(int(error.retry_after_s) + 1)
+        if self._method == "HEAD":
+            text = b""
+        self._entry.metrics.count(
+            "refusals", verdict=error.verdict.value, status=str(error.status)
+        )
+        self._entry.logs.say(
+            "caller", f"refused: {error}", verdict=error.verdict.value
+        )
+        line = ResponseStartLine("HTTP/1.1", error.status, "Refused")
+        try:
+            self._connection.write_headers(line, headers, text)
+            self._connection.finish()
+        except StreamClosedError:
+            return
+
+    def _break_off(self) -> None:
+        self._entry.metrics.count("broken_answers")
+        stream = getattr(self._connection, "stream", None)
+        if stream is not None:
+            stream.close()
+
+    def _end(self) -> None:
+        if not self._counted:
+            return
+        self._counted = False
+        self._entry.in_flight -= 1
--- /dev/null
+++ b/src/yuccapoint/process/cell_state.py
@@ -0,0 +1,126 @@
+"""All state that the log's prefix gives: tables, jobs, keys."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from yuccapoint.exceptions import ProtocolError
+from yuccapoint.job.job_board import JobBoard
+from yuccapoint.job.records import AppendBatch
+from yuccapoint.job.records import KeyClaimed
+from yuccapoint.job.records import KeyReleased
+from yuccapoint.job.records import PoolEdited
+from yuccapoint.job.records import RouteEdited
+from yuccapoint.job.records import SnapshotChunk
+from yuccapoint.request.key_claims import KeyClaims
+from yuccapoint.version.tables import Tables
+
+if TYPE_CHECKING:
+    from yuccapoint.job.records import Record
+
+MAX_WRITERS = 4_096
+_DECODER = msgspec.msgpack.Decoder(AppendBatch)
+
+
+class Applied:
+    """A record and how the state took it; ``refusal`` empty: accepted."""
+
+    __slots__ = ("record", "refusal", "sequence", "writer")
+
+    def __init__(
+        self, record: Record, refusal: str, writer: str, sequence: int
+    ) -> None:
+        self.record = record
+        self.refusal = refusal
+        self.writer = writer
+        self.sequence = sequence
+
+
+class CellState:
+    """Applies the log's appends in order, each batch once.
+
+    Attributes
+    ----------
+    next_offset : int
+        Offset of the first append that is not applied yet.
+    """
+
+    def __init__(self) -> None:
+        self.next_offset = 0
+        self.tables = Tables()
+        self.board = JobBoard(self.tables.pool)
+        self.keys = KeyClaims()
+        self.skipped_batches = 0
+        self.bad_batches = 0
+        self._sequences: dict[str, int] = {}
+
+    def decode(self, data: bytes) -> AppendBatch:
+        """Decode an append.
+
+        Raises
+        ------
+        ProtocolError
+            The bytes are not a batch of records.
+        """
+        try:
+            return _DECODER.decode(data)
+        except msgspec.DecodeError as error:
+            raise ProtocolError(f"a log record is damaged: {error}") from None
+
+    def apply(self, offset: int, stamp_ms: int, data: bytes) -> list[Applied]:
+        """Apply the append at ``offset``.
+
+        Parameters
+        ----------
+        offset : int
+            The append's place in the log.
+        stamp_ms : int
+            When the log took it, in milliseconds since the epoch.
+        data : bytes
+            The encoded batch; a damaged one is counted and skipped.
+
+        Returns
+        -------
+        list of Applied
+            Its records and how each was taken; empty for a second copy.
+        """
+        if offset < self.next_offset:
+            return []
+        self.next_offset = offset + 1
+        try:
+            batch = self.decode(data)
+        except ProtocolError:
+            self.bad_batches += 1
+            return []
+        if batch.sequence <= self._sequences.get(batch.writer, 0):
+            self.skipped_batches += 1
+            return []
+        self._note_writer(batch)
+        applied = []
+        for record in batch.records:
+            refusal = self._apply_record(record, offset, stamp_ms)
+            applied.append(
+                Applied(record, refusal, batch.writer, batch.sequence)
+            )
+        return applied
+
+    def sequence_of(self, writer: str) -> int:
+        """Give the newest sequence applied of a writer; 0 if none."""
+        return self._sequences.get(writer, 0)
+
+    def _note_writer(self, batch: AppendBatch) -> None:
+        self._sequences.pop(batch.writer, None)
+        self._sequences[batch.writer] = batch.sequence
+        if len(self._sequences) > MAX_WRITERS:
+            del self._sequences[next(iter(self._sequences))]
+
+    def _apply_record(self, record: Record, offset: int, stamp_ms: int) -> str:
+        if isinstance(record, RouteEdited | PoolEdited):
+            return self.tables.apply(record, offset)
+        if isinstance(record, KeyClaimed | KeyReleased):
+            return self.keys.apply(record, stamp_ms)
+        if isinstance(record, SnapshotChunk):
+            return ""
+        return self.board.apply(record, stamp_ms)
--- /dev/null
+++ b/src/yuccapoint/process/commits.py
@@ -0,0 +1,92 @@
+"""Waits until the log has decided a record."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from yuccapoint.exceptions import YuccapointError
+from yuccapoint.request.verdict import Verdict
+
+if TYPE_CHECKING:
+    from yuccapoint.connection.log_writer import LogWriter
+    from yuccapoint.job.records import Record
+    from yuccapoint.process.cell_state import Applied
+
+
+class NotDurableError(YuccapointError):
+    """The record did not reach the log; nothing happened."""
+
+
+class FateUnknownError(YuccapointError):
+    """The record may be in the log or may still reach it."""
+
+    verdict = Verdict.MAY_HAVE_RUN
+
+
+class Commits:
+    """Matches records of this process with what the log made of them.
+
+    Parameters
+    ----------
+    writer : LogWriter
+        Forms the appends of this process.
+    """
+
+    def __init__(self, writer: LogWriter) -> None:
+        self._writer = writer
+        self._waiting: dict[int, asyncio.Future[str]] = {}
+
+    async def commit(
+        self, record: Record, now_s: float, timeout_s: float
+    ) -> str:
+        """Append a record and wait for the log's decision.
+
+        Parameters
+        ----------
+        record : Record
+            What to append.
+        now_s : float
+            Monotonic time.
+        timeout_s : float
+            Longest wait, in seconds.
+
+        Returns
+        -------
+        str
+            Empty when accepted, else why the record was refused.
+
+        Raises
+        ------
+        NotDurableError
+            The record was never sent to the log.
+        FateUnknownError
+            The record was sent and its fate is not known yet.
+        """
+        future: asyncio.Future[str]
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[id(record)] = future
+        try:
+            self._writer.add(record, now_s)
+            async with asyncio.timeout(timeout_s):
+                return await future
+        except TimeoutError:
+            if self._writer.withdraw(record):
+                raise NotDurableError("the log does not answer") from None
+            raise FateUnknownError(
+                "the log has not answered; ask again with the same id"
+            ) from None
+        finally:
+            self._waiting.pop(id(record), None)
+
+    def on_applied(self, applied: list[Applied]) -> None:
+        """Tell those who wait what became of an append's records."""
+        if not applied or applied[0].writer != self._writer.writer:
+            return
+        sequence = applied[0].sequence
+        self._writer.on_appended(sequence)
+        own = self._writer.take_formed(sequence)
+        for record, outcome in zip(own, applied, strict=False):
+            future = self._waiting.get(id(record))
+            if future is not None and not future.done():
+                future.set_result(outcome.refusal)
--- /dev/null
+++ b/src/yuccapoint/process/endpoint_registry.py
@@ -0,0 +1,117 @@
+"""The endpoints that announced themselves to an agent."""
+
+from __future__ import annotations
+
+import msgspec
+
+from yuccapoint.connection.messages import EndpointReport
+from yuccapoint.request.admission import Admission
+from yuccapoint.request.endpoint_view import EndpointState
+
+ANNOUNCE_SILENT_S = 3.0
+FORGET_AFTER_S = 30.0
+
+
+class Announcement(msgspec.Struct, frozen=True):
+    """What an endpoint says of itself, each second.
+
+    Attributes
+    ----------
+    name, service : str
+        Names of the endpoint and of the service that it belongs to.
+    address : str
+        IP number and port of its HTTP server.
+    incarnation : int
+        Rises with each start of the endpoint.
+    leaving : bool
+        Whether it wants no new work.
+    """
+
+    name: str
+    service: str
+    address: str
+    incarnation: int
+    leaving: bool = False
+
+
+class LocalEndpoint:
+    """An endpoint beside the agent, and its admission."""
+
+    __slots__ = ("admission", "announcement", "heard_at_s")
+
+    def __init__(
+        self, announcement: Announcement, admission: Admission
+    ) -> None:
+        self.announcement = announcement
+        self.admission = admission
+        self.heard_at_s = 0.0
+
+
+class EndpointRegistry:
+    """Learns endpoints from their announcements.
+
+    Parameters
+    ----------
+    slots, connections : int
+        Limits of each endpoint.
+    """
+
+    def __init__(self, slots: int, connections: int) -> None:
+        self._slots = slots
+        self._connections = connections
+        self._endpoints: dict[str, LocalEndpoint] = {}
+
+    def announce(self, announcement: Announcement, now_s: float) -> bool:
+        """Take an announcement; False if it is an older start's."""
+        known = self._endpoints.get(announcement.name)
+        if known is None:
+            known = LocalEndpoint(
+                announcement, Admission(self._slots, self._connections)
+            )
+            self._endpoints[announcement.name] = known
+        if announcement.incarnation < known.announcement.incarnation:
+            return False
+        same = announcement.incarnation == known.announcement.incarnation
+        if same and known.announcement.leaving:
+            announcement = msgspec.structs.replace(announcement, leaving=True)
+        known.announcement = announcement
+        known.heard_at_s = now_s
+        return True
+
+    def find(self, name: str) -> LocalEndpoint | None:
+        """Find an endpoint by name."""
+        return self._endpoints.get(name)
+
+    def all(self) -> list[LocalEndpoint]:
+        """Give all endpoints."""
+        return list(self._endpoints.values())
+
+    def state(
+        self, endpoint: LocalEndpoint, now_s: float, *, stopping: bool
+    ) -> EndpointState:
+        """Give an endpoint's state."""
+        if stopping or endpoint.announcement.leaving:
+            return EndpointState.LEAVING
+        if now_s - endpoint.heard_at_s > ANNOUNCE_SILENT_S:
+            return EndpointState.SUSPECTED
+        return EndpointState.READY
+
+    def reports(self, now_s: float, *, stopping: bool) -> list[EndpointReport]:
+        """Report all endpoints; those silent for long are forgotten."""
+        found = []
+        for name, endpoint in list(self._endpoints.items()):
+            if now_s - endpoint.heard_at_s > FORGET_AFTER_S:
+                del self._endpoints[name]
+                continue
+            admission = endpoint.admission
+            found.append(
+                EndpointReport(
+                    name,
+                    endpoint.announcement.service,
+                    self.state(endpoint, now_s, stopping=stopping).value,
+                    admission.slots,
+                    len(admission.running),
+                    admission.queued,
+                )
+            )
+        return found
--- /dev/null
+++ b/src/yuccapoint/process/operator_api.py
@@ -0,0 +1,301 @@
+"""The operators' HTTP port of an entry."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+import msgspec
+from tornado.iostream import StreamClosedError
+from tornado.web import Application
+from tornado.web import RequestHandler
+
+from yuccapoint.connection.messages import DrainVm
+from yuccapoint.exceptions import YuccapointError
+from yuccapoint.job.job import Job
+from yuccapoint.job.records import JobCancelled
+from yuccapoint.job.records import JobSubmitted
+from yuccapoint.job.records import PoolEdited
+from yuccapoint.job.records import RouteEdited
+from yuccapoint.process import operator_views as views
+from yuccapoint.process.operator_messages import DecisionView
+from yuccapoint.process.operator_messages import DrainAnswer
+from yuccapoint.process.operator_messages import EditAnswer
+from yuccapoint.process.operator_messages import EditBody
+from yuccapoint.process.operator_messages import Explanation
+from yuccapoint.process.operator_messages import Fault
+from yuccapoint.request.exceptions import AccessRefusedError
+from yuccapoint.request.verdict import Verdict
+
+if TYPE_CHECKING:
+    from yuccapoint.job.records import Record
+    from yuccapoint.process.entry_process import EntryProcess
+
+COMMIT_TIMEOUT_S = 4.0
+STATUS_BAD_REQUEST = 400
+STATUS_NOT_FOUND = 404
+STATUS_CONFLICT = 409
+STATUS_UNAVAILABLE = 503
+STATUS_UNKNOWN_FATE = 504
+BodyT = TypeVar("BodyT")
+
+
+class OperatorHandler(RequestHandler):
+    """What all handlers share."""
+
+    entry: EntryProcess
+    operator: str
+
+    def initialize(self, entry: EntryProcess) -> None:
+        """Take the process that the handler serves."""
+        self.entry = entry
+
+    def prepare(self) -> None:
+        """Check the operator's credentials."""
+        try:
+            self.operator = self.entry.access.operator(self.request.headers)
+        except AccessRefusedError as error:
+            self.entry.logs.say("operator", f"refused: {error}")
+            self.fail(403, str(error), Verdict.NOT_RUN)
+
+    def answer(self, body: msgspec.Struct | list[msgspec.Struct]) -> None:
+        """Answer with JSON."""
+        self.set_header("Content-Type", "application/json")
+        self.finish(msgspec.json.encode(body))
+
+    def fail(self, status: int, text: str, verdict: Verdict) -> None:
+        """Answer with an error."""
+        self.set_status(status)
+        self.answer(Fault(text, verdict.value))
+
+    def body(self, kind: type[BodyT]) -> BodyT | None:
+        """Decode the body; answers and gives None when it is bad."""
+        try:
+            return msgspec.json.decode(self.request.body, type=kind)
+        except msgspec.DecodeError as error:
+            self.fail(STATUS_BAD_REQUEST, str(error), Verdict.NOT_RUN)
+            return None
+
+    async def commit(self, record: Record) -> str | None:
+        """Commit a record; answers and gives None when that failed."""
+        try:
+            return await self.entry.commits.commit(
+                record, time.monotonic(), COMMIT_TIMEOUT_S
+            )
+        except YuccapointError as error:
+            status = STATUS_UNAVAILABLE
+            if error.verdict is not Verdict.NOT_RUN:
+                status = STATUS_UNKNOWN_FATE
+            self.fail(status, str(error), error.verdict)
+            return None
+
+
+class TablesHandler(OperatorHandler):
+    """Both tables."""
+
+    def get(self) -> None:
+        """Give the tables as they are here."""
+        self.answer(views.tables_view(self.entry))
+
+
+class RowHandler(OperatorHandler):
+    """One row of a table."""
+
+    async def put(self, table: str, name: str) -> None:
+        """Set or remove a row against its version."""
+        body = self.body(EditBody)
+        if body is None:
+            return
+        record = self._record(table, name, body)
+        if record is None:
+            return
+        refusal = self.entry.cell.tables.check(record)
+        if not refusal:
+            decided = await self.commit(record)
+            if decided is None:
+                return
+            refusal = decided
+        version = self.entry.cell.tables.version
+        outcome = self.entry.cell.tables.outcomes.get(body.edit_id)
+        if outcome is not None:
+            version = outcome.version
+        if refusal:
+            self.set_status(STATUS_CONFLICT)
+        self.answer(EditAnswer(version, refusal))
+
+    def _record(
+        self, table: str, name: str, body: EditBody
+    ) -> RouteEdited | PoolEdited | None:
+        row = body.route if table == "routes" else body.pool
+        if row is not None and row.name != name:
+            text = f"the row is named {row.name!r}, the path {name!r}"
+            self.fail(STATUS_BAD_REQUEST, text, Verdict.NOT_RUN)
+            return None
+        if table == "routes":
+            return RouteEdited(
+                name,
+                body.expected_version,
+                body.edit_id,
+                self.operator,
+                body.route,
+            )
+        return PoolEdited(
+            name,
+            body.expected_version,
+            body.edit_id,
+            self.operator,
+            body.pool,
+        )
+
+
+class JobsHandler(OperatorHandler):
+    """All jobs."""
+
+    def get(self) -> None:
+        """List the jobs."""
+        jobs = self.entry.cell.board.jobs.values()
+        self.answer([views.job_view(entry) for entry in jobs])
+
+    async def post(self) -> None:
+        """Submit a job; a repeat with the same id is the same job."""
+        job = self.body(Job)
+        if job is None:
+            return
+        fault = views.job_fault(self.entry, job)
+        if fault:
+            self.fail(STATUS_BAD_REQUEST, fault, Verdict.NOT_RUN)
+            return
+        if job.job_id not in self.entry.cell.board.jobs:
+            decided = await self.commit(JobSubmitted(job))
+            if decided is None:
+                return
+        self.answer(views.job_view(self.entry.cell.board.jobs[job.job_id]))
+
+
+class JobHandler(OperatorHandler):
+    """One job."""
+
+    def get(self, job_id: str) -> None:
+        """Explain where a job is and why."""
+        entry = self.entry.cell.board.jobs.get(job_id)
+        if entry is None:
+            text = f"there is no job {job_id}"
+            self.fail(STATUS_NOT_FOUND, text, Verdict.NOT_RUN)
+            return
+        decisions = [
+            DecisionView(d.part, d.text, d.fields)
+            for d in self.entry.decisions.about("job", job_id)
+        ]
+        why = views.why(self.entry, entry)
+        self.answer(Explanation(views.job_view(entry), why, decisions))
+
+    async def delete(self, job_id: str) -> None:
+        """Cancel a job."""
+        refusal = await self.commit(JobCancelled(job_id))
+        if refusal is None:
+            return
+        if refusal:
+            self.fail(STATUS_CONFLICT, refusal, Verdict.NOT_RUN)
+            return
+        self.answer(views.job_view(self.entry.cell.board.jobs[job_id]))
+
+
+class StatusHandler(OperatorHandler):
+    """All that the entry knows."""
+
+    def get(self) -> None:
+        """Give the status."""
+        self.answer(views.status(self.entry))
+
+
+class WatchHandler(OperatorHandler):
+    """Decisions as they happen, a JSON line each."""
+
+    async def get(self) -> None:
+        """Stream decisions until the operator goes."""
+        queue = self.entry.decisions.watch()
+        self.set_header("Content-Type", "application/x-ndjson")
+        try:
+            await self.flush()
+            while True:
+                decision = await queue.get()
+                view = DecisionView(
+                    decision.part, decision.text, decision.fields
+                )
+                self.write(msgspec.json.encode(view) + b"\n")
+                await self.flush()
+        except StreamClosedError:
+            return
+        finally:
+            self.entry.decisions.unwatch(queue)
+
+
+class DrainHandler(OperatorHandler):
+    """Drains of VMs."""
+
+    def post(self, vm: str) -> None:
+        """Ask a VM's agent to drain."""
+        view = self.entry.leader.views.get(vm)
+        if view is None:
+            text = f"there is no VM {vm}"
+            self.fail(STATUS_NOT_FOUND, text, Verdict.NOT_RUN)
+            return
+        self.entry.logs.say("operator", f"{self.operator} drains {vm}")
+        self.entry.mailbox.send(view.address, DrainVm(vm, self.operator))
+        self.answer(DrainAnswer(vm))
+
+
+class HealthHandler(RequestHandler):
+    """Whether the process lives, and whether it takes requests."""
+
+    def initialize(self, entry: EntryProcess) -> None:
+        """Take the process that the handler serves."""
+        self.entry = entry
+
+    def get(self, kind: str) -> None:
+        """Answer the balancer."""
+        if kind == "ready" and not self.entry.ready:
+            self.set_status(STATUS_UNAVAILABLE)
+            self.finish("not ready\n")
+            return
+        self.finish("ok\n")
+
+
+class MetricsHandler(HealthHandler):
+    """The metrics in the exposition format."""
+
+    def get(self, kind: str) -> None:
+        """Give the metrics."""
+        del kind
+        entry = self.entry
+        entry.metrics.set("in_flight", entry.in_flight)
+        entry.metrics.set("tables_version", entry.cell.tables.version)
+        entry.metrics.set("queued_jobs", len(entry.cell.board.queued))
+        entry.metrics.set("dropped_answers", entry.forwarder.dropped_answers)
+        rendered = entry.metrics.render()
+        self.set_header("Content-Type", rendered.content_type)
+        self.finish(rendered.body)
+
+
+def operator_application(entry: EntryProcess) -> Application:
+    """Build the application of the operators' port."""
+    given = {"entry": entry}
+    return Application(
+        [
+            (r"/(health|ready)", HealthHandler, given),
+            (r"/(metrics)", MetricsHandler, given),
+            (r"/v1/tables", TablesHandler, given),
+            (r"/v1/tables/(routes|pools)/([^/]+)", RowHandler, given),
+            (r"/v1/jobs", JobsHandler, given),
+            (r"/v1/jobs/([^/]+)", JobHandler, given),
+            (r"/v1/status", StatusHandler, given),
+            (r"/v1/vms/([^/]+)/drain", DrainHandler, given),
+            (r"/v1/watch", WatchHandler, given),
+        ],
+        log_function=_log_nothing,
+    )
+
+
+def _log_nothing(handler: RequestHandler) -> None:
+    del handler
--- /dev/null
+++ b/src/yuccapoint/process/served_request.py
@@ -0,0 +1,225 @@
+"""One request at an agent: admission, the endpoint's call, the answer."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from typing import TYPE_CHECKING
+
+from tornado.iostream import StreamClosedError
+
+from yuccapoint.connection.frame_stream import CHUNK_BYTES
+from yuccapoint.connection.frames import AnswerChunk
+from yuccapoint.connection.frames import AnswerHead
+from yuccapoint.connection.frames import AnswerRefused
+from yuccapoint.request.admission import Ticket
+from yuccapoint.request.endpoint_view import EndpointState
+from yuccapoint.request.exceptions import DeadlinePassedError
+from yuccapoint.request.exceptions import NoEndpointError
+from yuccapoint.request.exceptions import RequestError
+from yuccapoint.request.exceptions import TooLargeError
+from yuccapoint.request.verdict import Verdict
+
+if TYPE_CHECKING:
+    from yuccapoint.connection.endpoint_client import EndpointAnswer
+    from yuccapoint.connection.frames import RequestChunk
+    from yuccapoint.connection.frames import RequestHead
+    from yuccapoint.process.endpoint_registry import LocalEndpoint
+    from yuccapoint.process.request_server import ServedSession
+
+
+class ServedRequest:
+    """Serves one request of a session."""
+
+    def __init__(
+        self, session: ServedSession, head: RequestHead, deadline_s: float
+    ) -> None:
+        self._session = session
+        self._agent = session.agent
+        self._head = head
+        self._deadline_s = deadline_s
+        self._parts = [head.body]
+        self._size_bytes = len(head.body)
+        self._whole = asyncio.Event()
+        self._waiting: asyncio.Future[None] | None = None
+        self._started = False
+        self._cancelled = False
+        self._endpoint: LocalEndpoint | None = None
+        self._answer_parts: list[bytes] = []
+        self._answer_size_bytes = 0
+        if head.last:
+            self._whole.set()
+
+    @property
+    def key(self) -> str:
+        """The request's name at this agent."""
+        return (
+            f"{self._session.name}/{id(self._session)}/{self._head.request_id}"
+        )
+
+    def on_chunk(self, chunk: RequestChunk) -> None:
+        """Take a part of the body."""
+        self._size_bytes += len(chunk.data)
+        if self._size_bytes <= self._agent.max_body_bytes:
+            self._parts.append(chunk.data)
+        if chunk.last:
+            self._whole.set()
+
+    def cancel(self) -> None:
+        """Drop the request if it has not started."""
+        self._cancelled = True
+        self._whole.set()
+        if self._waiting is not None and not self._waiting.done():
+            self._waiting.cancel()
+
+    def admitted(self) -> None:
+        """Start the request, which waited for a slot."""
+        if self._waiting is not None and not self._waiting.done():
+            self._waiting.set_result(None)
+
+    def expired(self) -> None:
+        """Refuse the request, which waited too long."""
+        if self._waiting is not None and not self._waiting.done():
+            self._waiting.set_exception(
+                DeadlinePassedError("the deadline passed in the queue")
+            )
+
+    async def serve(self) -> None:
+        """Serve the request and answer."""
+        try:
+            answer = await self._run()
+        except RequestError as error:
+            self._refuse(error)
+            return
+        except asyncio.CancelledError:
+            self._refuse(DeadlinePassedError("the request was cancelled"))
+            return
+        self._answer(answer)
+
+    async def _run(self) -> EndpointAnswer:
+        await self._whole.wait()
+        self._check()
+        endpoint = self._find()
+        self._endpoint = endpoint
+        keyed = bool(self._head.key) and not self._head.idempotent
+        scope = f"{self._head.customer}/{self._head.route}"
+        if keyed:
+            self._agent.keys.claim(scope, self._head.key)
+        try:
+            await self._admit(endpoint)
+            return await self._call(endpoint)
+        except RequestError as error:
+            if keyed and error.verdict is Verdict.NOT_RUN:
+                self._agent.keys.release(scope, self._head.key)
+            raise
+        except asyncio.CancelledError:
+            if keyed and not self._started:
+                self._agent.keys.release(scope, self._head.key)
+            raise
+
+    def _check(self) -> None:
+        if self._cancelled:
+            raise DeadlinePassedError("the request was cancelled")
+        if self._size_bytes > self._agent.max_body_bytes:
+            limit = self._agent.max_body_bytes
+            raise TooLargeError(f"the body is larger than {limit} bytes")
+
+    def _find(self) -> LocalEndpoint:
+        endpoint = self._agent.endpoints.find(self._head.endpoint)
+        now_s = time.monotonic()
+        if endpoint is None:
+            raise NoEndpointError("the endpoint is not here")
+        state = self._agent.endpoints.state(
+            endpoint, now_s, stopping=self._agent.stopping
+        )
+        if state is not EndpointState.READY:
+            raise NoEndpointError(f"the endpoint is {state.value}")
+        return endpoint
+
+    async def _admit(self, endpoint: LocalEndpoint) -> None:
+        ticket = Ticket(self.key, self._head.customer, self._deadline_s)
+        if endpoint.admission.offer(ticket, time.monotonic()):
+            return
+        self._waiting = asyncio.get_running_loop().create_future()
+        self._agent.waiting[self.key] = self
+        try:
+            await self._waiting
+        except BaseException:
+            endpoint.admission.cancel(self.key)
+            raise
+        finally:
+            self._agent.waiting.pop(self.key, None)
+
+    async def _call(self, endpoint: LocalEndpoint) -> EndpointAnswer:
+        try:
+            left_s = self._deadline_s - time.monotonic()
+            if self._cancelled or left_s <= 0:
+                raise DeadlinePassedError("the deadline passed")
+            self._started = True
+            body = self._parts[0]
+            if len(self._parts) > 1:
+                body = b"".join(self._parts)
+            self._parts.clear()
+            return await self._agent.client.call(
+                endpoint.announcement.address,
+                self._head.method,
+                self._head.target,
+                self._head.headers,
+                body,
+                left_s,
+                self._on_answer_part,
+            )
+        finally:
+            endpoint.admission.finish(self.key, time.monotonic())
+            self._agent.start_waiting(endpoint)
+
+    def _on_answer_part(self, data: bytes) -> None:
+        self._answer_parts.append(data)
+        self._answer_size_bytes += len(data)
+
+    def _answer(self, answer: EndpointAnswer) -> None:
+        parts = self._cut_answer()
+        head = AnswerHead(
+            self._head.request_id,
+            answer.status,
+            answer.reason,
+            answer.headers,
+            self._load(),
+            parts[0] if parts else b"",
+            len(parts) < 2,
+        )
+        with contextlib.suppress(StreamClosedError):
+            self._session.frames.write(head)
+            for index, data in enumerate(parts[1:], start=2):
+                chunk = AnswerChunk(
+                    self._head.request_id, data, index == len(parts)
+                )
+                self._session.frames.write(chunk)
+
+    def _cut_answer(self) -> list[bytes]:
+        parts = []
+        for part in self._answer_parts:
+            for start in range(0, len(part), CHUNK_BYTES):
+                parts.append(part[start : start + CHUNK_BYTES])
+        self._answer_parts.clear()
+        return parts
+
+    def _refuse(self, error: RequestError) -> None:
+        self._agent.metrics.count("refusals", verdict=error.verdict.value)
+        refused = AnswerRefused(
+            self._head.request_id,
+            error.status,
+            error.verdict.value,
+            str(error),
+            error.retry_after_s,
+            self._load(),
+        )
+        with contextlib.suppress(StreamClosedError):
+            self._session.frames.write(refused)
+
+    def _load(self) -> int:
+        if self._endpoint is None:
+            return 0
+        admission = self._endpoint.admission
+        return len(admission.running) + admission.queued
--- /dev/null
+++ b/src/yuccapoint/process/worker_driver.py
@@ -0,0 +1,133 @@
+"""Carries the agent's actions to the worker and its news back."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+from typing import TYPE_CHECKING
+
+from yuccapoint.connection.worker_port import WorkerError
+from yuccapoint.job.actions import WorkerRenew
+from yuccapoint.job.actions import WorkerStart
+from yuccapoint.job.actions import WorkerStop
+from yuccapoint.job.actions import WorkerThrottle
+from yuccapoint.job.worker_events import TaskEnded
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Coroutine
+
+    from yuccapoint.connection.worker_port import WorkerPort
+    from yuccapoint.job.actions import Action
+    from yuccapoint.job.worker_events import Inventory
+    from yuccapoint.job.worker_events import UsageSample
+
+RETRY_S = 0.3
+USAGE_EVERY_S = 0.5
+
+
+class WorkerDriver:
+    """Runs the calls to one worker.
+
+    Parameters
+    ----------
+    worker : WorkerPort
+        The worker.
+    on_inventory, on_ended, on_usage : callable
+        Called with what the worker tells.
+    """
+
+    def __init__(
+        self,
+        worker: WorkerPort,
+        on_inventory: Callable[[Inventory], None],
+        on_ended: Callable[[TaskEnded], None],
+        on_usage: Callable[[list[UsageSample]], None],
+    ) -> None:
+        self._worker = worker
+        self._on_inventory = on_inventory
+        self._on_ended = on_ended
+        self._on_usage = on_usage
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def start(self) -> None:
+        """Ask for the inventory and follow the worker from there."""
+        self._spawn(self._follow())
+        self._spawn(self._measure())
+
+    def stop(self) -> None:
+        """Stop following."""
+        for task in list(self._tasks):
+            task.cancel()
+
+    def act(self, action: Action) -> None:
+        """Carry out an action that concerns the worker."""
+        if isinstance(action, WorkerStart):
+            self._spawn(self._start(action))
+        elif isinstance(action, WorkerRenew):
+            self._spawn(
+                self._quietly(self._worker.renew(action.lease_until_s))
+            )
+        elif isinstance(action, WorkerStop):
+            call = self._worker.stop(action.job_id, action.attempt)
+            self._spawn(self._quietly(call))
+        elif isinstance(action, WorkerThrottle):
+            call = self._worker.throttle(
+                action.job_id, action.attempt, action.share
+            )
+            self._spawn(self._quietly(call))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _start(self, action: WorkerStart) -> None:
+        try:
+            await self._worker.start(action)
+        except WorkerError as error:
+            self._on_ended(
+                TaskEnded(
+                    action.job.job_id,
+                    action.attempt,
+                    "failed",
+                    str(error),
+                    action.checkpoint,
+                )
+            )
+
+    async def _quietly(self, call: Coroutine[Any, Any, None]) -> None:
+        try:
+            await call
+        except WorkerError:
+            return
+
+    async def _follow(self) -> None:
+        number = await self._take_inventory()
+        while True:
+            try:
+                news = await self._worker.news(number)
+            except WorkerError:
+                await asyncio.sleep(RETRY_S)
+                continue
+            for ended in news.ended:
+                self._on_ended(ended)
+            number = news.next_number
+
+    async def _take_inventory(self) -> int:
+        while True:
+            try:
+                inventory = await self._worker.inventory()
+            except WorkerError:
+                await asyncio.sleep(RETRY_S)
+                continue
+            self._on_inventory(inventory)
+            return inventory.next_number
+
+    async def _measure(self) -> None:
+        while True:
+            await asyncio.sleep(USAGE_EVERY_S)
+            try:
+                self._on_usage(await self._worker.usage())
+            except WorkerError:
+                continue
--- /dev/null
+++ b/src/yuccapoint/request/__init__.py
@@ -0,0 +1,3 @@
+"""What lives for one request."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/yuccapoint/request/endpoint_view.py
@@ -0,0 +1,104 @@
+"""What an entry knows of one endpoint."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from yuccapoint.connection.messages import AgentReport
+    from yuccapoint.connection.messages import EndpointReport
+
+FAILURE_WEIGHT = 0.2
+REPORT_HALF_LIFE_S = 1.0
+FAILURE_STEP = 0.25
+
+
+class EndpointState(enum.Enum):
+    """States of an endpoint; only ready ones get new work."""
+
+    JOINING = "joining"
+    READY = "ready"
+    SUSPECTED = "suspected"
+    QUARANTINED = "quarantined"
+    LEAVING = "leaving"
+
+
+class EndpointView:
+    """One endpoint: its last report and what this entry sent since.
+
+    Attributes
+    ----------
+    own_in_flight : int
+        Requests of this entry that the endpoint has not answered.
+    failure_rate : float
+        Decayed share of failed requests, 0 to 1.
+    reported_at_s : float
+        Arrival of the last report, on this entry's monotonic clock.
+    """
+
+    __slots__ = (
+        "chosen_count",
+        "data_centre",
+        "failure_rate",
+        "key",
+        "own_in_flight",
+        "own_in_flight_then",
+        "pool",
+        "region",
+        "reported_at_s",
+        "reported_load",
+        "service",
+        "session_address",
+        "slots",
+        "state",
+        "vm",
+    )
+
+    def __init__(self, report: AgentReport, endpoint: EndpointReport) -> None:
+        self.key = f"{report.vm}/{endpoint.name}"
+        self.vm = report.vm
+        self.service = endpoint.service
+        self.chosen_count = 0
+        self.failure_rate = 0.0
+        self.own_in_flight = 0
+        self.own_in_flight_then = 0
+        self.state = EndpointState.JOINING
+
+    def update(
+        self, report: AgentReport, endpoint: EndpointReport, now_s: float
+    ) -> None:
+        """Take over a new report."""
+        self.pool = report.pool
+        self.data_centre = report.data_centre
+        self.region = report.region
+        self.session_address = report.session_address
+        self.slots = max(1, endpoint.slots)
+        self.state = EndpointState(endpoint.state)
+        self.set_load(endpoint.in_flight + endpoint.queued, now_s)
+
+    def set_load(self, in_flight: int, now_s: float) -> None:
+        """Take over a reported load of ``in_flight`` requests."""
+        self.reported_load = in_flight
+        self.reported_at_s = now_s
+        self.own_in_flight_then = self.own_in_flight
+
+    def load(self, now_s: float) -> float:
+        """Estimate the requests a slot has to serve.
+
+        The report counts less the older it is; what this entry sent since
+        the report counts in full.
+        """
+        age_s = max(0.0, now_s - self.reported_at_s)
+        fresh: float = 0.5 ** (age_s / REPORT_HALF_LIFE_S)
+        others = max(0, self.reported_load - self.own_in_flight_then)
+        return (others * fresh + self.own_in_flight) / self.slots
+
+    def rank(self, now_s: float) -> tuple[int, float]:
+        """Order by success first, then by load; smaller is better."""
+        return int(self.failure_rate / FAILURE_STEP), self.load(now_s)
+
+    def note_result(self, *, failed: bool) -> None:
+        """Count the result of one request."""
+        weight = FAILURE_WEIGHT
+        self.failure_rate += weight * (failed - self.failure_rate)
--- /dev/null
+++ b/src/yuccapoint/request/header.py
@@ -0,0 +1,50 @@
+"""One HTTP header as it passes from caller to endpoint."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class Header(msgspec.Struct, frozen=True, array_like=True):
+    """A header's name and value, in the order of arrival."""
+
+    name: str
+    value: str
+
+
+HOP_BY_HOP_NAMES = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+def end_to_end(headers: list[Header]) -> list[Header]:
+    """Drop the headers that concern one hop only.
+
+    Parameters
+    ----------
+    headers : list of Header
+        All headers as received.
+
+    Returns
+    -------
+    list of Header
+        The headers to pass on, in the same order. Names listed by a
+        ``Connection`` header are dropped too (RFC 9110, section 7.6.1).
+    """
+    dropped = set(HOP_BY_HOP_NAMES)
+    for header in headers:
+        if header.name.lower() != "connection":
+            continue
+        for name in header.value.split(","):
+            dropped.add(name.strip().lower())
+    return [h for h in headers if h.name.lower() not in dropped]
--- /dev/null
+++ b/src/yuccapoint/request/selection/__init__.py
@@ -0,0 +1,3 @@
+"""Policies that choose an endpoint for a request."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/yuccapoint/request/selection/policies.py
@@ -0,0 +1,59 @@
+"""The endpoint choice policies. Each gets a list that is not empty."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from yuccapoint.request.selection.registry import selection_policy
+
+if TYPE_CHECKING:
+    import random
+
+    from yuccapoint.request.endpoint_view import EndpointView
+
+
+@selection_policy("random")
+def choose_random(
+    views: list[EndpointView], rng: random.Random, now_s: float
+) -> EndpointView:
+    """Take any endpoint."""
+    del now_s
+    return views[rng.randrange(len(views))]
+
+
+@selection_policy("round-robin")
+def choose_round_robin(
+    views: list[EndpointView], rng: random.Random, now_s: float
+) -> EndpointView:
+    """Take the endpoint that was chosen longest ago."""
+    del rng, now_s
+    return min(views, key=lambda view: view.chosen_count)
+
+
+@selection_policy("least-loaded")
+def choose_least_loaded(
+    views: list[EndpointView], rng: random.Random, now_s: float
+) -> EndpointView:
+    """Take the endpoint with the least load of all."""
+    del rng
+    return min(views, key=lambda view: view.load(now_s))
+
+
+@selection_policy("two-choices")
+def choose_two(
+    views: list[EndpointView], rng: random.Random, now_s: float
+) -> EndpointView:
+    """Take the less loaded of two random endpoints."""
+    first = views[rng.randrange(len(views))]
+    second = views[rng.randrange(len(views))]
+    return min(first, second, key=lambda view: view.load(now_s))
+
+
+@selection_policy("balanced")
+def choose_balanced(
+    views: list[EndpointView], rng: random.Random, now_s: float
+) -> EndpointView:
+    """Take the better of two by success first, then by load."""
+    first = views[rng.randrange(len(views))]
+    second = views[rng.randrange(len(views))]
+    return min(first, second, key=lambda view: view.rank(now_s))
--- /dev/null
+++ b/src/yuccapoint/version/__init__.py
@@ -0,0 +1,3 @@
+"""What lives for one version of the tables."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/yuccapoint/version/tables.py
@@ -0,0 +1,143 @@
+"""The tables of routes and pools as a function of the log."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+from yuccapoint.job.records import PoolEdited
+from yuccapoint.job.records import RouteEdited
+from yuccapoint.version.checks import check_pool
+from yuccapoint.version.checks import check_route
+from yuccapoint.version.compiled_version import CompiledVersion
+from yuccapoint.version.table_row import TableRow
+
+if TYPE_CHECKING:
+    from yuccapoint.version.pool import Pool
+    from yuccapoint.version.route import Route
+
+RowT = TypeVar("RowT")
+
+MAX_OUTCOMES = 10_000
+
+
+class EditOutcome:
+    """How the log decided an edit."""
+
+    __slots__ = ("edit_id", "refusal", "version")
+
+    def __init__(self, edit_id: str, refusal: str, version: int) -> None:
+        self.edit_id = edit_id
+        self.refusal = refusal
+        self.version = version
+
+
+class Tables:
+    """Applies edits in log order; the first of two racing edits wins.
+
+    Attributes
+    ----------
+    version : int
+        Offset of the newest accepted edit plus one; it only rises.
+    current : CompiledVersion
+        The tables as an immutable whole.
+    outcomes : dict of str to EditOutcome
+        Decisions by edit id, the newest ones.
+    """
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.routes: dict[str, TableRow[Route]] = {}
+        self.pools: dict[str, TableRow[Pool]] = {}
+        self.outcomes: dict[str, EditOutcome] = {}
+        self.current = CompiledVersion(0, [], [])
+
+    def pool(self, name: str) -> Pool | None:
+        """Find a pool by name."""
+        row = self.pools.get(name)
+        return None if row is None else row.row
+
+    def apply(self, record: RouteEdited | PoolEdited, offset: int) -> str:
+        """Apply one edit.
+
+        Parameters
+        ----------
+        record : RouteEdited or PoolEdited
+            The edit, made against a row version.
+        offset : int
+            The edit's place in the log.
+
+        Returns
+        -------
+        str
+            Empty when accepted, else why the edit was refused.
+        """
+        known = self.outcomes.get(record.edit_id)
+        if known is not None:
+            return known.refusal
+        refusal = self._decide(record, offset)
+        version = self.version if refusal else offset + 1
+        outcome = EditOutcome(record.edit_id, refusal, version)
+        self.outcomes[record.edit_id] = outcome
+        if len(self.outcomes) > MAX_OUTCOMES:
+            del self.outcomes[next(iter(self.outcomes))]
+        return refusal
+
+    def check(self, record: RouteEdited | PoolEdited) -> str:
+        """Say why an edit would be refused now; empty if it would not."""
+        if isinstance(record, RouteEdited):
+            return self._check_route(record)
+        return self._check_pool(record)
+
+    def _check_route(self, record: RouteEdited) -> str:
+        stale = _stale(self.routes.get(record.name), record.expected_version)
+        if stale or record.row is None:
+            return stale
+        return check_route(record.row, self.pools)
+
+    def _check_pool(self, record: PoolEdited) -> str:
+        stale = _stale(self.pools.get(record.name), record.expected_version)
+        if stale:
+            return stale
+        return check_pool(record.name, record.row, self.routes)
+
+    def _decide(self, record: RouteEdited | PoolEdited, offset: int) -> str:
+        refusal = self.check(record)
+        if refusal:
+            return refusal
+        self.version = offset + 1
+        if isinstance(record, RouteEdited):
+            _store(self.routes, record.name, record.row, record, offset)
+        else:
+            _store(self.pools, record.name, record.row, record, offset)
+        self.current = CompiledVersion(
+            self.version,
+            [row.row for row in self.routes.values()],
+            [row.row for row in self.pools.values()],
+        )
+        return ""
+
+
+def _stale(row: TableRow[Route] | TableRow[Pool] | None, expected: int) -> str:
+    actual = 0 if row is None else row.version
+    if actual == expected:
+        return ""
+    if row is None:
+        return "the row does not exist; make the edit against version 0"
+    return (
+        f"{row.operator} changed the row to version {actual}; "
+        f"your edit was made against version {expected}"
+    )
+
+
+def _store(
+    rows: dict[str, TableRow[RowT]],
+    name: str,
+    row: RowT | None,
+    record: RouteEdited | PoolEdited,
+    offset: int,
+) -> None:
+    if row is None:
+        rows.pop(name, None)
+        return
+    rows[name] = TableRow(row, offset + 1, record.operator)
--- /dev/null
+++ b/src/yuccapoint_standins/deployment.py
@@ -0,0 +1,283 @@
+"""A whole deployment on loopback, in one process."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import random
+import socket
+import time
+from typing import TYPE_CHECKING
+
+from yuccapoint.job.records import PoolEdited
+from yuccapoint.job.records import RouteEdited
+from yuccapoint.job.size import Size
+from yuccapoint.process.agent_process import AgentProcess
+from yuccapoint.process.endpoint_registry import Announcement
+from yuccapoint.process.entry_process import EntryProcess
+from yuccapoint.process.settings.checker import load_tables
+from yuccapoint.process.settings.loader import parse_settings
+from yuccapoint.process.settings.sections import AgentSettings
+from yuccapoint.process.settings.sections import EntrySettings
+from yuccapoint_standins.endpoint_service import EndpointService
+from yuccapoint_standins.log_service import LogService
+from yuccapoint_standins.worker_service import WorkerService
+
+if TYPE_CHECKING:
+    from yuccapoint.process.settings.checker import TablesFile
+
+GIB = 1 << 30
+READY_TIMEOUT_S = 15.0
+RACK_SIZE = 3
+
+
+class DeploymentShape:
+    """Names and sizes of a deployment.
+
+    Attributes
+    ----------
+    data_centres : list of str
+        Data centres; all but the last lie in the first region.
+    regions : list of str
+        Regions of the data centres, in the same order.
+    """
+
+    __slots__ = (
+        "capacity",
+        "data_centres",
+        "name",
+        "pool",
+        "regions",
+        "service",
+        "work_s",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        data_centres: list[str],
+        regions: list[str],
+        pool: str,
+        service: str,
+        capacity: Size,
+        work_s: float,
+    ) -> None:
+        self.name = name
+        self.data_centres = data_centres
+        self.regions = regions
+        self.pool = pool
+        self.service = service
+        self.capacity = capacity
+        self.work_s = work_s
+
+
+SHAPES = {
+    "caribfert": DeploymentShape(
+        "caribfert",
+        ["kgn-harbour", "kgn-spanish", "mbj-freeport"],
+        ["kingston", "kingston", "montego"],
+        "bulletin-desk",
+        "quotes",
+        Size(64_000, 250 * GIB, 4),
+        0.01,
+    ),
+    "cyfiawn": DeploymentShape(
+        "cyfiawn",
+        ["caerdydd", "abertawe", "caernarfon"],
+        ["de-cymru", "de-cymru", "gogledd"],
+        "llys-booking",
+        "bookings",
+        Size(16_000, 60 * GIB, 1),
+        0.02,
+    ),
+}
+
+
+class Machine:
+    """A VM: its worker, its endpoint and its agent."""
+
+    __slots__ = ("agent", "agent_settings", "endpoint", "worker")
+
+    def __init__(
+        self,
+        worker: WorkerService,
+        endpoint: EndpointService,
+        agent: AgentProcess,
+        agent_settings: AgentSettings,
+    ) -> None:
+        self.worker = worker
+        self.endpoint = endpoint
+        self.agent = agent
+        self.agent_settings = agent_settings
+
+    def die(self) -> None:
+        """Lose the whole VM at once."""
+        self.agent.kill()
+        self.worker.close()
+        self.endpoint.close()
+
+
+class Deployment:
+    """Log, workers, endpoints, agents and entries of one deployment.
+
+    Parameters
+    ----------
+    shape : DeploymentShape
+        Names and sizes.
+    vms : int
+        Workers to run.
+    entries : int
+        Entries to run.
+    seed : int
+        Seed of the stand-ins' choices.
+    """
+
+    def __init__(
+        self, shape: DeploymentShape, vms: int, entries: int, seed: int
+    ) -> None:
+        self.shape = shape
+        self.rng = random.Random(seed)
+        self.log_address = free_address()
+        self.log = LogService(self.log_address, self.rng)
+        self.entries: list[EntryProcess] = []
+        self.machines: list[Machine] = []
+        self._controls = [free_address() for _ in range(entries)]
+        self._vms = vms
+
+    async def start(self) -> None:
+        """Start everything and wait until it is ready."""
+        for index in range(len(self._controls)):
+            self.add_entry(index)
+        for index in range(self._vms):
+            self.add_machine(index)
+        await self._set_tables()
+        await self._wait_ready()
+
+    def add_entry(self, index: int) -> EntryProcess:
+        """Start an entry."""
+        place = index % len(self.shape.data_centres)
+        text = f"""
+[process]
+name = entry-{index + 1}
+data_centre = {self.shape.data_centres[place]}
+region = {self.shape.regions[place]}
+[listen]
+caller_address = {free_address()}
+operator_address = {free_address()}
+control_address = {self._controls[index]}
+[log]
+address = {self.log_address}
+[entries]
+seeds = {", ".join(self._controls)}
+"""
+        entry = EntryProcess(parse_settings(text, EntrySettings))
+        entry.start()
+        self.entries.append(entry)
+        return entry
+
+    def add_machine(self, index: int) -> Machine:
+        """Start a VM with its worker, endpoint and agent."""
+        place = index % len(self.shape.data_centres)
+        worker_address = free_address()
+        text = f"""
+[process]
+name = vm-{index + 1}
+data_centre = {self.shape.data_centres[place]}
+region = {self.shape.regions[place]}
+rack = rack-{index // RACK_SIZE + 1}
+pool = {self.shape.pool}
+[listen]
+announce_address = {free_address()}
+control_address = {free_address()}
+session_address = {free_address()}
+[worker]
+address = {worker_address}
+[entries]
+seeds = {", ".join(self._controls)}
+"""
+        settings = parse_settings(text, AgentSettings)
+        worker = WorkerService(worker_address, self.shape.capacity)
+        announcement = Announcement(
+            f"{self.shape.service}-{index + 1}",
+            self.shape.service,
+            free_address(),
+            time.time_ns() // 1_000_000,
+        )
+        endpoint = EndpointService(
+            announcement,
+            settings.listen.announce_address,
+            self.shape.work_s,
+            lambda: worker.model.slowdown,
+        )
+        agent = AgentProcess(settings)
+        agent.start()
+        machine = Machine(worker, endpoint, agent, settings)
+        self.machines.append(machine)
+        return machine
+
+    def restart_agent(self, machine: Machine) -> None:
+        """Replace a VM's agent by a new start of it."""
+        machine.agent.kill()
+        machine.agent = AgentProcess(machine.agent_settings)
+        machine.agent.start()
+
+    def close(self) -> None:
+        """Stop everything at once."""
+        for entry in self.entries:
+            entry.kill()
+        for machine in self.machines:
+            machine.die()
+        self.log.close()
+
+    async def _set_tables(self) -> None:
+        entry = self.entries[0]
+        while not entry.pump.caught_up:
+            await asyncio.sleep(0.05)
+        tables = load_deployment_tables(self.shape.name)
+        for pool in tables.pools:
+            edit = PoolEdited(pool.name, 0, f"first-{pool.name}", "demo", pool)
+            await entry.commits.commit(edit, time.monotonic(), 5.0)
+        for route in tables.routes:
+            record = RouteEdited(
+                route.name, 0, f"first-{route.name}", "demo", route
+            )
+            await entry.commits.commit(record, time.monotonic(), 5.0)
+
+    async def _wait_ready(self) -> None:
+        deadline_s = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < deadline_s:
+            if self._ready():
+                return
+            await asyncio.sleep(0.05)
+        raise TimeoutError("the deployment did not become ready")
+
+    def _ready(self) -> bool:
+        version = self.entries[0].cell.tables.version
+        for entry in self.entries:
+            if not entry.ready or entry.cell.tables.version < version:
+                return False
+            ready = sum(
+                view.state.value == "ready"
+                for view in entry.router.views.values()
+            )
+            if ready < len(self.machines):
+                return False
+        for machine in self.machines:
+            if not machine.agent.keeper.lease_until_s:
+                return False
+            if machine.agent.tables.version < version:
+                return False
+        return True
+
+
+def free_address() -> str:
+    """Find a free loopback address."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def load_deployment_tables(name: str) -> TablesFile:
+    """Load the example tables of a deployment."""
+    path = pathlib.Path(__file__).parent / "tables" / f"{name}.json"
+    return load_tables(str(path))
--- /dev/null
+++ b/src/yuccapoint_standins/worker_model.py
@@ -0,0 +1,216 @@
+"""The stand-in worker's tasks, without its network."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+from yuccapoint.job.size import Size
+from yuccapoint.job.worker_events import RunningTask
+from yuccapoint.job.worker_events import TaskEnded
+from yuccapoint.job.worker_events import UsageSample
+
+if TYPE_CHECKING:
+    from yuccapoint.connection.http_worker import StartBody
+
+USAGE_LAG_S = 1.0
+USAGE_EVERY_S = 0.25
+MAX_EVENTS = 10_000
+DEFAULT_RUN_S = 1.0
+
+
+class WorkerRefusedError(Exception):
+    """The worker refuses a call."""
+
+
+class ModelTask:
+    """A task that runs, and what is hidden from the scheduler.
+
+    Attributes
+    ----------
+    run_s : float
+        True run time at full speed.
+    noise : float
+        Slowdown that the task adds to the service beside it.
+    done_s : float
+        Work done so far.
+    """
+
+    __slots__ = (
+        "attempt",
+        "done_s",
+        "fails",
+        "job_class",
+        "job_id",
+        "lease_until_s",
+        "noise",
+        "run_s",
+        "share",
+        "size",
+        "worked_at_s",
+    )
+
+    def __init__(
+        self, job_id: str, attempt: int, body: StartBody, now_s: float
+    ) -> None:
+        options = parse_command(body.command)
+        self.job_id = job_id
+        self.attempt = attempt
+        self.job_class = body.job_class
+        self.size = body.size
+        self.lease_until_s = body.lease_until_s
+        self.run_s = options.get("run_s", DEFAULT_RUN_S)
+        self.noise = options.get("noise", 0.0)
+        self.fails = options.get("fails", 0.0) > 0
+        self.share = 1.0
+        self.done_s = float(body.checkpoint or 0.0)
+        self.worked_at_s = now_s
+
+
+class WorkerModel:
+    """Runs tasks under leases that it enforces itself.
+
+    Parameters
+    ----------
+    capacity : Size
+        What the VM holds.
+
+    Attributes
+    ----------
+    fails_all : bool
+        Whether each task fails as soon as it starts.
+    overcommitted : int
+        How often the tasks held more than the VM has; must stay 0.
+    """
+
+    def __init__(self, capacity: Size) -> None:
+        self.capacity = capacity
+        self.fails_all = False
+        self.tasks: dict[str, ModelTask] = {}
+        self.newest: dict[str, int] = {}
+        self.first_number = 0
+        self.events: collections.deque[TaskEnded] = collections.deque()
+        self.samples: collections.deque[UsageSample] = collections.deque(
+            maxlen=100
+        )
+        self.overcommitted = 0
+        self._sampled_at_s = 0.0
+
+    @property
+    def next_number(self) -> int:
+        """Number of the next event."""
+        return self.first_number + len(self.events)
+
+    @property
+    def slowdown(self) -> float:
+        """The true slowdown of a service on this VM now."""
+        noise = sum(task.noise * task.share for task in self.tasks.values())
+        return 1.0 + noise
+
+    def start(
+        self, job_id: str, attempt: int, body: StartBody, now_s: float
+    ) -> None:
+        """Start a task.
+
+        Raises
+        ------
+        WorkerRefusedError
+            A newer attempt is known or the lease has passed.
+        """
+        if attempt <= self.newest.get(job_id, 0):
+            raise WorkerRefusedError("a newer attempt was started here")
+        if now_s >= body.lease_until_s:
+            raise WorkerRefusedError("the lease has passed")
+        self.newest[job_id] = attempt
+        self.tasks[job_id] = ModelTask(job_id, attempt, body, now_s)
+        used = Size()
+        for task in self.tasks.values():
+            used = used + task.size
+        if not used.fits(self.capacity):
+            self.overcommitted += 1
+
+    def renew(self, lease_until_s: float) -> None:
+        """Extend the lease of all tasks."""
+        for task in self.tasks.values():
+            task.lease_until_s = max(task.lease_until_s, lease_until_s)
+
+    def throttle(self, job_id: str, attempt: int, share: float) -> None:
+        """Limit a task to a share of its speed."""
+        self._find(job_id, attempt).share = share
+
+    def stop(self, job_id: str, attempt: int, now_s: float) -> None:
+        """Checkpoint a task and stop it."""
+        task = self._find(job_id, attempt)
+        self._work(task, now_s)
+        self._end(task, "stopped", "")
+
+    def tick(self, now_s: float) -> None:
+        """Let time pass: work, finish, enforce leases, measure."""
+        for task in list(self.tasks.values()):
+            if now_s >= task.lease_until_s:
+                self._work(task, task.lease_until_s)
+                self._end(task, "lapsed", "the lease lapsed")
+                continue
+            self._work(task, now_s)
+            if self.fails_all or (task.fails and task.done_s > 0):
+                self._end(task, "failed", "exit code 1")
+                continue
+            if task.done_s >= task.run_s:
+                self._end(task, "done", "")
+        if now_s >= self._sampled_at_s + USAGE_EVERY_S:
+            self._sampled_at_s = now_s
+            self.samples.append(
+                UsageSample(now_s, self.slowdown, list(self.tasks))
+            )
+
+    def usage(self, now_s: float) -> list[UsageSample]:
+        """Give the measurements that the lag lets through."""
+        return [
+            sample
+            for sample in self.samples
+            if sample.described_at_s <= now_s - USAGE_LAG_S
+        ]
+
+    def running(self) -> list[RunningTask]:
+        """Give what runs."""
+        return [
+            RunningTask(task.job_id, task.attempt, task.size, task.job_class)
+            for task in self.tasks.values()
+        ]
+
+    def news(self, from_number: int) -> list[TaskEnded]:
+        """Give the events from a number on."""
+        start = max(0, from_number - self.first_number)
+        return list(self.events)[start:]
+
+    def _find(self, job_id: str, attempt: int) -> ModelTask:
+        task = self.tasks.get(job_id)
+        if task is None or task.attempt != attempt:
+            raise WorkerRefusedError("no such task runs here")
+        return task
+
+    def _work(self, task: ModelTask, now_s: float) -> None:
+        task.done_s += max(0.0, now_s - task.worked_at_s) * task.share
+        task.worked_at_s = max(now_s, task.worked_at_s)
+
+    def _end(self, task: ModelTask, outcome: str, reason: str) -> None:
+        del self.tasks[task.job_id]
+        checkpoint = f"{min(task.done_s, task.run_s):.3f}"
+        self.events.append(
+            TaskEnded(task.job_id, task.attempt, outcome, reason, checkpoint)
+        )
+        if len(self.events) > MAX_EVENTS:
+            self.events.popleft()
+            self.first_number += 1
+
+
+def parse_command(command: str) -> dict[str, float]:
+    """Read the options of a command such as ``run_s=3 noise=0.5``."""
+    options = {}
+    for word in command.split():
+        name, _, value = word.partition("=")
+        try:
+            options[name] = float(value)
+        except ValueError:
+            continue
+    return options
--- /dev/null
+++ b/src/yuccapoint_standins/worker_service.py
@@ -0,0 +1,147 @@
+"""The stand-in worker over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+import msgspec
+from tornado.httpserver import HTTPServer
+from tornado.ioloop import PeriodicCallback
+from tornado.web import Application
+from tornado.web import RequestHandler
+
+from yuccapoint.connection.http_worker import LeaseBody
+from yuccapoint.connection.http_worker import StartBody
+from yuccapoint.connection.http_worker import ThrottleBody
+from yuccapoint.job.worker_events import Inventory
+from yuccapoint.job.worker_events import WorkerNews
+from yuccapoint_standins.worker_model import WorkerModel
+from yuccapoint_standins.worker_model import WorkerRefusedError
+
+if TYPE_CHECKING:
+    from yuccapoint.job.size import Size
+
+TICK_MS = 20
+POLL_S = 0.02
+
+
+class WorkerService:
+    """Serves one worker on an address."""
+
+    def __init__(self, address: str, capacity: Size) -> None:
+        self.model = WorkerModel(capacity)
+        given = {"service": self}
+        self._server = HTTPServer(
+            Application(
+                [
+                    (r"/v1/tasks", TasksHandler, given),
+                    (r"/v1/tasks/([^/]+)/(\d+)", StartHandler, given),
+                    (
+                        r"/v1/tasks/([^/]+)/(\d+)/(throttle|stop)",
+                        ControlHandler,
+                        given,
+                    ),
+                    (r"/v1/lease", LeaseHandler, given),
+                    (r"/v1/events", EventsHandler, given),
+                    (r"/v1/usage", UsageHandler, given),
+                ],
+                log_function=lambda handler: None,
+            )
+        )
+        host, _, port = address.rpartition(":")
+        self._server.listen(int(port), host)
+        self._ticker = PeriodicCallback(self._tick, TICK_MS)
+        self._ticker.start()
+
+    def close(self) -> None:
+        """Stop at once; nothing runs any more."""
+        self._ticker.stop()
+        self._server.stop()
+        self.model.tasks.clear()
+
+    def _tick(self) -> None:
+        self.model.tick(time.monotonic())
+
+
+class WorkerHandler(RequestHandler):
+    """What all handlers share."""
+
+    def initialize(self, service: WorkerService) -> None:
+        """Take the service."""
+        self.model = service.model
+
+    def refuse(self, error: WorkerRefusedError) -> None:
+        """Answer with a refusal."""
+        self.set_status(409)
+        self.finish(str(error))
+
+
+class TasksHandler(WorkerHandler):
+    """The inventory."""
+
+    def get(self) -> None:
+        """Give all that the worker holds and runs."""
+        inventory = Inventory(
+            self.model.capacity, self.model.running(), self.model.next_number
+        )
+        self.finish(msgspec.json.encode(inventory))
+
+
+class StartHandler(WorkerHandler):
+    """Starts of tasks."""
+
+    def put(self, job_id: str, attempt: str) -> None:
+        """Start a task."""
+        body = msgspec.json.decode(self.request.body, type=StartBody)
+        try:
+            self.model.start(job_id, int(attempt), body, time.monotonic())
+        except WorkerRefusedError as error:
+            self.refuse(error)
+
+
+class ControlHandler(WorkerHandler):
+    """Throttles and stops."""
+
+    def post(self, job_id: str, attempt: str, verb: str) -> None:
+        """Throttle or stop a task."""
+        try:
+            if verb == "stop":
+                self.model.stop(job_id, int(attempt), time.monotonic())
+                return
+            body = msgspec.json.decode(self.request.body, type=ThrottleBody)
+            self.model.throttle(job_id, int(attempt), body.share)
+        except WorkerRefusedError as error:
+            self.refuse(error)
+
+
+class LeaseHandler(WorkerHandler):
+    """Renewals."""
+
+    def post(self) -> None:
+        """Extend the lease of all tasks."""
+        body = msgspec.json.decode(self.request.body, type=LeaseBody)
+        self.model.renew(body.lease_until_s)
+
+
+class EventsHandler(WorkerHandler):
+    """Ends of tasks."""
+
+    async def get(self) -> None:
+        """Wait for events from a number on."""
+        number = int(self.get_argument("from"))
+        until_s = time.monotonic() + float(self.get_argument("wait_s", "0"))
+        while self.model.next_number <= number and time.monotonic() < until_s:
+            await asyncio.sleep(POLL_S)
+        ended = self.model.news(number)
+        news = WorkerNews(max(number, self.model.next_number), ended)
+        self.finish(msgspec.json.encode(news))
+
+
+class UsageHandler(WorkerHandler):
+    """Lagging measurements."""
+
+    def get(self) -> None:
+        """Give the newest measurements."""
+        self.finish(msgspec.json.encode(self.model.usage(time.monotonic())))
