--- a/src/yuccapoint/bench/all.py
+++ b/src/yuccapoint/bench/all.py
@@ -1,3 +1,5 @@
 """Imports all measurements, which register themselves."""
 
 from __future__ import annotations
+
+import yuccapoint.bench.capacity  # noqa: F401
--- /dev/null
+++ b/src/yuccapoint/bench/capacity_parts.py
@@ -0,0 +1,111 @@
+"""Sample messages and cores for the measurement of capacity."""
+
+from __future__ import annotations
+
+import random
+
+from yuccapoint.connection.messages import AgentReport
+from yuccapoint.connection.messages import EndpointReport
+from yuccapoint.connection.messages import TaskReport
+from yuccapoint.job.batch_leader import BatchLeader
+from yuccapoint.job.job import Job
+from yuccapoint.job.records import EntryRenewed
+from yuccapoint.job.records import JobClaimed
+from yuccapoint.job.records import JobSubmitted
+from yuccapoint.job.records import PoolEdited
+from yuccapoint.job.records import VmAdopted
+from yuccapoint.job.size import Size
+from yuccapoint.process.cell_state import CellState
+from yuccapoint.request.router import Router
+from yuccapoint.version.pool import Pool
+
+ENTRY = "entry-1@1"
+POOL = "bulletin-desk"
+SERVICE = "quotes"
+CAPACITY = Size(64_000, 250 << 30, 4)
+JOB_SIZE = Size(500, 1 << 30, 0)
+LEAD_S = 1e9
+
+
+class LoadedEntry:
+    """An entry's cores, filled to a size.
+
+    Parameters
+    ----------
+    vms : int
+        VMs that the entry leads.
+    running, queued : int
+        Jobs in the log's state.
+    """
+
+    def __init__(self, vms: int, running: int, queued: int) -> None:
+        self.vms = vms
+        self.cell = CellState()
+        self.cell.tables.apply(
+            PoolEdited(POOL, 0, "first", "bench", Pool(name=POOL)), 0
+        )
+        self.leader = BatchLeader(
+            ENTRY, self.cell.board, self.cell.tables.pool, random.Random(1)
+        )
+        self.leader.on_renewal_acked(LEAD_S)
+        self.router = Router("dc-0", "region-0", random.Random(1))
+        self._fill(running, queued)
+
+    def _fill(self, running: int, queued: int) -> None:
+        board = self.cell.board
+        board.apply(EntryRenewed(ENTRY), 0)
+        for index in range(self.vms):
+            board.apply(VmAdopted(f"vm-{index}", 1, ENTRY, POOL), 0)
+        for index in range(running + queued):
+            board.apply(JobSubmitted(sample_job(index)), 0)
+            if index >= running:
+                continue
+            vm = f"vm-{index % self.vms}"
+            board.apply(
+                JobClaimed(f"job-{index}", 1, vm, 1, ENTRY, "bench"), 0
+            )
+
+
+def sample_job(index: int) -> Job:
+    """Give a job like those of the deployments."""
+    return Job(
+        job_id=f"job-{index}",
+        team=f"team-{index % 800}",
+        customer=f"customer-{index % 2000}",
+        job_class=f"class-{index % 40}",
+        pool=POOL,
+        size=JOB_SIZE,
+        run_time_s=60.0,
+        command="run_s=60",
+    )
+
+
+def sample_report(vm: int, sequence: int, tasks: list[int]) -> AgentReport:
+    """Give a report of a VM with three endpoints and some tasks."""
+    committed = Size(
+        JOB_SIZE.millicores * len(tasks), JOB_SIZE.memory_bytes * len(tasks)
+    )
+    return AgentReport(
+        vm=f"vm-{vm}",
+        incarnation=1,
+        sequence=sequence,
+        term=1,
+        wants_leader="",
+        leader=ENTRY,
+        pool=POOL,
+        data_centre=f"dc-{vm % 3}",
+        region="region-0",
+        rack=f"rack-{vm // 40}",
+        control_address=f"10.0.{vm // 250}.{vm % 250}:7201",
+        session_address=f"10.0.{vm // 250}.{vm % 250}:7202",
+        capacity=CAPACITY,
+        free=CAPACITY - committed,
+        ready=True,
+        stopping=False,
+        tables_version=1,
+        endpoints=[
+            EndpointReport(f"quotes-{vm}-{n}", SERVICE, "ready", 8, 2, 0)
+            for n in range(3)
+        ],
+        tasks=[TaskReport(f"job-{index}", 1, "", "", "") for index in tasks],
+    )
