Learn pair estimates and throttle before moving

Cause: the first guard counted a breach for every task present and evicted the one that was counted most, so quiet neighbours of a noisy task went with it. The scenario 'Quiet neighbours of a noisy task are spared' is red with it: on the scenario's load it evicts calm1, calm2 and loud.

Now each VM learns the slowdown per batch class by a small Kalman filter over lagging samples, credited to the company at the time that they describe, and the guard throttles, then moves, then stops, and lets go with hysteresis. It acts again only on samples that describe a time after its last action, and limits one unsure class at a time, so that the change shows who the culprit is.

Ruled out: limiting all suspects at once by the filter's mean.

On the same load the new guard moves loud only. Bad, missing or stale measurements keep the throttle, evict nothing and take no new batch.

--- /dev/null
+++ b/src/yuccapoint/bench/interference_baselines.py
@@ -0,0 +1,83 @@
+"""Guards that the interference guard is measured against."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from yuccapoint.job.actions import Action
+    from yuccapoint.job.task_keeper import TaskKeeper
+    from yuccapoint.job.worker_events import UsageSample
+
+FIRST_SLOWDOWN = 1.5
+FIRST_BREACHES = 3
+BREACH_SLOWDOWN = 1.25
+TOO_OLD_S = 10.0
+
+
+class BreachEvictor:
+    """Evicts the newest task at each sample over the target."""
+
+    def __init__(self, keeper: TaskKeeper) -> None:
+        self._keeper = keeper
+        self._seen_until_s = 0.0
+
+    def on_usage(
+        self, samples: list[UsageSample], now_s: float
+    ) -> list[Action]:
+        """Weigh new samples."""
+        del now_s
+        actions: list[Action] = []
+        for sample in samples:
+            if sample.described_at_s <= self._seen_until_s:
+                continue
+            self._seen_until_s = sample.described_at_s
+            if sample.service_slowdown < BREACH_SLOWDOWN:
+                continue
+            for task in reversed(list(self._keeper.tasks.values())):
+                if task.outcome or task.stopping:
+                    continue
+                self._keeper.stop(task.job_id, task.attempt, "breach", actions)
+                break
+        return actions
+
+
+class FirstGuard:
+    """Evicts the task that was present at most of the breaches."""
+
+    def __init__(self, keeper: TaskKeeper) -> None:
+        self._keeper = keeper
+        self._seen_until_s = 0.0
+        self._breaches: dict[str, int] = {}
+
+    def on_usage(
+        self, samples: list[UsageSample], now_s: float
+    ) -> list[Action]:
+        """Weigh new samples."""
+        for sample in samples:
+            if sample.described_at_s <= self._seen_until_s:
+                continue
+            self._seen_until_s = sample.described_at_s
+            if now_s - sample.described_at_s > TOO_OLD_S:
+                continue
+            self._count(sample)
+        return self._evict()
+
+    def _count(self, sample: UsageSample) -> None:
+        if sample.service_slowdown < FIRST_SLOWDOWN:
+            self._breaches.clear()
+            return
+        for job_id in sample.job_ids:
+            self._breaches[job_id] = self._breaches.get(job_id, 0) + 1
+
+    def _evict(self) -> list[Action]:
+        breaches = self._breaches
+        worst = max(breaches, key=lambda job: breaches[job], default="")
+        if breaches.get(worst, 0) < FIRST_BREACHES:
+            return []
+        breaches.clear()
+        task = self._keeper.tasks.get(worst)
+        actions: list[Action] = []
+        if task is not None:
+            self._keeper.stop(worst, task.attempt, "breach", actions)
+        return actions
--- a/src/yuccapoint/job/guard.py
+++ b/src/yuccapoint/job/guard.py
@@ -2,32 +2,102 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from yuccapoint.job.actions import Explain
+from yuccapoint.job.actions import WorkerThrottle
+from yuccapoint.job.interference.company_history import CompanyHistory
+from yuccapoint.job.interference.guard_state import GuardState
+from yuccapoint.job.interference.neighbour import Neighbour
+from yuccapoint.job.interference.pair_estimates import PairEstimates
+from yuccapoint.job.interference.sample_gate import SampleGate
+from yuccapoint.job.interference.throttle_plan import LEAST_SHARE
+from yuccapoint.job.interference.throttle_plan import plan_shares
+from yuccapoint.job.interference.throttled_task import ThrottledTask
 
 if TYPE_CHECKING:
     from yuccapoint.job.actions import Action
     from yuccapoint.job.task_keeper import TaskKeeper
     from yuccapoint.job.worker_events import UsageSample
 
-BREACH_SLOWDOWN = 1.5
-BREACHES_TO_EVICT = 3
-SAMPLE_TOO_OLD_S = 10.0
+TARGET_SLOWDOWN = 1.25
+LEAST_ALLOWANCE_FACTOR = 0.5
+MOST_ALLOWANCE_FACTOR = 1.6
+RAISE_ALLOWANCE_FACTOR = 0.75
+LOWER_AFTER_SAMPLES = 2
+EVICTION_COST_S = 15.0
+MIN_RUN_S = 30.0
+EVICTION_SPACING_S = 6.0
+NOT_ENOUGH_S = 5.0
+STOP_WINDOW_S = 30.0
+MOVES_TO_STOP = 2
+STOPPED_FOR_S = 30.0
+SETTLE_S = 1.0
+MAX_STEP_S = 2.0
 
 
 class Guard:
-    """Evicts the batch task whose company slows the service most.
+    """Throttles, moves and stops batch tasks that slow a service.
 
-    Each sample counts for the tasks that ran when it was taken. Without
-    fresh samples the guard does nothing.
+    Bad, missing or stale measurements: the guard keeps the throttle as it
+    is, evicts nothing and takes no new batch work beside running tasks.
+
+    Parameters
+    ----------
+    keeper : TaskKeeper
+        The VM's tasks.
+
+    Attributes
+    ----------
+    state : GuardState
+        What the guard is doing.
+    evictions : int
+        Tasks that it moved.
     """
 
     def __init__(self, keeper: TaskKeeper) -> None:
-        self._keeper = keeper
-        self._seen_until_s = 0.0
-        self._breaches: dict[str, int] = {}
+        self.state = GuardState.NORMAL
+        self.estimates = PairEstimates()
         self.evictions = 0
+        self.tail_weight = 1.0
+        self.eviction_weight = 1.0
+        self._keeper = keeper
+        self._gate = SampleGate()
+        self._history = CompanyHistory()
+        self._tasks: dict[str, ThrottledTask] = {}
+        self._over_samples = 0
+        self._over_since_s = math.inf
+        self._moving = ""
+        self._moved_at_s: list[float] = []
+        self._stopped_until_s = -math.inf
+        self._decided_at_s = -math.inf
+        self._acted_at_s = -math.inf
+
+    def weigh(self, tail_weight: float, eviction_weight: float) -> None:
+        """Take the pool's weights."""
+        self.tail_weight = tail_weight
+        self.eviction_weight = eviction_weight
+
+    @property
+    def allowance(self) -> float:
+        """Slowdown that the batch tasks may add, by the pool's weights."""
+        ratio = self.eviction_weight / max(self.tail_weight, 0.01)
+        factor = math.sqrt(max(ratio, 0.0))
+        factor = max(factor, LEAST_ALLOWANCE_FACTOR)
+        factor = min(factor, MOST_ALLOWANCE_FACTOR)
+        return (TARGET_SLOWDOWN - 1.0) * factor
+
+    def takes_batch(self, now_s: float) -> bool:
+        """Tell whether the VM should get new batch tasks."""
+        if self.state in (GuardState.MOVING, GuardState.STOPPED):
+            return False
+        return not self._tasks or not self._gate.stale(now_s)
+
+    def share(self, job_id: str) -> float:
+        """Give a task's throttle share."""
+        task = self._tasks.get(job_id)
+        return 1.0 if task is None else task.share
 
     def on_usage(
         self, samples: list[UsageSample], now_s: float
@@ -37,48 +107,249 @@
         Parameters
         ----------
         samples : list of UsageSample
-            Lagging measurements, oldest first.
+            Lagging measurements, in any order.
         now_s : float
             Monotonic time in seconds.
         """
-        for sample in samples:
-            if sample.described_at_s <= self._seen_until_s:
-                continue
-            self._seen_until_s = sample.described_at_s
-            if now_s - sample.described_at_s > SAMPLE_TOO_OLD_S:
-                continue
-            self._count(sample)
-        return self._evict()
-
-    def _count(self, sample: UsageSample) -> None:
-        if sample.service_slowdown < BREACH_SLOWDOWN:
-            self._breaches.clear()
+        company = self._company(now_s)
+        self._history.note(company, now_s)
+        fresh = self._gate.take(samples, now_s)
+        for sample in fresh:
+            self._learn(sample, now_s)
+        actions: list[Action] = []
+        self._charge(now_s)
+        if fresh and not self._gate.stale(now_s):
+            self._decide(company, now_s, actions)
+        return actions
+
+    def _company(self, now_s: float) -> list[Neighbour]:
+        running = {}
+        for job_id, task in self._keeper.tasks.items():
+            if not task.outcome:
+                running[job_id] = task
+        for job_id in list(self._tasks):
+            known = self._tasks[job_id]
+            found = running.get(job_id)
+            if found is None or found.attempt != known.attempt:
+                del self._tasks[job_id]
+        for job_id, task in running.items():
+            if job_id not in self._tasks:
+                self._tasks[job_id] = ThrottledTask(
+                    job_id, task.attempt, task.job_class, now_s
+                )
+        return [
+            Neighbour(task.job_id, task.job_class, task.share)
+            for task in self._tasks.values()
+        ]
+
+    def _learn(self, sample: UsageSample, now_s: float) -> None:
+        del now_s
+        company = self._history.at(sample.described_at_s)
+        if company is None:
+            return
+        present = set(sample.job_ids)
+        beside = [n for n in company if n.job_id in present]
+        if len(beside) != len(present):
+            return
+        self.estimates.learn(
+            beside, sample.service_slowdown, sample.described_at_s
+        )
+
+    def _charge(self, now_s: float) -> None:
+        step_s = min(MAX_STEP_S, now_s - self._decided_at_s)
+        self._decided_at_s = now_s
+        for task in self._tasks.values():
+            task.charge(step_s)
+
+    def _decide(
+        self, company: list[Neighbour], now_s: float, actions: list[Action]
+    ) -> None:
+        excess = self.estimates.excess(company)
+        if excess <= self.allowance:
+            self._over_samples = 0
+            self._over_since_s = math.inf
+        else:
+            self._over_samples += 1
+            self._over_since_s = min(self._over_since_s, now_s)
+        self._lower(company, excess, now_s, actions)
+        self._raise(company, excess, now_s, actions)
+        self._move(company, excess, now_s, actions)
+        self._settle(now_s)
+
+    def _lower(
+        self,
+        company: list[Neighbour],
+        excess: float,
+        now_s: float,
+        actions: list[Action],
+    ) -> None:
+        if self._over_samples < LOWER_AFTER_SAMPLES:
             return
-        for job_id in sample.job_ids:
-            self._breaches[job_id] = self._breaches.get(job_id, 0) + 1
+        if self._gate.newest_s < self._acted_at_s + SETTLE_S:
+            return
+        plan = plan_shares(company, self.estimates, self.allowance)
+        lowered = [
+            self._tasks[job_id]
+            for job_id, share in plan.items()
+            if share < self._tasks[job_id].share - 0.01
+        ]
+        for task in self._suspects(lowered):
+            self._acted_at_s = now_s
+            task.lower(plan[task.job_id], now_s)
+            self._throttle(task, excess, actions)
+
+    def _suspects(self, tasks: list[ThrottledTask]) -> list[ThrottledTask]:
+        """Pick the sure ones, else one class, to see what it changes."""
+        estimates = self.estimates
+        suspects = [t for t in tasks if estimates.sure(t.job_class)]
+        unsure = [t for t in tasks if not estimates.sure(t.job_class)]
+        if suspects or not unsure:
+            return suspects
+        first = max(unsure, key=lambda t: estimates.upper(t.job_class))
+        return [t for t in unsure if t.job_class == first.job_class]
+
+    def _raise(
+        self,
+        company: list[Neighbour],
+        excess: float,
+        now_s: float,
+        actions: list[Action],
+    ) -> None:
+        if now_s < self._stopped_until_s or self._over_samples:
+            return
+        allowance = self.allowance * RAISE_ALLOWANCE_FACTOR
+        plan = plan_shares(company, self.estimates, allowance)
+        for job_id, share in plan.items():
+            task = self._tasks[job_id]
+            if share > task.share + 0.01 and task.may_raise(now_s):
+                task.raise_to(share, now_s)
+                self._throttle(task, excess, actions)
+
+    def _throttle(
+        self, task: ThrottledTask, excess: float, actions: list[Action]
+    ) -> None:
+        actions.append(WorkerThrottle(task.job_id, task.attempt, task.share))
+        text = f"lets {task.job_id} run at {task.share:.0%}"
+        actions.append(Explain("guard", text, self._fields(task, excess)))
+
+    def _move(
+        self,
+        company: list[Neighbour],
+        excess: float,
+        now_s: float,
+        actions: list[Action],
+    ) -> None:
+        if self._moving in self._tasks:
+            return
+        self._moving = ""
+        if now_s < self._last_move_s() + EVICTION_SPACING_S:
+            return
+        movable = [
+            task
+            for task in self._tasks.values()
+            if now_s >= task.began_at_s + MIN_RUN_S
+        ]
+        why = ""
+        chosen = self._costliest(movable)
+        if chosen is not None and self._not_enough(company, excess, now_s):
+            why = "throttling is not enough"
+        else:
+            chosen = self._overcharged(movable)
+            why = "throttling costs more than moving"
+        if chosen is None:
+            return
+        self._evict(chosen, why, excess, now_s, actions)
 
-    def _evict(self) -> list[Action]:
-        worst = max(
-            self._breaches, key=lambda job: self._breaches[job], default=""
+    def _costliest(self, tasks: list[ThrottledTask]) -> ThrottledTask | None:
+        return max(
+            tasks,
+            key=lambda task: self.estimates.weight(task.job_class),
+            default=None,
         )
-        if self._breaches.get(worst, 0) < BREACHES_TO_EVICT:
-            return []
-        self._breaches.clear()
-        task = self._keeper.tasks.get(worst)
+
+    def _not_enough(
+        self, company: list[Neighbour], excess: float, now_s: float
+    ) -> bool:
+        if now_s < self._over_since_s + NOT_ENOUGH_S:
+            return False
+        for neighbour in company:
+            weight = self.estimates.weight(neighbour.job_class)
+            if weight * neighbour.share > weight * LEAST_SHARE + 0.01:
+                return False
+        return excess > self.allowance
+
+    def _overcharged(self, tasks: list[ThrottledTask]) -> ThrottledTask | None:
+        most_s = EVICTION_COST_S * self.eviction_weight
+        charged = [
+            task
+            for task in tasks
+            if task.lost_s >= most_s and task.share < 1.0
+        ]
+        task = self._costliest(charged)
         if task is None:
-            return []
-        actions: list[Action] = []
-        reason = "evicted: the service beside it was slowed"
-        self._keeper.stop(worst, task.attempt, reason, actions)
-        if not actions:
-            return []
+            return None
+        weight = self.estimates.weight(task.job_class)
+        return task if weight > self.allowance / 2 else None
+
+    def _last_move_s(self) -> float:
+        return self._moved_at_s[-1] if self._moved_at_s else -math.inf
+
+    def _evict(
+        self,
+        task: ThrottledTask,
+        why: str,
+        excess: float,
+        now_s: float,
+        actions: list[Action],
+    ) -> None:
+        before = len(actions)
+        reason = f"evicted: it slowed the service beside it, {why}"
+        self._keeper.stop(task.job_id, task.attempt, reason, actions)
+        if len(actions) == before:
+            return
         self.evictions += 1
-        fields: dict[str, str | int | float] = {
+        self._moving = task.job_id
+        self._moved_at_s.append(now_s)
+        self._moved_at_s = self._moved_at_s[-MOVES_TO_STOP:]
+        fields = self._fields(task, excess)
+        text = f"moves {task.job_id}: {why}"
+        actions.append(Explain("guard", text, fields))
+
+    def _settle(self, now_s: float) -> None:
+        recent = [
+            moved_at_s
+            for moved_at_s in self._moved_at_s
+            if now_s - moved_at_s < STOP_WINDOW_S
+        ]
+        if len(recent) >= MOVES_TO_STOP and self._over_samples:
+            self._stopped_until_s = now_s + STOPPED_FOR_S
+        if self._moving in self._tasks:
+            self.state = GuardState.MOVING
+        elif now_s < self._stopped_until_s:
+            self.state = GuardState.STOPPED
+        elif any(task.share < 1.0 for task in self._tasks.values()):
+            self.state = GuardState.THROTTLED
+        else:
+            self.state = GuardState.NORMAL
+
+    def _fields(
+        self, task: ThrottledTask, excess: float
+    ) -> dict[str, str | int | float]:
+        return {
             "vm": self._keeper.vm,
-            "job": worst,
+            "job": task.job_id,
             "attempt": task.attempt,
-            "breaches": BREACHES_TO_EVICT,
-            "breach_slowdown": BREACH_SLOWDOWN,
+            "class": task.job_class,
+            "state": self.state.value,
+            "share": task.share,
+            "adds_slowdown": round(self.estimates.weight(task.job_class), 3),
+            "adds_deviation": round(
+                self.estimates.deviation(task.job_class), 3
+            ),
+            "batch_slowdown": round(excess, 3),
+            "allowed_slowdown": round(self.allowance, 3),
+            "own_slowdown": round(self.estimates.baseline, 3),
+            "lost_s": round(task.lost_s, 1),
+            "tail_weight": self.tail_weight,
+            "eviction_weight": self.eviction_weight,
         }
-        actions.append(Explain("guard", f"evicts {worst}", fields))
-        return actions
--- /dev/null
+++ b/src/yuccapoint/job/interference/__init__.py
@@ -0,0 +1,3 @@
+"""What batch tasks cost the services beside them, learned and shared."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/yuccapoint/job/interference/pair_estimates.py
@@ -0,0 +1,164 @@
+"""The slowdown that each batch class adds to the service of one VM."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from yuccapoint.job.interference.neighbour import Neighbour
+
+BASELINE = ""
+MAX_CLASSES = 16
+UNKNOWN_SLOWDOWN = 0.05
+WEIGHT_SD = 0.4
+BASELINE_SD = 0.1
+WEIGHT_DRIFT_PER_S = 0.01
+BASELINE_DRIFT_PER_S = 0.01
+NOISE_SD = 0.12
+OUTLIER_SDS = 3.0
+SURE_SDS = 2.0
+MAX_STEP_S = 10.0
+COUNT_HALF_LIFE_S = 300.0
+
+
+class PairEstimates:
+    """A Kalman filter over the batch classes beside one service class.
+
+    The measured slowdown less 1 is taken as the service's own baseline
+    plus, for each neighbour, its class's weight times its share. Weights
+    wander, so that old samples fade and uncertainty grows where nothing
+    is measured; none falls below 0.
+
+    Attributes
+    ----------
+    counts : dict of str to float
+        Samples by class, weighed by share and fading.
+    """
+
+    def __init__(self) -> None:
+        self.counts: dict[str, float] = {}
+        self._names: list[str] = [BASELINE]
+        self._weights: list[float] = [0.0]
+        self._covariance: list[list[float]] = [[BASELINE_SD**2]]
+        self._learned_at_s = -math.inf
+
+    @property
+    def baseline(self) -> float:
+        """The service's own slowdown, less 1, without batch beside it."""
+        return self._weights[0]
+
+    @property
+    def classes(self) -> list[str]:
+        """The batch classes that are known."""
+        return self._names[1:]
+
+    def weight(self, job_class: str) -> float:
+        """Slowdown that a task of the class adds at full share."""
+        if job_class not in self._names:
+            return UNKNOWN_SLOWDOWN
+        return self._weights[self._names.index(job_class)]
+
+    def deviation(self, job_class: str) -> float:
+        """Standard deviation of the class's weight."""
+        if job_class not in self._names:
+            return WEIGHT_SD
+        index = self._names.index(job_class)
+        return math.sqrt(max(0.0, self._covariance[index][index]))
+
+    def upper(self, job_class: str) -> float:
+        """Slowdown that a task of the class may well add."""
+        return self.weight(job_class) + self.deviation(job_class)
+
+    def sure(self, job_class: str) -> bool:
+        """Tell whether the class is known to slow the service."""
+        return self.weight(job_class) > SURE_SDS * self.deviation(job_class)
+
+    def excess(self, company: list[Neighbour]) -> float:
+        """Slowdown that a company is expected to add."""
+        return sum(self.weight(n.job_class) * n.share for n in company)
+
+    def seed(self, job_class: str, weight: float, deviation: float) -> None:
+        """Start a class that is not known yet from what others learned."""
+        if job_class in self._names:
+            return
+        self._add(job_class, weight, deviation)
+
+    def learn(
+        self, company: list[Neighbour], slowdown: float, at_s: float
+    ) -> None:
+        """Take one measurement.
+
+        Parameters
+        ----------
+        company : list of Neighbour
+            Who ran when it was so.
+        slowdown : float
+            Service time against that of an idle VM.
+        at_s : float
+            The time that the measurement describes, in seconds.
+        """
+        for neighbour in company:
+            if neighbour.job_class not in self._names:
+                self._add(neighbour.job_class, UNKNOWN_SLOWDOWN, WEIGHT_SD)
+        self._wander(at_s)
+        features = [0.0] * len(self._names)
+        features[0] = 1.0
+        for neighbour in company:
+            features[self._names.index(neighbour.job_class)] += neighbour.share
+        self._correct(features, slowdown - 1.0)
+        for name, share in zip(self._names, features, strict=True):
+            if share and name != BASELINE:
+                self.counts[name] = self.counts.get(name, 0.0) + share
+
+    def _wander(self, at_s: float) -> None:
+        step_s = min(MAX_STEP_S, at_s - self._learned_at_s)
+        if step_s <= 0:
+            return
+        self._learned_at_s = at_s
+        fade = 0.5 ** (step_s / COUNT_HALF_LIFE_S)
+        for name in self.counts:
+            self.counts[name] *= fade
+        for index in range(len(self._names)):
+            drift, most = WEIGHT_DRIFT_PER_S, WEIGHT_SD
+            if index == 0:
+                drift, most = BASELINE_DRIFT_PER_S, BASELINE_SD
+            grown = self._covariance[index][index] + drift**2 * step_s
+            if grown <= most**2:
+                self._covariance[index][index] = grown
+
+    def _correct(self, features: list[float], measured: float) -> None:
+        gains = [_dot(row, features) for row in self._covariance]
+        spread = _dot(gains, features) + NOISE_SD**2
+        surprise = measured - _dot(self._weights, features)
+        most = OUTLIER_SDS * math.sqrt(spread)
+        surprise = max(-most, min(most, surprise))
+        for index, gain in enumerate(gains):
+            weight = self._weights[index] + gain / spread * surprise
+            self._weights[index] = max(0.0, weight)
+            row = self._covariance[index]
+            for other, other_gain in enumerate(gains):
+                row[other] -= gain * other_gain / spread
+
+    def _add(self, job_class: str, weight: float, deviation: float) -> None:
+        if len(self._names) > MAX_CLASSES:
+            self._drop(min(self.classes, key=lambda n: self.counts.get(n, 0)))
+        for row in self._covariance:
+            row.append(0.0)
+        self._covariance.append([0.0] * len(self._names))
+        self._covariance[-1].append(deviation**2)
+        self._names.append(job_class)
+        self._weights.append(weight)
+
+    def _drop(self, job_class: str) -> None:
+        index = self._names.index(job_class)
+        del self._names[index]
+        del self._weights[index]
+        del self._covariance[index]
+        for row in self._covariance:
+            del row[index]
+        self.counts.pop(job_class, None)
+
+
+def _dot(left: list[float], right: list[float]) -> float:
+    return sum(a * b for a, b in zip(left, right, strict=True))
--- /dev/null
+++ b/src/yuccapoint/job/interference/throttled_task.py
@@ -0,0 +1,84 @@
+"""A batch task's throttle and what it has cost."""
+
+from __future__ import annotations
+
+import math
+
+RAISE_HOLD_S = 6.0
+MAX_RAISE_HOLD_S = 60.0
+REVERSAL_S = 15.0
+MAX_RAISE = 0.3
+FORGIVE_S = 120.0
+
+
+class ThrottledTask:
+    """One attempt on the VM, as the guard sees it.
+
+    A limit that comes soon after a raise doubles the wait before the next
+    raise, so that a noisy wave does not make the share swing with it.
+
+    Attributes
+    ----------
+    began_at_s : float
+        When the guard first saw the attempt.
+    share : float
+        Share of its processors that the task may use.
+    lost_s : float
+        Run time at full share that the throttle has cost.
+    reversals : int
+        Changes of the throttle's direction.
+    """
+
+    __slots__ = (
+        "_changed_at_s",
+        "_hold_s",
+        "_raised_at_s",
+        "attempt",
+        "began_at_s",
+        "job_class",
+        "job_id",
+        "lost_s",
+        "reversals",
+        "share",
+    )
+
+    def __init__(
+        self, job_id: str, attempt: int, job_class: str, now_s: float
+    ) -> None:
+        self.job_id = job_id
+        self.attempt = attempt
+        self.job_class = job_class
+        self.began_at_s = now_s
+        self.share = 1.0
+        self.lost_s = 0.0
+        self.reversals = 0
+        self._changed_at_s = now_s
+        self._raised_at_s = -math.inf
+        self._hold_s = RAISE_HOLD_S
+
+    def lower(self, share: float, now_s: float) -> None:
+        """Limit the task."""
+        if now_s < self._raised_at_s + REVERSAL_S:
+            self._hold_s = min(self._hold_s * 2.0, MAX_RAISE_HOLD_S)
+        if self._raised_at_s == self._changed_at_s:
+            self.reversals += 1
+        self.share = share
+        self._changed_at_s = now_s
+
+    def may_raise(self, now_s: float) -> bool:
+        """Tell whether the last change is long enough ago."""
+        return now_s >= self._changed_at_s + self._hold_s
+
+    def raise_to(self, share: float, now_s: float) -> None:
+        """Give the task more, by a step at most."""
+        if self._raised_at_s != self._changed_at_s:
+            self.reversals += 1
+        if now_s > self._changed_at_s + FORGIVE_S:
+            self._hold_s = RAISE_HOLD_S
+        self.share = min(share, round(self.share + MAX_RAISE, 3))
+        self._changed_at_s = now_s
+        self._raised_at_s = now_s
+
+    def charge(self, step_s: float) -> None:
+        """Count what the throttle costs over a step."""
+        self.lost_s += (1.0 - self.share) * step_s
--- /dev/null
+++ b/src/yuccapoint_standins/lagging_usage.py
@@ -0,0 +1,91 @@
+"""Measurements on their way: lagging, noisy, lost, late, doubled."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+import msgspec
+
+if TYPE_CHECKING:
+    import random
+
+    from yuccapoint.job.worker_events import UsageSample
+
+MAX_SAMPLES = 100
+
+
+class UsageFaults(msgspec.Struct, frozen=True, kw_only=True):
+    """How measurements suffer.
+
+    Attributes
+    ----------
+    lag_s : float
+        Between what a sample describes and its arrival.
+    noise : float
+        Standard deviation, relative to the value.
+    spikes : float
+        Share of samples that show half as much again.
+    lost, doubled, late : float
+        Shares of samples that are lost, come twice, or come late.
+    late_s : float
+        The most that a late sample is late.
+    blackouts : list of tuple
+        Begins and ends, in seconds, of times that no sample describes.
+    """
+
+    lag_s: float = 1.0
+    noise: float = 0.0
+    spikes: float = 0.0
+    lost: float = 0.0
+    doubled: float = 0.0
+    late: float = 0.0
+    late_s: float = 5.0
+    blackouts: list[tuple[float, float]] = []
+
+
+class LaggingUsage:
+    """Holds samples until they arrive.
+
+    Parameters
+    ----------
+    faults : UsageFaults
+        What happens to them.
+    rng : random.Random
+        Source of the faults.
+    """
+
+    def __init__(self, faults: UsageFaults, rng: random.Random) -> None:
+        self.faults = faults
+        self._rng = rng
+        self._coming: collections.deque[tuple[float, UsageSample]] = (
+            collections.deque(maxlen=MAX_SAMPLES)
+        )
+
+    def record(self, sample: UsageSample) -> None:
+        """Take a true sample; it arrives later, if at all."""
+        faults = self.faults
+        draws = [self._rng.random() for _ in range(4)]
+        noise = self._rng.gauss(0.0, 1.0) * faults.noise
+        late_s = self._rng.uniform(0.0, faults.late_s)
+        described_at_s = sample.described_at_s
+        if any(a <= described_at_s < b for a, b in faults.blackouts):
+            return
+        if draws[0] < faults.lost:
+            return
+        slowdown = sample.service_slowdown * max(0.1, 1.0 + noise)
+        if draws[1] < faults.spikes:
+            slowdown *= 1.5
+        arrives_at_s = described_at_s + faults.lag_s
+        if draws[2] < faults.late:
+            arrives_at_s += late_s
+        sample = msgspec.structs.replace(sample, service_slowdown=slowdown)
+        self._coming.append((arrives_at_s, sample))
+        if draws[3] < faults.doubled:
+            self._coming.append((arrives_at_s + late_s, sample))
+
+    def arrived(self, now_s: float) -> list[UsageSample]:
+        """Give the newest samples that have arrived."""
+        here = [pair for pair in self._coming if pair[0] <= now_s]
+        here.sort(key=lambda pair: pair[0])
+        return [sample for _, sample in here]
--- a/src/yuccapoint_standins/worker_model.py
+++ b/src/yuccapoint_standins/worker_model.py
@@ -3,17 +3,20 @@
 from __future__ import annotations
 
 import collections
+import random
 from typing import TYPE_CHECKING
 
 from yuccapoint.job.size import Size
 from yuccapoint.job.worker_events import RunningTask
 from yuccapoint.job.worker_events import TaskEnded
 from yuccapoint.job.worker_events import UsageSample
+from yuccapoint_standins.lagging_usage import LaggingUsage
+from yuccapoint_standins.lagging_usage import UsageFaults
 
 if TYPE_CHECKING:
     from yuccapoint.connection.http_worker import StartBody
+    from yuccapoint_standins.hidden_interference import HiddenInterference
 
-USAGE_LAG_S = 1.0
 USAGE_EVERY_S = 0.25
 MAX_EVENTS = 10_000
 DEFAULT_RUN_S = 1.0
@@ -79,6 +82,12 @@
     ----------
     fails_all : bool
         Whether each task fails as soon as it starts.
+    measured : LaggingUsage
+        The measurements on their way.
+    hidden : HiddenInterference or None
+        The true interference, beside what a command's ``noise`` says.
+    vm, service : str
+        Names that the hidden interference goes by.
     overcommitted : int
         How often the tasks held more than the VM has; must stay 0.
     """
@@ -90,10 +99,12 @@
         self.newest: dict[str, int] = {}
         self.first_number = 0
         self.events: collections.deque[TaskEnded] = collections.deque()
-        self.samples: collections.deque[UsageSample] = collections.deque(
-            maxlen=100
-        )
+        self.measured = LaggingUsage(UsageFaults(), random.Random(0))
+        self.hidden: HiddenInterference | None = None
+        self.vm = ""
+        self.service = ""
         self.overcommitted = 0
+        self._now_s = 0.0
         self._sampled_at_s = 0.0
 
     @property
@@ -104,8 +115,21 @@
     @property
     def slowdown(self) -> float:
         """The true slowdown of a service on this VM now."""
-        noise = sum(task.noise * task.share for task in self.tasks.values())
-        return 1.0 + noise
+        slowdown = 1.0
+        for task in self.tasks.values():
+            slowdown += self.added_by(task)
+        if self.hidden is not None:
+            slowdown += self.hidden.own(self.vm, self._now_s)
+        return slowdown
+
+    def added_by(self, task: ModelTask) -> float:
+        """The true slowdown that a task adds now."""
+        noise = task.noise
+        if self.hidden is not None:
+            noise += self.hidden.slowdown(
+                self.service, task.job_class, self._now_s
+            )
+        return noise * task.share
 
     def start(
         self, job_id: str, attempt: int, body: StartBody, now_s: float
@@ -134,9 +158,13 @@
         for task in self.tasks.values():
             task.lease_until_s = max(task.lease_until_s, lease_until_s)
 
-    def throttle(self, job_id: str, attempt: int, share: float) -> None:
+    def throttle(
+        self, job_id: str, attempt: int, share: float, now_s: float
+    ) -> None:
         """Limit a task to a share of its speed."""
-        self._find(job_id, attempt).share = share
+        task = self._find(job_id, attempt)
+        self._work(task, now_s)
+        task.share = share
 
     def stop(self, job_id: str, attempt: int, now_s: float) -> None:
         """Checkpoint a task and stop it."""
@@ -146,6 +174,7 @@
 
     def tick(self, now_s: float) -> None:
         """Let time pass: work, finish, enforce leases, measure."""
+        self._now_s = now_s
         for task in list(self.tasks.values()):
             if now_s >= task.lease_until_s:
                 self._work(task, task.lease_until_s)
@@ -159,17 +188,13 @@
                 self._end(task, "done", "")
         if now_s >= self._sampled_at_s + USAGE_EVERY_S:
             self._sampled_at_s = now_s
-            self.samples.append(
+            self.measured.record(
                 UsageSample(now_s, self.slowdown, list(self.tasks))
             )
 
     def usage(self, now_s: float) -> list[UsageSample]:
         """Give the measurements that the lag lets through."""
-        return [
-            sample
-            for sample in self.samples
-            if sample.described_at_s <= now_s - USAGE_LAG_S
-        ]
+        return self.measured.arrived(now_s)
 
     def running(self) -> list[RunningTask]:
         """Give what runs."""
--- a/src/yuccapoint_standins/worker_service.py
+++ b/src/yuccapoint_standins/worker_service.py
@@ -111,7 +111,8 @@
                 self.model.stop(job_id, int(attempt), time.monotonic())
                 return
             body = msgspec.json.decode(self.request.body, type=ThrottleBody)
-            self.model.throttle(job_id, int(attempt), body.share)
+            now_s = time.monotonic()
+            self.model.throttle(job_id, int(attempt), body.share, now_s)
         except WorkerRefusedError as error:
             self.refuse(error)
 
