Add bench interference and placement by learned pairs

Cause: there was no measure of the guard, and best fit by declared sizes puts batch classes beside the services that they slow most.

Raising and moving go by the estimate less its deviation.

--- /dev/null
+++ b/src/yuccapoint/bench/interference.py
@@ -0,0 +1,145 @@
+"""``yuccapoint bench interference``: the guard beside its baselines."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from yuccapoint.bench.interference_baselines import ArrivalGuard
+from yuccapoint.bench.interference_baselines import BreachEvictor
+from yuccapoint.bench.interference_baselines import FirstGuard
+from yuccapoint.bench.interference_trial import Measured
+from yuccapoint.bench.interference_trial import Trial
+from yuccapoint.bench.interference_trial import TrialShape
+from yuccapoint.bench.registry import bench
+from yuccapoint.job.guard import Guard
+from yuccapoint.job.size import Size
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from yuccapoint.bench.simulated_vm import SimulatedVm
+    from yuccapoint.bench.simulated_vm import UsageGuard
+
+GIB = 1 << 30
+OURS = "interference-aware"
+SHAPES = {
+    "caribfert": TrialShape(
+        capacity=Size(56_000, 242 * GIB, 0),
+        services=["quotes", "watches", "prices"],
+        job_millicores=(2_000, 14_000),
+        tail_weight=3.0,
+        eviction_weight=1.0,
+    ),
+    "cyfiawn": TrialShape(
+        capacity=Size(12_000, 56 * GIB, 0),
+        services=["bookings", "availability", "documents"],
+        job_millicores=(500, 3_000),
+        tail_weight=1.0,
+        eviction_weight=3.0,
+    ),
+}
+
+
+class InterferenceFigures(msgspec.Struct, frozen=True, kw_only=True):
+    """What the measurement gave.
+
+    Attributes
+    ----------
+    tail_ratio : float
+        99th percentile of the services beside batch work against the same
+        services alone.
+    batch_ratio : float
+        Batch work done against best fit by declared sizes with no guard.
+    eviction_ratio : float
+        Evictions against a guard that evicts at each breach.
+    flaps_per_vm_min : float
+        Changes of a throttle's direction per VM and minute.
+    culprit_share : float
+        Share of the evictions that hit a true culprit.
+    runs : dict of str to Measured
+        All runs, the baselines included.
+    """
+
+    bench: str
+    deployment: str
+    seed: int
+    tail_ratio: float
+    batch_ratio: float
+    eviction_ratio: float
+    eviction_ratio_first_guard: float
+    evictions: int
+    flaps_per_vm_min: float
+    culprit_share: float
+    tail_ratio_no_guard: float
+    tail_ratio_by_arrival: float
+    batch_ratio_by_arrival: float
+    culprit_share_by_arrival: float
+    runs: dict[str, Measured]
+
+
+@bench("interference")
+def measure_interference(deployment: str, seed: int) -> InterferenceFigures:
+    """Run the guard and its baselines on one load and seed."""
+    shape = SHAPES[deployment]
+
+    def guard(kind: type[Guard]) -> Callable[[SimulatedVm], UsageGuard]:
+        def make(vm: SimulatedVm) -> UsageGuard:
+            made = kind(vm.keeper)
+            made.configure(
+                vm.service, shape.tail_weight, shape.eviction_weight
+            )
+            return made
+
+        return make
+
+    def breach(vm: SimulatedVm) -> UsageGuard:
+        return BreachEvictor(vm.keeper)
+
+    def first(vm: SimulatedVm) -> UsageGuard:
+        return FirstGuard(vm.keeper)
+
+    trials = {
+        "alone": Trial(shape, seed, "best-fit", None, batch=False),
+        "no_guard": Trial(shape, seed, "best-fit", None),
+        "each_breach": Trial(shape, seed, "best-fit", breach),
+        "first_guard": Trial(shape, seed, "spread", first),
+        "ours": Trial(shape, seed, OURS, guard(Guard)),
+        "ours_best_fit": Trial(shape, seed, "best-fit", guard(Guard)),
+        "ours_by_arrival": Trial(shape, seed, OURS, guard(ArrivalGuard)),
+    }
+    runs = {name: trial.run() for name, trial in trials.items()}
+    return _figures(deployment, seed, runs)
+
+
+def _figures(
+    deployment: str, seed: int, runs: dict[str, Measured]
+) -> InterferenceFigures:
+    ours = runs["ours"]
+    arrival = runs["ours_by_arrival"]
+    tail = runs["alone"].p99
+    work_core_s = runs["no_guard"].work_core_s
+    return InterferenceFigures(
+        bench="interference",
+        deployment=deployment,
+        seed=seed,
+        tail_ratio=_ratio(ours.p99, tail),
+        batch_ratio=_ratio(ours.work_core_s, work_core_s),
+        eviction_ratio=_ratio(ours.evictions, runs["each_breach"].evictions),
+        eviction_ratio_first_guard=_ratio(
+            ours.evictions, runs["first_guard"].evictions
+        ),
+        evictions=ours.evictions,
+        flaps_per_vm_min=ours.turns_per_vm_min,
+        culprit_share=ours.culprit_share,
+        tail_ratio_no_guard=_ratio(runs["no_guard"].p99, tail),
+        tail_ratio_by_arrival=_ratio(arrival.p99, tail),
+        batch_ratio_by_arrival=_ratio(arrival.work_core_s, work_core_s),
+        culprit_share_by_arrival=arrival.culprit_share,
+        runs=runs,
+    )
+
+
+def _ratio(value: float, against: float) -> float:
+    return round(value / max(against, 1e-9), 3)
--- a/src/yuccapoint/bench/interference_baselines.py
+++ b/src/yuccapoint/bench/interference_baselines.py
@@ -4,8 +4,11 @@
 
 from typing import TYPE_CHECKING
 
+from yuccapoint.job.guard import Guard
+
 if TYPE_CHECKING:
     from yuccapoint.job.actions import Action
+    from yuccapoint.job.interference.neighbour import Neighbour
     from yuccapoint.job.task_keeper import TaskKeeper
     from yuccapoint.job.worker_events import UsageSample
 
@@ -16,7 +19,10 @@
 
 
 class BreachEvictor:
-    """Evicts the newest task at each sample over the target."""
+    """Evicts the newest task at each breach of the target.
+
+    Samples that describe the time before its last eviction do not count.
+    """
 
     def __init__(self, keeper: TaskKeeper) -> None:
         self._keeper = keeper
@@ -26,22 +32,37 @@
         self, samples: list[UsageSample], now_s: float
     ) -> list[Action]:
         """Weigh new samples."""
-        del now_s
-        actions: list[Action] = []
         for sample in samples:
             if sample.described_at_s <= self._seen_until_s:
                 continue
             self._seen_until_s = sample.described_at_s
             if sample.service_slowdown < BREACH_SLOWDOWN:
                 continue
-            for task in reversed(list(self._keeper.tasks.values())):
-                if task.outcome or task.stopping:
-                    continue
-                self._keeper.stop(task.job_id, task.attempt, "breach", actions)
-                break
+            self._seen_until_s = now_s
+            return self._evict()
+        return []
+
+    def _evict(self) -> list[Action]:
+        actions: list[Action] = []
+        for task in reversed(list(self._keeper.tasks.values())):
+            if task.outcome or task.stopping:
+                continue
+            self._keeper.stop(task.job_id, task.attempt, "breach", actions)
+            return actions
         return actions
 
 
+class ArrivalGuard(Guard):
+    """The guard, but samples are credited to when they arrive."""
+
+    def company_of(
+        self, sample: UsageSample, now_s: float
+    ) -> list[Neighbour] | None:
+        """Give who runs as the sample arrives."""
+        del sample
+        return self.company(now_s)
+
+
 class FirstGuard:
     """Evicts the task that was present at most of the breaches."""
 
--- a/src/yuccapoint/job/guard.py
+++ b/src/yuccapoint/job/guard.py
@@ -11,6 +11,10 @@
 from yuccapoint.job.interference.guard_state import GuardState
 from yuccapoint.job.interference.neighbour import Neighbour
 from yuccapoint.job.interference.pair_estimates import PairEstimates
+from yuccapoint.job.interference.pair_estimates import UNKNOWN_SLOWDOWN
+from yuccapoint.job.interference.pair_report import PairEstimate
+from yuccapoint.job.interference.pair_report import PairReport
+from yuccapoint.job.interference.pair_table import MAX_PAIRS_OF_A_VM
 from yuccapoint.job.interference.sample_gate import SampleGate
 from yuccapoint.job.interference.throttle_plan import LEAST_SHARE
 from yuccapoint.job.interference.throttle_plan import plan_shares
@@ -22,7 +26,6 @@
     from yuccapoint.job.worker_events import UsageSample
 
 TARGET_SLOWDOWN = 1.25
-LEAST_ALLOWANCE_FACTOR = 0.5
 MOST_ALLOWANCE_FACTOR = 1.6
 RAISE_ALLOWANCE_FACTOR = 0.75
 LOWER_AFTER_SAMPLES = 2
@@ -34,6 +37,8 @@
 MOVES_TO_STOP = 2
 STOPPED_FOR_S = 30.0
 SETTLE_S = 1.0
+PRIORS_EVERY_S = 10.0
+MOVE_GAIN = 0.5
 MAX_STEP_S = 2.0
 
 
@@ -60,6 +65,7 @@
         self.state = GuardState.NORMAL
         self.estimates = PairEstimates()
         self.evictions = 0
+        self.service = ""
         self.tail_weight = 1.0
         self.eviction_weight = 1.0
         self._keeper = keeper
@@ -73,19 +79,61 @@
         self._stopped_until_s = -math.inf
         self._decided_at_s = -math.inf
         self._acted_at_s = -math.inf
+        self._revision = 0
+        self._priors_at_s = -math.inf
+        self._elsewhere: dict[str, float] = {}
 
-    def weigh(self, tail_weight: float, eviction_weight: float) -> None:
-        """Take the pool's weights."""
+    def configure(
+        self, service: str, tail_weight: float, eviction_weight: float
+    ) -> None:
+        """Take the VM's service class and the pool's weights."""
+        self.service = service
         self.tail_weight = tail_weight
         self.eviction_weight = eviction_weight
 
+    def pair_report(self, now_s: float) -> PairReport | None:
+        """Give what the VM learned lately; None if it knows no service."""
+        if not self.service:
+            return None
+        self._revision += 1
+        estimates = self.estimates
+        pairs = [
+            PairEstimate(
+                self.service,
+                job_class,
+                round(estimates.weight(job_class), 4),
+                round(estimates.deviation(job_class), 4),
+                round(estimates.counts[job_class], 1),
+            )
+            for job_class in estimates.seen()[:MAX_PAIRS_OF_A_VM]
+        ]
+        return PairReport(
+            revision=self._revision,
+            complete=not self._gate.stale(now_s),
+            as_of_s=round(min(now_s - self._gate.newest_s, 1e6), 3),
+            wants_priors=now_s >= self._priors_at_s + PRIORS_EVERY_S,
+            pairs=pairs,
+        )
+
+    def take_priors(self, priors: list[PairEstimate], now_s: float) -> None:
+        """Take what other VMs learned."""
+        self._priors_at_s = now_s
+        self._elsewhere.clear()
+        for prior in priors:
+            if prior.service == self.service:
+                self.estimates.take_prior(
+                    prior.job_class, prior.slowdown, prior.deviation
+                )
+                continue
+            least = self._elsewhere.get(prior.job_class, math.inf)
+            self._elsewhere[prior.job_class] = min(least, prior.slowdown)
+
     @property
     def allowance(self) -> float:
         """Slowdown that the batch tasks may add, by the pool's weights."""
         ratio = self.eviction_weight / max(self.tail_weight, 0.01)
         factor = math.sqrt(max(ratio, 0.0))
-        factor = max(factor, LEAST_ALLOWANCE_FACTOR)
-        factor = min(factor, MOST_ALLOWANCE_FACTOR)
+        factor = min(max(factor, 1.0), MOST_ALLOWANCE_FACTOR)
         return (TARGET_SLOWDOWN - 1.0) * factor
 
     def takes_batch(self, now_s: float) -> bool:
@@ -111,7 +159,7 @@
         now_s : float
             Monotonic time in seconds.
         """
-        company = self._company(now_s)
+        company = self.company(now_s)
         self._history.note(company, now_s)
         fresh = self._gate.take(samples, now_s)
         for sample in fresh:
@@ -122,7 +170,8 @@
             self._decide(company, now_s, actions)
         return actions
 
-    def _company(self, now_s: float) -> list[Neighbour]:
+    def company(self, now_s: float) -> list[Neighbour]:
+        """Give who runs now, at what shares."""
         running = {}
         for job_id, task in self._keeper.tasks.items():
             if not task.outcome:
@@ -142,17 +191,24 @@
             for task in self._tasks.values()
         ]
 
-    def _learn(self, sample: UsageSample, now_s: float) -> None:
+    def company_of(
+        self, sample: UsageSample, now_s: float
+    ) -> list[Neighbour] | None:
+        """Give who ran at the time that a sample describes, if known."""
         del now_s
         company = self._history.at(sample.described_at_s)
         if company is None:
-            return
+            return None
         present = set(sample.job_ids)
         beside = [n for n in company if n.job_id in present]
-        if len(beside) != len(present):
+        return beside if len(beside) == len(present) else None
+
+    def _learn(self, sample: UsageSample, now_s: float) -> None:
+        company = self.company_of(sample, now_s)
+        if company is None:
             return
         self.estimates.learn(
-            beside, sample.service_slowdown, sample.described_at_s
+            company, sample.service_slowdown, sample.described_at_s
         )
 
     def _charge(self, now_s: float) -> None:
@@ -187,7 +243,10 @@
             return
         if self._gate.newest_s < self._acted_at_s + SETTLE_S:
             return
-        plan = plan_shares(company, self.estimates, self.allowance)
+        estimates = self.estimates
+        plan = plan_shares(
+            company, estimates.weight, estimates.upper, self.allowance
+        )
         lowered = [
             self._tasks[job_id]
             for job_id, share in plan.items()
@@ -218,7 +277,8 @@
         if now_s < self._stopped_until_s or self._over_samples:
             return
         allowance = self.allowance * RAISE_ALLOWANCE_FACTOR
-        plan = plan_shares(company, self.estimates, allowance)
+        lower = self.estimates.lower
+        plan = plan_shares(company, lower, lower, allowance)
         for job_id, share in plan.items():
             task = self._tasks[job_id]
             if share > task.share + 0.01 and task.may_raise(now_s):
@@ -263,7 +323,7 @@
     def _costliest(self, tasks: list[ThrottledTask]) -> ThrottledTask | None:
         return max(
             tasks,
-            key=lambda task: self.estimates.weight(task.job_class),
+            key=lambda task: self.estimates.lower(task.job_class),
             default=None,
         )
 
@@ -288,8 +348,11 @@
         task = self._costliest(charged)
         if task is None:
             return None
-        weight = self.estimates.weight(task.job_class)
-        return task if weight > self.allowance / 2 else None
+        weight = self.estimates.lower(task.job_class)
+        if weight <= self.allowance / 2:
+            return None
+        elsewhere = self._elsewhere.get(task.job_class, UNKNOWN_SLOWDOWN)
+        return task if elsewhere < MOVE_GAIN * weight else None
 
     def _last_move_s(self) -> float:
         return self._moved_at_s[-1] if self._moved_at_s else -math.inf
@@ -321,7 +384,8 @@
             for moved_at_s in self._moved_at_s
             if now_s - moved_at_s < STOP_WINDOW_S
         ]
-        if len(recent) >= MOVES_TO_STOP and self._over_samples:
+        over = now_s >= self._over_since_s + NOT_ENOUGH_S
+        if len(recent) >= MOVES_TO_STOP and over:
             self._stopped_until_s = now_s + STOPPED_FOR_S
         if self._moving in self._tasks:
             self.state = GuardState.MOVING
--- a/src/yuccapoint/job/interference/pair_estimates.py
+++ b/src/yuccapoint/job/interference/pair_estimates.py
@@ -19,7 +19,9 @@
 OUTLIER_SDS = 3.0
 SURE_SDS = 2.0
 MAX_STEP_S = 10.0
-COUNT_HALF_LIFE_S = 300.0
+COUNT_HALF_LIFE_S = 60.0
+SEEN_COUNT = 4.0
+PRIOR_SD = 0.1
 
 
 class PairEstimates:
@@ -70,6 +72,10 @@
         """Slowdown that a task of the class may well add."""
         return self.weight(job_class) + self.deviation(job_class)
 
+    def lower(self, job_class: str) -> float:
+        """Slowdown that a task of the class adds at least, most likely."""
+        return max(0.0, self.weight(job_class) - self.deviation(job_class))
+
     def sure(self, job_class: str) -> bool:
         """Tell whether the class is known to slow the service."""
         return self.weight(job_class) > SURE_SDS * self.deviation(job_class)
@@ -78,11 +84,20 @@
         """Slowdown that a company is expected to add."""
         return sum(self.weight(n.job_class) * n.share for n in company)
 
-    def seed(self, job_class: str, weight: float, deviation: float) -> None:
-        """Start a class that is not known yet from what others learned."""
-        if job_class in self._names:
+    def take_prior(
+        self, job_class: str, weight: float, deviation: float
+    ) -> None:
+        """Take what others learned of a class that was not seen lately."""
+        if self.counts.get(job_class, 0.0) >= SEEN_COUNT:
             return
-        self._add(job_class, weight, deviation)
+        if job_class in self._names:
+            self._drop(job_class)
+        self._add(job_class, weight, max(deviation, PRIOR_SD))
+
+    def seen(self) -> list[str]:
+        """Give the classes that were seen lately, the most seen first."""
+        found = [n for n in self.classes if self.counts.get(n, 0) > SEEN_COUNT]
+        return sorted(found, key=lambda n: -self.counts[n])
 
     def learn(
         self, company: list[Neighbour], slowdown: float, at_s: float
--- /dev/null
+++ b/src/yuccapoint/job/interference/pair_report.py
@@ -0,0 +1,45 @@
+"""What agents and entries tell each other about interference."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class PairEstimate(msgspec.Struct, frozen=True, array_like=True):
+    """Slowdown that a task of a batch class adds to a service class.
+
+    Attributes
+    ----------
+    count : float
+        Samples behind it, fading with time.
+    deviation : float
+        Standard deviation of ``slowdown``.
+    """
+
+    service: str
+    job_class: str
+    slowdown: float
+    deviation: float
+    count: float
+
+
+class PairReport(msgspec.Struct, frozen=True, array_like=True):
+    """All that one VM learned lately; a newer one replaces it.
+
+    Attributes
+    ----------
+    revision : int
+        Rises with each report of an agent's incarnation.
+    complete : bool
+        False while samples may still come that change the estimates.
+    as_of_s : float
+        Age of the newest sample that the estimates hold, in seconds.
+    wants_priors : bool
+        Whether the agent asks for what other VMs learned.
+    """
+
+    revision: int
+    complete: bool
+    as_of_s: float
+    wants_priors: bool
+    pairs: list[PairEstimate]
--- a/src/yuccapoint/job/vm_view.py
+++ b/src/yuccapoint/job/vm_view.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from yuccapoint.job.size import Size
 
+if TYPE_CHECKING:
+    from yuccapoint.job.interference.pair_table import PairTable
+
 
 class VmView:
     """A VM: its last report and what its leader granted.
@@ -15,6 +20,12 @@
         claimed since.
     attempts : dict of str to int
         Attempt number by job, of the attempts that the report names.
+    batch_classes : list of str
+        Classes of the attempts on the VM and of those claimed for it.
+    service : str
+        Class of the service on the VM.
+    pairs : PairTable or None
+        What is known about interference; None where nothing is.
     granted_until_s : float
         Until then the VM may run its tasks, on the entry's clock.
     """
@@ -22,11 +33,13 @@
     __slots__ = (
         "address",
         "attempts",
+        "batch_classes",
         "capacity",
         "data_centre",
         "free",
         "granted_until_s",
         "incarnation",
+        "pairs",
         "pool",
         "quarantined_until_s",
         "rack",
@@ -34,6 +47,7 @@
         "report_sequence",
         "reported_at_s",
         "reported_free",
+        "service",
         "start_failures",
         "term",
         "vm",
@@ -49,6 +63,9 @@
         self.free = Size()
         self.reported_free = Size()
         self.attempts: dict[str, int] = {}
+        self.batch_classes: list[str] = []
+        self.service = ""
+        self.pairs: PairTable | None = None
         self.incarnation = 0
         self.term = 0
         self.report_sequence = 0
--- a/src/yuccapoint/process/agent_process.py
+++ b/src/yuccapoint/process/agent_process.py
@@ -263,5 +263,7 @@
         pool = self.tables.pools.get(self.settings.process.pool)
         if pool is None or not pool.guard:
             return
-        self.guard.weigh(pool.tail_weight, pool.eviction_weight)
+        self.guard.configure(
+            self.endpoints.service(), pool.tail_weight, pool.eviction_weight
+        )
         self.act(self.guard.on_usage(samples, time.monotonic()))
--- a/src/yuccapoint/process/endpoint_registry.py
+++ b/src/yuccapoint/process/endpoint_registry.py
@@ -86,6 +86,14 @@
         """Give all endpoints."""
         return list(self._endpoints.values())
 
+    def service(self) -> str:
+        """Give the service class of the VM; empty if none announced."""
+        services = {
+            endpoint.announcement.service
+            for endpoint in self._endpoints.values()
+        }
+        return "+".join(sorted(services))
+
     def state(
         self, endpoint: LocalEndpoint, now_s: float, *, stopping: bool
     ) -> EndpointState:
--- a/tests/features/steps/guard_steps.py
+++ b/tests/features/steps/guard_steps.py
@@ -47,7 +47,7 @@
 def guarded_vm(context: Context, tail: int, evict: int) -> None:
     vm = SimulatedVm("vm-1", "quotes", Size(64_000, 1 << 38, 0))
     context.guard = Guard(vm.keeper)
-    context.guard.weigh(float(tail), float(evict))
+    context.guard.configure("quotes", float(tail), float(evict))
     vm.guard = context.guard
     context.load = OwnLoad()
     vm.model.hidden = context.load
