Claim jobs by rank of entries and index VMs by room

Each entry scanned all VMs for each of 2,000 queued jobs a tick, and all entries claimed the same jobs. Now a rendezvous rank over the entries that lead VMs of the pool says who claims first, the others wait in proportion to their rank; VMs are indexed by room and a bounded sample is weighed; jobs are offered by team (least processors held) and customer, a fifth of the claims is kept for what is not urgent. Silent VMs come from a heap.

--- a/src/yuccapoint/job/actions.py
+++ b/src/yuccapoint/job/actions.py
@@ -11,12 +11,13 @@
 
 
 class Append:
-    """Append a record to the log."""
+    """Append a record to the log; an urgent one goes before others."""
 
-    __slots__ = ("record",)
+    __slots__ = ("record", "urgent")
 
-    def __init__(self, record: Record) -> None:
+    def __init__(self, record: Record, *, urgent: bool = False) -> None:
         self.record = record
+        self.urgent = urgent
 
 
 class Send:
--- a/src/yuccapoint/job/batch_leader.py
+++ b/src/yuccapoint/job/batch_leader.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import itertools
 from typing import TYPE_CHECKING
 
 from yuccapoint.connection.messages import AttemptNoted
@@ -13,9 +12,8 @@
 from yuccapoint.job.actions import Append
 from yuccapoint.job.actions import Explain
 from yuccapoint.job.actions import Send
+from yuccapoint.job.claimer import Claimer
 from yuccapoint.job.job_entry import JobState
-import yuccapoint.job.placement.policies  # noqa: F401
-from yuccapoint.job.placement.registry import PLACEMENT_POLICIES
 from yuccapoint.job.records import EntryLapsed
 from yuccapoint.job.records import EntryRenewed
 from yuccapoint.job.records import JobClaimed
@@ -24,7 +22,7 @@
 from yuccapoint.job.records import JobReleased
 from yuccapoint.job.records import VmAdopted
 from yuccapoint.job.records import VmLost
-from yuccapoint.job.size import Size
+from yuccapoint.job.silence_watch import SilenceWatch
 from yuccapoint.job.vm_view import VmView
 
 if TYPE_CHECKING:
@@ -36,15 +34,12 @@
     from yuccapoint.job.actions import Action
     from yuccapoint.job.job_board import JobBoard
     from yuccapoint.job.job_board import VmLeadership
-    from yuccapoint.job.job_entry import JobEntry
     from yuccapoint.job.records import Record
     from yuccapoint.version.pool import Pool
 
-CLAIMS_PER_TICK = 200
-SCAN_PER_TICK = 2_000
-MAX_START_FAILURES = 3
-QUARANTINE_S = 15.0
 MIN_TTL_S = 0.2
+FORGET_EVERY_S = 60.0
+FORGET_AFTER_S = 600.0
 
 
 class BatchLeader:
@@ -79,13 +74,14 @@
         self.lead_until_s = 0.0
         self._find_pool = find_pool
         self._rng = rng
-        self._claiming: dict[str, str] = {}
         self._adopting: dict[str, int] = {}
         self._ending: set[tuple[str, int]] = set()
         self._losing: set[str] = set()
         self._lapsing: set[str] = set()
-        self._rejecting: set[str] = set()
         self._renew_at_s = 0.0
+        self._forget_at_s = 0.0
+        self._silence = SilenceWatch()
+        self._claimer = Claimer(entry, board, find_pool, rng, self._is_open)
 
     def on_renewal_acked(self, sent_at_s: float) -> None:
         """Extend the right to lead after a renewal reached the log."""
@@ -113,11 +109,14 @@
         led = self.board.vms.get(report.vm)
         leads = led is not None and led.entry == self.entry
         if led is None or not leads or led.term != report.term:
+            self._claimer.offer_vm(view, now_s)
             if report.wants_leader == self.entry:
                 return self._adopt(report, now_s)
             return []
         actions: list[Action] = []
-        self._take_ended(report, actions)
+        self._silence.watch(view)
+        self._take_ended(report, now_s, actions)
+        self._claimer.offer_vm(view, now_s)
         grant = self._grant(view, report, led, now_s)
         if grant is not None:
             actions.append(Send(report.control_address, grant))
@@ -148,7 +147,7 @@
         if isinstance(record, EntryLapsed):
             self._lapsing.discard(record.entry)
         if isinstance(record, JobRejected):
-            self._rejecting.discard(record.job_id)
+            self._claimer.on_rejected(record.job_id)
         return []
 
     def tick(self, now_s: float, wall_ms: int) -> list[Action]:
@@ -167,7 +166,9 @@
             actions.append(Append(EntryRenewed(self.entry)))
         self._free_lost_vms(now_s, actions)
         self._free_lapsed_entries(wall_ms, actions)
-        self._claim_jobs(now_s, actions)
+        if self._may_claim(now_s):
+            self._claimer.tick(now_s, wall_ms, actions)
+        self._forget_vms(now_s)
         return actions
 
     def leads(self, vm: str) -> bool:
@@ -198,25 +199,10 @@
         view.ready = report.ready and not report.stopping
         view.term = report.term
         view.attempts = {t.job_id: t.attempt for t in report.tasks}
-        self._count_free(view)
         return view
 
-    def _count_free(self, view: VmView) -> None:
-        free = view.reported_free
-        led = self.board.vms.get(view.vm)
-        for job_id in led.job_ids if led else ():
-            if job_id not in view.attempts:
-                free = free - self.board.jobs[job_id].job.size
-        for job_id, vm in self._claiming.items():
-            if vm == view.vm:
-                free = free - self.board.jobs[job_id].job.size
-        pool = self._find_pool(view.pool)
-        if pool is not None:
-            free = free - _reserve(pool)
-        view.free = free
-
     def _adopt(self, report: AgentReport, now_s: float) -> list[Action]:
-        if now_s > self.lead_until_s - lease_rules.VM_LEASE_S:
+        if not self._may_claim(now_s):
             return []
         if self._adopting.get(report.vm, 0) >= report.term:
             return []
@@ -242,12 +228,15 @@
             return
         view = self.views.setdefault(record.vm, VmView(record.vm))
         view.reported_at_s = now_s
+        self._silence.watch(view)
         # An earlier leader may have granted a lease just before.
         view.granted_until_s = lease_rules.granted_until_s(
             now_s, lease_rules.VM_LEASE_S
         )
 
-    def _take_ended(self, report: AgentReport, actions: list[Action]) -> None:
+    def _take_ended(
+        self, report: AgentReport, now_s: float, actions: list[Action]
+    ) -> None:
         for task in report.tasks:
             if not task.outcome:
                 continue
@@ -255,11 +244,11 @@
             if key in self._ending or not self._holds(task):
                 continue
             self._ending.add(key)
+            self._judge(report.vm, task, now_s, actions)
             if task.outcome == "done":
                 done = JobFinished(task.job_id, task.attempt, report.term)
                 actions.append(Append(done))
                 continue
-            self._count_failure(report.vm, task)
             record = JobReleased(
                 task.job_id,
                 task.attempt,
@@ -270,11 +259,35 @@
             )
             actions.append(Append(record))
 
-    def _count_failure(self, vm: str, task: TaskReport) -> None:
+    def _judge(
+        self, vm: str, task: TaskReport, now_s: float, actions: list[Action]
+    ) -> None:
+        trust = self.views[vm].trust
+        if task.outcome == "done":
+            trust.on_done()
+            return
         if task.outcome != "failed":
+            trust.on_over(task.job_id)
+            return
+        if trust.on_failed(task.job_id, now_s):
+            left_s = round(trust.until_s - now_s, 1)
+            text = f"quarantined {vm}: it fails what it starts"
+            actions.append(
+                Explain("place", text, {"vm": vm, "left_s": left_s})
+            )
+
+    def _forget_vms(self, now_s: float) -> None:
+        if now_s < self._forget_at_s:
             return
-        view = self.views[vm]
-        view.start_failures += 1
+        self._forget_at_s = now_s + FORGET_EVERY_S
+        for vm, view in list(self.views.items()):
+            if now_s < view.reported_at_s + FORGET_AFTER_S:
+                continue
+            led = self.board.vms.get(vm)
+            if led is not None and led.entry == self.entry:
+                continue
+            del self.views[vm]
+            self._claimer.forget_vm(vm)
 
     def _holds(self, task: TaskReport) -> bool:
         entry = self.board.jobs.get(task.job_id)
@@ -346,26 +359,23 @@
         ]
 
     def _free_lost_vms(self, now_s: float, actions: list[Action]) -> None:
-        for vm, led in self.board.vms.items():
-            if led.entry != self.entry or vm in self._losing:
-                continue
-            view = self.views.get(vm)
-            if view is None:
-                continue
-            if now_s < view.reported_at_s + lease_rules.VM_SILENT_S:
+        for view in self._silence.silent(now_s):
+            led = self.board.vms.get(view.vm)
+            if led is None or led.entry != self.entry:
                 continue
-            if now_s <= view.granted_until_s:
+            if view.vm in self._losing:
                 continue
-            self._losing.add(vm)
-            reason = f"{vm} is silent and its lease has run out"
-            record = VmLost(vm, led.term, self.entry, reason)
+            self._losing.add(view.vm)
+            self._claimer.withdraw_vm(view.vm)
+            reason = f"{view.vm} is silent and its lease has run out"
+            record = VmLost(view.vm, led.term, self.entry, reason)
             fields: dict[str, str | int | float] = {
-                "vm": vm,
+                "vm": view.vm,
                 "tasks": len(led.job_ids),
                 "silent_s": round(now_s - view.reported_at_s, 3),
             }
-            actions.append(Append(record))
-            actions.append(Explain("lease", f"lost {vm}", fields))
+            actions.append(Append(record, urgent=True))
+            actions.append(Explain("lease", f"lost {view.vm}", fields))
 
     def _free_lapsed_entries(
         self, wall_ms: int, actions: list[Action]
@@ -378,134 +388,30 @@
             self._lapsing.add(entry)
             actions.append(Append(EntryLapsed(entry)))
 
-    def _claim_jobs(self, now_s: float, actions: list[Action]) -> None:
-        if now_s > self.lead_until_s - lease_rules.VM_LEASE_S:
-            return
-        vms = self._open_vms(now_s)
-        claims = 0
-        for entry in self._queue_order():
-            if claims >= CLAIMS_PER_TICK:
-                return
-            if entry.job.job_id in self._claiming:
-                continue
-            claims += self._place(entry, vms, actions)
-
-    def _queue_order(self) -> list[JobEntry]:
-        queued = itertools.islice(self.board.queued.values(), 0, SCAN_PER_TICK)
-        return sorted(queued, key=lambda entry: not entry.job.urgent)
+    def _may_claim(self, now_s: float) -> bool:
+        return now_s <= self.lead_until_s - lease_rules.VM_LEASE_S
 
-    def _open_vms(self, now_s: float) -> list[VmView]:
-        vms = []
-        for vm, led in self.board.vms.items():
-            if led.entry != self.entry or vm in self._losing:
-                continue
-            view = self.views.get(vm)
-            if view is None or not view.ready or view.term != led.term:
-                continue
-            if now_s < view.quarantined_until_s:
-                continue
-            if now_s > view.reported_at_s + lease_rules.LEADER_SILENT_S:
-                continue
-            if view.start_failures >= MAX_START_FAILURES:
-                view.start_failures = MAX_START_FAILURES - 1
-                view.quarantined_until_s = now_s + QUARANTINE_S
-                continue
-            vms.append(view)
-        return vms
-
-    def _place(
-        self, entry: JobEntry, vms: list[VmView], actions: list[Action]
-    ) -> int:
-        job = entry.job
-        pool = self._find_pool(job.pool)
-        if pool is None or not pool.batch:
-            self._reject(entry, f"no pool {job.pool} runs batch", actions)
-            return 0
-        if self.board.quota_left(pool, job.team) < job.size.millicores:
-            return 0
-        fitting = [
-            vm for vm in vms if vm.pool == job.pool and job.size.fits(vm.free)
-        ]
-        choice = PLACEMENT_POLICIES[pool.placement](job, fitting, self._rng)
-        if choice is None:
-            self._reject_impossible(entry, pool, actions)
-            return 0
-        choice.free = choice.free - job.size
-        self._claiming[job.job_id] = choice.vm
-        reason = (
-            f"{pool.placement} chose it of {len(fitting)} VMs with room, "
-            f"{choice.free.millicores} millicores left"
-        )
-        record = JobClaimed(
-            job.job_id,
-            entry.attempt + 1,
-            choice.vm,
-            choice.term,
-            self.entry,
-            reason,
-        )
-        actions.append(Append(record))
-        text = f"{job.job_id} to {choice.vm}"
-        fields: dict[str, str | int | float] = {
-            "job": job.job_id,
-            "vm": choice.vm,
-            "attempt": entry.attempt + 1,
-            "team": job.team,
-            "policy": pool.placement,
-            "vms_with_room": len(fitting),
-            "vms_open": len(vms),
-            "free_millicores": choice.free.millicores,
-            "free_memory_bytes": choice.free.memory_bytes,
-        }
-        actions.append(Explain("place", text, fields))
-        return 1
-
-    def _reject_impossible(
-        self, entry: JobEntry, pool: Pool, actions: list[Action]
-    ) -> None:
-        views = [v for v in self.views.values() if v.pool == pool.name]
-        if not views:
-            return
-        size = entry.job.size
-        reserve = _reserve(pool)
-        if any(size.fits(view.capacity - reserve) for view in views):
-            return
-        most = max(view.capacity.accelerators for view in views)
-        cores = max(view.capacity.millicores for view in views)
-        memory = max(view.capacity.memory_bytes for view in views)
-        reason = (
-            f"no VM of {pool.name} can hold {size.millicores} millicores, "
-            f"{size.memory_bytes} bytes and {size.accelerators} "
-            f"accelerators beside the reserve; the largest have {cores}, "
-            f"{memory} and {most}"
-        )
-        self._reject(entry, reason, actions)
-
-    def _reject(
-        self, entry: JobEntry, reason: str, actions: list[Action]
-    ) -> None:
-        job_id = entry.job.job_id
-        if job_id in self._rejecting:
-            return
-        self._rejecting.add(job_id)
-        actions.append(Append(JobRejected(job_id, reason)))
-        actions.append(
-            Explain("place", f"{job_id} refused: {reason}", {"job": job_id})
-        )
+    def _is_open(self, view: VmView, now_s: float) -> bool:
+        led = self.board.vms.get(view.vm)
+        if led is None or led.entry != self.entry or led.term != view.term:
+            return False
+        if not view.ready or view.vm in self._losing:
+            return False
+        if now_s > view.reported_at_s + lease_rules.LEADER_SILENT_S:
+            return False
+        return view.trust.allows(now_s)
 
     def _claim_decided(
         self, record: JobClaimed, refusal: str, now_s: float
     ) -> list[Action]:
         if record.entry != self.entry:
             return []
-        self._claiming.pop(record.job_id, None)
-        view = self.views.get(record.vm)
-        if view is None:
-            return []
-        self._count_free(view)
+        view = self._claimer.on_decided(record, refusal, now_s)
         if refusal:
             text = f"claim of {record.job_id} refused: {refusal}"
             return [Explain("place", text, {"job": record.job_id})]
+        if view is None:
+            return []
         return self._push_start(record, view, now_s)
 
     def _push_start(
@@ -526,7 +432,3 @@
             noted=[],
         )
         return [Send(view.address, grant)]
-
-
-def _reserve(pool: Pool) -> Size:
-    return Size(pool.reserved_millicores, pool.reserved_memory_bytes, 0)
--- /dev/null
+++ b/src/yuccapoint/job/claim_ranks.py
@@ -0,0 +1,85 @@
+"""Which entry claims a job first, and which after it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import xxhash
+
+if TYPE_CHECKING:
+    from yuccapoint.job.job import Job
+    from yuccapoint.job.job_board import JobBoard
+
+SHARDS = 256
+REFRESH_S = 1.0
+
+
+class ClaimRanks:
+    """Ranks the entries that lead VMs of a pool, by rendezvous hashing.
+
+    Jobs fall into shards by their id. An entry that died leads nothing
+    as soon as its VMs have asked others, so it soon has no rank.
+
+    Parameters
+    ----------
+    entry : str
+        This entry.
+
+    Attributes
+    ----------
+    version : int
+        Rises when the entries of a pool change.
+    """
+
+    def __init__(self, entry: str) -> None:
+        self.version = 0
+        self._entry = entry
+        self._entries: dict[str, frozenset[str]] = {}
+        self._led_vms: dict[str, int] = {}
+        self._ranks: dict[tuple[str, int], int] = {}
+        self._refresh_at_s = 0.0
+
+    def refresh(self, board: JobBoard, now_s: float) -> None:
+        """Read the leaders of each pool, at most once a second."""
+        if now_s < self._refresh_at_s:
+            return
+        self._refresh_at_s = now_s + REFRESH_S
+        found: dict[str, set[str]] = {}
+        self._led_vms.clear()
+        for led in board.vms.values():
+            if not led.entry:
+                continue
+            found.setdefault(led.pool, set()).add(led.entry)
+            self._led_vms[led.pool] = self._led_vms.get(led.pool, 0) + 1
+        entries = {
+            pool: frozenset(name for name in names if board.has_lease(name))
+            for pool, names in found.items()
+        }
+        if entries == self._entries:
+            return
+        self._entries = entries
+        self._ranks.clear()
+        self.version += 1
+
+    def led_vms(self, pool: str) -> int:
+        """Give how many VMs of a pool have a leader."""
+        return self._led_vms.get(pool, 0)
+
+    def rank(self, job: Job) -> int:
+        """Give this entry's place among those that may claim a job."""
+        shard = xxhash.xxh32_intdigest(job.job_id.encode()) % SHARDS
+        key = (job.pool, shard)
+        rank = self._ranks.get(key)
+        if rank is None:
+            rank = self._rank(job.pool, shard)
+            self._ranks[key] = rank
+        return rank
+
+    def _rank(self, pool: str, shard: int) -> int:
+        own = _weight(shard, self._entry)
+        others = self._entries.get(pool, frozenset()) - {self._entry}
+        return sum(_weight(shard, other) > own for other in others)
+
+
+def _weight(shard: int, entry: str) -> int:
+    return xxhash.xxh64_intdigest(f"{shard}|{entry}".encode())
--- a/src/yuccapoint/job/job_board.py
+++ b/src/yuccapoint/job/job_board.py
@@ -60,6 +60,9 @@
         Stamp of each entry's newest renewal.
     team_millicores : dict
         Processors held by running jobs, by pool and team.
+    touched : dict or None
+        Jobs that joined or left the queue, for who follows it; None if
+        nobody does. Not part of the state.
     """
 
     def __init__(self, find_pool: Callable[[str], Pool | None]) -> None:
@@ -69,6 +72,7 @@
         self.renewed_ms: dict[str, int] = {}
         self.team_millicores: dict[str, int] = {}
         self.last_stamp_ms = 0
+        self.touched: dict[str, None] | None = None
         self._find_pool = find_pool
         self._final: collections.deque[str] = collections.deque()
 
@@ -177,7 +181,7 @@
         entry = JobEntry(job, stamp_ms)
         entry.note(stamp_ms, "submitted")
         self.jobs[job.job_id] = entry
-        self.queued[job.job_id] = entry
+        self._enqueue(entry)
         return ""
 
     def _claim(self, record: JobClaimed, stamp_ms: int) -> str:
@@ -196,7 +200,7 @@
             return "the pool is gone"
         if self.quota_left(pool, entry.job.team) < entry.job.size.millicores:
             return "the team's quota is used up"
-        del self.queued[record.job_id]
+        self._dequeue(record.job_id)
         entry.state = JobState.RUNNING
         entry.attempt = record.attempt
         entry.vm = record.vm
@@ -247,7 +251,7 @@
         entry = self.queued.get(record.job_id)
         if entry is None:
             return "the job is not queued"
-        del self.queued[record.job_id]
+        self._dequeue(record.job_id)
         self._finish(entry, JobState.FAILED, stamp_ms, record.reason)
         return ""
 
@@ -256,7 +260,7 @@
         if entry is None or entry.state.final:
             return "the job is over or unknown"
         if entry.state is JobState.QUEUED:
-            del self.queued[record.job_id]
+            self._dequeue(record.job_id)
             self._finish(entry, JobState.CANCELLED, stamp_ms, "cancelled")
             return ""
         entry.cancelling = True
@@ -291,7 +295,17 @@
         entry.state = JobState.QUEUED
         entry.queued_at_ms = stamp_ms
         entry.note(stamp_ms, text)
+        self._enqueue(entry)
+
+    def _enqueue(self, entry: JobEntry) -> None:
         self.queued[entry.job.job_id] = entry
+        if self.touched is not None:
+            self.touched[entry.job.job_id] = None
+
+    def _dequeue(self, job_id: str) -> None:
+        del self.queued[job_id]
+        if self.touched is not None:
+            self.touched[job_id] = None
 
     def _finish(
         self, entry: JobEntry, state: JobState, stamp_ms: int, text: str
--- a/src/yuccapoint/job/job_entry.py
+++ b/src/yuccapoint/job/job_entry.py
@@ -42,7 +42,9 @@
     attempt : int
         Number of the newest attempt; 0 before the first claim.
     failures : int
-        Attempts that failed by the job's own fault.
+        Attempts that failed, for whatever reason.
+    failed_vms : list of str
+        VMs on which an attempt failed by the job's own fault.
     resumes : int
         Claims that followed a release.
     """
@@ -51,6 +53,7 @@
         "attempt",
         "cancelling",
         "checkpoint",
+        "failed_vms",
         "failures",
         "job",
         "queued_at_ms",
@@ -68,6 +71,7 @@
         self.vm = ""
         self.checkpoint = ""
         self.failures = 0
+        self.failed_vms: list[str] = []
         self.resumes = 0
         self.cancelling = False
         self.submitted_at_ms = at_ms
--- a/src/yuccapoint/job/placement/policies.py
+++ b/src/yuccapoint/job/placement/policies.py
@@ -31,7 +31,7 @@
     return min(vms, key=lambda vm: vm.vm, default=None)
 
 
-@placement_policy("best-fit")
+@placement_policy("best-fit", tight=True)
 def choose_best_fit(
     job: Job, vms: list[VmView], rng: random.Random
 ) -> VmView | None:
--- a/src/yuccapoint/job/placement/registry.py
+++ b/src/yuccapoint/job/placement/registry.py
@@ -16,15 +16,22 @@
 ]
 
 PLACEMENT_POLICIES: dict[str, PlacementPolicy] = {}
+TIGHT_POLICIES: set[str] = set()
 
 
 def placement_policy(
-    name: str,
+    name: str, *, tight: bool = False
 ) -> Callable[[PlacementPolicy], PlacementPolicy]:
-    """Register a placement policy under the name that pools use."""
+    """Register a placement policy under the name that pools use.
+
+    A tight policy is offered the VMs with the least room that suffices,
+    any other a random sample of those with room.
+    """
 
     def register(policy: PlacementPolicy) -> PlacementPolicy:
         PLACEMENT_POLICIES[name] = policy
+        if tight:
+            TIGHT_POLICIES.add(name)
         return policy
 
     return register
--- /dev/null
+++ b/src/yuccapoint/job/vm_trust.py
@@ -0,0 +1,67 @@
+"""Whether a VM may be given work, by what became of its tasks."""
+
+from __future__ import annotations
+
+FAILURES_TO_QUARANTINE = 3
+FIRST_QUARANTINE_S = 15.0
+MAX_QUARANTINE_S = 600.0
+
+
+class VmTrust:
+    """Quarantines a VM that fails everything and probes it back.
+
+    Different jobs that fail without a success between them quarantine the
+    VM. After the quarantine it is given one job; its success ends the
+    suspicion, its failure doubles the quarantine.
+
+    Attributes
+    ----------
+    until_s : float
+        Until then the VM is given nothing.
+    probing : bool
+        Whether the VM is given one job at a time.
+    """
+
+    __slots__ = ("_failed", "_probe", "_rounds", "probing", "until_s")
+
+    def __init__(self) -> None:
+        self.until_s = 0.0
+        self.probing = False
+        self._probe = ""
+        self._rounds = 0
+        self._failed: set[str] = set()
+
+    def allows(self, now_s: float) -> bool:
+        """Tell whether the VM may be given a job now."""
+        return now_s >= self.until_s and not self._probe
+
+    def on_claimed(self, job_id: str) -> None:
+        """Take note that the VM was given a job."""
+        if self.probing:
+            self._probe = job_id
+
+    def on_over(self, job_id: str) -> None:
+        """Take note that a job ended without telling of the VM."""
+        if self._probe == job_id:
+            self._probe = ""
+
+    def on_done(self) -> None:
+        """Take note of a success."""
+        self._failed.clear()
+        self._rounds = 0
+        self.probing = False
+        self._probe = ""
+
+    def on_failed(self, job_id: str, now_s: float) -> bool:
+        """Take note of a failure; True if it quarantines the VM."""
+        self._failed.add(job_id)
+        if not self.probing and len(self._failed) < FAILURES_TO_QUARANTINE:
+            return False
+        if now_s < self.until_s:
+            return False
+        wait_s = FIRST_QUARANTINE_S * 2**self._rounds
+        self.until_s = now_s + min(MAX_QUARANTINE_S, wait_s)
+        self._rounds = min(self._rounds + 1, 10)
+        self.probing = True
+        self._probe = ""
+        return True
--- a/src/yuccapoint/job/vm_view.py
+++ b/src/yuccapoint/job/vm_view.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from yuccapoint.job.size import Size
+from yuccapoint.job.vm_trust import VmTrust
 
 
 class VmView:
@@ -15,6 +16,8 @@
         claimed since.
     attempts : dict of str to int
         Attempt number by job, of the attempts that the report names.
+    claiming : dict of str to Size
+        Sizes by job of the claims that the log has not decided yet.
     granted_until_s : float
         Until then the VM may run its tasks, on the entry's clock.
     """
@@ -23,19 +26,19 @@
         "address",
         "attempts",
         "capacity",
+        "claiming",
         "data_centre",
         "free",
         "granted_until_s",
         "incarnation",
         "pool",
-        "quarantined_until_s",
         "rack",
         "ready",
         "report_sequence",
         "reported_at_s",
         "reported_free",
-        "start_failures",
         "term",
+        "trust",
         "vm",
     )
 
@@ -54,6 +57,23 @@
         self.report_sequence = 0
         self.reported_at_s = 0.0
         self.granted_until_s = 0.0
-        self.quarantined_until_s = 0.0
-        self.start_failures = 0
+        self.claiming: dict[str, Size] = {}
+        self.trust = VmTrust()
         self.ready = False
+
+    def count_free(self, missing: list[Size], reserve: Size) -> None:
+        """Count the room anew.
+
+        Parameters
+        ----------
+        missing : list of Size
+            Attempts claimed for the VM that its report does not name.
+        reserve : Size
+            Kept free of batch work.
+        """
+        free = self.reported_free - reserve
+        for size in missing:
+            free = free - size
+        for size in self.claiming.values():
+            free = free - size
+        self.free = free
