Let urgent records go first and blame VMs, not jobs, for failures

- An append takes urgent records (renewals, adoptions, lost VMs, keys, urgent jobs) first and leaves a fifth to the others; records of the entry's own logic are not refused when many wait, since a claim that was refused by the writer stayed undecided for good.
- A failure counts for a job once a VM; failures on a VM that failed three different jobs in a row are taken back.
Both follow from the log alone.
- An entry that left may leave VMs behind that died: its lease now ends 10 s after the record, before that their jobs were lost.
- The long lease is 15 minutes, so that a log outage of 10 is ridden out.
- A start is held back until the VM reports room, not refused by it.
- A report asks only entries that reach the log (EntryHello.adopts): with the log down and the leader paused, raising the term made the leader's grants void and all tasks of the VM lapsed.
- A leader that says it stops is left at once.

--- a/src/yuccapoint/connection/entry_directory.py
+++ b/src/yuccapoint/connection/entry_directory.py
@@ -69,8 +69,8 @@
         return list(found)
 
     def preferred(self, vm: str, now_s: float) -> list[str]:
-        """Order the live entries for a VM by rendezvous hashing."""
-        names = [hello.entry for hello in self.alive(now_s)]
+        """Order the entries that can lead a VM by rendezvous hashing."""
+        names = [hello.entry for hello in self.alive(now_s) if hello.adopts]
         return sorted(
             names,
             key=lambda name: xxhash.xxh64_intdigest(f"{vm}|{name}".encode()),
--- a/src/yuccapoint/connection/log_writer.py
+++ b/src/yuccapoint/connection/log_writer.py
@@ -9,16 +9,25 @@
 
 from yuccapoint.exceptions import YuccapointError
 from yuccapoint.job.records import AppendBatch
+from yuccapoint.job.records import EntryRenewed
+from yuccapoint.job.records import JobSubmitted
+from yuccapoint.job.records import KeyClaimed
+from yuccapoint.job.records import VmAdopted
+from yuccapoint.job.records import VmLost
 
 if TYPE_CHECKING:
     from yuccapoint.job.records import Record
 
 MAX_BATCH_RECORDS = 500
 MAX_BATCH_BYTES = 256 * 1024
+MAX_URGENT_SHARE = 0.8
 MAX_QUEUED_RECORDS = 50_000
 LINGER_S = 0.01
 
 
+_URGENT_RECORDS = (EntryRenewed, KeyClaimed, VmAdopted, VmLost)
+
+
 class LogBusyError(YuccapointError):
     """The log is too slow: too many records wait for it."""
 
@@ -27,7 +36,8 @@
     """Collects records and forms the next append.
 
     One append is out at a time and keeps its sequence until the log has
-    it, so a repeat after a lost answer is applied once.
+    it, so a repeat after a lost answer is applied once. Urgent records go
+    first, but leave a fifth of each append to the others.
 
     Parameters
     ----------
@@ -40,6 +50,7 @@
         self.sequence = 0
         self.out: bytes | None = None
         self._queue: collections.deque[Record] = collections.deque()
+        self._urgent: collections.deque[Record] = collections.deque()
         self._oldest_s = 0.0
         self._out_records: list[Record] = []
         self._sent_at_s: dict[int, float] = {}
@@ -49,28 +60,52 @@
     @property
     def waiting(self) -> int:
         """Records that wait or are out."""
-        return len(self._queue) + len(self._out_records)
-
-    def add(self, record: Record, now_s: float) -> None:
+        waiting = len(self._queue) + len(self._urgent)
+        return waiting + len(self._out_records)
+
+    def add(
+        self,
+        record: Record,
+        now_s: float,
+        *,
+        urgent: bool = False,
+        bounded: bool = True,
+    ) -> None:
         """Queue a record.
 
+        Parameters
+        ----------
+        record : Record
+            What to append.
+        now_s : float
+            Monotonic time in seconds.
+        urgent : bool
+            Whether it goes before those that are not urgent.
+        bounded : bool
+            Whether it is refused when too many wait; not so for records
+            that the logic itself bounds.
+
         Raises
         ------
         LogBusyError
             Too many records wait; the record was not queued.
         """
-        if len(self._queue) >= MAX_QUEUED_RECORDS:
+        if bounded and len(self._queue) >= MAX_QUEUED_RECORDS:
             raise LogBusyError("too many records wait for the log")
-        if not self._queue:
+        if not self._queue and not self._urgent:
             self._oldest_s = now_s
+        if urgent or _goes_first(record):
+            self._urgent.append(record)
+            return
         self._queue.append(record)
 
     def withdraw(self, record: Record) -> bool:
         """Take back a record that was never sent; False if it was."""
-        for index, queued in enumerate(self._queue):
-            if queued is record:
-                del self._queue[index]
-                return True
+        for queue in (self._urgent, self._queue):
+            for index, queued in enumerate(queue):
+                if queued is record:
+                    del queue[index]
+                    return True
         return False
 
     def next_append(self, now_s: float) -> bytes | None:
@@ -80,9 +115,10 @@
         """
         if self.out is not None:
             return self.out
-        if not self._queue:
+        waiting = len(self._queue) + len(self._urgent)
+        if not waiting:
             return None
-        full = len(self._queue) >= MAX_BATCH_RECORDS
+        full = waiting >= MAX_BATCH_RECORDS
         if not full and now_s < self._oldest_s + LINGER_S:
             return None
         self._form_batch()
@@ -107,12 +143,27 @@
 
     def _form_batch(self) -> None:
         self.sequence += 1
-        size_bytes = 0
-        while self._queue and len(self._out_records) < MAX_BATCH_RECORDS:
-            size_bytes += len(self._encoder.encode(self._queue[0]))
-            if size_bytes > MAX_BATCH_BYTES and self._out_records:
-                break
-            self._out_records.append(self._queue.popleft())
+        limit = MAX_BATCH_RECORDS
+        if self._queue:
+            limit = int(MAX_BATCH_RECORDS * MAX_URGENT_SHARE)
+        used_bytes = self._take(self._urgent, limit, 0)
+        self._take(self._queue, MAX_BATCH_RECORDS, used_bytes)
         batch = AppendBatch(self.writer, self.sequence, self._out_records)
         self.out = self._encoder.encode(batch)
         self._formed[self.sequence] = self._out_records
+
+    def _take(
+        self, queue: collections.deque[Record], limit: int, used_bytes: int
+    ) -> int:
+        while queue and len(self._out_records) < limit:
+            used_bytes += len(self._encoder.encode(queue[0]))
+            if used_bytes > MAX_BATCH_BYTES and self._out_records:
+                return used_bytes
+            self._out_records.append(queue.popleft())
+        return used_bytes
+
+
+def _goes_first(record: Record) -> bool:
+    if isinstance(record, JobSubmitted):
+        return record.job.urgent
+    return isinstance(record, _URGENT_RECORDS)
--- a/src/yuccapoint/connection/messages.py
+++ b/src/yuccapoint/connection/messages.py
@@ -117,7 +117,11 @@
 
 
 class EntryHello(msgspec.Struct, frozen=True, tag="eh", kw_only=True):
-    """An entry's state, sent to other entries and to agents."""
+    """An entry's state, sent to other entries and to agents.
+
+    ``adopts`` tells that the entry reaches the log and so can lead VMs
+    that ask it.
+    """
 
     entry: str
     data_centre: str
@@ -128,6 +132,7 @@
     log_offset: int
     stopping: bool
     known_addresses: list[str]
+    adopts: bool = True
 
 
 class DrainVm(msgspec.Struct, frozen=True, tag="dv"):
--- a/src/yuccapoint/job/batch_leader.py
+++ b/src/yuccapoint/job/batch_leader.py
@@ -38,7 +38,7 @@
     from yuccapoint.version.pool import Pool
 
 MIN_TTL_S = 0.2
-FORGET_EVERY_S = 60.0
+SWEEP_EVERY_S = 10.0
 FORGET_AFTER_S = 600.0
 
 
@@ -79,7 +79,7 @@
         self._losing: set[str] = set()
         self._lapsing: set[str] = set()
         self._renew_at_s = 0.0
-        self._forget_at_s = 0.0
+        self._sweep_at_s = 0.0
         self._silence = SilenceWatch()
         self._claimer = Claimer(entry, board, find_pool, rng, self._is_open)
 
@@ -168,7 +168,7 @@
         self._free_lapsed_entries(wall_ms, actions)
         if self._may_claim(now_s):
             self._claimer.tick(now_s, wall_ms, actions)
-        self._forget_vms(now_s)
+        self._sweep(now_s)
         return actions
 
     def leads(self, vm: str) -> bool:
@@ -276,19 +276,27 @@
                 Explain("place", text, {"vm": vm, "left_s": left_s})
             )
 
-    def _forget_vms(self, now_s: float) -> None:
-        if now_s < self._forget_at_s:
+    def _sweep(self, now_s: float) -> None:
+        if now_s < self._sweep_at_s:
             return
-        self._forget_at_s = now_s + FORGET_EVERY_S
+        self._sweep_at_s = now_s + SWEEP_EVERY_S
+        for vm, led in self.board.vms.items():
+            if led.entry == self.entry and vm not in self._losing:
+                self._silence.watch(self._known_view(vm, now_s))
         for vm, view in list(self.views.items()):
-            if now_s < view.reported_at_s + FORGET_AFTER_S:
-                continue
-            led = self.board.vms.get(vm)
-            if led is not None and led.entry == self.entry:
+            if self.leads(vm) or now_s < view.reported_at_s + FORGET_AFTER_S:
                 continue
             del self.views[vm]
             self._claimer.forget_vm(vm)
 
+    def _known_view(self, vm: str, now_s: float) -> VmView:
+        view = self.views.get(vm)
+        if view is None:
+            view = VmView(vm)
+            view.reported_at_s = now_s
+            self.views[vm] = view
+        return view
+
     def _holds(self, task: TaskReport) -> bool:
         entry = self.board.jobs.get(task.job_id)
         if entry is None or entry.state is not JobState.RUNNING:
@@ -326,10 +334,14 @@
     ) -> list[StartAttempt]:
         known = {task.job_id: task.attempt for task in report.tasks}
         starts = []
+        room = report.free
         for job_id in sorted(led.job_ids):
             entry = self.board.jobs[job_id]
             if known.get(job_id, 0) >= entry.attempt:
                 continue
+            if not entry.job.size.fits(room):
+                continue
+            room = room - entry.job.size
             starts.append(
                 StartAttempt(entry.job, entry.attempt, entry.checkpoint)
             )
@@ -380,7 +392,7 @@
     def _free_lapsed_entries(
         self, wall_ms: int, actions: list[Action]
     ) -> None:
-        for entry in self.board.renewed_ms:
+        for entry in [*self.board.renewed_ms, *self.board.left_ms]:
             if entry == self.entry or entry in self._lapsing:
                 continue
             if not self.board.lease_passed(entry, wall_ms):
--- a/src/yuccapoint/job/job_board.py
+++ b/src/yuccapoint/job/job_board.py
@@ -26,20 +26,35 @@
     from yuccapoint.job.records import Record
     from yuccapoint.version.pool import Pool
 
-ENTRY_LEASE_MS = 180_000
+ENTRY_LEASE_MS = 900_000
+LEFT_WAIT_MS = 10_000
+SUSPECT_FAILED_JOBS = 3
+MAX_FAILURES_PER_ATTEMPT = 4
 MAX_FINAL_JOBS = 20_000
 
 
 class VmLeadership:
-    """Which entry leads a VM, and under which term."""
+    """Which entry leads a VM, and under which term.
 
-    __slots__ = ("entry", "job_ids", "pool", "term")
+    Attributes
+    ----------
+    failed_jobs : list of str
+        Different jobs that failed there since one was done.
+    """
+
+    __slots__ = ("entry", "failed_jobs", "job_ids", "pool", "term")
 
     def __init__(self, entry: str, term: int, pool: str) -> None:
         self.entry = entry
         self.term = term
         self.pool = pool
         self.job_ids: set[str] = set()
+        self.failed_jobs: list[str] = []
+
+    @property
+    def suspected(self) -> bool:
+        """Whether the VM fails whatever it is given."""
+        return len(self.failed_jobs) >= SUSPECT_FAILED_JOBS
 
 
 class JobBoard:
@@ -58,6 +73,8 @@
         Leadership of each VM that was adopted.
     renewed_ms : dict of str to int
         Stamp of each entry's newest renewal.
+    left_ms : dict of str to int
+        Stamp at which an entry left whose VMs are not all adopted.
     team_millicores : dict
         Processors held by running jobs, by pool and team.
     touched : dict or None
@@ -65,11 +82,14 @@
         nobody does. Not part of the state.
     """
 
+    derived_state = frozenset({"touched"})
+
     def __init__(self, find_pool: Callable[[str], Pool | None]) -> None:
         self.jobs: dict[str, JobEntry] = {}
         self.queued: dict[str, JobEntry] = {}
         self.vms: dict[str, VmLeadership] = {}
         self.renewed_ms: dict[str, int] = {}
+        self.left_ms: dict[str, int] = {}
         self.team_millicores: dict[str, int] = {}
         self.last_stamp_ms = 0
         self.touched: dict[str, None] | None = None
@@ -103,6 +123,9 @@
 
     def lease_passed(self, entry: str, now_ms: int) -> bool:
         """Tell whether an entry's long lease has run out at ``now_ms``."""
+        left_ms = self.left_ms.get(entry)
+        if left_ms is not None:
+            return now_ms > left_ms + LEFT_WAIT_MS
         renewed_ms = self.renewed_ms.get(entry)
         if renewed_ms is None:
             return True
@@ -116,23 +139,28 @@
         return quota - self.team_millicores.get(f"{pool.name}/{team}", 0)
 
     def _renew(self, record: EntryRenewed, stamp_ms: int) -> str:
+        if record.entry in self.left_ms:
+            return "the entry has left"
         self.renewed_ms[record.entry] = stamp_ms
         return ""
 
     def _lapse(self, record: EntryLapsed, stamp_ms: int) -> str:
-        if record.entry not in self.renewed_ms:
+        if not self.has_lease(record.entry) and (
+            record.entry not in self.left_ms
+        ):
             return "no such entry"
         if not self.lease_passed(record.entry, stamp_ms):
             return "the lease was renewed"
         for vm in self._led_by(record.entry):
             self._free_vm(vm, stamp_ms, "the entry's long lease lapsed")
-        del self.renewed_ms[record.entry]
+        self.renewed_ms.pop(record.entry, None)
+        self.left_ms.pop(record.entry, None)
         return ""
 
     def _leave(self, record: EntryLeft, stamp_ms: int) -> str:
-        del stamp_ms
         if self.renewed_ms.pop(record.entry, None) is None:
             return "no such entry"
+        self.left_ms[record.entry] = stamp_ms
         return ""
 
     def _led_by(self, entry: str) -> list[str]:
@@ -229,20 +257,50 @@
         if record.checkpoint:
             entry.checkpoint = record.checkpoint
         self._end_attempt(entry)
-        entry.failures += record.failed
-        pool = self._find_pool(entry.job.pool)
-        if pool is not None and entry.failures >= pool.max_attempts:
-            self._finish(entry, JobState.FAILED, stamp_ms, record.reason)
+        if record.failed:
+            self._count_failure(entry)
+        if self._given_up(entry):
+            text = (
+                f"failed {entry.failures} times, by its own fault on "
+                f"{', '.join(entry.failed_vms)}; last: {record.reason}"
+            )
+            self._finish(entry, JobState.FAILED, stamp_ms, text)
             return ""
         self._requeue(entry, stamp_ms, f"released: {record.reason}")
         return ""
 
+    def _count_failure(self, entry: JobEntry) -> None:
+        entry.failures += 1
+        led = self.vms[entry.vm]
+        known = led.suspected
+        if entry.job.job_id not in led.failed_jobs and not known:
+            led.failed_jobs.append(entry.job.job_id)
+        if not led.suspected and entry.vm not in entry.failed_vms:
+            entry.failed_vms.append(entry.vm)
+        if known or not led.suspected:
+            return
+        # What failed there before was the VM's fault, not the jobs'.
+        for job_id in led.failed_jobs:
+            victim = self.jobs.get(job_id)
+            if victim is not None and entry.vm in victim.failed_vms:
+                victim.failed_vms.remove(entry.vm)
+
+    def _given_up(self, entry: JobEntry) -> bool:
+        pool = self._find_pool(entry.job.pool)
+        if pool is None:
+            return False
+        if len(entry.failed_vms) >= pool.max_attempts:
+            return True
+        bound = pool.max_attempts * MAX_FAILURES_PER_ATTEMPT
+        return entry.failures >= bound
+
     def _done(self, record: JobFinished, stamp_ms: int) -> str:
         entry = self._running(record.job_id, record.attempt)
         if entry is None:
             return "the attempt is over"
         if self.vms[entry.vm].term != record.term:
             return "the VM has another term"
+        self.vms[entry.vm].failed_jobs.clear()
         self._end_attempt(entry)
         self._finish(entry, JobState.DONE, stamp_ms, f"done on {entry.vm}")
         return ""
--- a/src/yuccapoint/job/task_keeper.py
+++ b/src/yuccapoint/job/task_keeper.py
@@ -102,6 +102,13 @@
             del self._asked_at_s[next(iter(self._asked_at_s))]
         return self.sequence
 
+    def on_leader_stopping(self, entry: str) -> bool:
+        """Ask another entry at the next choice; True if it led the VM."""
+        if entry != self.leader:
+            return False
+        self._granted_at_s = -lease_rules.LEADER_SILENT_S
+        return True
+
     def choose_leader(self, entries: list[str], now_s: float) -> None:
         """Ask another entry to lead when the leader is silent.
 
--- a/src/yuccapoint/process/agent_process.py
+++ b/src/yuccapoint/process/agent_process.py
@@ -230,6 +230,10 @@
         now_s = time.monotonic()
         if isinstance(message, EntryHello):
             self.directory.on_hello(message, now_s)
+            if message.stopping and self.keeper.on_leader_stopping(
+                message.entry
+            ):
+                self.report()
             return
         if isinstance(message, LeaseGrant):
             self.act(self.keeper.on_grant(message, now_s))
--- a/src/yuccapoint/process/entry_process.py
+++ b/src/yuccapoint/process/entry_process.py
@@ -227,7 +227,12 @@
         """Carry out what decision logic asked for."""
         for action in actions:
             if isinstance(action, Append):
-                self.writer.add(action.record, time.monotonic())
+                self.writer.add(
+                    action.record,
+                    time.monotonic(),
+                    urgent=action.urgent,
+                    bounded=False,
+                )
                 continue
             if isinstance(action, Send):
                 self.mailbox.send(action.address, action.message)
@@ -269,6 +274,7 @@
             tables_version=self.cell.tables.version,
             log_offset=self.cell.next_offset,
             stopping=self.stopping,
+            adopts=self.pump.caught_up and not self.log_fault,
             known_addresses=[
                 hello.control_address for hello in self.directory.alive(now_s)
             ],
