Claim keys at owning agents; make verdicts of the path true

A repeated key could reach another agent, and an agent's restart forgot all keys. Now a key is claimed, before its request is sent, at the agents that owned it within half an hour by rendezvous hashing over the VMs in the log's order. An owner that was lost, that started again or that holds no lease makes the answer may-have-run. The request itself still runs at the endpoint with the least load. Ruled out: sending the request to the key's owner (its slots then fill by hash) and refusing all keys of a new VM (a fresh pool would refuse everything).

Verdicts: a request counts as sent when its last part is written; a task cancelled after the start says may-have-run; a refusal names its class; a body without a length or broken off is an error; late copies are refused and counted; an agent that greets with another name gets nothing.

Answers stream in parts against credit, so a slow caller costs a bounded amount. Idempotent requests are hedged within the retry budget; callers may shorten the deadline.

--- a/src/yuccapoint/connection/agent_session.py
+++ b/src/yuccapoint/connection/agent_session.py
@@ -12,8 +12,12 @@
 from yuccapoint.connection.frame_stream import CHUNK_BYTES
 from yuccapoint.connection.frame_stream import FrameStream
 from yuccapoint.connection.frames import AnswerChunk
+from yuccapoint.connection.frames import AnswerCredit
 from yuccapoint.connection.frames import AnswerHead
 from yuccapoint.connection.frames import AnswerRefused
+from yuccapoint.connection.frames import KeyAnswer
+from yuccapoint.connection.frames import KeyClaim
+from yuccapoint.connection.frames import KeyRelease
 from yuccapoint.connection.frames import RequestCancel
 from yuccapoint.connection.frames import RequestChunk
 from yuccapoint.connection.frames import SessionHello
@@ -34,6 +38,13 @@
 class AgentSession:
     """Sends requests to an agent and collects their answers.
 
+    Attributes
+    ----------
+    dropped : int
+        Answers that found nobody waiting.
+    agent_incarnation : int
+        Which start of the agent greeted last.
+
     Parameters
     ----------
     name : str
@@ -43,7 +54,9 @@
     address : str
         The agent's session address.
     on_load : callable
-        Called with the load that an answer reports.
+        Called with the endpoint and the load that an answer reports.
+    vm : str
+        Name that the agent has to greet with; empty: any.
     """
 
     def __init__(
@@ -51,13 +64,17 @@
         name: str,
         incarnation: int,
         address: str,
-        on_load: Callable[[int], None],
+        on_load: Callable[[str, int], None],
+        vm: str = "",
     ) -> None:
         self.address = address
+        self.vm = vm
         self.dropped = 0
+        self.agent_incarnation = 0
         self._hello = SessionHello(name, incarnation)
         self._on_load = on_load
         self._pending: dict[int, PendingAnswer] = {}
+        self._claims: dict[int, asyncio.Future[KeyAnswer]] = {}
         self._next_id = 0
         self._frames: FrameStream | None = None
         self._opening: asyncio.Task[FrameStream] | None = None
@@ -91,22 +108,73 @@
             The agent could not be reached or the session broke.
         """
         frames = await self._open()
-        pending = PendingAnswer()
+        pending = PendingAnswer(head.endpoint)
         self._pending[head.request_id] = pending
         try:
-            pending.sent = True
-            written = frames.write(head)
-            for index, data in enumerate(rest):
-                await written
-                last = index == len(rest) - 1
-                chunk = RequestChunk(head.request_id, data, last)
-                written = frames.write(chunk)
+            await self._write(frames, head, rest, pending)
         except StreamClosedError:
             self._pending.pop(head.request_id, None)
-            verdict = Verdict.MAY_HAVE_RUN
+            verdict = Verdict.NOT_RUN
+            if pending.sent:
+                verdict = Verdict.MAY_HAVE_RUN
             raise SessionLostError("the session broke", verdict) from None
         return pending
 
+    async def _write(
+        self,
+        frames: FrameStream,
+        head: RequestHead,
+        rest: list[bytes],
+        pending: PendingAnswer,
+    ) -> None:
+        written = frames.write(head)
+        pending.sent = head.last
+        for index, data in enumerate(rest):
+            await written
+            last = index == len(rest) - 1
+            chunk = RequestChunk(head.request_id, data, last)
+            written = frames.write(chunk)
+            pending.sent = last
+
+    async def claim(self, scope: str, key: str, claimant: str) -> KeyAnswer:
+        """Ask the agent to claim an idempotency key.
+
+        Raises
+        ------
+        SessionLostError
+            The agent could not be reached or the session broke.
+        """
+        frames = await self._open()
+        request_id = self.next_id()
+        answer: asyncio.Future[KeyAnswer] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._claims[request_id] = answer
+        try:
+            frames.write(KeyClaim(request_id, scope, key, claimant))
+            return await answer
+        except StreamClosedError:
+            raise SessionLostError("the session broke") from None
+        finally:
+            self._claims.pop(request_id, None)
+
+    def release(self, scope: str, key: str, claimant: str) -> None:
+        """Release a claimed key, if the session still stands."""
+        if self._frames is not None and not self._frames.closed:
+            with contextlib.suppress(StreamClosedError):
+                self._frames.write(KeyRelease(scope, key, claimant))
+
+    def credit(self, request_id: int) -> None:
+        """Tell the agent that the caller took a part of an answer."""
+        if self._frames is not None and not self._frames.closed:
+            with contextlib.suppress(StreamClosedError):
+                self._frames.write(AnswerCredit(request_id, 1))
+
+    def was_sent(self, request_id: int) -> bool:
+        """Tell whether a request that waits was written whole."""
+        pending = self._pending.get(request_id)
+        return pending is not None and pending.sent
+
     def forget(self, request_id: int) -> None:
         """Stop waiting for an answer; a late one will be dropped."""
         if self._pending.pop(request_id, None) is None:
@@ -134,9 +202,16 @@
             return self._frames
         if self._opening is None or self._opening.done():
             self._opening = asyncio.ensure_future(self._connect())
+        opening = self._opening
         try:
-            return await asyncio.shield(self._opening)
-        except (OSError, asyncio.CancelledError, TimeoutError) as error:
+            return await asyncio.shield(opening)
+        except asyncio.CancelledError:
+            if not opening.cancelled():
+                raise
+            raise SessionLostError(
+                "the session was closed", Verdict.NOT_RUN
+            ) from None
+        except (OSError, StreamClosedError, ProtocolError) as error:
             raise SessionLostError(
                 f"the agent can't be reached: {error}", Verdict.NOT_RUN
             ) from None
@@ -147,11 +222,25 @@
             TCPClient().connect(host, int(port)), CONNECT_TIMEOUT_S
         )
         frames = FrameStream(stream)
-        frames.write(self._hello)
+        try:
+            frames.write(self._hello)
+            await asyncio.wait_for(self._greeted(frames), CONNECT_TIMEOUT_S)
+        except BaseException:
+            frames.close()
+            raise
         self._frames = frames
         self._reading = asyncio.ensure_future(self._read(frames))
         return frames
 
+    async def _greeted(self, frames: FrameStream) -> None:
+        first = await frames.read()
+        hello = first[0]
+        if not isinstance(hello, SessionHello):
+            raise ProtocolError("the agent did not greet")
+        if self.vm and hello.name != self.vm:
+            raise ProtocolError(f"{hello.name} answers for {self.vm}")
+        self.agent_incarnation = hello.incarnation
+
     async def _read(self, frames: FrameStream) -> None:
         try:
             while True:
@@ -163,6 +252,11 @@
                 self._lose_all()
 
     def _take(self, frame: Frame) -> None:
+        if isinstance(frame, KeyAnswer):
+            claim = self._claims.get(frame.request_id)
+            if claim is not None and not claim.done():
+                claim.set_result(frame)
+            return
         if not isinstance(frame, AnswerHead | AnswerChunk | AnswerRefused):
             return
         pending = self._pending.get(frame.request_id)
@@ -172,7 +266,7 @@
         if isinstance(frame, AnswerChunk):
             pending.on_chunk(frame)
             return
-        self._on_load(frame.in_flight)
+        self._on_load(pending.endpoint, frame.in_flight)
         if isinstance(frame, AnswerHead):
             pending.on_head(frame)
             return
@@ -183,6 +277,9 @@
         self._pending.clear()
         for answer in pending:
             answer.on_lost()
+        for claim in self._claims.values():
+            if not claim.done():
+                claim.set_exception(SessionLostError("the session broke"))
 
 
 def split_body(chunks: list[bytes]) -> list[bytes]:
--- /dev/null
+++ b/src/yuccapoint/connection/answer_writer.py
@@ -0,0 +1,121 @@
+"""Writes an endpoint's answer to a session as it comes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING
+
+from tornado.iostream import StreamClosedError
+
+from yuccapoint.connection.frame_stream import CHUNK_BYTES
+from yuccapoint.connection.frames import AnswerChunk
+from yuccapoint.connection.frames import AnswerHead
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from yuccapoint.connection.endpoint_client import EndpointAnswer
+    from yuccapoint.connection.frame_stream import FrameStream
+
+FIRST_CREDIT_CHUNKS = 8
+
+
+class AnswerWriter:
+    """A small answer goes out in one frame, a large one in parts.
+
+    Parts wait until the entry's caller took former ones, so that a slow
+    caller holds up its own answer only and costs bounded memory.
+
+    Parameters
+    ----------
+    frames : FrameStream
+        The session.
+    request_id : int
+        The request's number in the session.
+    load : callable
+        Gives the endpoint's load, which the head reports.
+    """
+
+    def __init__(
+        self, frames: FrameStream, request_id: int, load: Callable[[], int]
+    ) -> None:
+        self._frames = frames
+        self._request_id = request_id
+        self._load = load
+        self._answer: EndpointAnswer | None = None
+        self._head_sent = False
+        self._buffer: list[bytes] = []
+        self._buffered_bytes = 0
+        self._credit_chunks = FIRST_CREDIT_CHUNKS
+        self._credited = asyncio.Event()
+        self._abandoned = False
+
+    def on_head(self, answer: EndpointAnswer) -> None:
+        """Take the answer's head."""
+        self._answer = answer
+
+    def on_chunk(self, data: bytes) -> asyncio.Task[None] | None:
+        """Take a part of the body; waits while the caller is behind."""
+        if self._abandoned:
+            return None
+        self._buffer.append(data)
+        self._buffered_bytes += len(data)
+        if self._buffered_bytes <= CHUNK_BYTES:
+            return None
+        return asyncio.ensure_future(self._flush())
+
+    def on_credit(self, chunks: int) -> None:
+        """Allow the sending of more parts."""
+        self._credit_chunks += chunks
+        self._credited.set()
+
+    def abandon(self) -> None:
+        """Send nothing more: nobody waits."""
+        self._abandoned = True
+        self._buffer.clear()
+        self._credited.set()
+
+    def finish(self) -> None:
+        """Send what is left; the answer came whole."""
+        if self._abandoned:
+            return
+        data = b"".join(self._buffer)
+        self._buffer.clear()
+        with contextlib.suppress(StreamClosedError):
+            self._write(data[:CHUNK_BYTES], last=len(data) <= CHUNK_BYTES)
+            if len(data) > CHUNK_BYTES:
+                self._write(data[CHUNK_BYTES:], last=True)
+
+    async def _flush(self) -> None:
+        data = b"".join(self._buffer)
+        self._buffer.clear()
+        self._buffered_bytes = 0
+        for start in range(0, len(data), CHUNK_BYTES):
+            while self._credit_chunks <= 0 and not self._abandoned:
+                self._credited.clear()
+                await self._credited.wait()
+            if self._abandoned:
+                return
+            self._credit_chunks -= 1
+            part = data[start : start + CHUNK_BYTES]
+            try:
+                await self._write(part, last=False)
+            except StreamClosedError:
+                self.abandon()
+
+    def _write(self, data: bytes, *, last: bool) -> asyncio.Future[None]:
+        if self._head_sent or self._answer is None:
+            chunk = AnswerChunk(self._request_id, data, last)
+            return self._frames.write(chunk)
+        self._head_sent = True
+        head = AnswerHead(
+            self._request_id,
+            self._answer.status,
+            self._answer.reason,
+            self._answer.headers,
+            self._load(),
+            data,
+            last,
+        )
+        return self._frames.write(head)
--- a/src/yuccapoint/connection/frames.py
+++ b/src/yuccapoint/connection/frames.py
@@ -89,6 +89,47 @@
     text: str
     retry_after_s: float
     in_flight: int
+    reason: str = ""
+
+
+class AnswerCredit(msgspec.Struct, frozen=True, tag=8, array_like=True):
+    """The caller took parts of an answer; as many more may be sent."""
+
+    request_id: int
+    chunks: int
+
+
+class KeyClaim(msgspec.Struct, frozen=True, tag=9, array_like=True):
+    """Asks an agent to claim an idempotency key before its request runs."""
+
+    request_id: int
+    scope: str
+    key: str
+    claimant: str
+
+
+class KeyAnswer(msgspec.Struct, frozen=True, tag=10, array_like=True):
+    """How an agent took a claim.
+
+    Attributes
+    ----------
+    refusal : str
+        Empty when the key is now claimed.
+    remembers_for_s : float
+        For so long the agent has forgotten no key.
+    """
+
+    request_id: int
+    refusal: str
+    remembers_for_s: float
+
+
+class KeyRelease(msgspec.Struct, frozen=True, tag=11, array_like=True):
+    """The claimed request did not run; the key may be claimed again."""
+
+    scope: str
+    key: str
+    claimant: str
 
 
 Frame = (
@@ -99,4 +140,8 @@
     | AnswerHead
     | AnswerChunk
     | AnswerRefused
+    | AnswerCredit
+    | KeyClaim
+    | KeyAnswer
+    | KeyRelease
 )
--- a/src/yuccapoint/process/caller_server.py
+++ b/src/yuccapoint/process/caller_server.py
@@ -3,18 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from typing import TYPE_CHECKING
 
 from tornado.httputil import HTTPHeaders
 from tornado.httputil import HTTPMessageDelegate
+from tornado.httputil import HTTPOutputError
 from tornado.httputil import HTTPServerConnectionDelegate
 from tornado.httputil import ResponseStartLine
 from tornado.iostream import StreamClosedError
 
 from yuccapoint.exceptions import YuccapointError
+from yuccapoint.request.exceptions import BadRequestError
 from yuccapoint.request.exceptions import NoRouteError
 from yuccapoint.request.exceptions import OverloadedError
+from yuccapoint.request.exceptions import RequestCancelledError
 from yuccapoint.request.exceptions import RequestError
 from yuccapoint.request.exceptions import TooLargeError
 from yuccapoint.request.header import end_to_end
@@ -36,6 +40,7 @@
 REQUEST_HEADER = "Yuccapoint-Request"
 CUSTOMER_HEADER = "Yuccapoint-Customer"
 KEY_HEADER = "Idempotency-Key"
+TIMEOUT_HEADER = "Yuccapoint-Timeout-S"
 NO_BODY_STATUSES = (204, 304)
 
 
@@ -129,17 +134,36 @@
             time.monotonic(),
         )
         request.key = headers.get(KEY_HEADER, "")
+        self._shorten(request, headers)
         entry.in_flight += 1
         self._counted = True
         return request
 
+    def _shorten(self, request: ServiceRequest, headers: HTTPHeaders) -> None:
+        asked = headers.get(TIMEOUT_HEADER)
+        if asked is None:
+            return
+        try:
+            timeout_s = float(asked)
+        except ValueError:
+            timeout_s = math.nan
+        if not 0 < timeout_s < math.inf:
+            raise BadRequestError(
+                f"{TIMEOUT_HEADER} should be seconds above 0"
+            )
+        request.deadline_s = min(
+            request.deadline_s, request.started_s + timeout_s
+        )
+
     def _too_large(self) -> TooLargeError:
         limit = self._entry.max_body_bytes
         return TooLargeError(f"the body is larger than {limit} bytes")
 
     async def _serve(self, request: ServiceRequest) -> None:
+        sent = False
         try:
             await self._entry.claim_key(request)
+            sent = True
             forwarded = await self._entry.forwarder.forward(request)
         except RequestError as error:
             await self._entry.release_key(request, error)
@@ -148,11 +172,17 @@
         except YuccapointError as error:
             self._refuse(RequestError(str(error), error.verdict))
             return
+        except asyncio.CancelledError:
+            if not sent:
+                gone = RequestCancelledError("the caller is gone")
+                await self._entry.release_key(request, gone)
+            raise
         finally:
             request.chunks.clear()
         try:
-            await self._answer(forwarded, request)
-        except RequestError:
+            async with asyncio.timeout(request.deadline_s - time.monotonic()):
+                await self._answer(forwarded, request)
+        except (RequestError, HTTPOutputError, TimeoutError):
             self._break_off()
         except StreamClosedError:
             pass
@@ -190,7 +220,7 @@
 
     async def _stream_body(self, forwarded: Forwarded) -> None:
         while True:
-            chunk = await forwarded.pending.chunk()
+            chunk = await forwarded.chunk()
             if chunk.data:
                 await self._connection.write(chunk.data)
             if chunk.last:
--- a/src/yuccapoint/process/cell_state.py
+++ b/src/yuccapoint/process/cell_state.py
@@ -9,12 +9,16 @@
 from yuccapoint.exceptions import ProtocolError
 from yuccapoint.job.job_board import JobBoard
 from yuccapoint.job.records import AppendBatch
+from yuccapoint.job.records import EntryLapsed
 from yuccapoint.job.records import KeyClaimed
 from yuccapoint.job.records import KeyReleased
 from yuccapoint.job.records import PoolEdited
 from yuccapoint.job.records import RouteEdited
 from yuccapoint.job.records import SnapshotChunk
+from yuccapoint.job.records import VmAdopted
+from yuccapoint.job.records import VmLost
 from yuccapoint.request.key_claims import KeyClaims
+from yuccapoint.request.key_owners import KeyOwners
 from yuccapoint.version.tables import Tables
 
 if TYPE_CHECKING:
@@ -52,6 +56,7 @@
         self.tables = Tables()
         self.board = JobBoard(self.tables.pool)
         self.keys = KeyClaims()
+        self.key_owners = KeyOwners()
         self.skipped_batches = 0
         self.bad_batches = 0
         self._sequences: dict[str, int] = {}
@@ -123,4 +128,17 @@
             return self.keys.apply(record, stamp_ms)
         if isinstance(record, SnapshotChunk):
             return ""
-        return self.board.apply(record, stamp_ms)
+        refusal = self.board.apply(record, stamp_ms)
+        if not refusal:
+            self._note_vms(record, stamp_ms)
+        return refusal
+
+    def _note_vms(self, record: Record, stamp_ms: int) -> None:
+        if isinstance(record, VmAdopted):
+            self.key_owners.join(record.vm, record.pool, stamp_ms)
+        if not isinstance(record, VmLost | EntryLapsed):
+            return
+        for vm in self.key_owners.present():
+            led = self.board.vms.get(vm)
+            if led is None or not led.entry:
+                self.key_owners.leave(vm, stamp_ms)
--- a/src/yuccapoint/process/entry_process.py
+++ b/src/yuccapoint/process/entry_process.py
@@ -27,6 +27,7 @@
 from yuccapoint.job.records import KeyClaimed
 from yuccapoint.job.records import KeyReleased
 from yuccapoint.process.access import Access
+from yuccapoint.process.agent_keys import AgentKeys
 from yuccapoint.process.caller_server import CallerServer
 from yuccapoint.process.cell_state import CellState
 from yuccapoint.process.commits import Commits
@@ -95,6 +96,9 @@
             self.logs,
             self.metrics,
         )
+        self.agent_keys = AgentKeys(
+            self.forwarder, self.router, self.cell.key_owners
+        )
         self.writer = LogWriter(self.entry_id)
         self.commits = Commits(self.writer)
         self.log = HttpLog(
@@ -188,7 +192,11 @@
             The log did not decide the claim in time; the request was not
             run, and the claim is released should it still arrive.
         """
-        if request.route.once != "log" or not request.key:
+        if not request.key:
+            return
+        if request.route.once == "agent" and not request.idempotent:
+            await self.agent_keys.claim(request)
+        if request.route.once != "log":
             return
         record = KeyClaimed(
             request.customer,
@@ -211,9 +219,10 @@
         self, request: ServiceRequest, error: RequestError
     ) -> None:
         """Free the key of a request that certainly did not run."""
-        if request.route.once != "log" or not request.key:
+        if not request.key or error.verdict is not Verdict.NOT_RUN:
             return
-        if error.verdict is not Verdict.NOT_RUN:
+        self.agent_keys.release(request)
+        if request.route.once != "log":
             return
         record = KeyReleased(
             request.customer,
@@ -325,6 +334,8 @@
             )
 
     def _on_outage(self, text: str) -> None:
+        if not text:
+            self.agent_keys.log_answered_at_s = time.monotonic()
         if bool(text) == bool(self.log_fault):
             return
         self.log_fault = text
--- a/src/yuccapoint/process/request_forwarder.py
+++ b/src/yuccapoint/process/request_forwarder.py
@@ -18,6 +18,7 @@
 if TYPE_CHECKING:
     import random
 
+    from yuccapoint.connection.frames import AnswerChunk
     from yuccapoint.connection.frames import AnswerHead
     from yuccapoint.process.logs import Logs
     from yuccapoint.process.metrics import Metrics
@@ -32,9 +33,19 @@
 
 
 class Forwarded:
-    """An answer whose head has come."""
+    """An answer whose head has come.
 
-    __slots__ = ("_session", "decision", "head", "pending", "request_id")
+    The request counts as in flight until the answer is out or given up.
+    """
+
+    __slots__ = (
+        "_open",
+        "_session",
+        "decision",
+        "head",
+        "pending",
+        "request_id",
+    )
 
     def __init__(
         self,
@@ -49,14 +60,35 @@
         self.pending = pending
         self.request_id = request_id
         self._session = session
+        self._open = True
+
+    async def chunk(self) -> AnswerChunk:
+        """Wait for the next part of the body and ask for one more.
+
+        Raises
+        ------
+        SessionLostError
+            The rest of the body won't come.
+        """
+        chunk = await self.pending.chunk()
+        if not chunk.last:
+            self._session.credit(self.request_id)
+        return chunk
 
     def close(self) -> None:
         """Forget the request; the agent is told if the body is not out."""
         self._session.forget(self.request_id)
+        self._end()
 
     def done(self) -> None:
         """Forget a request whose answer came whole."""
         self._session.done(self.request_id)
+        self._end()
+
+    def _end(self) -> None:
+        if self._open:
+            self._open = False
+            self.decision.view.own_in_flight -= 1
 
 
 class RequestForwarder:
@@ -91,6 +123,7 @@
         self._metrics = metrics
         self._sessions: dict[str, AgentSession] = {}
         self._budgets: dict[str, RetryBudget] = {}
+        self._closed_dropped = 0
 
     async def forward(self, request: ServiceRequest) -> Forwarded:
         """Send a request until an answer's head has come.
@@ -106,7 +139,7 @@
         backoff_s = FIRST_BACKOFF_S
         while True:
             try:
-                return await self._try(request)
+                return await self._try_hedged(request, budget)
             except NoEndpointError as error:
                 if request.tried:
                     error.verdict = verdict
@@ -137,7 +170,28 @@
     @property
     def dropped_answers(self) -> int:
         """Answers that found nobody waiting."""
-        return sum(session.dropped for session in self._sessions.values())
+        dropped = self._closed_dropped
+        for session in self._sessions.values():
+            dropped += session.dropped
+        return dropped
+
+    async def _try_hedged(
+        self, request: ServiceRequest, budget: RetryBudget
+    ) -> Forwarded:
+        after_s = request.route.hedge_after_s
+        if not request.idempotent or after_s <= 0:
+            return await self._try(request)
+        tries = {asyncio.ensure_future(self._try(request))}
+        try:
+            done, _ = await asyncio.wait(tries, timeout=after_s)
+            if not done and budget.spend():
+                self._metrics.count("hedges", route=request.route.name)
+                tries.add(asyncio.ensure_future(self._try(request)))
+            return await _first_answer(tries)
+        finally:
+            for task in tries:
+                task.cancel()
+                task.add_done_callback(_give_up)
 
     async def _try(self, request: ServiceRequest) -> Forwarded:
         now_s = time.monotonic()
@@ -149,19 +203,29 @@
         failed = True
         try:
             forwarded = await self._send(request, decision)
-            failed = forwarded.head.status >= SERVER_ERROR
-            return forwarded
         except RequestError as error:
             failed = error.status >= SERVER_ERROR
+            view.own_in_flight -= 1
+            self._note(decision, now_s, failed=failed)
             raise
-        finally:
+        except asyncio.CancelledError:
             view.own_in_flight -= 1
-            view.note_result(failed=failed)
+            raise
+        failed = forwarded.head.status >= SERVER_ERROR
+        self._note(decision, now_s, failed=failed)
+        return forwarded
+
+    def _note(
+        self, decision: RouteDecision, started_s: float, *, failed: bool
+    ) -> None:
+        del started_s
+        decision.view.note_result(failed=failed)
 
     async def _send(
         self, request: ServiceRequest, decision: RouteDecision
     ) -> Forwarded:
-        session = self._session(decision)
+        view = decision.view
+        session = self.session(view.vm, view.session_address)
         request_id = session.next_id()
         parts = split_body(request.chunks)
         head = RequestHead(
@@ -179,38 +243,42 @@
             parts[0] if parts else b"",
             len(parts) < 2,
         )
-        sent = False
         try:
             async with asyncio.timeout(request.deadline_s - time.monotonic()):
                 pending = await session.call(head, parts[1:])
-                sent = True
                 answer = await pending.head()
         except TimeoutError:
+            verdict = Verdict.NOT_RUN
+            if session.was_sent(request_id):
+                verdict = Verdict.MAY_HAVE_RUN
+            session.forget(request_id)
+            raise DeadlinePassedError("the deadline passed", verdict) from None
+        except asyncio.CancelledError:
             session.forget(request_id)
-            raise DeadlinePassedError(
-                "the deadline passed",
-                Verdict.MAY_HAVE_RUN if sent else Verdict.NOT_RUN,
-            ) from None
+            raise
         except RequestError:
             session.done(request_id)
             raise
         return Forwarded(decision, answer, pending, session, request_id)
 
-    def _session(self, decision: RouteDecision) -> AgentSession:
-        view = decision.view
-        session = self._sessions.get(view.vm)
-        if session is not None and session.address == view.session_address:
+    def session(self, vm: str, address: str) -> AgentSession:
+        """Give the session to an agent, which opens when it is used."""
+        session = self._sessions.get(vm)
+        if session is not None and session.address == address:
             return session
         if session is not None:
+            self._closed_dropped += session.dropped
             session.close()
 
-        def on_load(in_flight: int) -> None:
-            view.set_load(in_flight, time.monotonic())
+        def on_load(endpoint: str, in_flight: int) -> None:
+            view = self._router.views.get(f"{vm}/{endpoint}")
+            if view is not None:
+                view.set_load(in_flight, time.monotonic())
 
         session = AgentSession(
-            self._name, self._incarnation, view.session_address, on_load
+            self._name, self._incarnation, address, on_load, vm
         )
-        self._sessions[view.vm] = session
+        self._sessions[vm] = session
         return session
 
     def _budget(self, request: ServiceRequest) -> RetryBudget:
@@ -233,3 +301,35 @@
             policy=request.route.policy,
             tries=len(request.tried),
         )
+
+
+async def _first_answer(tries: set[asyncio.Task[Forwarded]]) -> Forwarded:
+    failure: RequestError | None = None
+    waiting = set(tries)
+    while waiting:
+        done, waiting = await asyncio.wait(
+            waiting, return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in done:
+            try:
+                answer = task.result()
+            except RequestError as error:
+                failure = _worse(failure, error)
+                continue
+            tries.discard(task)
+            return answer
+    if failure is None:
+        raise DeadlinePassedError("the deadline passed", Verdict.MAY_HAVE_RUN)
+    raise failure
+
+
+def _worse(known: RequestError | None, error: RequestError) -> RequestError:
+    if known is None or known.verdict is Verdict.NOT_RUN:
+        return error
+    return known
+
+
+def _give_up(task: asyncio.Task[Forwarded]) -> None:
+    if task.cancelled() or task.exception() is not None:
+        return
+    task.result().close()
--- a/src/yuccapoint/process/request_server.py
+++ b/src/yuccapoint/process/request_server.py
@@ -5,25 +5,36 @@
 import asyncio
 import contextlib
 import time
+from typing import Any
 from typing import TYPE_CHECKING
 
 from tornado.iostream import StreamClosedError
 from tornado.tcpserver import TCPServer
 
 from yuccapoint.connection.frame_stream import FrameStream
+from yuccapoint.connection.frames import AnswerCredit
+from yuccapoint.connection.frames import KeyAnswer
+from yuccapoint.connection.frames import KeyClaim
+from yuccapoint.connection.frames import KeyRelease
 from yuccapoint.connection.frames import RequestCancel
 from yuccapoint.connection.frames import RequestChunk
 from yuccapoint.connection.frames import RequestHead
 from yuccapoint.connection.frames import SessionHello
+from yuccapoint.connection.late_copies import LateCopies
 from yuccapoint.exceptions import ProtocolError
 from yuccapoint.process.served_request import ServedRequest
+from yuccapoint.request.exceptions import RequestError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from tornado.iostream import IOStream
 
     from yuccapoint.connection.frames import Frame
     from yuccapoint.process.agent_process import AgentProcess
 
+NO_MEMORY_S = -1.0
+
 
 class RequestServer(TCPServer):
     """Accepts sessions of entries."""
@@ -59,6 +70,7 @@
         self.frames = frames
         self.name = ""
         self._requests: dict[int, ServedRequest] = {}
+        self._copies = LateCopies()
 
     async def serve(self) -> None:
         """Read frames until the session ends."""
@@ -82,24 +94,16 @@
         self.frames.close()
 
     def _take(self, frame: Frame) -> None:
-        if isinstance(frame, SessionHello):
-            self.name = f"{frame.name}@{frame.incarnation}"
-            return
-        if isinstance(frame, RequestHead):
-            self._begin(frame)
-            return
-        if isinstance(frame, RequestChunk):
-            request = self._requests.get(frame.request_id)
-            if request is not None:
-                request.on_chunk(frame)
-            return
-        if isinstance(frame, RequestCancel):
-            request = self._requests.get(frame.request_id)
-            if request is not None:
-                request.cancel()
+        take = _TAKERS.get(type(frame))
+        if take is not None:
+            take(self, frame)
+
+    def _greet(self, hello: SessionHello) -> None:
+        self.name = f"{hello.name}@{hello.incarnation}"
 
     def _begin(self, head: RequestHead) -> None:
-        if head.request_id in self._requests:
+        if not self._copies.note(head.request_id):
+            self.agent.metrics.count("late_copies")
             return
         deadline_s = time.monotonic() + head.remaining_s
         request = ServedRequest(self, head, deadline_s)
@@ -108,3 +112,48 @@
         task.add_done_callback(
             lambda _: self._requests.pop(head.request_id, None)
         )
+
+    def _go_on(self, chunk: RequestChunk) -> None:
+        request = self._requests.get(chunk.request_id)
+        if request is not None:
+            request.on_chunk(chunk)
+
+    def _cancel(self, cancel: RequestCancel) -> None:
+        self._copies.note(cancel.request_id)
+        request = self._requests.get(cancel.request_id)
+        if request is not None:
+            request.cancel()
+
+    def _credit(self, credit: AnswerCredit) -> None:
+        request = self._requests.get(credit.request_id)
+        if request is not None:
+            request.on_credit(credit.chunks)
+
+    def _claim(self, claim: KeyClaim) -> None:
+        now_s = time.monotonic()
+        keys = self.agent.keys
+        refusal = ""
+        remembers_for_s = keys.remembers_for_s(now_s)
+        if now_s >= self.agent.keeper.lease_until_s:
+            remembers_for_s = NO_MEMORY_S
+        try:
+            keys.claim(claim.scope, claim.key, claim.claimant, now_s)
+        except RequestError as error:
+            refusal = str(error)
+        answer = KeyAnswer(claim.request_id, refusal, remembers_for_s)
+        with contextlib.suppress(StreamClosedError):
+            self.frames.write(answer)
+
+    def _release(self, release: KeyRelease) -> None:
+        self.agent.keys.release(release.scope, release.key, release.claimant)
+
+
+_TAKERS: dict[type, Callable[[ServedSession, Any], None]] = {
+    SessionHello: ServedSession._greet,
+    RequestHead: ServedSession._begin,
+    RequestChunk: ServedSession._go_on,
+    RequestCancel: ServedSession._cancel,
+    AnswerCredit: ServedSession._credit,
+    KeyClaim: ServedSession._claim,
+    KeyRelease: ServedSession._release,
+}
--- a/src/yuccapoint/process/served_request.py
+++ b/src/yuccapoint/process/served_request.py
@@ -9,20 +9,18 @@
 
 from tornado.iostream import StreamClosedError
 
-from yuccapoint.connection.frame_stream import CHUNK_BYTES
-from yuccapoint.connection.frames import AnswerChunk
-from yuccapoint.connection.frames import AnswerHead
+from yuccapoint.connection.answer_writer import AnswerWriter
 from yuccapoint.connection.frames import AnswerRefused
 from yuccapoint.request.admission import Ticket
 from yuccapoint.request.endpoint_view import EndpointState
 from yuccapoint.request.exceptions import DeadlinePassedError
 from yuccapoint.request.exceptions import NoEndpointError
+from yuccapoint.request.exceptions import RequestCancelledError
 from yuccapoint.request.exceptions import RequestError
 from yuccapoint.request.exceptions import TooLargeError
 from yuccapoint.request.verdict import Verdict
 
 if TYPE_CHECKING:
-    from yuccapoint.connection.endpoint_client import EndpointAnswer
     from yuccapoint.connection.frames import RequestChunk
     from yuccapoint.connection.frames import RequestHead
     from yuccapoint.process.endpoint_registry import LocalEndpoint
@@ -46,8 +44,9 @@
         self._started = False
         self._cancelled = False
         self._endpoint: LocalEndpoint | None = None
-        self._answer_parts: list[bytes] = []
-        self._answer_size_bytes = 0
+        self._writer = AnswerWriter(
+            session.frames, head.request_id, self._load
+        )
         if head.last:
             self._whole.set()
 
@@ -70,6 +69,8 @@
         """Drop the request if it has not started."""
         self._cancelled = True
         self._whole.set()
+        if self._started:
+            self._writer.abandon()
         if self._waiting is not None and not self._waiting.done():
             self._waiting.cancel()
 
@@ -88,39 +89,30 @@
     async def serve(self) -> None:
         """Serve the request and answer."""
         try:
-            answer = await self._run()
+            await self._run()
         except RequestError as error:
             self._refuse(error)
-            return
         except asyncio.CancelledError:
-            self._refuse(DeadlinePassedError("the request was cancelled"))
-            return
-        self._answer(answer)
+            verdict = Verdict.NOT_RUN
+            if self._started:
+                verdict = Verdict.MAY_HAVE_RUN
+            self._refuse(RequestCancelledError("cancelled", verdict))
+
+    def on_credit(self, chunks: int) -> None:
+        """Send on, now that the caller took parts of the answer."""
+        self._writer.on_credit(chunks)
 
-    async def _run(self) -> EndpointAnswer:
+    async def _run(self) -> None:
         await self._whole.wait()
         self._check()
         endpoint = self._find()
         self._endpoint = endpoint
-        keyed = bool(self._head.key) and not self._head.idempotent
-        scope = f"{self._head.customer}/{self._head.route}"
-        if keyed:
-            self._agent.keys.claim(scope, self._head.key)
-        try:
-            await self._admit(endpoint)
-            return await self._call(endpoint)
-        except RequestError as error:
-            if keyed and error.verdict is Verdict.NOT_RUN:
-                self._agent.keys.release(scope, self._head.key)
-            raise
-        except asyncio.CancelledError:
-            if keyed and not self._started:
-                self._agent.keys.release(scope, self._head.key)
-            raise
+        await self._admit(endpoint)
+        await self._call(endpoint)
 
     def _check(self) -> None:
         if self._cancelled:
-            raise DeadlinePassedError("the request was cancelled")
+            raise RequestCancelledError("cancelled before it started")
         if self._size_bytes > self._agent.max_body_bytes:
             limit = self._agent.max_body_bytes
             raise TooLargeError(f"the body is larger than {limit} bytes")
@@ -146,64 +138,36 @@
         try:
             await self._waiting
         except BaseException:
-            endpoint.admission.cancel(self.key)
+            if not endpoint.admission.cancel(self.key):
+                endpoint.admission.finish(self.key, time.monotonic())
             raise
         finally:
             self._agent.waiting.pop(self.key, None)
 
-    async def _call(self, endpoint: LocalEndpoint) -> EndpointAnswer:
+    async def _call(self, endpoint: LocalEndpoint) -> None:
         try:
-            left_s = self._deadline_s - time.monotonic()
-            if self._cancelled or left_s <= 0:
+            self._check()
+            if self._deadline_s <= time.monotonic():
                 raise DeadlinePassedError("the deadline passed")
             self._started = True
             body = self._parts[0]
             if len(self._parts) > 1:
                 body = b"".join(self._parts)
             self._parts.clear()
-            return await self._agent.client.call(
+            await self._agent.client.call(
                 endpoint.announcement.address,
                 self._head.method,
                 self._head.target,
                 self._head.headers,
                 body,
-                left_s,
-                self._on_answer_part,
+                self._deadline_s,
+                self._writer.on_head,
+                self._writer.on_chunk,
             )
         finally:
             endpoint.admission.finish(self.key, time.monotonic())
             self._agent.start_waiting(endpoint)
-
-    def _on_answer_part(self, data: bytes) -> None:
-        self._answer_parts.append(data)
-        self._answer_size_bytes += len(data)
-
-    def _answer(self, answer: EndpointAnswer) -> None:
-        parts = self._cut_answer()
-        head = AnswerHead(
-            self._head.request_id,
-            answer.status,
-            answer.reason,
-            answer.headers,
-            self._load(),
-            parts[0] if parts else b"",
-            len(parts) < 2,
-        )
-        with contextlib.suppress(StreamClosedError):
-            self._session.frames.write(head)
-            for index, data in enumerate(parts[1:], start=2):
-                chunk = AnswerChunk(
-                    self._head.request_id, data, index == len(parts)
-                )
-                self._session.frames.write(chunk)
-
-    def _cut_answer(self) -> list[bytes]:
-        parts = []
-        for part in self._answer_parts:
-            for start in range(0, len(part), CHUNK_BYTES):
-                parts.append(part[start : start + CHUNK_BYTES])
-        self._answer_parts.clear()
-        return parts
+        self._writer.finish()
 
     def _refuse(self, error: RequestError) -> None:
         self._agent.metrics.count("refusals", verdict=error.verdict.value)
@@ -214,6 +178,7 @@
             str(error),
             error.retry_after_s,
             self._load(),
+            type(error).__name__,
         )
         with contextlib.suppress(StreamClosedError):
             self._session.frames.write(refused)
--- a/src/yuccapoint/request/exceptions.py
+++ b/src/yuccapoint/request/exceptions.py
@@ -62,6 +62,13 @@
     verdict = Verdict.MAY_HAVE_RUN
 
 
+class UnknownKeyError(RequestError):
+    """Nobody can know whether the idempotency key was accepted before."""
+
+    status = 409
+    verdict = Verdict.MAY_HAVE_RUN
+
+
 class SessionLostError(RequestError):
     """The session to the agent broke while the request was out."""
 
@@ -74,3 +81,33 @@
 
     status = 502
     verdict = Verdict.MAY_HAVE_RUN
+
+
+class BadRequestError(RequestError):
+    """The request's own headers are at fault."""
+
+    status = 400
+
+
+class RequestCancelledError(RequestError):
+    """Nobody waits for the answer any more."""
+
+    status = 504
+
+
+class LateCopyError(RequestError):
+    """A copy of a request that was begun or given up before."""
+
+    status = 409
+    verdict = Verdict.MAY_HAVE_RUN
+
+
+REASONS = {kind.__name__: kind for kind in RequestError.__subclasses__()}
+
+
+def error_of(
+    reason: str, text: str, verdict: Verdict, retry_after_s: float
+) -> RequestError:
+    """Build the error that a refusal from afar names."""
+    kind = REASONS.get(reason, RequestError)
+    return kind(text, verdict, retry_after_s)
--- a/src/yuccapoint/request/key_claims.py
+++ b/src/yuccapoint/request/key_claims.py
@@ -22,7 +22,7 @@
     """The first claim of a key in log order wins."""
 
     def __init__(self) -> None:
-        self._claims: dict[str, KeyClaim] = {}
+        self._claims: dict[tuple[str, str, str], KeyClaim] = {}
 
     def __len__(self) -> int:
         return len(self._claims)
@@ -30,7 +30,7 @@
     def apply(self, record: KeyClaimed | KeyReleased, stamp_ms: int) -> str:
         """Apply a claim or a release; empty when accepted."""
         self._expire(stamp_ms)
-        key = f"{record.customer}/{record.route}/{record.key}"
+        key = (record.customer, record.route, record.key)
         claim = self._claims.get(key)
         if isinstance(record, KeyReleased):
             if claim is None or claim.claimant != record.claimant:
--- a/src/yuccapoint/request/key_memory.py
+++ b/src/yuccapoint/request/key_memory.py
@@ -7,34 +7,83 @@
 from yuccapoint.request.exceptions import RepeatedKeyError
 
 MAX_KEYS = 50_000
+KEY_KEPT_S = 1_800.0
+
+
+class HeldKey:
+    """Who claimed a key, and when."""
+
+    __slots__ = ("claimant", "claimed_at_s")
+
+    def __init__(self, claimant: str, claimed_at_s: float) -> None:
+        self.claimant = claimant
+        self.claimed_at_s = claimed_at_s
 
 
 class KeyMemory:
     """Remembers keys of non-idempotent requests, the newest ones.
 
     A key is scoped by customer and route, so that customers can't meet.
+
+    Parameters
+    ----------
+    started_s : float
+        Monotonic time from which on all keys are remembered.
     """
 
-    def __init__(self) -> None:
-        self._keys: collections.OrderedDict[str, bool] = (
+    def __init__(self, started_s: float = 0.0) -> None:
+        self._complete_since_s = started_s
+        self._keys: collections.OrderedDict[tuple[str, str], HeldKey] = (
             collections.OrderedDict()
         )
 
-    def claim(self, scope: str, key: str) -> None:
+    def __len__(self) -> int:
+        return len(self._keys)
+
+    def claim(
+        self, scope: str, key: str, claimant: str = "", now_s: float = 0.0
+    ) -> None:
         """Claim a key before its request runs.
 
+        Parameters
+        ----------
+        scope, key : str
+            Customer and route, and the caller's key.
+        claimant : str
+            Name of the request; its own second claim is accepted.
+        now_s : float
+            Monotonic time.
+
         Raises
         ------
         RepeatedKeyError
             A request with the key was admitted before.
         """
-        full = f"{scope}/{key}"
-        if full in self._keys:
+        self._expire(now_s)
+        full = (scope, key)
+        held = self._keys.get(full)
+        if held is not None and (not claimant or held.claimant != claimant):
             raise RepeatedKeyError("a request with this key was accepted")
-        self._keys[full] = True
+        self._keys[full] = HeldKey(claimant, now_s)
         if len(self._keys) > MAX_KEYS:
-            self._keys.popitem(last=False)
+            _, dropped = self._keys.popitem(last=False)
+            self._complete_since_s = max(
+                self._complete_since_s, dropped.claimed_at_s
+            )
 
-    def release(self, scope: str, key: str) -> None:
+    def release(self, scope: str, key: str, claimant: str = "") -> None:
         """Forget a key whose request was refused before it ran."""
-        self._keys.pop(f"{scope}/{key}", None)
+        held = self._keys.get((scope, key))
+        if held is not None and held.claimant == claimant:
+            del self._keys[scope, key]
+
+    def remembers_for_s(self, now_s: float) -> float:
+        """Tell for how long no key has been forgotten early."""
+        return now_s - self._complete_since_s
+
+    def _expire(self, now_s: float) -> None:
+        while self._keys:
+            full = next(iter(self._keys))
+            if self._keys[full].claimed_at_s + KEY_KEPT_S > now_s:
+                return
+            del self._keys[full]
--- a/src/yuccapoint/request/pending_answer.py
+++ b/src/yuccapoint/request/pending_answer.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from yuccapoint.request.exceptions import RequestError
+from yuccapoint.request.exceptions import error_of
 from yuccapoint.request.exceptions import SessionLostError
 from yuccapoint.request.verdict import Verdict
 
@@ -16,11 +16,18 @@
 
 
 class PendingAnswer:
-    """Collects the frames of one answer in order."""
+    """Collects the frames of one answer in order.
 
-    __slots__ = ("_chunks", "_head", "sent")
+    Attributes
+    ----------
+    sent : bool
+        Whether the whole request was written; an agent starts no other.
+    """
 
-    def __init__(self) -> None:
+    __slots__ = ("_chunks", "_head", "endpoint", "sent")
+
+    def __init__(self, endpoint: str = "") -> None:
+        self.endpoint = endpoint
         loop = asyncio.get_running_loop()
         self.sent = False
         self._head: asyncio.Future[AnswerHead] = loop.create_future()
@@ -45,11 +52,15 @@
         if self._head.done():
             self._chunks.put_nowait(None)
             return
-        error = RequestError(
-            refused.text, Verdict(refused.verdict), refused.retry_after_s
+        error = error_of(
+            refused.reason,
+            refused.text,
+            Verdict(refused.verdict),
+            refused.retry_after_s,
         )
         error.status = refused.status
         self._head.set_exception(error)
+        self._head.exception()
 
     def on_lost(self) -> None:
         """Take note that the session broke."""
@@ -59,6 +70,7 @@
         verdict = Verdict.MAY_HAVE_RUN if self.sent else Verdict.NOT_RUN
         text = "the session to the agent broke"
         self._head.set_exception(SessionLostError(text, verdict))
+        self._head.exception()
 
     async def head(self) -> AnswerHead:
         """Wait for the head.
--- a/src/yuccapoint/request/router.py
+++ b/src/yuccapoint/request/router.py
@@ -61,6 +61,7 @@
         self.data_centre = data_centre
         self.region = region
         self.views: dict[str, EndpointView] = {}
+        self.addresses: dict[str, str] = {}
         self._rng = rng
         self._by_service: dict[str, dict[str, EndpointView]] = {}
         self._by_vm: dict[str, set[str]] = {}
@@ -72,6 +73,7 @@
         if report.incarnation < known:
             return
         self._incarnations[report.vm] = report.incarnation
+        self.addresses[report.vm] = report.session_address
         keys = set()
         for endpoint in report.endpoints:
             key = f"{report.vm}/{endpoint.name}"
--- a/src/yuccapoint/request/service_request.py
+++ b/src/yuccapoint/request/service_request.py
@@ -22,6 +22,8 @@
         The body as it arrived; held once.
     idempotent : bool
         Whether running the request twice does no harm.
+    key_holders : list of str
+        VMs whose agents claimed the request's key.
     """
 
     __slots__ = (
@@ -31,6 +33,7 @@
         "headers",
         "idempotent",
         "key",
+        "key_holders",
         "method",
         "request_id",
         "route",
@@ -60,4 +63,10 @@
         self.chunks: list[bytes] = []
         self.idempotent = route.idempotent
         self.key = ""
+        self.key_holders: list[str] = []
         self.tried: set[str] = set()
+
+    @property
+    def scope(self) -> str:
+        """Scope of the idempotency key: customers never meet."""
+        return f"{self.customer}/{self.route.name}"
