Choose endpoints from sorted ready lists; quarantine failing ones

Router.choose walked all endpoints of a service. It now draws from a list per tier (same data centre, region, far) that reports keep sorted, spills to the next tier when its choice is full, and quarantines an endpoint that fails everything, with probes by idempotent requests and never more than half of a service. Each entry draws from a stable subset by hash.

--- a/src/yuccapoint/process/entry_process.py
+++ b/src/yuccapoint/process/entry_process.py
@@ -81,7 +81,10 @@
         self.log_fault = ""
         self.cell = CellState()
         self.router = Router(
-            settings.process.data_centre, settings.process.region, self.rng
+            settings.process.data_centre,
+            settings.process.region,
+            self.rng,
+            self.name,
         )
         self.leader = BatchLeader(
             self.entry_id, self.cell.board, self.cell.tables.pool, self.rng
@@ -263,6 +266,7 @@
     def _greet(self) -> None:
         now_s = time.monotonic()
         hello = self._hello(now_s)
+        self.router.entries = max(1, len(self.directory.alive(now_s)))
         for address in self.directory.addresses(now_s):
             if address != self.settings.listen.control_address:
                 self.mailbox.send(address, hello)
--- a/src/yuccapoint/process/request_forwarder.py
+++ b/src/yuccapoint/process/request_forwarder.py
@@ -10,8 +10,10 @@
 from yuccapoint.connection.agent_session import split_body
 from yuccapoint.connection.frames import RequestHead
 from yuccapoint.request.exceptions import DeadlinePassedError
+from yuccapoint.request.exceptions import EndpointFailedError
 from yuccapoint.request.exceptions import NoEndpointError
 from yuccapoint.request.exceptions import RequestError
+from yuccapoint.request.exceptions import SessionLostError
 from yuccapoint.request.retry_budget import RetryBudget
 from yuccapoint.request.verdict import Verdict
 
@@ -200,26 +202,29 @@
         request.tried.add(view.key)
         self._log(request, decision)
         view.own_in_flight += 1
-        failed = True
         try:
             forwarded = await self._send(request, decision)
         except RequestError as error:
-            failed = error.status >= SERVER_ERROR
             view.own_in_flight -= 1
-            self._note(decision, now_s, failed=failed)
+            self._note(decision, failed=_is_fault(error))
             raise
         except asyncio.CancelledError:
             view.own_in_flight -= 1
             raise
-        failed = forwarded.head.status >= SERVER_ERROR
-        self._note(decision, now_s, failed=failed)
+        self._note(decision, failed=forwarded.head.status >= SERVER_ERROR)
         return forwarded
 
-    def _note(
-        self, decision: RouteDecision, started_s: float, *, failed: bool
-    ) -> None:
-        del started_s
-        decision.view.note_result(failed=failed)
+    def _note(self, decision: RouteDecision, *, failed: bool) -> None:
+        view = decision.view
+        now_s = time.monotonic()
+        if not self._router.note_result(view, now_s, failed=failed):
+            return
+        self._metrics.count("quarantines", state=view.state.value)
+        self._logs.say(
+            "route",
+            f"{view.key} is {view.state.value}",
+            failure_rate=round(view.failure_rate, 3),
+        )
 
     async def _send(
         self, request: ServiceRequest, decision: RouteDecision
@@ -333,3 +338,9 @@
     if task.cancelled() or task.exception() is not None:
         return
     task.result().close()
+
+
+def _is_fault(error: RequestError) -> bool:
+    if isinstance(error, EndpointFailedError | SessionLostError):
+        return True
+    return error.verdict is not Verdict.NOT_RUN
--- /dev/null
+++ b/src/yuccapoint/request/endpoint_tier.py
@@ -0,0 +1,114 @@
+"""The ready endpoints of one service that lie equally far away."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sortedcontainers import SortedKeyList
+import xxhash
+
+from yuccapoint.request.endpoint_view import EndpointState
+
+if TYPE_CHECKING:
+    import random
+
+    from yuccapoint.request.endpoint_view import EndpointView
+    from yuccapoint.request.selection.registry import SelectionPolicy
+
+MIN_SUBSET = 64
+COVER = 8
+MAX_DRAWS = 8
+
+
+class EndpointTier:
+    """Ready endpoints; an entry draws from a stable subset of them.
+
+    The subset is the first endpoints by a hash of entry and endpoint, so
+    that a member which joins or leaves changes one place of it.
+
+    Parameters
+    ----------
+    entry : str
+        This entry's name.
+    """
+
+    def __init__(self, entry: str) -> None:
+        self._entry = entry
+        self._members: dict[str, EndpointView] = {}
+        self._order: SortedKeyList[EndpointView] = SortedKeyList(
+            key=self._score
+        )
+        self._subset: list[EndpointView] = []
+        self._size = 0
+        self._changed = False
+
+    def __len__(self) -> int:
+        return len(self._members)
+
+    def add(self, view: EndpointView) -> None:
+        """Add an endpoint that is ready."""
+        if view.key in self._members:
+            return
+        self._members[view.key] = view
+        self._order.add(view)
+        self._changed = True
+
+    def discard(self, view: EndpointView) -> None:
+        """Drop an endpoint, if it is here."""
+        if self._members.pop(view.key, None) is None:
+            return
+        self._order.remove(view)
+        self._changed = True
+
+    def subset(self, entries: int) -> list[EndpointView]:
+        """Give the endpoints that this entry draws from.
+
+        Parameters
+        ----------
+        entries : int
+            Entries that share the endpoints.
+        """
+        count = len(self._members)
+        size = min(count, max(MIN_SUBSET, -(-COVER * count // entries)))
+        if self._changed or size != self._size:
+            self._subset = list(self._order[:size])
+            self._size = size
+            self._changed = False
+        return self._subset
+
+    def draw(
+        self,
+        policy: SelectionPolicy,
+        rng: random.Random,
+        excluded: set[str],
+        fresh_after_s: float,
+        now_s: float,
+        entries: int,
+    ) -> EndpointView | None:
+        """Let a policy choose; None when no endpoint may serve.
+
+        Endpoints whose last report came before ``fresh_after_s`` are
+        dropped when they are met.
+        """
+        for _ in range(MAX_DRAWS):
+            views = self.subset(entries)
+            if not views:
+                return None
+            view = policy(views, rng, now_s)
+            if view.reported_at_s < fresh_after_s:
+                view.state = EndpointState.SUSPECTED
+                self.discard(view)
+                continue
+            if view.key not in excluded:
+                return view
+        usable = [
+            view
+            for view in self._order
+            if view.key not in excluded and view.reported_at_s >= fresh_after_s
+        ]
+        if not usable:
+            return None
+        return policy(usable, rng, now_s)
+
+    def _score(self, view: EndpointView) -> int:
+        return xxhash.xxh64_intdigest(f"{self._entry}|{view.key}".encode())
--- a/src/yuccapoint/request/endpoint_view.py
+++ b/src/yuccapoint/request/endpoint_view.py
@@ -35,16 +35,21 @@
         Decayed share of failed requests, 0 to 1.
     reported_at_s : float
         Arrival of the last report, on this entry's monotonic clock.
+    probe_at_s : float
+        When a quarantined endpoint may be tried again.
     """
 
     __slots__ = (
         "chosen_count",
         "data_centre",
         "failure_rate",
+        "failures_in_row",
         "key",
         "own_in_flight",
         "own_in_flight_then",
         "pool",
+        "probe_at_s",
+        "quarantine_s",
         "region",
         "reported_at_s",
         "reported_load",
@@ -61,6 +66,9 @@
         self.service = endpoint.service
         self.chosen_count = 0
         self.failure_rate = 0.0
+        self.failures_in_row = 0
+        self.probe_at_s = 0.0
+        self.quarantine_s = 0.0
         self.own_in_flight = 0
         self.own_in_flight_then = 0
         self.state = EndpointState.JOINING
--- a/src/yuccapoint/request/router.py
+++ b/src/yuccapoint/request/router.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from yuccapoint.request.endpoint_view import EndpointState
@@ -9,6 +10,7 @@
 from yuccapoint.request.exceptions import NoEndpointError
 import yuccapoint.request.selection.policies  # noqa: F401
 from yuccapoint.request.selection.registry import SELECTION_POLICIES
+from yuccapoint.request.service_endpoints import ServiceEndpoints
 
 if TYPE_CHECKING:
     import random
@@ -17,6 +19,7 @@
     from yuccapoint.version.route import Route
 
 SILENT_AFTER_S = 3.0
+SPILL_LOADS = {"data centre": 2.0, "region": 4.0, "far": math.inf}
 RETRY_AFTER_S = 1.0
 
 
@@ -53,17 +56,32 @@
         Where this entry runs.
     rng : random.Random
         Source of the policies' random choices.
+    entry : str
+        This entry's name, which its subset of endpoints hangs on.
+
+    Attributes
+    ----------
+    entries : int
+        Entries that share the endpoints.
+    addresses : dict of str to str
+        Session address of each VM's agent.
     """
 
     def __init__(
-        self, data_centre: str, region: str, rng: random.Random
+        self,
+        data_centre: str,
+        region: str,
+        rng: random.Random,
+        entry: str = "",
     ) -> None:
         self.data_centre = data_centre
         self.region = region
+        self.entries = 1
         self.views: dict[str, EndpointView] = {}
         self.addresses: dict[str, str] = {}
+        self._entry = entry
         self._rng = rng
-        self._by_service: dict[str, dict[str, EndpointView]] = {}
+        self._services: dict[tuple[str, str], ServiceEndpoints] = {}
         self._by_vm: dict[str, set[str]] = {}
         self._incarnations: dict[str, int] = {}
 
@@ -82,8 +100,9 @@
             if view is None:
                 view = EndpointView(report, endpoint)
                 self.views[key] = view
-                self._service(report.pool, endpoint.service)[key] = view
+            self._leave_old_place(view, report)
             view.update(report, endpoint, now_s)
+            self._service(report.pool, endpoint.service).place(view)
         for key in self._by_vm.get(report.vm, set()) - keys:
             self._forget(key)
         self._by_vm[report.vm] = keys
@@ -112,51 +131,82 @@
         NoEndpointError
             No endpoint may serve the request now.
         """
-        near: list[EndpointView] = []
-        region: list[EndpointView] = []
-        far: list[EndpointView] = []
-        for view in self._service(route.pool, route.service).values():
-            if view.key in excluded or not self._usable(view, now_s):
-                continue
-            if view.data_centre == self.data_centre:
-                near.append(view)
-                continue
-            if view.region == self.region:
-                region.append(view)
-                continue
-            far.append(view)
-        policy = SELECTION_POLICIES[route.policy]
-        if near:
-            return self._decide(policy(near, self._rng, now_s), near, now_s)
-        if region:
-            chosen = policy(region, self._rng, now_s)
-            return self._decide(chosen, region, now_s)
-        if far:
-            return self._decide(policy(far, self._rng, now_s), far, now_s)
+        service = self._service(route.pool, route.service)
+        if route.idempotent and service.quarantined:
+            view = service.probe(now_s)
+            if view is not None and view.key not in excluded:
+                return self._decide(service, view, now_s)
+        view = self._draw(service, route, excluded, now_s)
+        if view is not None:
+            return self._decide(service, view, now_s)
         raise NoEndpointError(
             f"no endpoint of {route.service} in pool {route.pool} may serve",
             retry_after_s=RETRY_AFTER_S,
         )
 
+    def note_result(
+        self, view: EndpointView, now_s: float, *, failed: bool
+    ) -> bool:
+        """Count the result of a request.
+
+        Returns
+        -------
+        bool
+            True when the endpoint was quarantined or taken back.
+        """
+        if self.views.get(view.key) is not view:
+            return False
+        service = self._service(view.pool, view.service)
+        return service.note_result(view, now_s, failed=failed)
+
+    def _draw(
+        self,
+        service: ServiceEndpoints,
+        route: Route,
+        excluded: set[str],
+        now_s: float,
+    ) -> EndpointView | None:
+        policy = SELECTION_POLICIES[route.policy]
+        fresh_after_s = now_s - SILENT_AFTER_S
+        fullest: EndpointView | None = None
+        for name, tier in service.tiers.items():
+            view = tier.draw(
+                policy, self._rng, excluded, fresh_after_s, now_s, self.entries
+            )
+            if view is None:
+                continue
+            if view.load(now_s) < SPILL_LOADS[name]:
+                return view
+            if fullest is None or view.load(now_s) < fullest.load(now_s):
+                fullest = view
+        return fullest
+
     def _decide(
-        self, view: EndpointView, views: list[EndpointView], now_s: float
+        self, service: ServiceEndpoints, view: EndpointView, now_s: float
     ) -> RouteDecision:
         view.chosen_count += 1
-        tier = "far"
-        if view.region == self.region:
-            tier = "region"
-        if view.data_centre == self.data_centre:
-            tier = "data centre"
-        return RouteDecision(view, tier, len(views), view.load(now_s))
-
-    def _usable(self, view: EndpointView, now_s: float) -> bool:
-        if view.state is not EndpointState.READY:
-            return False
-        return now_s - view.reported_at_s < SILENT_AFTER_S
-
-    def _service(self, pool: str, service: str) -> dict[str, EndpointView]:
-        return self._by_service.setdefault(f"{pool}/{service}", {})
+        tier = service.tier_of(view)
+        candidates = len(service.tiers[tier])
+        return RouteDecision(view, tier, candidates, view.load(now_s))
+
+    def _service(self, pool: str, service: str) -> ServiceEndpoints:
+        found = self._services.get((pool, service))
+        if found is None:
+            found = ServiceEndpoints(
+                self._entry, self.data_centre, self.region
+            )
+            self._services[pool, service] = found
+        return found
+
+    def _leave_old_place(
+        self, view: EndpointView, report: AgentReport
+    ) -> None:
+        if view.state is EndpointState.JOINING:
+            return
+        old = (view.pool, view.data_centre, view.region)
+        if old != (report.pool, report.data_centre, report.region):
+            self._service(view.pool, view.service).remove(view)
 
     def _forget(self, key: str) -> None:
         view = self.views.pop(key)
-        self._service(view.pool, view.service).pop(key, None)
+        self._service(view.pool, view.service).remove(view)
--- /dev/null
+++ b/src/yuccapoint/request/service_endpoints.py
@@ -0,0 +1,110 @@
+"""The endpoints of one service, sorted for quick choice."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from yuccapoint.request.endpoint_tier import EndpointTier
+from yuccapoint.request.endpoint_view import EndpointState
+
+if TYPE_CHECKING:
+    from yuccapoint.request.endpoint_view import EndpointView
+
+TIERS = ("data centre", "region", "far")
+FAILING_RATE = 0.5
+FAILING_RESULTS = 4
+FIRST_QUARANTINE_S = 1.0
+MAX_QUARANTINE_S = 30.0
+MAX_QUARANTINED_SHARE = 0.5
+
+
+class ServiceEndpoints:
+    """Keeps the ready endpoints by tier, and the quarantined ones apart.
+
+    Parameters
+    ----------
+    entry, data_centre, region : str
+        The entry and where it runs.
+    """
+
+    def __init__(self, entry: str, data_centre: str, region: str) -> None:
+        self.views: dict[str, EndpointView] = {}
+        self.tiers = {name: EndpointTier(entry) for name in TIERS}
+        self.quarantined: dict[str, EndpointView] = {}
+        self._data_centre = data_centre
+        self._region = region
+
+    def tier_of(self, view: EndpointView) -> str:
+        """Name the tier that an endpoint lies in."""
+        if view.data_centre == self._data_centre:
+            return "data centre"
+        if view.region == self._region:
+            return "region"
+        return "far"
+
+    def place(self, view: EndpointView) -> None:
+        """Sort an endpoint in after its report or result."""
+        self.views[view.key] = view
+        tier = self.tiers[self.tier_of(view)]
+        if view.key in self.quarantined:
+            if view.state is EndpointState.READY:
+                view.state = EndpointState.QUARANTINED
+            tier.discard(view)
+            return
+        if view.state is EndpointState.READY:
+            tier.add(view)
+            return
+        tier.discard(view)
+
+    def remove(self, view: EndpointView) -> None:
+        """Forget an endpoint."""
+        self.views.pop(view.key, None)
+        self.quarantined.pop(view.key, None)
+        for tier in self.tiers.values():
+            tier.discard(view)
+
+    def note_result(
+        self, view: EndpointView, now_s: float, *, failed: bool
+    ) -> bool:
+        """Count a result; True when the endpoint's state changed."""
+        view.note_result(failed=failed)
+        if view.key in self.quarantined:
+            return self._note_probe(view, now_s, failed=failed)
+        view.failures_in_row = view.failures_in_row + 1 if failed else 0
+        failing = view.failure_rate >= FAILING_RATE
+        if not failing or view.failures_in_row < FAILING_RESULTS:
+            return False
+        limit = MAX_QUARANTINED_SHARE * len(self.views)
+        if len(self.quarantined) + 1 > limit:
+            return False
+        view.quarantine_s = FIRST_QUARANTINE_S
+        view.probe_at_s = now_s + view.quarantine_s
+        self.quarantined[view.key] = view
+        self.place(view)
+        return True
+
+    def probe(self, now_s: float) -> EndpointView | None:
+        """Give a quarantined endpoint that one request may try."""
+        for view in self.quarantined.values():
+            if view.state is not EndpointState.QUARANTINED:
+                continue
+            if now_s < view.probe_at_s:
+                continue
+            view.probe_at_s = now_s + view.quarantine_s
+            return view
+        return None
+
+    def _note_probe(
+        self, view: EndpointView, now_s: float, *, failed: bool
+    ) -> bool:
+        if failed:
+            view.quarantine_s = min(MAX_QUARANTINE_S, view.quarantine_s * 2)
+            view.probe_at_s = now_s + view.quarantine_s
+            return False
+        del self.quarantined[view.key]
+        view.failure_rate = 0.0
+        view.failures_in_row = 0
+        if view.state is EndpointState.QUARANTINED:
+            view.state = EndpointState.READY
+        self.place(view)
+        return True
