Bound customers, link and slots; measure the path's decisions

Fair queue by customer at the agent, then by deadline; a customer with less than its share displaces the longest line. Rates per customer and route are split among entries by the demand that hellos carry. An entry bounds each customer's part of what it holds. The link between regions has a byte budget. Slots follow the service time.

--- /dev/null
+++ b/src/yuccapoint/bench/request_model.py
@@ -0,0 +1,343 @@
+"""A pool under load in virtual time, with the real decision logic."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from typing import Any
+from typing import TYPE_CHECKING
+
+from yuccapoint.connection.messages import AgentReport
+from yuccapoint.connection.messages import EndpointReport
+from yuccapoint.job.size import Size
+from yuccapoint.request.admission import Admission
+from yuccapoint.request.exceptions import RequestError
+from yuccapoint.request.retry_budget import RetryBudget
+from yuccapoint.request.router import Router
+from yuccapoint.request.ticket import Ticket
+from yuccapoint.version.route import Route
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from yuccapoint.request.endpoint_view import EndpointView
+
+VMS = 11
+ENTRIES = 3
+SLOTS = 8
+CONNECTIONS = 64
+REPORT_EVERY_S = 1.0
+NEAR_S = 0.001
+FAR_S = 0.008
+FAST_FAILURE_S = 0.0005
+BACKOFF_S = 0.005
+TIMEOUT_S = 1.0
+PLACES = (("a", "r"), ("b", "r"), ("c", "s"))
+POOL = "pool"
+SERVICE = "service"
+
+
+class ModelRequest:
+    """One request of a customer."""
+
+    __slots__ = (
+        "customer",
+        "deadline_s",
+        "entry",
+        "key",
+        "sent_s",
+        "tried",
+        "work_s",
+    )
+
+    def __init__(
+        self, key: str, customer: str, sent_s: float, work_s: float, entry: int
+    ) -> None:
+        self.key = key
+        self.customer = customer
+        self.sent_s = sent_s
+        self.deadline_s = sent_s + TIMEOUT_S
+        self.work_s = work_s
+        self.entry = entry
+        self.tried: set[str] = set()
+
+
+class ModelEndpoint:
+    """One endpoint's admission and what it does to requests."""
+
+    def __init__(self, number: int, slowdown: float) -> None:
+        self.name = f"vm-{number}"
+        self.place = number % len(PLACES)
+        self.admission = Admission(SLOTS, CONNECTIONS)
+        self.slowdown = slowdown
+        self.failing = False
+        self.waiting: dict[str, ModelRequest] = {}
+
+
+class Outcome:
+    """How one request ended."""
+
+    __slots__ = ("answered", "customer", "ended_s", "sent_s")
+
+    def __init__(
+        self, request: ModelRequest, ended_s: float, *, answered: bool
+    ) -> None:
+        self.customer = request.customer
+        self.sent_s = request.sent_s
+        self.ended_s = ended_s
+        self.answered = answered
+
+    @property
+    def took_s(self) -> float:
+        """Time from the caller's view."""
+        return self.ended_s - self.sent_s
+
+
+class RequestModel:
+    """Entries, agents and callers over virtual time.
+
+    Parameters
+    ----------
+    policy : str
+        Endpoint choice policy of the route.
+    work_s : float
+        Mean service time.
+    seed : int
+        Seed of load, service times and choices.
+    retry_ratio : float
+        Retries that a request earns.
+    """
+
+    def __init__(
+        self, policy: str, work_s: float, seed: int, retry_ratio: float = 0.1
+    ) -> None:
+        self.now_s = 100.0
+        self.tries = 0
+        self.requests = 0
+        self.outcomes: list[Outcome] = []
+        self._work_s = work_s
+        self._load_rng = random.Random(seed)
+        self._rng = random.Random(seed + 1)
+        self._events: list[tuple[float, int, Callable[..., None], Any]] = []
+        self._order = itertools.count()
+        self._route = Route(
+            name="route",
+            prefix="/",
+            service=SERVICE,
+            pool=POOL,
+            idempotent=True,
+            policy=policy,
+            retry_ratio=retry_ratio,
+        )
+        shape = random.Random(seed + 2)
+        self.endpoints = [
+            ModelEndpoint(number, shape.choice((1.0, 1.0, 1.5, 2.0)))
+            for number in range(VMS)
+        ]
+        self._by_name = {e.name: e for e in self.endpoints}
+        self._routers = [
+            Router(*PLACES[n], random.Random(seed + n), f"entry-{n}")
+            for n in range(ENTRIES)
+        ]
+        self._budgets = [RetryBudget(retry_ratio) for _ in range(ENTRIES)]
+        for number, endpoint in enumerate(self.endpoints):
+            first_s = self.now_s - number * REPORT_EVERY_S / VMS
+            self._report(endpoint, first_s)
+
+    @property
+    def capacity_per_s(self) -> float:
+        """Requests that all endpoints can serve at their slowdown."""
+        total = sum(1.0 / endpoint.slowdown for endpoint in self.endpoints)
+        return total * SLOTS / self._work_s
+
+    def load(
+        self, customer: str, rate_per_s: float, from_s: float, until_s: float
+    ) -> None:
+        """Plan requests of a customer, in seconds after now."""
+        at_s = self.now_s + from_s
+        end_s = self.now_s + until_s
+        while True:
+            at_s += self._load_rng.expovariate(rate_per_s)
+            if at_s >= end_s:
+                return
+            self.requests += 1
+            request = ModelRequest(
+                f"{customer}-{self.requests}",
+                customer,
+                at_s,
+                self._load_rng.expovariate(1.0 / self._work_s),
+                self._load_rng.randrange(ENTRIES),
+            )
+            self._at(at_s, self._send, request)
+
+    def run(self, for_s: float) -> None:
+        """Let virtual time pass."""
+        until_s = self.now_s + for_s
+        while self._events and self._events[0][0] <= until_s:
+            self.now_s, _, action, argument = heapq.heappop(self._events)
+            action(argument)
+        self.now_s = until_s
+
+    def _at(
+        self, at_s: float, action: Callable[..., None], argument: Any
+    ) -> None:
+        heapq.heappush(
+            self._events, (at_s, next(self._order), action, argument)
+        )
+
+    def _report(self, endpoint: ModelEndpoint, at_s: float = 0.0) -> None:
+        now_s = at_s or self.now_s
+        data_centre, region = PLACES[endpoint.place]
+        admission = endpoint.admission
+        report = AgentReport(
+            vm=endpoint.name,
+            incarnation=1,
+            sequence=1,
+            term=1,
+            wants_leader="",
+            leader="",
+            pool=POOL,
+            data_centre=data_centre,
+            region=region,
+            rack="",
+            control_address="",
+            session_address="",
+            capacity=Size(),
+            free=Size(),
+            ready=True,
+            stopping=False,
+            tables_version=1,
+            endpoints=[
+                EndpointReport(
+                    "e",
+                    SERVICE,
+                    "ready",
+                    SLOTS,
+                    len(admission.running),
+                    admission.queued,
+                )
+            ],
+            tasks=[],
+        )
+        for router in self._routers:
+            router.on_report(report, now_s)
+        self._at(now_s + REPORT_EVERY_S, self._report, endpoint)
+
+    def _send(self, request: ModelRequest) -> None:
+        if not request.tried:
+            self._budgets[request.entry].earn()
+        router = self._routers[request.entry]
+        self.tries += 1
+        try:
+            decision = router.choose(self._route, request.tried, self.now_s)
+        except RequestError:
+            self._end(request, answered=False)
+            return
+        view = decision.view
+        request.tried.add(view.key)
+        view.own_in_flight += 1
+        hop_s = self._hop_s(request, view)
+        self._at(self.now_s + hop_s, self._arrive, (request, view))
+
+    def _hop_s(self, request: ModelRequest, view: EndpointView) -> float:
+        region = PLACES[request.entry][1]
+        return NEAR_S if view.region == region else FAR_S
+
+    def _arrive(self, sent: tuple[ModelRequest, EndpointView]) -> None:
+        request, view = sent
+        endpoint = self._by_name[view.vm]
+        if endpoint.failing:
+            at_s = self.now_s + FAST_FAILURE_S
+            self._at(at_s, self._fail, sent)
+            return
+        ticket = Ticket(request.key, request.customer, request.deadline_s)
+        try:
+            started = endpoint.admission.offer(ticket, self.now_s)
+        except RequestError:
+            self._refuse(request, view)
+            return
+        if started:
+            self._start(request, view, endpoint)
+        else:
+            endpoint.waiting[request.key] = request
+        self._drop(endpoint, view)
+
+    def _start(
+        self,
+        request: ModelRequest,
+        view: EndpointView,
+        endpoint: ModelEndpoint,
+    ) -> None:
+        took_s = request.work_s * endpoint.slowdown
+        self._at(self.now_s + took_s, self._finish, (request, view))
+
+    def _finish(self, sent: tuple[ModelRequest, EndpointView]) -> None:
+        request, view = sent
+        endpoint = self._by_name[view.vm]
+        endpoint.admission.finish(request.key, self.now_s)
+        self._at(self.now_s + self._hop_s(request, view), self._answer, sent)
+        self._drop(endpoint, view)
+        while True:
+            ticket = endpoint.admission.start_next(self.now_s)
+            if ticket is None:
+                return
+            waiting = endpoint.waiting.pop(ticket.request_key)
+            own = self._routers[waiting.entry].views[view.key]
+            self._start(waiting, own, endpoint)
+
+    def _drop(self, endpoint: ModelEndpoint, view: EndpointView) -> None:
+        dropped = endpoint.admission.expire(self.now_s)
+        dropped += endpoint.admission.take_evicted()
+        for ticket in dropped:
+            request = endpoint.waiting.pop(ticket.request_key)
+            own = self._routers[request.entry].views[view.key]
+            self._refuse(request, own)
+
+    def _refuse(self, request: ModelRequest, view: EndpointView) -> None:
+        at_s = self.now_s + self._hop_s(request, view)
+        self._at(at_s, self._on_refused, (request, view))
+
+    def _on_refused(self, sent: tuple[ModelRequest, EndpointView]) -> None:
+        self._note(sent, failed=False)
+        self._retry(sent[0])
+
+    def _fail(self, sent: tuple[ModelRequest, EndpointView]) -> None:
+        self._note(sent, failed=True)
+        self._retry(sent[0])
+
+    def _answer(self, sent: tuple[ModelRequest, EndpointView]) -> None:
+        request, _ = sent
+        self._note(sent, failed=False)
+        self._end(request, answered=self.now_s <= request.deadline_s)
+
+    def _note(
+        self, sent: tuple[ModelRequest, EndpointView], *, failed: bool
+    ) -> None:
+        request, view = sent
+        view.own_in_flight -= 1
+        admission = self._by_name[view.vm].admission
+        load = len(admission.running) + admission.queued
+        view.set_load(load, self.now_s)
+        router = self._routers[request.entry]
+        router.note_result(view, self.now_s, failed=failed)
+
+    def _retry(self, request: ModelRequest) -> None:
+        wait_s = self._rng.uniform(0, BACKOFF_S)
+        late = self.now_s + wait_s >= request.deadline_s
+        if late or not self._budgets[request.entry].spend():
+            self._end(request, answered=False)
+            return
+        self._at(self.now_s + wait_s, self._send, request)
+
+    def _end(self, request: ModelRequest, *, answered: bool) -> None:
+        outcome = Outcome(request, self.now_s, answered=answered)
+        self.outcomes.append(outcome)
+
+
+def percentile_ms(outcomes: list[Outcome], share: float) -> float:
+    """Give a percentile of the latency of answers, in milliseconds."""
+    took = sorted(o.took_s for o in outcomes if o.answered)
+    if not took:
+        return 0.0
+    return took[min(len(took) - 1, int(share * len(took)))] * 1000
--- /dev/null
+++ b/src/yuccapoint/bench/requests.py
@@ -0,0 +1,186 @@
+"""``bench requests``: choice, limits, faults and cost of the path."""
+
+from __future__ import annotations
+
+import random
+import time
+
+import msgspec
+
+from yuccapoint.bench.registry import bench
+from yuccapoint.bench.request_model import percentile_ms
+from yuccapoint.bench.request_model import RequestModel
+from yuccapoint.connection.messages import AgentReport
+from yuccapoint.connection.messages import EndpointReport
+from yuccapoint.job.size import Size
+from yuccapoint.request.router import Router
+from yuccapoint.request.selection.registry import SELECTION_POLICIES
+from yuccapoint.version.route import Route
+
+WORK_S = {"caribfert": 0.04, "cyfiawn": 0.06}
+RUN_S = 4.0
+SETTLE_S = 2.0
+USUAL_LOAD = 0.7
+FULL_LOAD = 0.9
+OVERLOAD = 3.0
+DECISIONS = 2_000
+REPEATS = 5
+SIZES = (10, 1_000, 10_000)
+
+
+class PolicyFigures(msgspec.Struct, frozen=True):
+    """Latency and answers of one policy on the common load."""
+
+    policy: str
+    p50_ms: float
+    p99_ms: float
+    answered_ratio: float
+
+
+class DecisionFigures(msgspec.Struct, frozen=True):
+    """Processor time of a choice among so many endpoints."""
+
+    endpoints: int
+    route_decision_us: float
+
+
+class RequestFigures(msgspec.Struct, frozen=True):
+    """What ``bench requests`` measures."""
+
+    deployment: str
+    seed: int
+    goodput_ratio: float
+    refusal_p99_ms: float
+    victim_tail_ratio: float
+    retry_amplification: float
+    failing_answered_ratio: float
+    route_decision_us: list[DecisionFigures]
+    route_decision_growth: float
+    policies: list[PolicyFigures]
+
+
+@bench("requests")
+def measure_requests(deployment: str, seed: int) -> msgspec.Struct:
+    """Measure the request path.
+
+    Parameters
+    ----------
+    deployment : str
+        ``caribfert`` or ``cyfiawn``.
+    seed : int
+        Seed of load and choices.
+    """
+    work_s = WORK_S[deployment]
+    goodput_ratio, refusal_p99_ms = _overload(work_s, seed)
+    amplification, answered = _failing_third(work_s, seed)
+    decisions = [_decision(count, seed) for count in SIZES]
+    growth = decisions[-1].route_decision_us / decisions[0].route_decision_us
+    return RequestFigures(
+        deployment=deployment,
+        seed=seed,
+        goodput_ratio=goodput_ratio,
+        refusal_p99_ms=refusal_p99_ms,
+        victim_tail_ratio=_flood(work_s, seed),
+        retry_amplification=amplification,
+        failing_answered_ratio=answered,
+        route_decision_us=decisions,
+        route_decision_growth=growth,
+        policies=[_policy(name, work_s, seed) for name in SELECTION_POLICIES],
+    )
+
+
+def _policy(name: str, work_s: float, seed: int) -> PolicyFigures:
+    model = RequestModel(name, work_s, seed)
+    model.load("c", USUAL_LOAD * model.capacity_per_s, 0.0, RUN_S)
+    model.run(RUN_S + SETTLE_S)
+    answered = sum(outcome.answered for outcome in model.outcomes)
+    return PolicyFigures(
+        name,
+        round(percentile_ms(model.outcomes, 0.5), 2),
+        round(percentile_ms(model.outcomes, 0.99), 2),
+        round(answered / model.requests, 4),
+    )
+
+
+def _overload(work_s: float, seed: int) -> tuple[float, float]:
+    usual, _ = _goodput(1.0, work_s, seed)
+    over, refusal_p99_ms = _goodput(OVERLOAD, work_s, seed)
+    return round(over / usual, 3), refusal_p99_ms
+
+
+def _goodput(factor: float, work_s: float, seed: int) -> tuple[float, float]:
+    model = RequestModel("balanced", work_s, seed)
+    rate_per_s = factor * FULL_LOAD * model.capacity_per_s
+    model.load("c", rate_per_s, 0.0, RUN_S)
+    model.run(RUN_S + SETTLE_S)
+    answered = sum(outcome.answered for outcome in model.outcomes)
+    refused = sorted(o.took_s for o in model.outcomes if not o.answered)
+    p99_s = refused[int(0.99 * len(refused))] if refused else 0.0
+    return answered / RUN_S, round(p99_s * 1000, 2)
+
+
+def _flood(work_s: float, seed: int) -> float:
+    model = RequestModel("balanced", work_s, seed)
+    capacity_per_s = model.capacity_per_s
+    model.load("victim", 0.2 * capacity_per_s, 0.0, 2 * RUN_S)
+    model.load("flood", 0.4 * capacity_per_s, 0.0, RUN_S)
+    model.load("flood", OVERLOAD * capacity_per_s, RUN_S, 2 * RUN_S)
+    flood_s = model.now_s + RUN_S
+    model.run(2 * RUN_S + SETTLE_S)
+    victim = [o for o in model.outcomes if o.customer == "victim"]
+    before = [o for o in victim if o.sent_s < flood_s]
+    during = [o for o in victim if o.sent_s >= flood_s]
+    ratio = percentile_ms(during, 0.99) / percentile_ms(before, 0.99)
+    return round(ratio, 3)
+
+
+def _failing_third(work_s: float, seed: int) -> tuple[float, float]:
+    model = RequestModel("balanced", work_s, seed)
+    for endpoint in model.endpoints[::3]:
+        endpoint.failing = True
+    model.load("c", 0.4 * model.capacity_per_s, 0.0, RUN_S)
+    model.run(RUN_S + SETTLE_S)
+    answered = sum(outcome.answered for outcome in model.outcomes)
+    return (
+        round(model.tries / model.requests, 4),
+        round(answered / model.requests, 4),
+    )
+
+
+def _decision(count: int, seed: int) -> DecisionFigures:
+    router = Router("a", "r", random.Random(seed), "entry-1")
+    router.entries = max(1, count // 100)
+    for number in range(count):
+        router.on_report(_report(number), 1.0)
+    route = Route(name="r", prefix="/", service="s", pool="p")
+    best_s = float("inf")
+    for _ in range(REPEATS):
+        started_s = time.process_time()
+        for _ in range(DECISIONS):
+            router.choose(route, set(), 1.5)
+        best_s = min(best_s, time.process_time() - started_s)
+    return DecisionFigures(count, round(best_s / DECISIONS * 1e6, 2))
+
+
+def _report(number: int) -> AgentReport:
+    return AgentReport(
+        vm=f"vm-{number}",
+        incarnation=1,
+        sequence=1,
+        term=1,
+        wants_leader="",
+        leader="",
+        pool="p",
+        data_centre="a",
+        region="r",
+        rack="",
+        control_address="",
+        session_address="",
+        capacity=Size(),
+        free=Size(),
+        ready=True,
+        stopping=False,
+        tables_version=1,
+        endpoints=[EndpointReport("e", "s", "ready", 8, 0, 0)],
+        tasks=[],
+    )
--- a/src/yuccapoint/connection/messages.py
+++ b/src/yuccapoint/connection/messages.py
@@ -10,6 +10,7 @@
 
 from yuccapoint.job.job import Job
 from yuccapoint.job.size import Size
+from yuccapoint.request.customer_limits import CustomerDemand
 from yuccapoint.version.pool import Pool
 from yuccapoint.version.route import Route
 
@@ -128,6 +129,7 @@
     log_offset: int
     stopping: bool
     known_addresses: list[str]
+    demand: list[CustomerDemand] = []
 
 
 class DrainVm(msgspec.Struct, frozen=True, tag="dv"):
--- a/src/yuccapoint/process/agent_process.py
+++ b/src/yuccapoint/process/agent_process.py
@@ -149,6 +149,10 @@
             request = self.waiting.get(late.request_key)
             if request is not None:
                 request.expired()
+        for dropped in endpoint.admission.take_evicted():
+            request = self.waiting.get(dropped.request_key)
+            if request is not None:
+                request.displaced()
         while True:
             ticket = endpoint.admission.start_next(now_s)
             if ticket is None:
--- a/src/yuccapoint/process/caller_server.py
+++ b/src/yuccapoint/process/caller_server.py
@@ -71,6 +71,7 @@
         self._size_bytes = 0
         self._answered = False
         self._counted = False
+        self._customer = ""
         self._task: asyncio.Task[None] | None = None
 
     def headers_received(
@@ -118,8 +119,8 @@
         if route is None:
             raise NoRouteError(f"no route matches {path}")
         customer = entry.access.customer(headers, CUSTOMER_HEADER)
-        if entry.stopping or entry.in_flight >= entry.max_in_flight:
-            raise OverloadedError("the entry is full", retry_after_s=1.0)
+        if entry.stopping:
+            raise OverloadedError("the entry is stopping", retry_after_s=1.0)
         length = headers.get("Content-Length", "0")
         if length.isdigit() and int(length) > entry.max_body_bytes:
             raise self._too_large()
@@ -135,8 +136,16 @@
         )
         request.key = headers.get(KEY_HEADER, "")
         self._shorten(request, headers)
-        entry.in_flight += 1
+        now_s = request.started_s
+        entry.customer_limits.take(
+            request.scope,
+            route.customer_requests_per_s,
+            entry.router.entries,
+            now_s,
+        )
+        entry.held.enter(customer)
         self._counted = True
+        self._customer = customer
         return request
 
     def _shorten(self, request: ServiceRequest, headers: HTTPHeaders) -> None:
@@ -267,4 +276,4 @@
         if not self._counted:
             return
         self._counted = False
-        self._entry.in_flight -= 1
+        self._entry.held.leave(self._customer)
--- a/src/yuccapoint/process/entry_process.py
+++ b/src/yuccapoint/process/entry_process.py
@@ -37,8 +37,11 @@
 from yuccapoint.process.metrics import Metrics
 from yuccapoint.process.operator_api import operator_application
 from yuccapoint.process.request_forwarder import RequestForwarder
+from yuccapoint.request.customer_limits import CustomerLimits
 from yuccapoint.request.exceptions import RepeatedKeyError
 from yuccapoint.request.exceptions import RequestError
+from yuccapoint.request.in_flight import InFlight
+from yuccapoint.request.link_budget import LinkBudget
 from yuccapoint.request.router import Router
 from yuccapoint.request.verdict import Verdict
 
@@ -75,8 +78,8 @@
         self.decisions = Decisions()
         self.access = Access(settings.access.tokens_file)
         self.max_body_bytes = settings.limits.max_body_bytes
-        self.max_in_flight = settings.limits.max_in_flight
-        self.in_flight = 0
+        self.held = InFlight(settings.limits.max_in_flight)
+        self.customer_limits = CustomerLimits()
         self.stopping = False
         self.log_fault = ""
         self.cell = CellState()
@@ -98,6 +101,7 @@
             self.rng,
             self.logs,
             self.metrics,
+            LinkBudget(settings.limits.cross_region_bytes_per_s),
         )
         self.agent_keys = AgentKeys(
             self.forwarder, self.router, self.cell.key_owners
@@ -128,6 +132,11 @@
         self._ticker = PeriodicCallback(self._tick, TICK_MS)
         self._greeter = PeriodicCallback(self._greet, HELLO_MS)
 
+    @property
+    def in_flight(self) -> int:
+        """Requests that this entry holds."""
+        return self.held.count
+
     @property
     def ready(self) -> bool:
         """Whether the balancer may send requests here."""
@@ -285,12 +294,16 @@
             known_addresses=[
                 hello.control_address for hello in self.directory.alive(now_s)
             ],
+            demand=self.customer_limits.demand(now_s),
         )
 
     def _on_message(self, message: ControlMessage) -> None:
         now_s = time.monotonic()
         if isinstance(message, EntryHello):
             self.directory.on_hello(message, now_s)
+            self.customer_limits.on_demand(
+                message.entry, message.demand, now_s
+            )
             return
         if isinstance(message, AgentReport):
             self._on_report(message, now_s)
--- a/src/yuccapoint/process/request_forwarder.py
+++ b/src/yuccapoint/process/request_forwarder.py
@@ -24,6 +24,7 @@
     from yuccapoint.connection.frames import AnswerHead
     from yuccapoint.process.logs import Logs
     from yuccapoint.process.metrics import Metrics
+    from yuccapoint.request.link_budget import LinkBudget
     from yuccapoint.request.pending_answer import PendingAnswer
     from yuccapoint.request.router import RouteDecision
     from yuccapoint.request.router import Router
@@ -45,6 +46,7 @@
         "_session",
         "decision",
         "head",
+        "link",
         "pending",
         "request_id",
     )
@@ -63,6 +65,7 @@
         self.request_id = request_id
         self._session = session
         self._open = True
+        self.link: LinkBudget | None = None
 
     async def chunk(self) -> AnswerChunk:
         """Wait for the next part of the body and ask for one more.
@@ -73,6 +76,8 @@
             The rest of the body won't come.
         """
         chunk = await self.pending.chunk()
+        if self.link is not None:
+            self.link.use(len(chunk.data))
         if not chunk.last:
             self._session.credit(self.request_id)
         return chunk
@@ -106,6 +111,8 @@
         The choice of endpoints.
     rng : random.Random
         Source of jitter.
+    link : LinkBudget
+        Budget of bytes to and from the other region.
     """
 
     def __init__(
@@ -116,7 +123,9 @@
         rng: random.Random,
         logs: Logs,
         metrics: Metrics,
+        link: LinkBudget,
     ) -> None:
+        self._link = link
         self._name = name
         self._incarnation = incarnation
         self._router = router
@@ -197,7 +206,7 @@
 
     async def _try(self, request: ServiceRequest) -> Forwarded:
         now_s = time.monotonic()
-        decision = self._router.choose(request.route, request.tried, now_s)
+        decision = self._choose(request, now_s)
         view = decision.view
         request.tried.add(view.key)
         self._log(request, decision)
@@ -214,6 +223,16 @@
         self._note(decision, failed=forwarded.head.status >= SERVER_ERROR)
         return forwarded
 
+    def _choose(self, request: ServiceRequest, now_s: float) -> RouteDecision:
+        wait_s = self._link.wait_s(self._router.entries, now_s)
+        try:
+            return self._router.choose(
+                request.route, request.tried, now_s, far=wait_s <= 0
+            )
+        except NoEndpointError as error:
+            error.retry_after_s = max(error.retry_after_s, wait_s)
+            raise
+
     def _note(self, decision: RouteDecision, *, failed: bool) -> None:
         view = decision.view
         now_s = time.monotonic()
@@ -233,6 +252,8 @@
         session = self.session(view.vm, view.session_address)
         request_id = session.next_id()
         parts = split_body(request.chunks)
+        if decision.tier == "far":
+            self._link.use(sum(len(part) for part in parts))
         head = RequestHead(
             request_id,
             decision.view.service,
@@ -264,7 +285,11 @@
         except RequestError:
             session.done(request_id)
             raise
-        return Forwarded(decision, answer, pending, session, request_id)
+        forwarded = Forwarded(decision, answer, pending, session, request_id)
+        if decision.tier == "far":
+            forwarded.link = self._link
+            self._link.use(len(answer.body))
+        return forwarded
 
     def session(self, vm: str, address: str) -> AgentSession:
         """Give the session to an agent, which opens when it is used."""
--- a/src/yuccapoint/process/served_request.py
+++ b/src/yuccapoint/process/served_request.py
@@ -15,6 +15,7 @@
 from yuccapoint.request.endpoint_view import EndpointState
 from yuccapoint.request.exceptions import DeadlinePassedError
 from yuccapoint.request.exceptions import NoEndpointError
+from yuccapoint.request.exceptions import OverloadedError
 from yuccapoint.request.exceptions import RequestCancelledError
 from yuccapoint.request.exceptions import RequestError
 from yuccapoint.request.exceptions import TooLargeError
@@ -26,6 +27,8 @@
     from yuccapoint.process.endpoint_registry import LocalEndpoint
     from yuccapoint.process.request_server import ServedSession
 
+DISPLACED_RETRY_S = 0.1
+
 
 class ServedRequest:
     """Serves one request of a session."""
@@ -86,6 +89,16 @@
                 DeadlinePassedError("the deadline passed in the queue")
             )
 
+    def displaced(self) -> None:
+        """Refuse the request, whose place another customer took."""
+        if self._waiting is not None and not self._waiting.done():
+            self._waiting.set_exception(
+                OverloadedError(
+                    "the customer's part of the queue is full",
+                    retry_after_s=DISPLACED_RETRY_S,
+                )
+            )
+
     async def serve(self) -> None:
         """Serve the request and answer."""
         try:
@@ -135,6 +148,7 @@
             return
         self._waiting = asyncio.get_running_loop().create_future()
         self._agent.waiting[self.key] = self
+        self._agent.start_waiting(endpoint)
         try:
             await self._waiting
         except BaseException:
--- a/src/yuccapoint/request/admission.py
+++ b/src/yuccapoint/request/admission.py
@@ -2,31 +2,19 @@
 
 from __future__ import annotations
 
-from sortedcontainers import SortedKeyList
-
 from yuccapoint.request.exceptions import DeadlinePassedError
 from yuccapoint.request.exceptions import OverloadedError
+from yuccapoint.request.fair_queue import FairQueue
+from yuccapoint.request.slot_limit import SlotLimit
+from yuccapoint.request.ticket import Ticket
 
 SERVICE_TIME_WEIGHT = 0.1
 FIRST_SERVICE_TIME_S = 0.01
-
-
-class Ticket:
-    """A request that waits for a slot or holds one."""
-
-    __slots__ = ("customer", "deadline_s", "request_key", "started_s")
-
-    def __init__(
-        self, request_key: str, customer: str, deadline_s: float
-    ) -> None:
-        self.request_key = request_key
-        self.customer = customer
-        self.deadline_s = deadline_s
-        self.started_s = 0.0
+__all__ = ("Admission", "Ticket")
 
 
 class Admission:
-    """Slots and a bounded queue that is ordered by deadline.
+    """Slots and a bounded queue, fair to customers, then by deadline.
 
     Parameters
     ----------
@@ -41,10 +29,9 @@
         self.connections = connections
         self.running: dict[str, Ticket] = {}
         self.service_time_s = FIRST_SERVICE_TIME_S
-        self._queue: SortedKeyList[Ticket] = SortedKeyList(
-            key=lambda ticket: ticket.deadline_s
-        )
-        self._waiting: dict[str, Ticket] = {}
+        self.limit = SlotLimit(slots)
+        self.evicted: list[Ticket] = []
+        self._queue = FairQueue()
 
     @property
     def queued(self) -> int:
@@ -54,6 +41,10 @@
     def offer(self, ticket: Ticket, now_s: float) -> bool:
         """Admit a request or queue it.
 
+        When all connections are taken, a customer that waits with less
+        than its share takes the place of the customer that waits with
+        most; that ticket is put on ``evicted``.
+
         Parameters
         ----------
         ticket : Ticket
@@ -73,22 +64,18 @@
         DeadlinePassedError
             The queue is too long for the request's deadline.
         """
-        if len(self.running) < self.slots and not self._queue:
+        if len(self.running) < self.limit.allowed and not self._queue:
             self._start(ticket, now_s)
             return True
         wait_s = self._wait_s(ticket)
-        if len(self.running) + len(self._queue) >= self.connections:
-            raise OverloadedError(
-                "all connections of the endpoint are taken",
-                retry_after_s=wait_s,
-            )
         if now_s + wait_s + self.service_time_s > ticket.deadline_s:
             raise DeadlinePassedError(
                 "the queue is too long for the request's deadline",
                 retry_after_s=wait_s,
             )
+        if len(self.running) + len(self._queue) >= self.connections:
+            self._make_room(ticket, wait_s)
         self._queue.add(ticket)
-        self._waiting[ticket.request_key] = ticket
         return False
 
     def finish(self, request_key: str, now_s: float) -> None:
@@ -97,42 +84,50 @@
         if ticket is None:
             return
         took_s = now_s - ticket.started_s
+        self.limit.note(took_s, len(self.running) + 1, self.queued)
         self.service_time_s += SERVICE_TIME_WEIGHT * (
             took_s - self.service_time_s
         )
 
     def cancel(self, request_key: str) -> bool:
         """Drop a waiting request; False when it runs or is unknown."""
-        ticket = self._waiting.pop(request_key, None)
-        if ticket is None:
-            return False
-        self._queue.remove(ticket)
-        return True
+        return self._queue.remove(request_key)
 
     def start_next(self, now_s: float) -> Ticket | None:
-        """Start the waiting request with the earliest deadline."""
-        if not self._queue or len(self.running) >= self.slots:
+        """Start the next waiting request of the customer whose turn it is."""
+        if len(self.running) >= self.limit.allowed:
             return None
-        ticket: Ticket = self._queue.pop(0)
-        del self._waiting[ticket.request_key]
-        self._start(ticket, now_s)
+        ticket = self._queue.pop()
+        if ticket is not None:
+            self._start(ticket, now_s)
         return ticket
 
     def expire(self, now_s: float) -> list[Ticket]:
         """Drop the waiting requests that can't end in time."""
-        late = []
-        while self._queue:
-            if self._queue[0].deadline_s > now_s + self.service_time_s:
-                break
-            ticket = self._queue.pop(0)
-            del self._waiting[ticket.request_key]
-            late.append(ticket)
-        return late
+        return self._queue.expire(now_s + self.service_time_s)
+
+    def take_evicted(self) -> list[Ticket]:
+        """Give the waiting requests that lost their place."""
+        evicted = self.evicted
+        self.evicted = []
+        return evicted
+
+    def _make_room(self, ticket: Ticket, wait_s: float) -> None:
+        longest = self._queue.longest_customer()
+        own = self._queue.count(ticket.customer)
+        if longest is None or self._queue.count(longest) <= own + 1:
+            raise OverloadedError(
+                "all connections of the endpoint are taken",
+                retry_after_s=wait_s,
+            )
+        dropped = self._queue.pop_latest(longest)
+        if dropped is not None:
+            self.evicted.append(dropped)
 
     def _start(self, ticket: Ticket, now_s: float) -> None:
         ticket.started_s = now_s
         self.running[ticket.request_key] = ticket
 
     def _wait_s(self, ticket: Ticket) -> float:
-        ahead = self._queue.bisect_key_right(ticket.deadline_s)
-        return float((ahead + 1) * self.service_time_s / self.slots)
+        ahead = self._queue.ahead_of(ticket)
+        return (ahead + 1) * self.service_time_s / self.limit.allowed
--- a/src/yuccapoint/request/router.py
+++ b/src/yuccapoint/request/router.py
@@ -108,7 +108,12 @@
         self._by_vm[report.vm] = keys
 
     def choose(
-        self, route: Route, excluded: set[str], now_s: float
+        self,
+        route: Route,
+        excluded: set[str],
+        now_s: float,
+        *,
+        far: bool = True,
     ) -> RouteDecision:
         """Choose an endpoint for a request.
 
@@ -120,6 +125,8 @@
             Keys of endpoints that were tried before.
         now_s : float
             Monotonic time.
+        far : bool
+            Whether the other region may serve.
 
         Returns
         -------
@@ -134,9 +141,10 @@
         service = self._service(route.pool, route.service)
         if route.idempotent and service.quarantined:
             view = service.probe(now_s)
-            if view is not None and view.key not in excluded:
+            near = far or view is None or service.tier_of(view) != "far"
+            if view is not None and view.key not in excluded and near:
                 return self._decide(service, view, now_s)
-        view = self._draw(service, route, excluded, now_s)
+        view = self._draw(service, route, excluded, now_s, far=far)
         if view is not None:
             return self._decide(service, view, now_s)
         raise NoEndpointError(
@@ -165,11 +173,15 @@
         route: Route,
         excluded: set[str],
         now_s: float,
+        *,
+        far: bool,
     ) -> EndpointView | None:
         policy = SELECTION_POLICIES[route.policy]
         fresh_after_s = now_s - SILENT_AFTER_S
         fullest: EndpointView | None = None
         for name, tier in service.tiers.items():
+            if name == "far" and not far:
+                continue
             view = tier.draw(
                 policy, self._rng, excluded, fresh_after_s, now_s, self.entries
             )
--- /dev/null
+++ b/src/yuccapoint/request/ticket.py
@@ -0,0 +1,17 @@
+"""A request's place at an endpoint."""
+
+from __future__ import annotations
+
+
+class Ticket:
+    """A request that waits for a slot or holds one."""
+
+    __slots__ = ("customer", "deadline_s", "request_key", "started_s")
+
+    def __init__(
+        self, request_key: str, customer: str, deadline_s: float
+    ) -> None:
+        self.request_key = request_key
+        self.customer = customer
+        self.deadline_s = deadline_s
+        self.started_s = 0.0
