Keep one customer's flood off the others' tail

Traced: entries of the other region always took the far tier, which had no bound, so all of a victim's requests met at three endpoints. The far tier now has the bound of its region, a full pool is drawn twice a tier, and among full endpoints the one where the customer has least in flight is taken. Retry budgets are kept by customer and route.

--- a/src/yuccapoint/process/request_forwarder.py
+++ b/src/yuccapoint/process/request_forwarder.py
@@ -32,6 +32,7 @@
 
 FIRST_BACKOFF_S = 0.005
 MAX_BACKOFF_S = 0.2
+MAX_BUDGETS = 10_000
 SERVER_ERROR = 500
 
 
@@ -42,6 +43,7 @@
     """
 
     __slots__ = (
+        "_customer",
         "_open",
         "_session",
         "decision",
@@ -58,7 +60,9 @@
         pending: PendingAnswer,
         session: AgentSession,
         request_id: int,
+        customer: str,
     ) -> None:
+        self._customer = customer
         self.decision = decision
         self.head = head
         self.pending = pending
@@ -95,7 +99,7 @@
     def _end(self) -> None:
         if self._open:
             self._open = False
-            self.decision.view.own_in_flight -= 1
+            self.decision.view.leave(self._customer)
 
 
 class RequestForwarder:
@@ -210,15 +214,15 @@
         view = decision.view
         request.tried.add(view.key)
         self._log(request, decision)
-        view.own_in_flight += 1
+        view.enter(request.customer)
         try:
             forwarded = await self._send(request, decision)
         except RequestError as error:
-            view.own_in_flight -= 1
+            view.leave(request.customer)
             self._note(decision, failed=_is_fault(error))
             raise
         except asyncio.CancelledError:
-            view.own_in_flight -= 1
+            view.leave(request.customer)
             raise
         self._note(decision, failed=forwarded.head.status >= SERVER_ERROR)
         return forwarded
@@ -227,7 +231,11 @@
         wait_s = self._link.wait_s(self._router.entries, now_s)
         try:
             return self._router.choose(
-                request.route, request.tried, now_s, far=wait_s <= 0
+                request.route,
+                request.tried,
+                now_s,
+                far=wait_s <= 0,
+                customer=request.customer,
             )
         except NoEndpointError as error:
             error.retry_after_s = max(error.retry_after_s, wait_s)
@@ -285,7 +293,9 @@
         except RequestError:
             session.done(request_id)
             raise
-        forwarded = Forwarded(decision, answer, pending, session, request_id)
+        forwarded = Forwarded(
+            decision, answer, pending, session, request_id, request.customer
+        )
         if decision.tier == "far":
             forwarded.link = self._link
             self._link.use(len(answer.body))
@@ -312,11 +322,13 @@
         return session
 
     def _budget(self, request: ServiceRequest) -> RetryBudget:
-        route = request.route
-        budget = self._budgets.get(route.name)
-        if budget is None or budget.ratio != route.retry_ratio:
-            budget = RetryBudget(route.retry_ratio)
-            self._budgets[route.name] = budget
+        ratio = request.route.retry_ratio
+        budget = self._budgets.get(request.scope)
+        if budget is None or budget.ratio != ratio:
+            budget = RetryBudget(ratio)
+            self._budgets[request.scope] = budget
+            if len(self._budgets) > MAX_BUDGETS:
+                del self._budgets[next(iter(self._budgets))]
         return budget
 
     def _log(self, request: ServiceRequest, decision: RouteDecision) -> None:
--- a/src/yuccapoint/request/admission.py
+++ b/src/yuccapoint/request/admission.py
@@ -10,6 +10,7 @@
 
 SERVICE_TIME_WEIGHT = 0.1
 FIRST_SERVICE_TIME_S = 0.01
+WAIT_MARGIN = 2.0
 __all__ = ("Admission", "Ticket")
 
 
@@ -68,7 +69,8 @@
             self._start(ticket, now_s)
             return True
         wait_s = self._wait_s(ticket)
-        if now_s + wait_s + self.service_time_s > ticket.deadline_s:
+        expected_s = WAIT_MARGIN * wait_s + self.service_time_s
+        if now_s + expected_s > ticket.deadline_s:
             raise DeadlinePassedError(
                 "the queue is too long for the request's deadline",
                 retry_after_s=wait_s,
--- a/src/yuccapoint/request/endpoint_view.py
+++ b/src/yuccapoint/request/endpoint_view.py
@@ -31,6 +31,8 @@
     ----------
     own_in_flight : int
         Requests of this entry that the endpoint has not answered.
+    customers : dict of str to int
+        The same by customer.
     failure_rate : float
         Decayed share of failed requests, 0 to 1.
     reported_at_s : float
@@ -41,6 +43,7 @@
 
     __slots__ = (
         "chosen_count",
+        "customers",
         "data_centre",
         "failure_rate",
         "failures_in_row",
@@ -65,6 +68,7 @@
         self.vm = report.vm
         self.service = endpoint.service
         self.chosen_count = 0
+        self.customers: dict[str, int] = {}
         self.failure_rate = 0.0
         self.failures_in_row = 0
         self.probe_at_s = 0.0
@@ -91,6 +95,20 @@
         self.reported_at_s = now_s
         self.own_in_flight_then = self.own_in_flight
 
+    def enter(self, customer: str) -> None:
+        """Count a request of this entry in."""
+        self.own_in_flight += 1
+        self.customers[customer] = self.customers.get(customer, 0) + 1
+
+    def leave(self, customer: str) -> None:
+        """Count a request of this entry out."""
+        self.own_in_flight -= 1
+        left = self.customers[customer] - 1
+        if left:
+            self.customers[customer] = left
+            return
+        del self.customers[customer]
+
     def load(self, now_s: float) -> float:
         """Estimate the requests a slot has to serve.
 
--- a/src/yuccapoint/request/router.py
+++ b/src/yuccapoint/request/router.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
 from yuccapoint.request.endpoint_view import EndpointState
@@ -19,8 +18,9 @@
     from yuccapoint.version.route import Route
 
 SILENT_AFTER_S = 3.0
-SPILL_LOADS = {"data centre": 2.0, "region": 4.0, "far": math.inf}
+SPILL_LOADS = {"data centre": 2.0, "region": 4.0, "far": 4.0}
 RETRY_AFTER_S = 1.0
+FULL_DRAWS = 2
 
 
 class RouteDecision:
@@ -114,6 +114,7 @@
         now_s: float,
         *,
         far: bool = True,
+        customer: str = "",
     ) -> RouteDecision:
         """Choose an endpoint for a request.
 
@@ -127,6 +128,9 @@
             Monotonic time.
         far : bool
             Whether the other region may serve.
+        customer : str
+            Whose request it is; when endpoints are full, the one where
+            the customer has least in flight is taken.
 
         Returns
         -------
@@ -144,7 +148,12 @@
             near = far or view is None or service.tier_of(view) != "far"
             if view is not None and view.key not in excluded and near:
                 return self._decide(service, view, now_s)
-        view = self._draw(service, route, excluded, now_s, far=far)
+        drawn = self._draw(service, route, excluded, now_s, far=far)
+        view = min(
+            drawn,
+            key=lambda view: view.customers.get(customer, 0) / view.slots,
+            default=None,
+        )
         if view is not None:
             return self._decide(service, view, now_s)
         raise NoEndpointError(
@@ -175,23 +184,28 @@
         now_s: float,
         *,
         far: bool,
-    ) -> EndpointView | None:
+    ) -> list[EndpointView]:
         policy = SELECTION_POLICIES[route.policy]
         fresh_after_s = now_s - SILENT_AFTER_S
-        fullest: EndpointView | None = None
+        full: list[EndpointView] = []
         for name, tier in service.tiers.items():
             if name == "far" and not far:
                 continue
-            view = tier.draw(
-                policy, self._rng, excluded, fresh_after_s, now_s, self.entries
-            )
-            if view is None:
-                continue
-            if view.load(now_s) < SPILL_LOADS[name]:
-                return view
-            if fullest is None or view.load(now_s) < fullest.load(now_s):
-                fullest = view
-        return fullest
+            for _ in range(FULL_DRAWS):
+                view = tier.draw(
+                    policy,
+                    self._rng,
+                    excluded,
+                    fresh_after_s,
+                    now_s,
+                    self.entries,
+                )
+                if view is None:
+                    break
+                if view.load(now_s) < SPILL_LOADS[name]:
+                    return [view]
+                full.append(view)
+        return full
 
     def _decide(
         self, service: ServiceEndpoints, view: EndpointView, now_s: float
