--- a/src/yuccapoint/connection/messages.py
+++ b/src/yuccapoint/connection/messages.py
@@ -10,6 +10,7 @@
 
 from yuccapoint.job.job import Job
 from yuccapoint.job.size import Size
+from yuccapoint.request.customer_limits import CustomerDemand
 from yuccapoint.version.pool import Pool
 from yuccapoint.version.route import Route
 
@@ -133,6 +134,7 @@
     stopping: bool
     known_addresses: list[str]
     adopts: bool = True
+    demand: list[CustomerDemand] = []
 
 
 class DrainVm(msgspec.Struct, frozen=True, tag="dv"):
--- a/src/yuccapoint/process/agent_process.py
+++ b/src/yuccapoint/process/agent_process.py
@@ -68,7 +68,7 @@
         self.endpoints = EndpointRegistry(
             settings.limits.slots, settings.limits.connections
         )
-        self.keys = KeyMemory()
+        self.keys = KeyMemory(time.monotonic())
         self.waiting: dict[str, ServedRequest] = {}
         self.client = EndpointClient()
         self.keeper = TaskKeeper(self.name, self.incarnation, Size())
@@ -149,6 +149,10 @@
             request = self.waiting.get(late.request_key)
             if request is not None:
                 request.expired()
+        for dropped in endpoint.admission.take_evicted():
+            request = self.waiting.get(dropped.request_key)
+            if request is not None:
+                request.displaced()
         while True:
             ticket = endpoint.admission.start_next(now_s)
             if ticket is None:
