--- a/src/yuccapoint/connection/log_writer.py
+++ b/src/yuccapoint/connection/log_writer.py
@@ -105,6 +105,14 @@
         self._sent_at_s.pop(sequence, None)
         return self._formed.pop(sequence, [])
 
+    def take_formed_up_to(self, sequence: int) -> list[Record]:
+        """Give the records of all batches up to one, once."""
+        found: list[Record] = []
+        for number in sorted(self._formed):
+            if number <= sequence:
+                found.extend(self.take_formed(number))
+        return found
+
     def _form_batch(self) -> None:
         self.sequence += 1
         size_bytes = 0
--- a/src/yuccapoint/process/cell_state.py
+++ b/src/yuccapoint/process/cell_state.py
@@ -14,11 +14,15 @@
 from yuccapoint.job.records import PoolEdited
 from yuccapoint.job.records import RouteEdited
 from yuccapoint.job.records import SnapshotChunk
+from yuccapoint.process import snapshot_image
 from yuccapoint.request.key_claims import KeyClaims
 from yuccapoint.version.tables import Tables
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from yuccapoint.job.records import Record
+    from yuccapoint.process.snapshot_chunks import Snapshot
 
 MAX_WRITERS = 4_096
 _DECODER = msgspec.msgpack.Decoder(AppendBatch)
@@ -47,6 +51,8 @@
         Offset of the first append that is not applied yet.
     """
 
+    derived_state = frozenset({"skipped_batches", "bad_batches"})
+
     def __init__(self) -> None:
         self.next_offset = 0
         self.tables = Tables()
@@ -106,6 +112,28 @@
             )
         return applied
 
+    def slices(self) -> Iterator[bytes]:
+        """Encode the state before ``next_offset``, slice by slice.
+
+        Nothing may be applied until the last slice was given.
+        """
+        return snapshot_image.slices("", self)
+
+    def install(self, snapshot: Snapshot) -> bool:
+        """Replace the state by a snapshot's; False if it is not newer.
+
+        Raises
+        ------
+        SnapshotDamagedError
+            The snapshot forms no state; this one stands as it was.
+        """
+        if snapshot.next_offset <= self.next_offset:
+            return False
+        snapshot_image.restore("", CellState(), snapshot.slices)
+        snapshot_image.restore("", self, snapshot.slices)
+        self.next_offset = snapshot.next_offset
+        return True
+
     def sequence_of(self, writer: str) -> int:
         """Give the newest sequence applied of a writer; 0 if none."""
         return self._sequences.get(writer, 0)
--- a/src/yuccapoint/process/commits.py
+++ b/src/yuccapoint/process/commits.py
@@ -12,6 +12,7 @@
     from yuccapoint.connection.log_writer import LogWriter
     from yuccapoint.job.records import Record
     from yuccapoint.process.cell_state import Applied
+    from yuccapoint.process.cell_state import CellState
 
 
 class NotDurableError(YuccapointError):
@@ -79,6 +80,24 @@
         finally:
             self._waiting.pop(id(record), None)
 
+    def on_restored(self, cell: CellState) -> None:
+        """Tell those who wait whose records lie before a snapshot."""
+        sequence = cell.sequence_of(self._writer.writer)
+        if sequence >= self._writer.sequence:
+            self._writer.on_appended(self._writer.sequence)
+        for record in self._writer.take_formed_up_to(sequence):
+            future = self._waiting.get(id(record))
+            if future is None or future.done():
+                continue
+            edit_id = getattr(record, "edit_id", "")
+            outcome = cell.tables.outcomes.get(edit_id)
+            if outcome is not None:
+                future.set_result(outcome.refusal)
+                continue
+            future.set_exception(
+                FateUnknownError("the decision has expired from the log")
+            )
+
     def on_applied(self, applied: list[Applied]) -> None:
         """Tell those who wait what became of an append's records."""
         if not applied or applied[0].writer != self._writer.writer:
--- a/src/yuccapoint/process/entry_process.py
+++ b/src/yuccapoint/process/entry_process.py
@@ -26,6 +26,7 @@
 from yuccapoint.job.records import EntryRenewed
 from yuccapoint.job.records import KeyClaimed
 from yuccapoint.job.records import KeyReleased
+from yuccapoint.job.records import SnapshotChunk
 from yuccapoint.process.access import Access
 from yuccapoint.process.caller_server import CallerServer
 from yuccapoint.process.cell_state import CellState
@@ -36,6 +37,8 @@
 from yuccapoint.process.metrics import Metrics
 from yuccapoint.process.operator_api import operator_application
 from yuccapoint.process.request_forwarder import RequestForwarder
+from yuccapoint.process.snapshot_schedule import SnapshotSchedule
+from yuccapoint.process.snapshot_writer import SnapshotWriter
 from yuccapoint.request.exceptions import RepeatedKeyError
 from yuccapoint.request.exceptions import RequestError
 from yuccapoint.request.router import Router
@@ -107,7 +110,21 @@
             self._on_applied,
             self._on_outage,
             self.rng,
+            self._on_restored,
         )
+        self.schedule = SnapshotSchedule(
+            settings.log.snapshot_every_records,
+            settings.log.snapshot_every_s,
+            self.rng,
+        )
+        self.snapshots = SnapshotWriter(
+            self.entry_id,
+            self.cell,
+            self.pump,
+            self.writer,
+            self.schedule,
+        )
+        self._snapshot_task: asyncio.Task[None] | None = None
         self.mailbox = Mailbox(
             settings.listen.control_address, self._on_message
         )
@@ -166,6 +183,8 @@
         self._ticker.stop()
         self._greeter.stop()
         self.pump.stop()
+        if self._snapshot_task is not None:
+            self._snapshot_task.cancel()
         self.log.close()
         self.mailbox.close()
         self.forwarder.close()
@@ -250,6 +269,36 @@
             return
         now_s = time.monotonic()
         self.act(self.leader.tick(now_s, time.time_ns() // 1_000_000))
+        if self.snapshots.active or self.log_fault:
+            return
+        if self.schedule.begins(self.cell.next_offset, now_s):
+            self._snapshot_task = asyncio.ensure_future(self._snapshot())
+
+    async def _snapshot(self) -> None:
+        fault = await self.snapshots.write()
+        text = fault or "the chunks of a snapshot were handed to the log"
+        self.logs.say(
+            "snapshot",
+            text,
+            size_bytes=self.snapshots.size_bytes,
+            held_s=round(self.snapshots.held_s, 3),
+        )
+
+    def _on_restored(self) -> None:
+        """Start again from a snapshot, with nothing under way."""
+        now_s = time.monotonic()
+        text = f"the state was taken from a snapshot at {self._stands()}"
+        self.logs.say("snapshot", text)
+        self.schedule.on_whole(self.cell.next_offset, now_s)
+        self.commits.on_restored(self.cell)
+        views = self.leader.views
+        self.leader = BatchLeader(
+            self.entry_id, self.cell.board, self.cell.tables.pool, self.rng
+        )
+        self.leader.views.update(views)
+
+    def _stands(self) -> str:
+        return f"offset {self.cell.next_offset}"
 
     def _greet(self) -> None:
         now_s = time.monotonic()
@@ -309,6 +358,8 @@
         now_s = time.monotonic()
         for outcome in applied:
             self._note_renewal(outcome)
+            if isinstance(outcome.record, SnapshotChunk):
+                self.schedule.on_chunk(outcome.record, now_s)
             if self.pump.caught_up:
                 actions = self.leader.on_record(
                     outcome.record, outcome.refusal, now_s
--- a/src/yuccapoint/process/log_pump.py
+++ b/src/yuccapoint/process/log_pump.py
@@ -9,15 +9,21 @@
 from yuccapoint.connection.log_port import LogAnswerLostError
 from yuccapoint.connection.log_port import LogRecordsExpiredError
 from yuccapoint.connection.log_port import LogUnavailableError
+from yuccapoint.exceptions import ProtocolError
+from yuccapoint.job.records import SnapshotChunk
+from yuccapoint.process.snapshot_chunks import SnapshotCollector
+from yuccapoint.process.snapshot_image import SnapshotDamagedError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     import random
 
+    from yuccapoint.connection.log_port import LogPage
     from yuccapoint.connection.log_port import LogPort
     from yuccapoint.connection.log_writer import LogWriter
     from yuccapoint.process.cell_state import Applied
     from yuccapoint.process.cell_state import CellState
+    from yuccapoint.process.snapshot_chunks import Snapshot
 
 IDLE_S = 0.005
 FIRST_BACKOFF_S = 0.05
@@ -40,11 +46,15 @@
     on_outage : callable
         Called with a sentence when a log call fails, and empty when the
         log answers again.
+    on_restored : callable, optional
+        Called when the state was replaced by a snapshot's.
 
     Attributes
     ----------
     caught_up : bool
-        Whether the log's end was reached at least once.
+        Whether the log's end was reached, with no hole since.
+    seeking : bool
+        Whether records were missed and a snapshot is looked for.
     """
 
     def __init__(
@@ -55,8 +65,10 @@
         on_applied: Callable[[list[Applied]], None],
         on_outage: Callable[[str], None],
         rng: random.Random,
+        on_restored: Callable[[], None] | None = None,
     ) -> None:
         self.caught_up = False
+        self.seeking = False
         self.appends = 0
         self.append_bytes = 0
         self._log = log
@@ -65,6 +77,10 @@
         self._on_applied = on_applied
         self._on_outage = on_outage
         self._rng = rng
+        self._on_restored = on_restored
+        self._held = False
+        self._collector = SnapshotCollector()
+        self._seek_offset = 0
         self._tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
@@ -79,27 +95,90 @@
         for task in self._tasks:
             task.cancel()
 
+    def hold(self) -> None:
+        """Apply nothing until ``release``."""
+        self._held = True
+
+    def release(self) -> None:
+        """Apply again what is read."""
+        self._held = False
+
     async def _read(self) -> None:
         while True:
-            asked = self._cell.next_offset
+            asked = self._seek_offset if self.seeking else self._next()
             try:
                 page = await self._log.read(asked)
             except LogRecordsExpiredError as error:
-                self._on_outage(f"records were missed: {error}")
-                self._cell.next_offset = error.earliest_offset
+                self._seek(asked, error.earliest_offset)
                 continue
             except LogUnavailableError as error:
                 self._on_outage(str(error))
                 await asyncio.sleep(self._rng.uniform(0.1, 0.3))
                 continue
+            while self._held:
+                await asyncio.sleep(IDLE_S)
+            if self.seeking:
+                self._search(page)
+                continue
             self._on_outage("")
-            for record in page.records:
-                applied = self._cell.apply(
-                    record.offset, record.stamp_ms, record.data
-                )
-                self._on_applied(applied)
-            if not page.records:
-                self.caught_up = True
+            self._apply(page)
+
+    def _next(self) -> int:
+        return self._cell.next_offset
+
+    def _apply(self, page: LogPage) -> None:
+        for record in page.records:
+            applied = self._cell.apply(
+                record.offset, record.stamp_ms, record.data
+            )
+            self._on_applied(applied)
+        if not page.records:
+            self.caught_up = True
+
+    def _seek(self, asked: int, earliest_offset: int) -> None:
+        """Look for a snapshot: records before the earliest are lost.
+
+        Going on from the earliest record would leave a hole in the state.
+        """
+        self.caught_up = False
+        self.seeking = True
+        self._seek_offset = earliest_offset
+        self._collector = SnapshotCollector()
+        self._on_outage(
+            f"records {asked} to {earliest_offset - 1} have expired; "
+            "looking for a snapshot"
+        )
+
+    def _search(self, page: LogPage) -> None:
+        for record in page.records:
+            self._seek_offset = record.offset + 1
+            for chunk in self._chunks(record.data):
+                snapshot = self._collector.take(chunk)
+                if snapshot is not None and self._install(snapshot):
+                    return
+
+    def _chunks(self, data: bytes) -> list[SnapshotChunk]:
+        try:
+            batch = self._cell.decode(data)
+        except ProtocolError:
+            return []
+        return [
+            record
+            for record in batch.records
+            if isinstance(record, SnapshotChunk)
+        ]
+
+    def _install(self, snapshot: Snapshot) -> bool:
+        try:
+            if not self._cell.install(snapshot):
+                return False
+        except SnapshotDamagedError as error:
+            self._on_outage(str(error))
+            return False
+        self.seeking = False
+        if self._on_restored is not None:
+            self._on_restored()
+        return True
 
     async def _append(self) -> None:
         backoff_s = FIRST_BACKOFF_S
--- a/src/yuccapoint/process/settings/sections.py
+++ b/src/yuccapoint/process/settings/sections.py
@@ -77,6 +77,8 @@
 
     address: Address
     stream: Name = "cell"
+    snapshot_every_records: int = pydantic.Field(25_000, ge=1)
+    snapshot_every_s: float = pydantic.Field(900.0, gt=0)
     timeout_s: float = pydantic.Field(2.0, gt=0, le=60)
 
 
--- /dev/null
+++ b/src/yuccapoint/process/snapshot_chunks.py
@@ -0,0 +1,93 @@
+"""Snapshots as records: slices packed into chunks, chunks put together."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+import xxhash
+
+from yuccapoint.job.records import SnapshotChunk
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+CHUNK_BYTES = 128 * 1024
+MAX_PARTIAL = 8
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(list[bytes])
+
+
+class Snapshot:
+    """A whole snapshot: the state before ``next_offset``."""
+
+    __slots__ = ("next_offset", "slices", "snapshot_id")
+
+    def __init__(
+        self, snapshot_id: str, next_offset: int, slices: list[bytes]
+    ) -> None:
+        self.snapshot_id = snapshot_id
+        self.next_offset = next_offset
+        self.slices = slices
+
+
+def pack(
+    snapshot_id: str, next_offset: int, slices: Iterable[bytes]
+) -> list[SnapshotChunk]:
+    """Pack slices into chunks of bounded size."""
+    packs: list[list[bytes]] = [[]]
+    size_bytes = 0
+    for piece in slices:
+        if size_bytes + len(piece) > CHUNK_BYTES and packs[-1]:
+            packs.append([])
+            size_bytes = 0
+        packs[-1].append(piece)
+        size_bytes += len(piece)
+    return [
+        SnapshotChunk(
+            snapshot_id, index, len(packs), next_offset, _seal(packed)
+        )
+        for index, packed in enumerate(packs)
+    ]
+
+
+class SnapshotCollector:
+    """Puts the chunks of snapshots together as they are read.
+
+    A torn snapshot never becomes whole; a damaged one is dropped.
+    """
+
+    def __init__(self) -> None:
+        self._partial: dict[str, dict[int, SnapshotChunk]] = {}
+
+    def take(self, chunk: SnapshotChunk) -> Snapshot | None:
+        """Take a chunk; give the snapshot when it became whole."""
+        chunks = self._partial.setdefault(chunk.snapshot_id, {})
+        chunks[chunk.index] = chunk
+        if len(chunks) < chunk.total:
+            if len(self._partial) > MAX_PARTIAL:
+                del self._partial[next(iter(self._partial))]
+            return None
+        del self._partial[chunk.snapshot_id]
+        slices: list[bytes] = []
+        for index in range(chunk.total):
+            opened = _open(chunks[index].payload) if index in chunks else None
+            if opened is None:
+                return None
+            slices.extend(opened)
+        return Snapshot(chunk.snapshot_id, chunk.next_offset, slices)
+
+
+def _seal(packed: list[bytes]) -> bytes:
+    data = _ENCODER.encode(packed)
+    return xxhash.xxh64_digest(data) + data
+
+
+def _open(payload: bytes) -> list[bytes] | None:
+    digest, data = payload[:8], payload[8:]
+    if xxhash.xxh64_digest(data) != digest:
+        return None
+    try:
+        return _DECODER.decode(data)
+    except msgspec.DecodeError:
+        return None
--- /dev/null
+++ b/src/yuccapoint/process/snapshot_image.py
@@ -0,0 +1,248 @@
+"""The state of a cell as bytes, in slices, and back.
+
+A part of the state is an object whose attributes are plain values,
+containers, nested parts or one of ``SLOT_CLASSES``. Callables are left
+out, as are attributes that the part's class names in ``derived_state``;
+those it has to make again in ``rebuild()``.
+"""
+
+from __future__ import annotations
+
+import collections
+import itertools
+import operator
+from typing import Any
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from yuccapoint.exceptions import YuccapointError
+from yuccapoint.job.job import Job
+from yuccapoint.job.job_board import VmLeadership
+from yuccapoint.job.job_entry import JobEntry
+from yuccapoint.job.job_entry import JobState
+from yuccapoint.job.job_entry import JobStep
+from yuccapoint.request.key_claims import KeyClaim
+from yuccapoint.version.pool import Pool
+from yuccapoint.version.route import Route
+from yuccapoint.version.table_row import TableRow
+from yuccapoint.version.tables import EditOutcome
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+
+SLICE_ITEMS = 200
+SLOT_CLASSES: dict[str, type] = {
+    kind.__name__: kind
+    for kind in (
+        EditOutcome,
+        JobEntry,
+        JobStep,
+        KeyClaim,
+        TableRow,
+        VmLeadership,
+    )
+}
+STRUCT_CLASSES: dict[str, type] = {
+    kind.__name__: kind for kind in (Job, JobState, Pool, Route)
+}
+# What lies in the slots of a class, when msgspec can't tell by itself.
+SLOT_KINDS: dict[tuple[str, str], str] = {
+    ("JobEntry", "job"): "Job",
+    ("JobEntry", "state"): "JobState",
+    ("JobEntry", "steps"): "list JobStep",
+    ("VmLeadership", "job_ids"): "set",
+}
+ROW_KINDS = {"routes": "Route", "pools": "Pool"}
+JOBS = "jobs"
+CONTAINERS = (dict, list, set, collections.deque)
+
+
+class SnapshotDamagedError(YuccapointError):
+    """A snapshot can't be written, or its bytes form no state."""
+
+
+class StateSlice(msgspec.Struct, frozen=True, array_like=True):
+    """Some items of one attribute of the state.
+
+    Attributes
+    ----------
+    path : str
+        The attribute, by the names of the parts that lead to it.
+    kind : str
+        ``value``, or the kind of the container.
+    item : str
+        Class of the items; empty for plain ones, ``JobRef`` for jobs that
+        are named by their id.
+    items : object
+        The value, or a list of the container's items.
+    """
+
+    path: str
+    kind: str
+    item: str
+    items: msgspec.Raw
+
+
+_GETTERS = {
+    name: operator.attrgetter(*kind.__slots__)  # type: ignore[attr-defined]
+    for name, kind in SLOT_CLASSES.items()
+}
+
+
+def _hook(value: object) -> object:
+    getter = _GETTERS.get(type(value).__name__)
+    if getter is not None:
+        found = getter(value)
+        if isinstance(value, VmLeadership):
+            return [sorted(x) if isinstance(x, set) else x for x in found]
+        return found
+    raise SnapshotDamagedError(f"{type(value).__name__} is not known")
+
+
+_ENCODER = msgspec.msgpack.Encoder(enc_hook=_hook)
+_SLICE = msgspec.msgpack.Decoder(StateSlice)
+
+
+def slices(path: str, part: object) -> Iterator[bytes]:
+    """Encode a part of the state, slice by slice.
+
+    The state must not change between the first slice and the last.
+
+    Raises
+    ------
+    SnapshotDamagedError
+        The part holds something of an unknown class.
+    """
+    for name, value in _attributes(part):
+        where = f"{path}.{name}"
+        if isinstance(value, CONTAINERS):
+            yield from _container(where, value)
+        elif hasattr(value, "__dict__"):
+            yield from slices(where, value)
+        else:
+            raw = msgspec.Raw(_ENCODER.encode(value))
+            yield _ENCODER.encode(StateSlice(where, "value", "", raw))
+
+
+def restore(path: str, part: object, encoded: Iterable[bytes]) -> None:
+    """Put a part of the state into what the slices say.
+
+    Raises
+    ------
+    SnapshotDamagedError
+        The bytes form no state.
+    """
+    _clear(part)
+    jobs: dict[str, JobEntry] = {}
+    try:
+        for data in encoded:
+            piece = _SLICE.decode(data)
+            if piece.path.startswith(path + "."):
+                _put(part, piece, path, jobs)
+    except (msgspec.MsgspecError, AttributeError, KeyError) as error:
+        raise SnapshotDamagedError(f"a snapshot is damaged: {error}") from None
+    _rebuild(part)
+
+
+def _attributes(part: object) -> Iterator[tuple[str, Any]]:
+    derived: frozenset[str] = getattr(part, "derived_state", frozenset())
+    for name, value in vars(part).items():
+        if name not in derived and not callable(value):
+            yield name, value
+
+
+def _container(path: str, value: Any) -> Iterator[bytes]:
+    kind = type(value).__name__
+    item = _item_kind(path, value)
+    found = value
+    if isinstance(value, dict):
+        found = value if item == "JobRef" else value.items()
+    elif isinstance(value, set):
+        found = sorted(value)
+    left = iter(found)
+    while True:
+        some = list(itertools.islice(left, SLICE_ITEMS))
+        if not some:
+            return
+        raw = msgspec.Raw(_ENCODER.encode(some))
+        yield _ENCODER.encode(StateSlice(path, kind, item, raw))
+
+
+def _item_kind(path: str, value: object) -> str:
+    if not isinstance(value, dict) or not value:
+        return ""
+    name = type(next(iter(value.values()))).__name__
+    if name == "JobEntry" and not path.endswith("." + JOBS):
+        return "JobRef"
+    if name in SLOT_CLASSES or name in STRUCT_CLASSES:
+        return name
+    return ""
+
+
+def _clear(part: object) -> None:
+    for _, value in _attributes(part):
+        if isinstance(value, CONTAINERS):
+            value.clear()
+        elif hasattr(value, "__dict__"):
+            _clear(value)
+
+
+def _rebuild(part: object) -> None:
+    for value in vars(part).values():
+        if hasattr(value, "__dict__") and not callable(value):
+            _rebuild(value)
+    rebuild = getattr(part, "rebuild", None)
+    if rebuild is not None:
+        rebuild()
+
+
+def _put(
+    part: object, piece: StateSlice, path: str, jobs: dict[str, JobEntry]
+) -> None:
+    *nested, name = piece.path[len(path) + 1 :].split(".")
+    for step in nested:
+        part = getattr(part, step)
+    items = msgspec.msgpack.decode(piece.items)
+    if piece.kind == "value":
+        setattr(part, name, items)
+        return
+    target = getattr(part, name)
+    if piece.kind == "set":
+        target.update(items)
+        return
+    if piece.kind != "dict":
+        target.extend(items)
+        return
+    if piece.item == "JobRef":
+        target.update((job_id, jobs[job_id]) for job_id in items)
+        return
+    for key, value in items:
+        target[key] = _make(piece.item, value, name)
+    if piece.item == "JobEntry":
+        jobs.update(target)
+
+
+def _make(kind: str, value: Any, attribute: str) -> object:
+    if not kind:
+        return value
+    if kind in STRUCT_CLASSES:
+        return msgspec.convert(value, STRUCT_CLASSES[kind])
+    found: Any = SLOT_CLASSES[kind]
+    made = found.__new__(found)
+    for slot, content in zip(found.__slots__, value, strict=True):
+        inner = SLOT_KINDS.get((kind, slot), "")
+        if kind == "TableRow" and slot == "row":
+            inner = ROW_KINDS[attribute]
+        setattr(made, slot, _inner(inner, content))
+    return made
+
+
+def _inner(kind: str, content: Any) -> object:
+    if kind == "set":
+        return set(content)
+    if kind.startswith("list "):
+        name = kind.partition(" ")[2]
+        return [_make(name, item, "") for item in content]
+    return _make(kind, content, "")
--- /dev/null
+++ b/src/yuccapoint/process/snapshot_schedule.py
@@ -0,0 +1,104 @@
+"""Decides which entry writes a snapshot, and when."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import random
+
+    from yuccapoint.job.records import SnapshotChunk
+
+JITTER_S = 5.0
+OTHERS_SILENT_S = 30.0
+
+
+class SnapshotSchedule:
+    """Any entry may write; whose first chunk is first in the log does.
+
+    An entry waits a random while once a snapshot is due, and holds off
+    while chunks of another entry arrive. Of two that begin at once, the
+    second gives up and leaves a torn snapshot, which readers skip.
+
+    Parameters
+    ----------
+    every_records : int
+        Appends after which a snapshot is due.
+    every_s : float
+        Time after which a snapshot is due, in seconds.
+    rng : random.Random
+        Source of the random wait.
+    """
+
+    def __init__(
+        self, every_records: int, every_s: float, rng: random.Random
+    ) -> None:
+        self.newest_offset = 0
+        self._every_records = every_records
+        self._every_s = every_s
+        self._rng = rng
+        self._newest_at_s: float | None = None
+        self._chunk_at_s = -OTHERS_SILENT_S
+        self._begin_at_s: float | None = None
+        self._seen: dict[str, set[int]] = {}
+        self._owner = ""
+
+    def on_chunk(self, chunk: SnapshotChunk, now_s: float) -> None:
+        """Take note of a chunk that was read from the log."""
+        if now_s >= self._chunk_at_s + OTHERS_SILENT_S:
+            self._owner = ""
+        self._owner = self._owner or chunk.snapshot_id
+        self._chunk_at_s = now_s
+        seen = self._seen.setdefault(chunk.snapshot_id, set())
+        seen.add(chunk.index)
+        if len(seen) < chunk.total:
+            return
+        self._seen.clear()
+        self.on_whole(chunk.next_offset, now_s)
+
+    def owner(self, snapshot_id: str) -> bool | None:
+        """Tell whether a snapshot is to be written; None: not known yet."""
+        if not self._owner:
+            return None
+        return self._owner == snapshot_id
+
+    def on_whole(self, next_offset: int, now_s: float) -> None:
+        """Take note of a whole snapshot in the log."""
+        self.newest_offset = max(self.newest_offset, next_offset)
+        self._newest_at_s = now_s
+        self._chunk_at_s = now_s - OTHERS_SILENT_S
+        self._begin_at_s = None
+
+    def begins(self, next_offset: int, now_s: float) -> bool:
+        """Tell whether to write a snapshot now; True once a snapshot.
+
+        Parameters
+        ----------
+        next_offset : int
+            Where this entry stands in the log.
+        now_s : float
+            Monotonic time in seconds.
+        """
+        if self._newest_at_s is None:
+            self._newest_at_s = now_s
+        if not self._due(next_offset, now_s):
+            self._begin_at_s = None
+            return False
+        if now_s < self._chunk_at_s + OTHERS_SILENT_S:
+            return False
+        if self._begin_at_s is None:
+            self._begin_at_s = now_s + self._rng.uniform(0, JITTER_S)
+        if now_s < self._begin_at_s:
+            return False
+        self._begin_at_s = None
+        self._chunk_at_s = now_s
+        self._owner = ""
+        return True
+
+    def _due(self, next_offset: int, now_s: float) -> bool:
+        newest_at_s = self._newest_at_s or 0.0
+        if next_offset <= self.newest_offset:
+            return False
+        if next_offset >= self.newest_offset + self._every_records:
+            return True
+        return now_s >= newest_at_s + self._every_s
--- /dev/null
+++ b/src/yuccapoint/process/snapshot_writer.py
@@ -0,0 +1,106 @@
+"""Writes a snapshot while the process goes on serving."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from yuccapoint.exceptions import YuccapointError
+from yuccapoint.process.snapshot_chunks import pack
+from yuccapoint.process.snapshot_schedule import OTHERS_SILENT_S
+
+if TYPE_CHECKING:
+    from yuccapoint.connection.log_writer import LogWriter
+    from yuccapoint.process.cell_state import CellState
+    from yuccapoint.process.log_pump import LogPump
+    from yuccapoint.process.snapshot_schedule import SnapshotSchedule
+
+CHUNK_EVERY_S = 0.05
+MAX_WAITING_RECORDS = 100
+
+
+class SnapshotGivenUpError(YuccapointError):
+    """A snapshot was begun and is not finished."""
+
+
+class SnapshotWriter:
+    """Holds reads while it encodes, then appends chunk by chunk.
+
+    Requests and lease grants go on; only what the log says is applied
+    later. Chunks wait while other records queue for the log.
+
+    Parameters
+    ----------
+    name : str
+        Id of this entry with its incarnation.
+    cell : CellState
+        What is written.
+    pump : LogPump
+        Held while the state is encoded.
+    writer : LogWriter
+        Takes the chunks.
+    schedule : SnapshotSchedule
+        Tells whether another entry was first.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        cell: CellState,
+        pump: LogPump,
+        writer: LogWriter,
+        schedule: SnapshotSchedule,
+    ) -> None:
+        self.active = False
+        self.written = 0
+        self.held_s = 0.0
+        self.size_bytes = 0
+        self._name = name
+        self._cell = cell
+        self._pump = pump
+        self._writer = writer
+        self._schedule = schedule
+
+    async def write(self) -> str:
+        """Write one snapshot; empty, or why it could not be written."""
+        self.active = True
+        try:
+            await self._write()
+        except YuccapointError as error:
+            return str(error)
+        finally:
+            self.active = False
+        return ""
+
+    async def _write(self) -> None:
+        self._pump.hold()
+        started_s = time.monotonic()
+        next_offset = self._cell.next_offset
+        encoded = []
+        try:
+            for piece in self._cell.slices():
+                encoded.append(piece)
+                await asyncio.sleep(0)
+        finally:
+            self._pump.release()
+            self.held_s = time.monotonic() - started_s
+        self.size_bytes = sum(len(piece) for piece in encoded)
+        snapshot_id = f"{self._name}#{next_offset}"
+        for chunk in pack(snapshot_id, next_offset, encoded):
+            while self._writer.waiting > MAX_WAITING_RECORDS:
+                await asyncio.sleep(CHUNK_EVERY_S)
+            self._writer.add(chunk, time.monotonic())
+            await asyncio.sleep(CHUNK_EVERY_S)
+            if chunk.index == 0 and not await self._is_first(snapshot_id):
+                raise SnapshotGivenUpError("another entry was first")
+        self.written += 1
+
+    async def _is_first(self, snapshot_id: str) -> bool:
+        deadline_s = time.monotonic() + OTHERS_SILENT_S
+        while time.monotonic() < deadline_s:
+            first = self._schedule.owner(snapshot_id)
+            if first is not None:
+                return first
+            await asyncio.sleep(CHUNK_EVERY_S)
+        raise SnapshotGivenUpError("the log does not answer")
--- a/src/yuccapoint/version/tables.py
+++ b/src/yuccapoint/version/tables.py
@@ -45,6 +45,8 @@
         Decisions by edit id, the newest ones.
     """
 
+    derived_state = frozenset({"current"})
+
     def __init__(self) -> None:
         self.version = 0
         self.routes: dict[str, TableRow[Route]] = {}
@@ -83,6 +85,26 @@
             del self.outcomes[next(iter(self.outcomes))]
         return refusal
 
+    def rebuild(self) -> None:
+        """Compile the rows, unless a newer version is in force."""
+        if self.version <= self.current.version:
+            return
+        self.current = CompiledVersion(
+            self.version,
+            [row.row for row in self.routes.values()],
+            [row.row for row in self.pools.values()],
+        )
+
+    def borrow(self, newer: CompiledVersion) -> bool:
+        """Put another member's tables in force, if they are newer.
+
+        The rows that edits are checked against stay those of the log.
+        """
+        if newer.version <= self.current.version:
+            return False
+        self.current = newer
+        return True
+
     def check(self, record: RouteEdited | PoolEdited) -> str:
         """Say why an edit would be refused now; empty if it would not."""
         if isinstance(record, RouteEdited):
@@ -110,11 +132,7 @@
             _store(self.routes, record.name, record.row, record, offset)
         else:
             _store(self.pools, record.name, record.row, record, offset)
-        self.current = CompiledVersion(
-            self.version,
-            [row.row for row in self.routes.values()],
-            [row.row for row in self.pools.values()],
-        )
+        self.rebuild()
         return ""
 
 
