Send members only what they lack, and tell slow from dead

Cause: each entry sent all rows of the pool to each agent that lagged; a late hello of an entry's former start displaced the new one; a process that had been paused took all others for dead; an entry that started with the log down had no tables; entries were found by seeds and hellos only.

Updates now hold the rows changed since the version that the member reports, with removed names and a digest of what it must then hold; a digest that doesn't fit asks for all rows. The leader sends them, another entry after the member lagged 2 s. The failure detector is decision logic of its own. Renewals in the log carry the entry's address. One entry lends its tables to one that lags; versions in force never go down. Ruled out: a vector of versions per row (the log gives one order).

--- a/src/yuccapoint/connection/entry_directory.py
+++ b/src/yuccapoint/connection/entry_directory.py
@@ -6,11 +6,14 @@
 
 import xxhash
 
+from yuccapoint.connection.failure_detector import FailureDetector
+from yuccapoint.connection.failure_detector import MemberState
+
 if TYPE_CHECKING:
     from yuccapoint.connection.messages import EntryHello
 
-ENTRY_SILENT_S = 3.0
 FORGET_AFTER_S = 60.0
+LIVE_STATES = (MemberState.ALIVE, MemberState.SLOW)
 
 
 class KnownEntry:
@@ -33,16 +36,32 @@
     """
 
     def __init__(self, seeds: list[str]) -> None:
+        self.detector = FailureDetector()
         self._seeds = seeds
         self._known: dict[str, KnownEntry] = {}
         self._learned: dict[str, float] = {}
 
+    def tick(self, now_s: float) -> float:
+        """Take note that this process runs; gives its pause in seconds."""
+        return self.detector.tick(now_s)
+
+    def learn(self, address: str, now_s: float) -> None:
+        """Take over a control address from elsewhere, such as the log."""
+        if address:
+            self._learned[address] = now_s
+
     def on_hello(self, hello: EntryHello, now_s: float) -> None:
-        """Take over an entry's hello."""
-        for name, known in list(self._known.items()):
-            same = known.hello.control_address == hello.control_address
-            if same and name != hello.entry:
-                del self._known[name]
+        """Take over an entry's hello, unless an older start sent it."""
+        name, incarnation = split_entry(hello.entry)
+        if not self.detector.heard(name, incarnation, now_s):
+            return
+        for other, known in list(self._known.items()):
+            if other == hello.entry:
+                continue
+            same_name = split_entry(other)[0] == name
+            address = known.hello.control_address
+            if same_name or address == hello.control_address:
+                del self._known[other]
         self._known[hello.entry] = KnownEntry(hello, now_s)
         for address in hello.known_addresses:
             self._learned[address] = now_s
@@ -52,8 +71,7 @@
         return [
             known.hello
             for known in self._known.values()
-            if now_s - known.heard_at_s < ENTRY_SILENT_S
-            and not known.hello.stopping
+            if self._lives(known, now_s) and not known.hello.stopping
         ]
 
     def addresses(self, now_s: float) -> list[str]:
@@ -76,3 +94,13 @@
             key=lambda name: xxhash.xxh64_intdigest(f"{vm}|{name}".encode()),
             reverse=True,
         )
+
+    def _lives(self, known: KnownEntry, now_s: float) -> bool:
+        name = split_entry(known.hello.entry)[0]
+        return self.detector.state(name, now_s) in LIVE_STATES
+
+
+def split_entry(entry: str) -> tuple[str, int]:
+    """Split an entry's id into its name and its incarnation."""
+    name, _, incarnation = entry.partition("@")
+    return name, int(incarnation) if incarnation.isdigit() else 0
--- a/src/yuccapoint/connection/messages.py
+++ b/src/yuccapoint/connection/messages.py
@@ -109,11 +109,19 @@
 
 
 class TablesUpdate(msgspec.Struct, frozen=True, tag="tu", kw_only=True):
-    """The rows that concern an agent, at a version."""
+    """The rows that concern a member, at a version.
+
+    With a ``base``, only what changed since that version; else all rows.
+    ``digest`` is that of all rows after the update, 0 if not given.
+    """
 
     version: int
     routes: list[Route]
     pools: list[Pool]
+    base: int = 0
+    removed_routes: list[str] = []
+    removed_pools: list[str] = []
+    digest: int = 0
 
 
 class EntryHello(msgspec.Struct, frozen=True, tag="eh", kw_only=True):
--- a/src/yuccapoint/job/records.py
+++ b/src/yuccapoint/job/records.py
@@ -10,9 +10,13 @@
 
 
 class EntryRenewed(msgspec.Struct, frozen=True, tag="er"):
-    """An entry is alive: its long lease counts from this record's stamp."""
+    """An entry is alive: its long lease counts from this record's stamp.
+
+    ``control_address`` lets others find the entry.
+    """
 
     entry: str
+    control_address: str = ""
 
 
 class EntryLapsed(msgspec.Struct, frozen=True, tag="el"):
--- a/src/yuccapoint/process/agent_process.py
+++ b/src/yuccapoint/process/agent_process.py
@@ -31,7 +31,7 @@
 from yuccapoint.process.request_server import RequestServer
 from yuccapoint.process.worker_driver import WorkerDriver
 from yuccapoint.request.key_memory import KeyMemory
-from yuccapoint.version.compiled_version import CompiledVersion
+from yuccapoint.version.held_tables import HeldTables
 
 if TYPE_CHECKING:
     from yuccapoint.connection.messages import ControlMessage
@@ -42,6 +42,7 @@
     from yuccapoint.process.endpoint_registry import LocalEndpoint
     from yuccapoint.process.served_request import ServedRequest
     from yuccapoint.process.settings.sections import AgentSettings
+    from yuccapoint.version.compiled_version import CompiledVersion
 
 TICK_MS = 50
 
@@ -64,7 +65,7 @@
         self.max_body_bytes = settings.limits.max_body_bytes
         self.stopping = False
         self.alive = True
-        self.tables = CompiledVersion(0, [], [])
+        self.held = HeldTables()
         self.endpoints = EndpointRegistry(
             settings.limits.slots, settings.limits.connections
         )
@@ -88,6 +89,11 @@
         self._announce = HTTPServer(announce_application(self))
         self._ticker = PeriodicCallback(self._tick, TICK_MS)
 
+    @property
+    def tables(self) -> CompiledVersion:
+        """The tables in force."""
+        return self.held.current
+
     def start(self) -> None:
         """Listen and follow the worker."""
         listen = self.settings.listen
@@ -202,13 +208,14 @@
             free=keeper.ledger.free,
             ready=keeper.knows_worker,
             stopping=self.stopping,
-            tables_version=self.tables.version,
+            tables_version=self.held.reported_version,
             endpoints=self.endpoints.reports(now_s, stopping=self.stopping),
             tasks=[task.report for task in keeper.tasks.values()],
         )
 
     def _tick(self) -> None:
         now_s = time.monotonic()
+        self.directory.tick(now_s)
         for endpoint in self.endpoints.all():
             self.start_waiting(endpoint)
         if now_s >= self._report_at_s:
@@ -242,13 +249,9 @@
             self.drain()
 
     def _install(self, update: TablesUpdate) -> None:
-        if update.version <= self.tables.version:
-            return
-        self.tables = CompiledVersion(
-            update.version, update.routes, update.pools
-        )
-        self.logs.say("tables", f"version {update.version} is in force")
-        self.report()
+        if self.held.take(update):
+            self.logs.say("tables", f"version {update.version} is in force")
+            self.report()
 
     def _on_inventory(self, inventory: Inventory) -> None:
         self.keeper.ledger.capacity = inventory.capacity
--- a/src/yuccapoint/process/entry_process.py
+++ b/src/yuccapoint/process/entry_process.py
@@ -43,10 +43,15 @@
 from yuccapoint.request.exceptions import RequestError
 from yuccapoint.request.router import Router
 from yuccapoint.request.verdict import Verdict
+from yuccapoint.version.compiled_version import CompiledVersion
+from yuccapoint.version.table_feed import EVERY_POOL
+from yuccapoint.version.table_feed import TableFeed
+from yuccapoint.version.table_lender import TableLender
 
 if TYPE_CHECKING:
     from yuccapoint.connection.messages import ControlMessage
     from yuccapoint.job.actions import Action
+    from yuccapoint.job.records import Record
     from yuccapoint.process.cell_state import Applied
     from yuccapoint.process.settings.sections import EntrySettings
     from yuccapoint.request.service_request import ServiceRequest
@@ -89,6 +94,8 @@
             self.entry_id, self.cell.board, self.cell.tables.pool, self.rng
         )
         self.directory = EntryDirectory(settings.entries.seeds)
+        self.feed = TableFeed(self.cell.tables)
+        self.lender = TableLender(self.entry_id)
         self.agent_versions: dict[str, int] = {}
         self.forwarder = RequestForwarder(
             self.name,
@@ -141,7 +148,8 @@
     @property
     def ready(self) -> bool:
         """Whether the balancer may send requests here."""
-        return self.pump.caught_up and not self.stopping
+        able = self.pump.caught_up or self.cell.tables.current.version > 0
+        return able and not self.stopping
 
     def start(self) -> None:
         """Listen, read the log and begin to decide."""
@@ -246,7 +254,9 @@
         """Carry out what decision logic asked for."""
         for action in actions:
             if isinstance(action, Append):
-                self.writer.add(action.record, time.monotonic())
+                self.writer.add(
+                    self._addressed(action.record), time.monotonic()
+                )
                 continue
             if isinstance(action, Send):
                 self.mailbox.send(action.address, action.message)
@@ -255,6 +265,12 @@
                 self.decisions.note(action)
                 self.logs.say(action.part, action.text, **action.fields)
 
+    def _addressed(self, record: Record) -> Record:
+        if isinstance(record, EntryRenewed):
+            address = self.settings.listen.control_address
+            return EntryRenewed(record.entry, address)
+        return record
+
     async def _leave(self) -> None:
         record = EntryLeft(self.entry_id)
         try:
@@ -265,9 +281,12 @@
             self.logs.say("entry", f"left without a record: {error}")
 
     def _tick(self) -> None:
+        now_s = time.monotonic()
+        paused_s = self.directory.tick(now_s)
+        if paused_s:
+            self.logs.say("entry", f"was not run for {paused_s:.1f} s")
         if not self.pump.caught_up or self.stopping:
             return
-        now_s = time.monotonic()
         self.act(self.leader.tick(now_s, time.time_ns() // 1_000_000))
         if self.snapshots.active or self.log_fault:
             return
@@ -315,7 +334,7 @@
             region=self.settings.process.region,
             control_address=self.settings.listen.control_address,
             operator_address=self.settings.listen.operator_address,
-            tables_version=self.cell.tables.version,
+            tables_version=self.cell.tables.current.version,
             log_offset=self.cell.next_offset,
             stopping=self.stopping,
             known_addresses=[
@@ -327,37 +346,48 @@
         now_s = time.monotonic()
         if isinstance(message, EntryHello):
             self.directory.on_hello(message, now_s)
+            self._lend(message, now_s)
+            return
+        if isinstance(message, TablesUpdate):
+            self._borrow(message)
             return
         if isinstance(message, AgentReport):
             self._on_report(message, now_s)
 
+    def _lend(self, hello: EntryHello, now_s: float) -> None:
+        version = self.cell.tables.current.version
+        alive = self.directory.alive(now_s)
+        if not self.lender.lends(hello, version, alive, now_s):
+            return
+        update = self.feed.update_for(EVERY_POOL, 0)
+        if update is not None:
+            self.mailbox.send(hello.control_address, update)
+
+    def _borrow(self, update: TablesUpdate) -> None:
+        if update.base:
+            return
+        newer = CompiledVersion(update.version, update.routes, update.pools)
+        if self.cell.tables.borrow(newer):
+            text = f"version {update.version} was taken from another entry"
+            self.logs.say("tables", text)
+
     def _on_report(self, report: AgentReport, now_s: float) -> None:
         self.router.on_report(report, now_s)
         self.agent_versions[report.vm] = report.tables_version
         self.mailbox.send(report.control_address, self._hello(now_s))
         if self.pump.caught_up and not self.stopping:
             self.act(self.leader.on_report(report, now_s))
-        tables = self.cell.tables
-        if report.tables_version < tables.version:
-            update = TablesUpdate(
-                version=tables.version,
-                routes=[
-                    route
-                    for route in tables.current.routes.values()
-                    if route.pool == report.pool
-                ],
-                pools=[
-                    pool
-                    for pool in tables.current.pools.values()
-                    if pool.name == report.pool
-                ],
-            )
-            self.mailbox.send(report.control_address, update)
+        leads = report.leader in ("", self.entry_id)
+        held = report.tables_version
+        if self.feed.is_mine(report.vm, held, now_s, leads=leads):
+            update = self.feed.update_for(report.pool, held)
+            if update is not None:
+                self.mailbox.send(report.control_address, update)
 
     def _on_applied(self, applied: list[Applied]) -> None:
         now_s = time.monotonic()
         for outcome in applied:
-            self._note_renewal(outcome)
+            self._note_renewal(outcome, now_s)
             if isinstance(outcome.record, SnapshotChunk):
                 self.schedule.on_chunk(outcome.record, now_s)
             if self.pump.caught_up:
@@ -367,7 +397,9 @@
                 self.act(actions)
         self.commits.on_applied(applied)
 
-    def _note_renewal(self, outcome: Applied) -> None:
+    def _note_renewal(self, outcome: Applied, now_s: float) -> None:
+        if isinstance(outcome.record, EntryRenewed):
+            self.directory.learn(outcome.record.control_address, now_s)
         if outcome.writer != self.entry_id or outcome.refusal:
             return
         if isinstance(outcome.record, EntryRenewed):
--- /dev/null
+++ b/src/yuccapoint/version/held_tables.py
@@ -0,0 +1,61 @@
+"""The rows that a member holds, kept up by updates."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from yuccapoint.version.compiled_version import CompiledVersion
+from yuccapoint.version.table_feed import rows_digest
+
+if TYPE_CHECKING:
+    from yuccapoint.connection.messages import TablesUpdate
+
+
+class HeldTables:
+    """Applies updates; never goes back, and asks for all after a loss.
+
+    Attributes
+    ----------
+    current : CompiledVersion
+        What is in force.
+    repairs : int
+        Updates whose digest did not fit, after which all rows were asked.
+    """
+
+    def __init__(self) -> None:
+        self.current = CompiledVersion(0, [], [])
+        self.repairs = 0
+        self._damaged = False
+
+    @property
+    def reported_version(self) -> int:
+        """Version to report; 0 asks for all rows."""
+        return 0 if self._damaged else self.current.version
+
+    def take(self, update: TablesUpdate) -> bool:
+        """Put an update in force; False if it is not newer or not usable."""
+        held = self.current.version
+        if update.version < held or (
+            update.version == held and not self._damaged
+        ):
+            return False
+        if update.base and (self._damaged or update.base != held):
+            return False
+        routes = dict(self.current.routes) if update.base else {}
+        pools = dict(self.current.pools) if update.base else {}
+        for name in update.removed_routes:
+            routes.pop(name, None)
+        for name in update.removed_pools:
+            pools.pop(name, None)
+        routes.update((row.name, row) for row in update.routes)
+        pools.update((row.name, row) for row in update.pools)
+        digest = rows_digest(routes.values(), pools.values())
+        if update.digest and digest != update.digest:
+            self.repairs += 1
+            self._damaged = True
+            return False
+        self._damaged = False
+        self.current = CompiledVersion(
+            update.version, list(routes.values()), list(pools.values())
+        )
+        return True
--- /dev/null
+++ b/src/yuccapoint/version/table_feed.py
@@ -0,0 +1,137 @@
+"""What of the tables a member lacks."""
+
+from __future__ import annotations
+
+import bisect
+from typing import TYPE_CHECKING
+
+import msgspec
+import xxhash
+
+from yuccapoint.connection.messages import TablesUpdate
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from yuccapoint.version.pool import Pool
+    from yuccapoint.version.route import Route
+    from yuccapoint.version.tables import Tables
+
+EVERY_POOL = ""
+LEADER_LAGS_S = 2.0
+
+
+def rows_digest(routes: Iterable[Route], pools: Iterable[Pool]) -> int:
+    """Digest rows, whatever their order."""
+    total = 0
+    for row in (*routes, *pools):
+        data = msgspec.msgpack.encode(row)
+        total ^= xxhash.xxh64_intdigest(type(row).__name__.encode() + data)
+    return total
+
+
+class TableFeed:
+    """Makes the updates of members: changed rows, or all of them.
+
+    Parameters
+    ----------
+    tables : Tables
+        The tables as the log gives them.
+    """
+
+    def __init__(self, tables: Tables) -> None:
+        self._tables = tables
+        self._updates: dict[tuple[str, int], TablesUpdate] = {}
+        self._made_at_version = 0
+        self._lagging: dict[str, tuple[int, float]] = {}
+
+    def is_mine(
+        self, member: str, held: int, now_s: float, *, leads: bool
+    ) -> bool:
+        """Tell whether this entry sends a member what it lacks.
+
+        The member's leader does. Another one steps in when the member
+        stays at a version, as its leader may be cut off from the log.
+
+        Parameters
+        ----------
+        member : str
+            The member's name.
+        held : int
+            Version that the member reports.
+        now_s : float
+            Monotonic time in seconds.
+        leads : bool
+            Whether this entry leads the member, or nobody does.
+        """
+        if held >= self._tables.current.version:
+            self._lagging.pop(member, None)
+            return False
+        if leads:
+            return True
+        version, since_s = self._lagging.get(member, (-1, 0.0))
+        if version != held:
+            self._lagging[member] = (held, now_s)
+            return False
+        return now_s >= since_s + LEADER_LAGS_S
+
+    def update_for(self, pool: str, held: int) -> TablesUpdate | None:
+        """Make the update of a member of a pool.
+
+        Members that hold the same version share one update. A version of
+        0, or one older than the changes that are kept, gets all rows.
+
+        Parameters
+        ----------
+        pool : str
+            The member's pool; ``EVERY_POOL`` for an entry.
+        held : int
+            Version that the member holds.
+        """
+        if held >= self._tables.current.version:
+            return None
+        if self._made_at_version != self._tables.current.version:
+            self._updates.clear()
+            self._made_at_version = self._tables.current.version
+        update = self._updates.get((pool, held))
+        if update is None:
+            update = self._make(pool, held)
+            self._updates[(pool, held)] = update
+        return update
+
+    def _make(self, pool: str, held: int) -> TablesUpdate:
+        current = self._tables.current
+        routes = {
+            name: row
+            for name, row in current.routes.items()
+            if pool in (EVERY_POOL, row.pool)
+        }
+        pools = {
+            name: row
+            for name, row in current.pools.items()
+            if pool in (EVERY_POOL, name)
+        }
+        digest = rows_digest(routes.values(), pools.values())
+        if not self._tables.changes_since(held):
+            return TablesUpdate(
+                version=current.version,
+                routes=list(routes.values()),
+                pools=list(pools.values()),
+                digest=digest,
+            )
+        changed: dict[str, dict[str, None]] = {"routes": {}, "pools": {}}
+        newer = bisect.bisect_right(
+            self._tables.changes, held, key=lambda change: change.version
+        )
+        for change in self._tables.changes[newer:]:
+            if pool == EVERY_POOL or pool in change.pools:
+                changed[change.table][change.name] = None
+        return TablesUpdate(
+            version=current.version,
+            routes=[routes[n] for n in changed["routes"] if n in routes],
+            pools=[pools[n] for n in changed["pools"] if n in pools],
+            base=held,
+            removed_routes=[n for n in changed["routes"] if n not in routes],
+            removed_pools=[n for n in changed["pools"] if n not in pools],
+            digest=digest,
+        )
--- a/src/yuccapoint/version/tables.py
+++ b/src/yuccapoint/version/tables.py
@@ -10,6 +10,7 @@
 from yuccapoint.version.checks import check_pool
 from yuccapoint.version.checks import check_route
 from yuccapoint.version.compiled_version import CompiledVersion
+from yuccapoint.version.table_change import TableChange
 from yuccapoint.version.table_row import TableRow
 
 if TYPE_CHECKING:
@@ -19,6 +20,7 @@
 RowT = TypeVar("RowT")
 
 MAX_OUTCOMES = 10_000
+MAX_CHANGES = 2_000
 
 
 class EditOutcome:
@@ -45,7 +47,7 @@
         Decisions by edit id, the newest ones.
     """
 
-    derived_state = frozenset({"current"})
+    derived_state = frozenset({"current", "changes"})
 
     def __init__(self) -> None:
         self.version = 0
@@ -53,6 +55,7 @@
         self.pools: dict[str, TableRow[Pool]] = {}
         self.outcomes: dict[str, EditOutcome] = {}
         self.current = CompiledVersion(0, [], [])
+        self.changes: list[TableChange] = []
 
     def pool(self, name: str) -> Pool | None:
         """Find a pool by name."""
@@ -85,8 +88,16 @@
             del self.outcomes[next(iter(self.outcomes))]
         return refusal
 
+    def changes_since(self, version: int) -> bool:
+        """Tell whether all changes after a version are kept."""
+        if not version or self.current.version != self.version:
+            return False
+        return bool(self.changes) and self.changes[0].version <= version
+
     def rebuild(self) -> None:
         """Compile the rows, unless a newer version is in force."""
+        if not self.changes or self.changes[-1].version != self.version:
+            self.changes.clear()
         if self.version <= self.current.version:
             return
         self.current = CompiledVersion(
@@ -129,12 +140,24 @@
             return refusal
         self.version = offset + 1
         if isinstance(record, RouteEdited):
+            self._keep_change("routes", record.name, self._pools_of(record))
             _store(self.routes, record.name, record.row, record, offset)
         else:
+            self._keep_change("pools", record.name, [record.name])
             _store(self.pools, record.name, record.row, record, offset)
         self.rebuild()
         return ""
 
+    def _pools_of(self, record: RouteEdited) -> list[str]:
+        known = self.routes.get(record.name)
+        rows = [known.row if known else None, record.row]
+        return [row.pool for row in rows if row is not None]
+
+    def _keep_change(self, table: str, name: str, pools: list[str]) -> None:
+        self.changes.append(TableChange(self.version, table, name, pools))
+        if len(self.changes) > 2 * MAX_CHANGES:
+            del self.changes[:MAX_CHANGES]
+
 
 def _stale(row: TableRow[Route] | TableRow[Pool] | None, expected: int) -> str:
     actual = 0 if row is None else row.version
