Tell operators the fate of each edit; catch typer's own click errors

Cause: a wrong option or a missing argument ended in a traceback, because typer carries its own click and click.ClickException did not match; the loser of a race was not shown the row; an edit whose answer was lost could not be asked for.

The loser is told who won and what the row now is. `route fate` and `pool fate` and GET /v1/edits/ID tell accepted, refused, not accepted or unknown as of a log offset; an edit sent again with its id is answered from its outcome. Warnings name a pool without VMs, quotas above the pool, a reserve above each VM, two routes of one prefix; a hedge after the timeout is refused. Scenarios run the commands beside a deployment.

--- a/src/yuccapoint/connection/log_writer.py
+++ b/src/yuccapoint/connection/log_writer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import itertools
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -105,6 +106,14 @@
         self._sent_at_s.pop(sequence, None)
         return self._formed.pop(sequence, [])
 
+    def holds_edit(self, edit_id: str) -> bool:
+        """Tell whether an edit waits here or its append is not read yet."""
+        formed = (r for some in self._formed.values() for r in some)
+        return any(
+            getattr(record, "edit_id", "") == edit_id
+            for record in itertools.chain(self._queue, formed)
+        )
+
     def take_formed_up_to(self, sequence: int) -> list[Record]:
         """Give the records of all batches up to one, once."""
         found: list[Record] = []
--- a/src/yuccapoint/console/application.py
+++ b/src/yuccapoint/console/application.py
@@ -4,7 +4,6 @@
 
 import sys
 
-import click
 import typer
 
 from yuccapoint.console import exit_codes
@@ -26,6 +25,10 @@
 from yuccapoint.exceptions import YuccapointError
 from yuccapoint.request.verdict import Verdict
 
+# Typer carries a click of its own, so that click's classes don't match.
+USAGE_ERROR: type[typer.BadParameter] = typer.BadParameter.__bases__[0]
+NO_ARGUMENTS = "NoArgsIsHelpError"
+
 application = typer.Typer(
     name="yuccapoint",
     help="Colocates latency-critical services and batch work on shared VMs.",
@@ -57,12 +60,12 @@
     """Run the program; each error is one sentence and an exit code."""
     try:
         code = application(standalone_mode=False)
-    except click.exceptions.NoArgsIsHelpError as error:
-        print(error.format_message())
-        sys.exit(exit_codes.USAGE)
-    except click.ClickException as error:
+    except USAGE_ERROR as error:
+        if type(error).__name__ == NO_ARGUMENTS:
+            print(error.format_message())
+            sys.exit(exit_codes.USAGE)
         _fail(error.format_message(), exit_codes.USAGE)
-    except click.exceptions.Abort:
+    except typer.Abort:
         _fail("aborted", exit_codes.REFUSED)
     except UnreachableError as error:
         _fail(str(error), exit_codes.UNREACHABLE)
--- a/src/yuccapoint/console/commands/bench.py
+++ b/src/yuccapoint/console/commands/bench.py
@@ -12,6 +12,8 @@
 from yuccapoint.console import exit_codes
 from yuccapoint.console.exceptions import CommandError
 
+DEPLOYMENTS = ("caribfert", "cyfiawn")
+
 
 def register(application: typer.Typer) -> None:
     """Add the command."""
@@ -35,6 +37,9 @@
     if measure is None:
         known = ", ".join(sorted(BENCHES))
         raise CommandError(f"there is no bench {name}; known: {known}")
+    if deployment not in DEPLOYMENTS:
+        known = ", ".join(DEPLOYMENTS)
+        raise CommandError(f"there is no deployment {deployment}; {known}")
     line = msgspec.json.encode(measure(deployment, seed)).decode()
     if out:
         pathlib.Path(out).write_text(line + "\n", "utf-8")
--- a/src/yuccapoint/console/commands/pool.py
+++ b/src/yuccapoint/console/commands/pool.py
@@ -10,6 +10,7 @@
 from yuccapoint.console import table_commands
 from yuccapoint.console.entry_client import EntryClient
 from yuccapoint.console.options import DEFAULT_ENTRY
+from yuccapoint.console.options import EditId
 from yuccapoint.console.options import Entry
 from yuccapoint.console.options import Token
 from yuccapoint.process.operator_messages import EditBody
@@ -56,6 +57,7 @@
     ],
     against: Against = -1,
     wait: Wait = False,
+    edit_id: EditId = "",
     entry: Entry = DEFAULT_ENTRY,
     token: Token = "",
 ) -> None:
@@ -68,7 +70,7 @@
     )
     version = known.version if known else 0
     body = EditBody(
-        table_commands.new_edit_id(),
+        edit_id or table_commands.new_edit_id(),
         version if against < 0 else against,
         pool=row,
     )
@@ -80,6 +82,7 @@
     name: Name,
     against: Against = -1,
     wait: Wait = False,
+    edit_id: EditId = "",
     entry: Entry = DEFAULT_ENTRY,
     token: Token = "",
 ) -> None:
@@ -89,6 +92,17 @@
     known = next((view for view in rows if view.row.name == name), None)
     version = known.version if known else 0
     body = EditBody(
-        table_commands.new_edit_id(), version if against < 0 else against
+        edit_id or table_commands.new_edit_id(),
+        version if against < 0 else against,
     )
     table_commands.send_edit(client, TABLE, name, body, wait=wait)
+
+
+@application.command("fate", epilog=exit_codes.HELP)
+def fate(
+    edit_id: Annotated[str, typer.Argument(help="Id of the edit.")],
+    entry: Entry = DEFAULT_ENTRY,
+    token: Token = "",
+) -> None:
+    """Tell what became of an edit whose answer was lost."""
+    table_commands.show_fate(EntryClient(entry, token), edit_id)
--- a/src/yuccapoint/console/entry_client.py
+++ b/src/yuccapoint/console/entry_client.py
@@ -111,11 +111,19 @@
         return UnreachableError(f"no entry answers at {self._url}: {error}")
 
 
+def _loser_text(answer: EditAnswer) -> str:
+    found = answer.route or answer.pool
+    if found is None:
+        return answer.refusal
+    row = msgspec.json.encode(found.row).decode()
+    return f"{answer.refusal}; the row is now {row}"
+
+
 def _refusal(code: int, body: bytes) -> CommandError:
     if code == STATUS_CONFLICT:
         try:
             answer = msgspec.json.decode(body, type=EditAnswer)
-            return RefusedError(answer.refusal)
+            return RefusedError(_loser_text(answer))
         except msgspec.DecodeError:
             pass
     try:
--- a/src/yuccapoint/console/options.py
+++ b/src/yuccapoint/console/options.py
@@ -23,4 +23,11 @@
     ),
 ]
 Json = Annotated[bool, typer.Option("--json", help="Print JSON, a line each.")]
+EditId = Annotated[
+    str,
+    typer.Option(
+        "--edit-id",
+        help="Id of the edit; asking again with the same one is safe.",
+    ),
+]
 DEFAULT_ENTRY = "127.0.0.1:7001"
--- a/src/yuccapoint/console/table_commands.py
+++ b/src/yuccapoint/console/table_commands.py
@@ -5,18 +5,22 @@
 import time
 from typing import TYPE_CHECKING
 from typing import TypeVar
+import urllib.parse
 import uuid
 
 import msgspec
 import typer
 
 from yuccapoint.console.exceptions import CommandError
+from yuccapoint.exceptions import YuccapointError
 from yuccapoint.process.operator_messages import EditAnswer
 from yuccapoint.process.operator_messages import EditBody
+from yuccapoint.process.operator_messages import EditFate
 from yuccapoint.process.operator_messages import PoolView
 from yuccapoint.process.operator_messages import RouteView
 from yuccapoint.process.operator_messages import Status
 from yuccapoint.process.operator_messages import TablesView
+from yuccapoint.request.verdict import Verdict
 
 if TYPE_CHECKING:
     from yuccapoint.console.entry_client import EntryClient
@@ -72,12 +76,49 @@
     client: EntryClient, table: str, name: str, body: EditBody, *, wait: bool
 ) -> None:
     """Send an edit and report its version."""
-    answer = client.call("PUT", f"/v1/tables/{table}/{name}", EditAnswer, body)
+    path = f"/v1/tables/{table}/{name}"
+    try:
+        answer = client.call("PUT", path, EditAnswer, body)
+    except YuccapointError as error:
+        if error.verdict is Verdict.NOT_RUN:
+            raise
+        word = "route" if table == "routes" else "pool"
+        raise CommandError(
+            f"{error}; `yuccapoint {word} fate {body.edit_id}` tells it",
+            error.verdict,
+        ) from None
+    for warning in answer.warnings:
+        typer.echo(f"warning: {warning}", err=True)
     typer.echo(f"accepted as version {answer.version}")
     if wait:
         wait_in_force(client, answer.version)
 
 
+def show_fate(client: EntryClient, edit_id: str) -> None:
+    """Print what became of an edit.
+
+    Raises
+    ------
+    CommandError
+        The edit was refused or not accepted, or its fate is not known.
+    """
+    path = f"/v1/edits/{urllib.parse.quote(edit_id, safe='')}"
+    fate = client.call("GET", path, EditFate)
+    if fate.fate == "accepted":
+        typer.echo(f"accepted as version {fate.version}")
+        return
+    if fate.fate == "unknown":
+        raise CommandError(
+            "the fate is not known yet; ask again", Verdict.MAY_HAVE_RUN
+        )
+    if fate.fate == "refused":
+        raise CommandError(f"refused: {fate.refusal}")
+    raise CommandError(
+        f"not accepted: the log up to offset {fate.log_offset} has no such "
+        "edit"
+    )
+
+
 def wait_in_force(client: EntryClient, version: int) -> None:
     """Wait until all known members run a version.
 
--- /dev/null
+++ b/src/yuccapoint/process/edit_views.py
@@ -0,0 +1,103 @@
+"""What an operator is told of an edit: its fate, the row, warnings."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from yuccapoint.job.records import RouteEdited
+from yuccapoint.process.operator_messages import EditAnswer
+from yuccapoint.process.operator_messages import EditFate
+from yuccapoint.process.operator_messages import PoolView
+from yuccapoint.process.operator_messages import RouteView
+
+if TYPE_CHECKING:
+    from yuccapoint.job.records import PoolEdited
+    from yuccapoint.job.vm_view import VmView
+    from yuccapoint.process.entry_process import EntryProcess
+    from yuccapoint.version.pool import Pool
+    from yuccapoint.version.route import Route
+
+
+def edit_answer(
+    entry: EntryProcess, record: RouteEdited | PoolEdited, refusal: str
+) -> EditAnswer:
+    """Say how an edit was decided and what the row now is."""
+    tables = entry.cell.tables
+    outcome = tables.outcomes.get(record.edit_id)
+    version = tables.version if outcome is None else outcome.version
+    warnings = [] if refusal else warnings_of(entry, record)
+    if isinstance(record, RouteEdited):
+        found = tables.routes.get(record.name)
+        route = None
+        if found is not None:
+            route = RouteView(found.row, found.version, found.operator)
+        return EditAnswer(version, refusal, route, None, warnings)
+    pool = None
+    known = tables.pools.get(record.name)
+    if known is not None:
+        pool = PoolView(known.row, known.version, known.operator)
+    return EditAnswer(version, refusal, None, pool, warnings)
+
+
+def edit_fate(entry: EntryProcess, edit_id: str) -> EditFate:
+    """Say what became of an edit, as far as the log was read."""
+    offset = entry.cell.next_offset
+    outcome = entry.cell.tables.outcomes.get(edit_id)
+    if outcome is not None:
+        fate = "refused" if outcome.refusal else "accepted"
+        return EditFate(
+            edit_id, fate, outcome.version, outcome.refusal, offset
+        )
+    reached = entry.pump.caught_up and not entry.log_fault
+    if not reached or entry.writer.holds_edit(edit_id):
+        return EditFate(edit_id, "unknown", 0, "", offset)
+    return EditFate(edit_id, "not accepted", 0, "", offset)
+
+
+def warnings_of(
+    entry: EntryProcess, record: RouteEdited | PoolEdited
+) -> list[str]:
+    """Say what is odd about an edit that can be accepted."""
+    if record.row is None:
+        return []
+    views = list(entry.leader.views.values())
+    if isinstance(record, RouteEdited):
+        return _route_warnings(entry, record.row, views)
+    return _pool_warnings(record.row, views)
+
+
+def _route_warnings(
+    entry: EntryProcess, route: Route, views: list[VmView]
+) -> list[str]:
+    found = []
+    if not any(view.pool == route.pool for view in views):
+        found.append(f"no VM of pool {route.pool} is known here")
+    for other in entry.cell.tables.current.routes.values():
+        if other.name != route.name and other.prefix == route.prefix:
+            found.append(f"route {other.name} has the same prefix")
+    services = {view.service for view in entry.router.views.values()}
+    if route.service not in services:
+        found.append(f"no endpoint of service {route.service} is known here")
+    return found
+
+
+def _pool_warnings(pool: Pool, views: list[VmView]) -> list[str]:
+    own = [view for view in views if view.pool == pool.name]
+    if not own:
+        return [f"no VM of pool {pool.name} is known here"]
+    found = []
+    if pool.team_quota_millicores and not pool.batch:
+        found.append("the pool has quotas but takes no batch work")
+    largest = max(view.capacity.millicores for view in own)
+    if pool.reserved_millicores >= largest:
+        found.append(
+            f"reserved_millicores leaves no room on any VM; the largest "
+            f"has {largest} millicores"
+        )
+    total = sum(view.capacity.millicores for view in own)
+    for team, quota in sorted(pool.team_quota_millicores.items()):
+        if quota > total:
+            found.append(
+                f"the quota of {team} is above the pool's {total} millicores"
+            )
+    return found
--- a/src/yuccapoint/process/operator_api.py
+++ b/src/yuccapoint/process/operator_api.py
@@ -19,9 +19,10 @@
 from yuccapoint.job.records import PoolEdited
 from yuccapoint.job.records import RouteEdited
 from yuccapoint.process import operator_views as views
+from yuccapoint.process.edit_views import edit_answer
+from yuccapoint.process.edit_views import edit_fate
 from yuccapoint.process.operator_messages import DecisionView
 from yuccapoint.process.operator_messages import DrainAnswer
-from yuccapoint.process.operator_messages import EditAnswer
 from yuccapoint.process.operator_messages import EditBody
 from yuccapoint.process.operator_messages import Explanation
 from yuccapoint.process.operator_messages import Fault
@@ -110,19 +111,22 @@
         record = self._record(table, name, body)
         if record is None:
             return
-        refusal = self.entry.cell.tables.check(record)
-        if not refusal:
-            decided = await self.commit(record)
-            if decided is None:
-                return
-            refusal = decided
-        version = self.entry.cell.tables.version
-        outcome = self.entry.cell.tables.outcomes.get(body.edit_id)
-        if outcome is not None:
-            version = outcome.version
+        refusal = await self._decide(record)
+        if refusal is None:
+            return
         if refusal:
             self.set_status(STATUS_CONFLICT)
-        self.answer(EditAnswer(version, refusal))
+        self.answer(edit_answer(self.entry, record, refusal))
+
+    async def _decide(self, record: RouteEdited | PoolEdited) -> str | None:
+        tables = self.entry.cell.tables
+        known = tables.outcomes.get(record.edit_id)
+        if known is not None:
+            return known.refusal
+        refusal = tables.check(record)
+        if refusal:
+            return refusal
+        return await self.commit(record)
 
     def _record(
         self, table: str, name: str, body: EditBody
@@ -149,6 +153,14 @@
         )
 
 
+class EditHandler(OperatorHandler):
+    """The fate of an edit."""
+
+    def get(self, edit_id: str) -> None:
+        """Say what became of an edit."""
+        self.answer(edit_fate(self.entry, edit_id))
+
+
 class JobsHandler(OperatorHandler):
     """All jobs."""
 
@@ -287,6 +299,7 @@
             (r"/(metrics)", MetricsHandler, given),
             (r"/v1/tables", TablesHandler, given),
             (r"/v1/tables/(routes|pools)/([^/]+)", RowHandler, given),
+            (r"/v1/edits/([^/]+)", EditHandler, given),
             (r"/v1/jobs", JobsHandler, given),
             (r"/v1/jobs/([^/]+)", JobHandler, given),
             (r"/v1/status", StatusHandler, given),
--- a/src/yuccapoint/process/operator_messages.py
+++ b/src/yuccapoint/process/operator_messages.py
@@ -42,10 +42,30 @@
 
 
 class EditAnswer(msgspec.Struct, frozen=True):
-    """How an edit was decided; ``refusal`` empty when accepted."""
+    """How an edit was decided; ``refusal`` empty when accepted.
+
+    ``route`` or ``pool`` is the row as it is now.
+    """
 
     version: int
     refusal: str
+    route: RouteView | None = None
+    pool: PoolView | None = None
+    warnings: list[str] = []
+
+
+class EditFate(msgspec.Struct, frozen=True):
+    """What became of an edit, as of the log offset that was read.
+
+    ``fate`` is ``accepted``, ``refused``, ``not accepted`` (it never
+    reached the log) or ``unknown`` (ask again).
+    """
+
+    edit_id: str
+    fate: str
+    version: int
+    refusal: str
+    log_offset: int
 
 
 class JobStepView(msgspec.Struct, frozen=True):
--- a/src/yuccapoint/version/checks.py
+++ b/src/yuccapoint/version/checks.py
@@ -51,6 +51,8 @@
         return f"there is no endpoint choice policy {route.policy!r}"
     if route.hedge_after_s and not route.idempotent:
         return "only an idempotent route may be hedged"
+    if route.hedge_after_s >= route.timeout_s:
+        return "hedge_after_s must be below timeout_s"
     if route.hedge_after_s < 0 or route.customer_requests_per_s < 0:
         return "hedge_after_s and customer_requests_per_s can't be negative"
     return ""
--- /dev/null
+++ b/tests/features/console/commands.feature
@@ -0,0 +1,47 @@
+Feature: The command line says what happened, in a sentence and a code
+
+  Scenario: Each command's help says what it does and its exit codes
+    Then the help of each command names its exit codes
+
+  Scenario Outline: Bad input gives one sentence and no traceback
+    When the command line "<line>" is run
+    Then the command ends with <code> and one sentence with "<text>"
+
+    Examples:
+      | line                                     | code | text                |
+      | route list --entry 127.0.0.1:1           | 3    | no entry answers    |
+      | route list --entry nonsense              | 3    | no entry answers    |
+      | route set                                | 2    | Missing argument    |
+      | nothing                                  | 2    | No such command     |
+      | bench nothing                            | 1    | there is no bench   |
+      | check /nowhere.ini                       | 1    | nowhere.ini         |
+      | entry /nowhere.ini                       | 1    | nowhere.ini         |
+      | demo --deployment nowhere                | 2    | nowhere             |
+      | bench capacity --deployment nowhere      | 1    | nowhere             |
+
+  Scenario: Of two racing edits the loser is told who won and the row
+    Given the deployment caribfert with 1 VMs and 2 entries
+    When the command line sets timeout_s=2 and then 3 against the first row
+    Then the command ends with 1 and one sentence with "your edit was made against"
+    And the command's output has "the row is now"
+    And the command's output has "2.0"
+
+  Scenario: An edit during an outage was not accepted, and that is told
+    Given the deployment caribfert with 1 VMs and 1 entries
+    And operators wait 0.5 s for the log
+    When the log is down while the command line sets timeout_s=2
+    Then the command ends with 1 and one sentence with "the log does not answer"
+
+  Scenario: An edit whose fate is unknown is told later and not repeated
+    Given the deployment caribfert with 1 VMs and 1 entries
+    And operators wait 0.5 s for the log
+    When the log is not read while the command line sets timeout_s=2
+    Then the command ends with 4 and one sentence with "route fate"
+    And the fate of the edit is "accepted"
+    And the same edit sent again is answered with the same version
+
+  Scenario: An edit whose append's answers are lost is accepted once
+    Given the deployment caribfert with 1 VMs and 1 entries
+    When each answer of the log is lost while the command line sets timeout_s=2
+    Then the command ends with 0 and its output has "accepted as version"
+    And the row was changed by one append
--- /dev/null
+++ b/tests/features/steps/command_steps.py
@@ -0,0 +1,170 @@
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import io
+import shlex
+import sys
+from typing import TYPE_CHECKING
+
+from behave import given
+from behave import then
+from behave import when
+import typer
+
+from yuccapoint.console.application import application
+from yuccapoint.console.application import main
+from yuccapoint.process import operator_api
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+EDIT_ID = "edit-1"
+
+
+class Ran:
+    """What a command printed and its exit code."""
+
+    def __init__(self, arguments: list[str]) -> None:
+        out, err = io.StringIO(), io.StringIO()
+        kept = sys.argv
+        sys.argv = ["yuccapoint", *arguments]
+        self.code: object = 0
+        try:
+            with (
+                contextlib.redirect_stdout(out),
+                contextlib.redirect_stderr(err),
+            ):
+                main()
+        except SystemExit as ended:
+            self.code = ended.code
+        finally:
+            sys.argv = kept
+        self.out = out.getvalue()
+        self.err = err.getvalue()
+
+
+def run_beside(context: Context, *arguments: str) -> Ran:
+    """Run a command in a thread while the deployment's loop goes on."""
+    entry = context.deployment.entries[0]
+    address = entry.settings.listen.operator_address
+    full = [*arguments, "--entry", address]
+    waiting = context.loop.run_in_executor(None, Ran, full)
+    context.ran = context.loop.run_until_complete(waiting)
+    return context.ran
+
+
+def set_timeout(context: Context, value: str, *more: str) -> Ran:
+    tables = context.deployment.entries[0].cell.tables
+    context.route = next(iter(tables.routes))
+    arguments = ("route", "set", context.route, f"timeout_s={value}", *more)
+    return run_beside(context, *arguments)
+
+
+@then("the help of each command names its exit codes")
+def helps(context: Context) -> None:
+    del context
+    command = typer.main.get_command(application)
+    paths = []
+    for name, found in command.commands.items():
+        inner = getattr(found, "commands", None)
+        paths += [[name, sub] for sub in inner] if inner else [[name]]
+    assert len(paths) > 15
+    for path in paths:
+        ran = Ran([*path, "--help"])
+        assert ran.code == 0 and "Exit codes" in ran.out, (path, ran.out)
+        assert ran.err == "", (path, ran.err)
+
+
+@when('the command line "{line}" is run')
+def run_line(context: Context, line: str) -> None:
+    context.ran = Ran(shlex.split(line))
+
+
+@then('the command ends with {code:d} and one sentence with "{text}"')
+def ends(context: Context, code: int, text: str) -> None:
+    ran = context.ran
+    assert ran.code == code, (ran.code, ran.out, ran.err)
+    assert text in ran.err, ran.err
+    assert "Traceback" not in ran.err
+    assert len(ran.err.strip().splitlines()) == 1, ran.err
+
+
+@then('the command ends with {code:d} and its output has "{text}"')
+def ends_with_output(context: Context, code: int, text: str) -> None:
+    ran = context.ran
+    assert ran.code == code, (ran.code, ran.out, ran.err)
+    assert text in ran.out, ran.out
+
+
+@then('the command\'s output has "{text}"')
+def output_has(context: Context, text: str) -> None:
+    assert text in context.ran.out + context.ran.err
+
+
+@when("the command line sets timeout_s=2 and then 3 against the first row")
+def race(context: Context) -> None:
+    tables = context.deployment.entries[0].cell.tables
+    version = next(iter(tables.routes.values())).version
+    against = ("--against", str(version))
+    assert set_timeout(context, "2", *against).code == 0, context.ran.err
+    set_timeout(context, "3", *against)
+
+
+@given("operators wait {wait_s:f} s for the log")
+def short_wait(context: Context, wait_s: float) -> None:
+    kept = operator_api.COMMIT_TIMEOUT_S
+    operator_api.COMMIT_TIMEOUT_S = wait_s
+    context.cleanups.append(
+        lambda: setattr(operator_api, "COMMIT_TIMEOUT_S", kept)
+    )
+
+
+@when("the log is down while the command line sets timeout_s=2")
+def set_while_down(context: Context) -> None:
+    entry = context.deployment.entries[0]
+    context.deployment.log.faults.down = True
+    # An append is out already, so that the edit waits behind it.
+    entry.leader._renew_at_s = 0.0
+    context.loop.run_until_complete(asyncio.sleep(0.3))
+    set_timeout(context, "2", "--edit-id", EDIT_ID)
+
+
+@when("the log is not read while the command line sets timeout_s=2")
+def set_while_unread(context: Context) -> None:
+    pump = context.deployment.entries[0].pump
+    pump.hold()
+    set_timeout(context, "2", "--edit-id", EDIT_ID)
+    pump.release()
+    context.loop.run_until_complete(asyncio.sleep(0.3))
+
+
+@then('the fate of the edit is "{fate}"')
+def fate_is(context: Context, fate: str) -> None:
+    ran = run_beside(context, "route", "fate", EDIT_ID)
+    assert fate in ran.out + ran.err, (ran.out, ran.err)
+
+
+@then("the same edit sent again is answered with the same version")
+def sent_again(context: Context) -> None:
+    tables = context.deployment.entries[0].cell.tables
+    version = tables.routes[context.route].version
+    ran = set_timeout(context, "2", "--edit-id", EDIT_ID)
+    assert f"accepted as version {version}\n" in ran.out, ran.out
+    assert tables.routes[context.route].version == version
+
+
+@when("each answer of the log is lost while the command line sets timeout_s=2")
+def set_while_lost(context: Context) -> None:
+    faults = context.deployment.log.faults
+    faults.lost_answers = 1.0
+    set_timeout(context, "2", "--edit-id", EDIT_ID)
+    faults.lost_answers = 0.0
+
+
+@then("the row was changed by one append")
+def changed_once(context: Context) -> None:
+    tables = context.deployment.entries[0].cell.tables
+    row = tables.routes[context.route]
+    assert row.row.timeout_s == 2.0
+    assert tables.outcomes[EDIT_ID].version == row.version
