Stop entries and agents in steps, readiness first

Cause: an entry refused callers at once although the balancer still sent to it, and an agent could close its sessions while requests were on their way to it; a second signal said only 'everything'.

The second signal lists what it cuts.

--- a/src/yuccapoint/console/run_process.py
+++ b/src/yuccapoint/console/run_process.py
@@ -13,6 +13,12 @@
 class Stoppable(Protocol):
     """A process that can be started, stopped and killed."""
 
+    def unfinished(self) -> list[str]:
+        """List what would be cut off by an end now."""
+
+    def kill(self) -> None:
+        """Drop everything at once."""
+
     def start(self) -> None:
         """Start to serve."""
 
@@ -44,9 +50,12 @@
     second = asyncio.ensure_future(asked.wait())
     await asyncio.wait((stopping, second), return_when=asyncio.FIRST_COMPLETED)
     second.cancel()
-    cut = ["everything: a second signal came"]
     if stopping.done():
         cut = stopping.result()
+    else:
+        cut = process.unfinished()
+        stopping.cancel()
+        process.kill()
     for line in cut:
         print(f"cut off: {line}", file=sys.stderr)
     return exit_codes.CUT if cut else exit_codes.OK
--- a/src/yuccapoint/process/agent_process.py
+++ b/src/yuccapoint/process/agent_process.py
@@ -45,6 +45,7 @@
     from yuccapoint.version.compiled_version import CompiledVersion
 
 TICK_MS = 50
+LEAVE_GRACE_S = 2.0
 
 
 class AgentProcess:
@@ -117,9 +118,13 @@
         self.logs.say("agent", "stopping")
         self.drain()
         deadline_s = time.monotonic() + self.settings.limits.drain_timeout_s
-        while self._busy() and time.monotonic() < deadline_s:
+        # Entries that don't know yet still send requests; these are
+        # refused as not run and go elsewhere.
+        await asyncio.sleep(LEAVE_GRACE_S)
+        while self.unfinished() and time.monotonic() < deadline_s:
             await asyncio.sleep(TICK_MS / 1000)
-        cut = self._busy()
+        cut = self.unfinished()
+        await self._requests.flush()
         self.kill()
         self.logs.say("agent", "stopped", cut=cut)
         return cut
@@ -221,7 +226,8 @@
         if now_s >= self._report_at_s:
             self.report()
 
-    def _busy(self) -> list[str]:
+    def unfinished(self) -> list[str]:
+        """List what would be cut off by an end now."""
         busy = []
         for endpoint in self.endpoints.all():
             count = len(endpoint.admission.running)
@@ -231,6 +237,8 @@
                 busy.append(f"{count} requests at {name}")
         for task in self.keeper.tasks.values():
             busy.append(f"job {task.job_id} attempt {task.attempt}")
+        if not busy and self._requests.in_flight:
+            busy.append(f"{self._requests.in_flight} requests in transit")
         return busy
 
     def _on_message(self, message: ControlMessage) -> None:
--- a/src/yuccapoint/process/entry_process.py
+++ b/src/yuccapoint/process/entry_process.py
@@ -59,6 +59,7 @@
 TICK_MS = 50
 HELLO_MS = 1_000
 LEAVE_TIMEOUT_S = 2.0
+LEAVE_GRACE_S = 2.0
 MAX_HEADER_BYTES = 65_536
 
 
@@ -84,6 +85,7 @@
         self.max_body_bytes = settings.limits.max_body_bytes
         self.max_in_flight = settings.limits.max_in_flight
         self.in_flight = 0
+        self.leaving = False
         self.stopping = False
         self.log_fault = ""
         self.cell = CellState()
@@ -149,7 +151,7 @@
     def ready(self) -> bool:
         """Whether the balancer may send requests here."""
         able = self.pump.caught_up or self.cell.tables.current.version > 0
-        return able and not self.stopping
+        return able and not self.leaving
 
     def start(self) -> None:
         """Listen, read the log and begin to decide."""
@@ -171,21 +173,28 @@
             What had to be cut because the deadline passed; empty if all
             requests ended.
         """
-        self.stopping = True
+        self.leaving = True
         self._greet()
         self.logs.say("entry", "stopping", in_flight=self.in_flight)
-        self._callers.stop()
         deadline_s = time.monotonic() + self.settings.limits.drain_timeout_s
+        # The balancer sees that this entry is not ready and turns away.
+        await asyncio.sleep(LEAVE_GRACE_S)
+        self.stopping = True
+        self._callers.stop()
         while self.in_flight and time.monotonic() < deadline_s:
             await asyncio.sleep(TICK_MS / 1000)
-        cut = []
-        if self.in_flight:
-            cut.append(f"{self.in_flight} requests in flight")
+        cut = self.unfinished()
         await self._leave()
         self.kill()
         self.logs.say("entry", "stopped", cut=cut)
         return cut
 
+    def unfinished(self) -> list[str]:
+        """List what would be cut off by an end now."""
+        if not self.in_flight:
+            return []
+        return [f"{self.in_flight} requests in flight"]
+
     def kill(self) -> None:
         """Drop everything at once, as if the process died."""
         self._ticker.stop()
@@ -285,7 +294,7 @@
         paused_s = self.directory.tick(now_s)
         if paused_s:
             self.logs.say("entry", f"was not run for {paused_s:.1f} s")
-        if not self.pump.caught_up or self.stopping:
+        if not self.pump.caught_up or self.leaving:
             return
         self.act(self.leader.tick(now_s, time.time_ns() // 1_000_000))
         if self.snapshots.active or self.log_fault:
@@ -336,7 +345,7 @@
             operator_address=self.settings.listen.operator_address,
             tables_version=self.cell.tables.current.version,
             log_offset=self.cell.next_offset,
-            stopping=self.stopping,
+            stopping=self.leaving,
             known_addresses=[
                 hello.control_address for hello in self.directory.alive(now_s)
             ],
@@ -375,7 +384,7 @@
         self.router.on_report(report, now_s)
         self.agent_versions[report.vm] = report.tables_version
         self.mailbox.send(report.control_address, self._hello(now_s))
-        if self.pump.caught_up and not self.stopping:
+        if self.pump.caught_up and not self.leaving:
             self.act(self.leader.on_report(report, now_s))
         leads = report.leader in ("", self.entry_id)
         held = report.tables_version
--- a/src/yuccapoint/process/request_server.py
+++ b/src/yuccapoint/process/request_server.py
@@ -25,6 +25,9 @@
     from yuccapoint.process.agent_process import AgentProcess
 
 
+FLUSH_S = 0.2
+
+
 class RequestServer(TCPServer):
     """Accepts sessions of entries."""
 
@@ -45,6 +48,15 @@
         finally:
             self._sessions.discard(session)
 
+    @property
+    def in_flight(self) -> int:
+        """Requests that have come and are not answered."""
+        return sum(session.in_flight for session in self._sessions)
+
+    async def flush(self) -> None:
+        """Give the answers written last time to leave."""
+        await asyncio.sleep(FLUSH_S)
+
     def close_all(self) -> None:
         """Close all sessions."""
         for session in list(self._sessions):
@@ -60,6 +72,11 @@
         self.name = ""
         self._requests: dict[int, ServedRequest] = {}
 
+    @property
+    def in_flight(self) -> int:
+        """Requests of this session that are not answered."""
+        return len(self._requests)
+
     async def serve(self) -> None:
         """Read frames until the session ends."""
         hello = SessionHello(self.agent.name, self.agent.incarnation)
--- a/src/yuccapoint/process/snapshot_image.py
+++ b/src/yuccapoint/process/snapshot_image.py
@@ -173,7 +173,11 @@
 def _item_kind(path: str, value: object) -> str:
     if not isinstance(value, dict) or not value:
         return ""
-    name = type(next(iter(value.values()))).__name__
+    first = next(iter(value.values()))
+    if isinstance(first, list) and first:
+        inner = type(first[0]).__name__
+        return f"list {inner}" if inner in SLOT_CLASSES else ""
+    name = type(first).__name__
     if name == "JobEntry" and not path.endswith("." + JOBS):
         return "JobRef"
     if name in SLOT_CLASSES or name in STRUCT_CLASSES:
@@ -218,7 +222,11 @@
     if piece.item == "JobRef":
         target.update((job_id, jobs[job_id]) for job_id in items)
         return
-    for key, value in items:
+    for found, value in items:
+        key = tuple(found) if isinstance(found, list) else found
+        if piece.item.startswith("list "):
+            target[key] = _inner(piece.item, value)
+            continue
         target[key] = _make(piece.item, value, name)
     if piece.item == "JobEntry":
         jobs.update(target)
