--- a/src/yuccapoint/job/job_board.py
+++ b/src/yuccapoint/job/job_board.py
@@ -96,6 +96,12 @@
         self._find_pool = find_pool
         self._final: collections.deque[str] = collections.deque()
 
+    def rebuild(self) -> None:
+        """Make again what a snapshot of the state leaves out."""
+        if self.touched is not None:
+            self.touched.clear()
+            self.touched.update(dict.fromkeys(self.queued))
+
     def apply(self, record: Record, stamp_ms: int) -> str:
         """Apply one record.
 
--- a/src/yuccapoint/process/agent_process.py
+++ b/src/yuccapoint/process/agent_process.py
@@ -31,7 +31,7 @@
 from yuccapoint.process.request_server import RequestServer
 from yuccapoint.process.worker_driver import WorkerDriver
 from yuccapoint.request.key_memory import KeyMemory
-from yuccapoint.version.compiled_version import CompiledVersion
+from yuccapoint.version.held_tables import HeldTables
 
 if TYPE_CHECKING:
     from yuccapoint.connection.messages import ControlMessage
@@ -42,8 +42,10 @@
     from yuccapoint.process.endpoint_registry import LocalEndpoint
     from yuccapoint.process.served_request import ServedRequest
     from yuccapoint.process.settings.sections import AgentSettings
+    from yuccapoint.version.compiled_version import CompiledVersion
 
 TICK_MS = 50
+LEAVE_GRACE_S = 2.0
 
 
 class AgentProcess:
@@ -64,7 +66,7 @@
         self.max_body_bytes = settings.limits.max_body_bytes
         self.stopping = False
         self.alive = True
-        self.tables = CompiledVersion(0, [], [])
+        self.held = HeldTables()
         self.endpoints = EndpointRegistry(
             settings.limits.slots, settings.limits.connections
         )
@@ -88,6 +90,11 @@
         self._announce = HTTPServer(announce_application(self))
         self._ticker = PeriodicCallback(self._tick, TICK_MS)
 
+    @property
+    def tables(self) -> CompiledVersion:
+        """The tables in force."""
+        return self.held.current
+
     def start(self) -> None:
         """Listen and follow the worker."""
         listen = self.settings.listen
@@ -111,9 +118,13 @@
         self.logs.say("agent", "stopping")
         self.drain()
         deadline_s = time.monotonic() + self.settings.limits.drain_timeout_s
-        while self._busy() and time.monotonic() < deadline_s:
+        # Entries that don't know yet still send requests; these are
+        # refused as not run and go elsewhere.
+        await asyncio.sleep(LEAVE_GRACE_S)
+        while self.unfinished() and time.monotonic() < deadline_s:
             await asyncio.sleep(TICK_MS / 1000)
-        cut = self._busy()
+        cut = self.unfinished()
+        await self._requests.flush()
         self.kill()
         self.logs.say("agent", "stopped", cut=cut)
         return cut
@@ -206,19 +217,21 @@
             free=keeper.ledger.free,
             ready=keeper.knows_worker,
             stopping=self.stopping,
-            tables_version=self.tables.version,
+            tables_version=self.held.reported_version,
             endpoints=self.endpoints.reports(now_s, stopping=self.stopping),
             tasks=[task.report for task in keeper.tasks.values()],
         )
 
     def _tick(self) -> None:
         now_s = time.monotonic()
+        self.directory.tick(now_s)
         for endpoint in self.endpoints.all():
             self.start_waiting(endpoint)
         if now_s >= self._report_at_s:
             self.report()
 
-    def _busy(self) -> list[str]:
+    def unfinished(self) -> list[str]:
+        """List what would be cut off by an end now."""
         busy = []
         for endpoint in self.endpoints.all():
             count = len(endpoint.admission.running)
@@ -228,6 +241,8 @@
                 busy.append(f"{count} requests at {name}")
         for task in self.keeper.tasks.values():
             busy.append(f"job {task.job_id} attempt {task.attempt}")
+        if not busy and self._requests.in_flight:
+            busy.append(f"{self._requests.in_flight} requests in transit")
         return busy
 
     def _on_message(self, message: ControlMessage) -> None:
@@ -250,13 +265,9 @@
             self.drain()
 
     def _install(self, update: TablesUpdate) -> None:
-        if update.version <= self.tables.version:
-            return
-        self.tables = CompiledVersion(
-            update.version, update.routes, update.pools
-        )
-        self.logs.say("tables", f"version {update.version} is in force")
-        self.report()
+        if self.held.take(update):
+            self.logs.say("tables", f"version {update.version} is in force")
+            self.report()
 
     def _on_inventory(self, inventory: Inventory) -> None:
         self.keeper.ledger.capacity = inventory.capacity
--- a/src/yuccapoint/process/entry_process.py
+++ b/src/yuccapoint/process/entry_process.py
@@ -26,6 +26,7 @@
 from yuccapoint.job.records import EntryRenewed
 from yuccapoint.job.records import KeyClaimed
 from yuccapoint.job.records import KeyReleased
+from yuccapoint.job.records import SnapshotChunk
 from yuccapoint.process.access import Access
 from yuccapoint.process.agent_keys import AgentKeys
 from yuccapoint.process.caller_server import CallerServer
@@ -37,6 +38,8 @@
 from yuccapoint.process.metrics import Metrics
 from yuccapoint.process.operator_api import operator_application
 from yuccapoint.process.request_forwarder import RequestForwarder
+from yuccapoint.process.snapshot_schedule import SnapshotSchedule
+from yuccapoint.process.snapshot_writer import SnapshotWriter
 from yuccapoint.request.customer_limits import CustomerLimits
 from yuccapoint.request.exceptions import RepeatedKeyError
 from yuccapoint.request.exceptions import RequestError
@@ -44,10 +47,15 @@
 from yuccapoint.request.link_budget import LinkBudget
 from yuccapoint.request.router import Router
 from yuccapoint.request.verdict import Verdict
+from yuccapoint.version.compiled_version import CompiledVersion
+from yuccapoint.version.table_feed import EVERY_POOL
+from yuccapoint.version.table_feed import TableFeed
+from yuccapoint.version.table_lender import TableLender
 
 if TYPE_CHECKING:
     from yuccapoint.connection.messages import ControlMessage
     from yuccapoint.job.actions import Action
+    from yuccapoint.job.records import Record
     from yuccapoint.process.cell_state import Applied
     from yuccapoint.process.settings.sections import EntrySettings
     from yuccapoint.request.service_request import ServiceRequest
@@ -55,6 +63,7 @@
 TICK_MS = 50
 HELLO_MS = 1_000
 LEAVE_TIMEOUT_S = 2.0
+LEAVE_GRACE_S = 2.0
 MAX_HEADER_BYTES = 65_536
 
 
@@ -80,6 +89,7 @@
         self.max_body_bytes = settings.limits.max_body_bytes
         self.held = InFlight(settings.limits.max_in_flight)
         self.customer_limits = CustomerLimits()
+        self.leaving = False
         self.stopping = False
         self.log_fault = ""
         self.cell = CellState()
@@ -93,6 +103,8 @@
             self.entry_id, self.cell.board, self.cell.tables.pool, self.rng
         )
         self.directory = EntryDirectory(settings.entries.seeds)
+        self.feed = TableFeed(self.cell.tables)
+        self.lender = TableLender(self.entry_id)
         self.agent_versions: dict[str, int] = {}
         self.forwarder = RequestForwarder(
             self.name,
@@ -118,7 +130,21 @@
             self._on_applied,
             self._on_outage,
             self.rng,
+            self._on_restored,
         )
+        self.schedule = SnapshotSchedule(
+            settings.log.snapshot_every_records,
+            settings.log.snapshot_every_s,
+            self.rng,
+        )
+        self.snapshots = SnapshotWriter(
+            self.entry_id,
+            self.cell,
+            self.pump,
+            self.writer,
+            self.schedule,
+        )
+        self._snapshot_task: asyncio.Task[None] | None = None
         self.mailbox = Mailbox(
             settings.listen.control_address, self._on_message
         )
@@ -140,7 +166,8 @@
     @property
     def ready(self) -> bool:
         """Whether the balancer may send requests here."""
-        return self.pump.caught_up and not self.stopping
+        able = self.pump.caught_up or self.cell.tables.current.version > 0
+        return able and not self.leaving
 
     def start(self) -> None:
         """Listen, read the log and begin to decide."""
@@ -162,26 +189,35 @@
             What had to be cut because the deadline passed; empty if all
             requests ended.
         """
-        self.stopping = True
+        self.leaving = True
         self._greet()
         self.logs.say("entry", "stopping", in_flight=self.in_flight)
-        self._callers.stop()
         deadline_s = time.monotonic() + self.settings.limits.drain_timeout_s
+        # The balancer sees that this entry is not ready and turns away.
+        await asyncio.sleep(LEAVE_GRACE_S)
+        self.stopping = True
+        self._callers.stop()
         while self.in_flight and time.monotonic() < deadline_s:
             await asyncio.sleep(TICK_MS / 1000)
-        cut = []
-        if self.in_flight:
-            cut.append(f"{self.in_flight} requests in flight")
+        cut = self.unfinished()
         await self._leave()
         self.kill()
         self.logs.say("entry", "stopped", cut=cut)
         return cut
 
+    def unfinished(self) -> list[str]:
+        """List what would be cut off by an end now."""
+        if not self.in_flight:
+            return []
+        return [f"{self.in_flight} requests in flight"]
+
     def kill(self) -> None:
         """Drop everything at once, as if the process died."""
         self._ticker.stop()
         self._greeter.stop()
         self.pump.stop()
+        if self._snapshot_task is not None:
+            self._snapshot_task.cancel()
         self.log.close()
         self.mailbox.close()
         self.forwarder.close()
@@ -249,7 +285,7 @@
         for action in actions:
             if isinstance(action, Append):
                 self.writer.add(
-                    action.record,
+                    self._addressed(action.record),
                     time.monotonic(),
                     urgent=action.urgent,
                     bounded=False,
@@ -262,6 +298,12 @@
                 self.decisions.note(action)
                 self.logs.say(action.part, action.text, **action.fields)
 
+    def _addressed(self, record: Record) -> Record:
+        if isinstance(record, EntryRenewed):
+            address = self.settings.listen.control_address
+            return EntryRenewed(record.entry, address)
+        return record
+
     async def _leave(self) -> None:
         record = EntryLeft(self.entry_id)
         try:
@@ -272,10 +314,43 @@
             self.logs.say("entry", f"left without a record: {error}")
 
     def _tick(self) -> None:
-        if not self.pump.caught_up or self.stopping:
-            return
         now_s = time.monotonic()
+        paused_s = self.directory.tick(now_s)
+        if paused_s:
+            self.logs.say("entry", f"was not run for {paused_s:.1f} s")
+        if not self.pump.caught_up or self.leaving:
+            return
         self.act(self.leader.tick(now_s, time.time_ns() // 1_000_000))
+        if self.snapshots.active or self.log_fault:
+            return
+        if self.schedule.begins(self.cell.next_offset, now_s):
+            self._snapshot_task = asyncio.ensure_future(self._snapshot())
+
+    async def _snapshot(self) -> None:
+        fault = await self.snapshots.write()
+        text = fault or "the chunks of a snapshot were handed to the log"
+        self.logs.say(
+            "snapshot",
+            text,
+            size_bytes=self.snapshots.size_bytes,
+            held_s=round(self.snapshots.held_s, 3),
+        )
+
+    def _on_restored(self) -> None:
+        """Start again from a snapshot, with nothing under way."""
+        now_s = time.monotonic()
+        text = f"the state was taken from a snapshot at {self._stands()}"
+        self.logs.say("snapshot", text)
+        self.schedule.on_whole(self.cell.next_offset, now_s)
+        self.commits.on_restored(self.cell)
+        views = self.leader.views
+        self.leader = BatchLeader(
+            self.entry_id, self.cell.board, self.cell.tables.pool, self.rng
+        )
+        self.leader.views.update(views)
+
+    def _stands(self) -> str:
+        return f"offset {self.cell.next_offset}"
 
     def _greet(self) -> None:
         now_s = time.monotonic()
@@ -293,9 +368,9 @@
             region=self.settings.process.region,
             control_address=self.settings.listen.control_address,
             operator_address=self.settings.listen.operator_address,
-            tables_version=self.cell.tables.version,
+            tables_version=self.cell.tables.current.version,
             log_offset=self.cell.next_offset,
-            stopping=self.stopping,
+            stopping=self.leaving,
             adopts=self.pump.caught_up and not self.log_fault,
             known_addresses=[
                 hello.control_address for hello in self.directory.alive(now_s)
@@ -310,37 +385,50 @@
             self.customer_limits.on_demand(
                 message.entry, message.demand, now_s
             )
+            self._lend(message, now_s)
+            return
+        if isinstance(message, TablesUpdate):
+            self._borrow(message)
             return
         if isinstance(message, AgentReport):
             self._on_report(message, now_s)
 
+    def _lend(self, hello: EntryHello, now_s: float) -> None:
+        version = self.cell.tables.current.version
+        alive = self.directory.alive(now_s)
+        if not self.lender.lends(hello, version, alive, now_s):
+            return
+        update = self.feed.update_for(EVERY_POOL, 0)
+        if update is not None:
+            self.mailbox.send(hello.control_address, update)
+
+    def _borrow(self, update: TablesUpdate) -> None:
+        if update.base:
+            return
+        newer = CompiledVersion(update.version, update.routes, update.pools)
+        if self.cell.tables.borrow(newer):
+            text = f"version {update.version} was taken from another entry"
+            self.logs.say("tables", text)
+
     def _on_report(self, report: AgentReport, now_s: float) -> None:
         self.router.on_report(report, now_s)
         self.agent_versions[report.vm] = report.tables_version
         self.mailbox.send(report.control_address, self._hello(now_s))
-        if self.pump.caught_up and not self.stopping:
+        if self.pump.caught_up and not self.leaving:
             self.act(self.leader.on_report(report, now_s))
-        tables = self.cell.tables
-        if report.tables_version < tables.version:
-            update = TablesUpdate(
-                version=tables.version,
-                routes=[
-                    route
-                    for route in tables.current.routes.values()
-                    if route.pool == report.pool
-                ],
-                pools=[
-                    pool
-                    for pool in tables.current.pools.values()
-                    if pool.name == report.pool
-                ],
-            )
-            self.mailbox.send(report.control_address, update)
+        leads = report.leader in ("", self.entry_id)
+        held = report.tables_version
+        if self.feed.is_mine(report.vm, held, now_s, leads=leads):
+            update = self.feed.update_for(report.pool, held)
+            if update is not None:
+                self.mailbox.send(report.control_address, update)
 
     def _on_applied(self, applied: list[Applied]) -> None:
         now_s = time.monotonic()
         for outcome in applied:
-            self._note_renewal(outcome)
+            self._note_renewal(outcome, now_s)
+            if isinstance(outcome.record, SnapshotChunk):
+                self.schedule.on_chunk(outcome.record, now_s)
             if self.pump.caught_up:
                 actions = self.leader.on_record(
                     outcome.record, outcome.refusal, now_s
@@ -348,7 +436,9 @@
                 self.act(actions)
         self.commits.on_applied(applied)
 
-    def _note_renewal(self, outcome: Applied) -> None:
+    def _note_renewal(self, outcome: Applied, now_s: float) -> None:
+        if isinstance(outcome.record, EntryRenewed):
+            self.directory.learn(outcome.record.control_address, now_s)
         if outcome.writer != self.entry_id or outcome.refusal:
             return
         if isinstance(outcome.record, EntryRenewed):
--- a/src/yuccapoint/request/key_owners.py
+++ b/src/yuccapoint/request/key_owners.py
@@ -62,11 +62,22 @@
     still meet at one agent.
     """
 
+    derived_state = frozenset({"_present", "_ranked"})
+
     def __init__(self) -> None:
         self._present: dict[str, Membership] = {}
         self._stays: dict[str, list[Membership]] = {}
         self._ranked: dict[tuple[str, int], list[Membership]] = {}
 
+    def rebuild(self) -> None:
+        """Make again what a snapshot of the state leaves out."""
+        self._ranked.clear()
+        self._present.clear()
+        for stays in self._stays.values():
+            for stay in stays:
+                if not stay.left_ms:
+                    self._present[stay.vm] = stay
+
     def join(self, vm: str, pool: str, stamp_ms: int) -> None:
         """Take note that a VM was adopted."""
         known = self._present.get(vm)
