Don't take a lost answer of the worker for a failed start

Cause: when the answer to a start was lost, the agent reported the attempt as failed and freed its ledger while the task ran on the worker. The job was released, claimed again and ran in two places, and its team went over its quota. A stop whose answer was lost was never repeated.

A lost answer is now an error of its own (it may have run). A start is repeated until the worker accepts or refuses it: a refusal means that no copy of the call can start the task later, and then the inventory and the news tell whether an earlier copy runs or has ended. Stops are repeated.

Ruled out: trusting the text of the refusal, which is not part of the worker's interface.

--- a/src/yuccapoint/connection/http_worker.py
+++ b/src/yuccapoint/connection/http_worker.py
@@ -11,6 +11,7 @@
 from tornado.httpclient import HTTPRequest
 
 from yuccapoint.connection.worker_port import WorkerError
+from yuccapoint.connection.worker_port import WorkerUnreachableError
 from yuccapoint.job.size import Size
 from yuccapoint.job.worker_events import Inventory
 from yuccapoint.job.worker_events import UsageSample
@@ -21,6 +22,7 @@
 
 AnswerT = TypeVar("AnswerT")
 NEWS_WAIT_S = 1.0
+STATUS_NO_ANSWER = 599
 
 
 class StartBody(msgspec.Struct, frozen=True):
@@ -122,10 +124,16 @@
         try:
             answer = await self._client.fetch(request)
         except HTTPClientError as error:
+            if error.code == STATUS_NO_ANSWER:
+                raise WorkerUnreachableError(
+                    f"the worker did not answer: {error}"
+                ) from None
             detail = str(error)
             if error.response is not None and error.response.body:
                 detail = error.response.body.decode("utf-8", "replace")
             raise WorkerError(f"the worker refused: {detail}") from None
         except OSError as error:
-            raise WorkerError(f"the worker is gone: {error}") from None
+            raise WorkerUnreachableError(
+                f"the worker is gone: {error}"
+            ) from None
         return answer.body
--- a/src/yuccapoint/connection/worker_port.py
+++ b/src/yuccapoint/connection/worker_port.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from yuccapoint.exceptions import YuccapointError
+from yuccapoint.request.verdict import Verdict
 
 if TYPE_CHECKING:
     from yuccapoint.job.actions import WorkerStart
@@ -15,7 +16,13 @@
 
 
 class WorkerError(YuccapointError):
-    """The worker refused a call or could not be reached."""
+    """The worker refused a call, or could not be reached."""
+
+
+class WorkerUnreachableError(WorkerError):
+    """No answer came; the worker may have done what was asked."""
+
+    verdict = Verdict.MAY_HAVE_RUN
 
 
 class WorkerPort(Protocol):
@@ -29,7 +36,15 @@
         """Give all that the worker holds and runs."""
 
     async def start(self, start: WorkerStart) -> None:
-        """Start a task under a lease."""
+        """Start a task under a lease.
+
+        Raises
+        ------
+        WorkerUnreachableError
+            The task may have started; a repeat is refused then.
+        WorkerError
+            The worker refused; no copy of the call can start it later.
+        """
 
     async def renew(self, lease_until_s: float) -> None:
         """Extend the lease of all tasks."""
--- a/src/yuccapoint/process/worker_driver.py
+++ b/src/yuccapoint/process/worker_driver.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from yuccapoint.connection.worker_port import WorkerError
+from yuccapoint.connection.worker_port import WorkerUnreachableError
 from yuccapoint.job.actions import WorkerRenew
 from yuccapoint.job.actions import WorkerStart
 from yuccapoint.job.actions import WorkerStop
@@ -48,6 +49,7 @@
         self._on_inventory = on_inventory
         self._on_ended = on_ended
         self._on_usage = on_usage
+        self._next_number = 0
         self._tasks: set[asyncio.Task[None]] = set()
 
     def start(self) -> None:
@@ -69,8 +71,7 @@
                 self._quietly(self._worker.renew(action.lease_until_s))
             )
         elif isinstance(action, WorkerStop):
-            call = self._worker.stop(action.job_id, action.attempt)
-            self._spawn(self._quietly(call))
+            self._spawn(self._stop(action))
         elif isinstance(action, WorkerThrottle):
             call = self._worker.throttle(
                 action.job_id, action.attempt, action.share
@@ -83,19 +84,53 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _start(self, action: WorkerStart) -> None:
-        try:
-            await self._worker.start(action)
-        except WorkerError as error:
-            self._on_ended(
-                TaskEnded(
-                    action.job.job_id,
-                    action.attempt,
-                    "failed",
-                    str(error),
-                    action.checkpoint,
-                )
+        unsure = False
+        while True:
+            try:
+                await self._worker.start(action)
+                return
+            except WorkerUnreachableError:
+                unsure = True
+                await asyncio.sleep(RETRY_S)
+            except WorkerError as error:
+                text = str(error)
+                break
+        # A refused repeat may mean that an earlier copy runs or ended.
+        if unsure and await self._runs(action.job.job_id, action.attempt):
+            return
+        self._on_ended(
+            TaskEnded(
+                action.job.job_id,
+                action.attempt,
+                "failed",
+                text,
+                action.checkpoint,
+            )
+        )
+
+    async def _runs(self, job_id: str, attempt: int) -> bool:
+        while True:
+            try:
+                inventory = await self._worker.inventory()
+                await self._take_news()
+            except WorkerError:
+                await asyncio.sleep(RETRY_S)
+                continue
+            return any(
+                task.job_id == job_id and task.attempt == attempt
+                for task in inventory.running
             )
 
+    async def _stop(self, action: WorkerStop) -> None:
+        while True:
+            try:
+                await self._worker.stop(action.job_id, action.attempt)
+                return
+            except WorkerUnreachableError:
+                await asyncio.sleep(RETRY_S)
+            except WorkerError:
+                return
+
     async def _quietly(self, call: Coroutine[Any, Any, None]) -> None:
         try:
             await call
@@ -103,18 +138,20 @@
             return
 
     async def _follow(self) -> None:
-        number = await self._take_inventory()
+        await self._take_inventory()
         while True:
             try:
-                news = await self._worker.news(number)
+                await self._take_news()
             except WorkerError:
                 await asyncio.sleep(RETRY_S)
-                continue
-            for ended in news.ended:
-                self._on_ended(ended)
-            number = news.next_number
 
-    async def _take_inventory(self) -> int:
+    async def _take_news(self) -> None:
+        news = await self._worker.news(self._next_number)
+        for ended in news.ended:
+            self._on_ended(ended)
+        self._next_number = max(self._next_number, news.next_number)
+
+    async def _take_inventory(self) -> None:
         while True:
             try:
                 inventory = await self._worker.inventory()
@@ -122,7 +159,8 @@
                 await asyncio.sleep(RETRY_S)
                 continue
             self._on_inventory(inventory)
-            return inventory.next_number
+            self._next_number = inventory.next_number
+            return
 
     async def _measure(self) -> None:
         while True:
