--- /dev/null
+++ b/tests/fuzzing/__init__.py
@@ -0,0 +1,3 @@
+"""Stateful fuzzing of the real processes over scripted edges."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/fuzzing/exchange.py
@@ -0,0 +1,90 @@
+"""An HTTP call to a process's real handlers, without sockets."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from tornado.httputil import HTTPHeaders
+from tornado.httputil import RequestStartLine
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from tornado.httputil import HTTPServerConnectionDelegate
+    from tornado.httputil import ResponseStartLine
+
+    from fuzzing.members import Member
+    from yuccapoint.job.job import Job
+    from yuccapoint.process.operator_messages import EditBody
+
+
+class Exchange:
+    """One call and what its caller was told.
+
+    It takes the place of tornado's HTTP connection.
+    """
+
+    context = None
+
+    def __init__(self, name: str, method: str, path: str, body: bytes) -> None:
+        self.name = name
+        self.member: Member | None = None
+        self.job: Job | None = None
+        self.edit: EditBody | None = None
+        self.row_name = ""
+        self.service = False
+        self.once = False
+        self.key = ""
+        self.sent = body
+        self.status = 0
+        self.headers = HTTPHeaders()
+        self.body = b""
+        self.finished = False
+        self.broken = False
+        self.stream = self
+        self._line = RequestStartLine(method, path, "HTTP/1.1")
+
+    def send(
+        self, delegate: HTTPServerConnectionDelegate, headers: HTTPHeaders
+    ) -> None:
+        headers.add("Content-Length", str(len(self.sent)))
+        headers.add("Host", "entry")
+        headers.add("X-Request-Name", self.name)
+        request = delegate.start_request(object(), self)
+        request.headers_received(self._line, headers)
+        for part in (self.sent[:5], self.sent[5:]):
+            if part:
+                request.data_received(part)
+        request.finish()
+
+    @property
+    def told(self) -> str:
+        """The verdict that the caller was told."""
+        return str(self.headers.get("Yuccapoint-Verdict", ""))
+
+    def write_headers(
+        self,
+        start_line: ResponseStartLine,
+        headers: HTTPHeaders,
+        chunk: bytes | None = None,
+    ) -> asyncio.Future[None]:
+        self.status = start_line.code
+        self.headers = headers
+        return self.write(chunk or b"")
+
+    def write(self, chunk: bytes) -> asyncio.Future[None]:
+        self.body += chunk
+        done = asyncio.get_event_loop().create_future()
+        done.set_result(None)
+        return done
+
+    def finish(self) -> None:
+        self.finished = not self.broken
+
+    def close(self) -> None:
+        """Break the answer off."""
+        self.broken = not self.finished
+
+    def set_close_callback(self, callback: Callable[[], None] | None) -> None:
+        del callback
