Tell the leader of ends that came while the agent was replaced

Cause: a new start of an agent followed the worker's events from the inventory on. An attempt that ended between the two starts was in neither, so its leader sent the start again, the worker refused it, the agent reported it as failed and the finished job ran a second time.

The agent now reads the ends that the worker still knows of, and answers a repeated start with the end that it had.

Ruled out: taking the worker's refusal for the end, since it doesn't say with which outcome or checkpoint.

--- a/src/yuccapoint/job/task_keeper.py
+++ b/src/yuccapoint/job/task_keeper.py
@@ -93,6 +93,7 @@
         self._asked_at_s: dict[int, float] = {}
         self._granted_at_s = 0.0
         self._tombstones: dict[str, int] = {}
+        self._past_ends: dict[str, TaskEnded] = {}
 
     def next_sequence(self, now_s: float) -> int:
         """Number a report; a lease granted in answer counts from now."""
@@ -203,6 +204,19 @@
         task.stopping = reason
         actions.append(WorkerStop(job_id, attempt, reason))
 
+    def on_past_end(self, ended: TaskEnded) -> list[Action]:
+        """Take an end that may have come before this agent's start.
+
+        The leader may not know of it and send the attempt's start again.
+        """
+        if ended.job_id in self.tasks:
+            return self.on_ended(ended)
+        self._past_ends.pop(ended.job_id, None)
+        self._past_ends[ended.job_id] = ended
+        if len(self._past_ends) > MAX_TOMBSTONES:
+            del self._past_ends[next(iter(self._past_ends))]
+        return []
+
     def on_ended(self, ended: TaskEnded) -> list[Action]:
         """Take the end of an attempt from the worker."""
         task = self.tasks.get(ended.job_id)
@@ -235,6 +249,12 @@
         self, job: Job, start: StartAttempt, actions: list[Action]
     ) -> Task:
         task = Task(job.job_id, start.attempt, job.size, job.job_class)
+        past = self._past_ends.get(job.job_id)
+        if past is not None and past.attempt == start.attempt:
+            task.outcome = past.outcome
+            task.reason = past.reason
+            task.checkpoint = past.checkpoint
+            return task
         try:
             self.ledger.reserve(job.job_id, job.size)
         except CommitRefusedError as error:
--- a/src/yuccapoint/process/agent_process.py
+++ b/src/yuccapoint/process/agent_process.py
@@ -269,9 +269,13 @@
             self.logs.say("tables", f"version {update.version} is in force")
             self.report()
 
-    def _on_inventory(self, inventory: Inventory) -> None:
+    def _on_inventory(
+        self, inventory: Inventory, past: list[TaskEnded]
+    ) -> None:
         self.keeper.ledger.capacity = inventory.capacity
         self.act(self.keeper.on_inventory(inventory.running))
+        for ended in past:
+            self.act(self.keeper.on_past_end(ended))
         self.report()
 
     def _on_ended(self, ended: TaskEnded) -> None:
--- a/src/yuccapoint/process/worker_driver.py
+++ b/src/yuccapoint/process/worker_driver.py
@@ -13,6 +13,7 @@
 from yuccapoint.job.actions import WorkerStop
 from yuccapoint.job.actions import WorkerThrottle
 from yuccapoint.job.worker_events import TaskEnded
+from yuccapoint.job.worker_events import WorkerNews
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -35,13 +36,14 @@
     worker : WorkerPort
         The worker.
     on_inventory, on_ended, on_usage : callable
-        Called with what the worker tells.
+        Called with what the worker tells; the inventory comes with the
+        ends that the worker still knows of.
     """
 
     def __init__(
         self,
         worker: WorkerPort,
-        on_inventory: Callable[[Inventory], None],
+        on_inventory: Callable[[Inventory, list[TaskEnded]], None],
         on_ended: Callable[[TaskEnded], None],
         on_usage: Callable[[list[UsageSample]], None],
     ) -> None:
@@ -155,11 +157,14 @@
         while True:
             try:
                 inventory = await self._worker.inventory()
+                past = WorkerNews(0, [])
+                if inventory.next_number:
+                    past = await self._worker.news(0)
             except WorkerError:
                 await asyncio.sleep(RETRY_S)
                 continue
-            self._on_inventory(inventory)
-            self._next_number = inventory.next_number
+            self._next_number = max(inventory.next_number, past.next_number)
+            self._on_inventory(inventory, past.ended)
             return
 
     async def _measure(self) -> None:
