--- a/tests/fuzzing/sequences.py
+++ b/tests/fuzzing/sequences.py
@@ -285,3 +285,20 @@
         found = entry.process.cell.board.jobs["job-1"]
         if found.attempt > 1:
             world.oracle.fail("done_job_ran_again", f"job-1 {found.attempt}")
+
+
+@sequence("a start's answer is lost")
+def start_answer_is_lost(world: World) -> None:
+    for host in world.hosts:
+        host.lost_answers = 1
+    submit(world, 5)
+    world.advance(20)
+
+
+@sequence("an agent stops while requests are on their way", 1, 1)
+def agent_stops_before_arrival(world: World) -> None:
+    world.set_route(name="book")
+    world.request(0, "book", once=True)
+    world.advance(2)
+    world.request(0, "book", once=True)
+    world.stop(world.agents[0])
