--- /dev/null
+++ b/src/yuccapoint/bench/request_faults.py
@@ -0,0 +1,305 @@
+"""The request path under faults, alone and in pairs, on real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import itertools
+import random
+import time
+from typing import TYPE_CHECKING
+
+import msgspec
+from tornado.httpclient import AsyncHTTPClient
+from tornado.httpclient import HTTPRequest
+
+from yuccapoint.job.records import RouteEdited
+from yuccapoint.process.caller_server import CUSTOMER_HEADER
+from yuccapoint.process.caller_server import KEY_HEADER
+from yuccapoint.process.caller_server import TIMEOUT_HEADER
+from yuccapoint.process.caller_server import VERDICT_HEADER
+from yuccapoint.version.route import Route
+
+if TYPE_CHECKING:
+    from yuccapoint_standins.deployment import Deployment
+
+VMS = 3
+ENTRIES = 2
+GROUPS = 30
+SEND_OVER_S = 0.3
+FAULT_AFTER_S = 0.05
+FAULT_LASTS_S = 0.2
+TIMEOUT_S = 0.6
+CLIENT_TIMEOUT_S = 3.0
+SLOW_WORK_S = 0.8
+SMALL_BYTES = 2_000
+LARGE_BYTES = 300_000
+SETTLE_S = 1.0
+OK = 200
+
+Fault = Callable[["Deployment", random.Random], Awaitable[None]]
+FAULTS: dict[str, Fault] = {}
+
+
+def fault(name: str) -> Callable[[Fault], Fault]:
+    """Register a fault, which begins and ends within a round."""
+
+    def register(bring_about: Fault) -> Fault:
+        FAULTS[name] = bring_about
+        return bring_about
+
+    return register
+
+
+@fault("cut sessions")
+async def _cut(deployment: Deployment, rng: random.Random) -> None:
+    for _ in range(4):
+        machine = rng.choice(deployment.machines)
+        machine.agent._requests.close_all()
+        await asyncio.sleep(FAULT_LASTS_S / 4)
+
+
+@fault("endpoint drops connections")
+async def _drop(deployment: Deployment, rng: random.Random) -> None:
+    for _ in range(4):
+        machine = rng.choice(deployment.machines)
+        await machine.endpoint._server.close_all_connections()
+        await asyncio.sleep(FAULT_LASTS_S / 4)
+
+
+@fault("agent restarts")
+async def _restart(deployment: Deployment, rng: random.Random) -> None:
+    deployment.restart_agent(rng.choice(deployment.machines))
+    await asyncio.sleep(FAULT_LASTS_S)
+
+
+@fault("entry dies")
+async def _entry_dies(deployment: Deployment, rng: random.Random) -> None:
+    del rng
+    deployment.entries[1].kill()
+    await asyncio.sleep(FAULT_LASTS_S)
+    entry = deployment.add_entry(1)
+    deployment.entries.remove(entry)
+    deployment.entries[1] = entry
+
+
+@fault("slow endpoint")
+async def _slow(deployment: Deployment, rng: random.Random) -> None:
+    machine = rng.choice(deployment.machines)
+    usual_s = machine.endpoint.work_s
+    machine.endpoint.work_s = SLOW_WORK_S
+    await asyncio.sleep(FAULT_LASTS_S)
+    machine.endpoint.work_s = usual_s
+
+
+@fault("endpoint fails everything")
+async def _fail(deployment: Deployment, rng: random.Random) -> None:
+    machine = rng.choice(deployment.machines)
+    machine.endpoint.failing = True
+    await asyncio.sleep(FAULT_LASTS_S)
+    machine.endpoint.failing = False
+
+
+@fault("log answers lost")
+async def _lose(deployment: Deployment, rng: random.Random) -> None:
+    del rng
+    deployment.log.faults.lost_answers = 0.5
+    await asyncio.sleep(FAULT_LASTS_S)
+    deployment.log.faults.lost_answers = 0.0
+
+
+@fault("log down")
+async def _log_down(deployment: Deployment, rng: random.Random) -> None:
+    del rng
+    deployment.log.faults.down = True
+    await asyncio.sleep(FAULT_LASTS_S)
+    deployment.log.faults.down = False
+
+
+class FaultFigures(msgspec.Struct):
+    """What went wrong over all rounds; the first five must be 0."""
+
+    duplicate_runs: int = 0
+    false_not_run: int = 0
+    crossed_answers: int = 0
+    truncated_answers: int = 0
+    cross_customer: int = 0
+    rounds: int = 0
+    sent: int = 0
+    answered: int = 0
+    told_not_run: int = 0
+    told_may_have_run: int = 0
+
+
+class FaultRounds:
+    """Callers that send, repeat keys and check, round by round.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        The processes under test.
+    seed : int
+        Seed of load and faults.
+    """
+
+    def __init__(self, deployment: Deployment, seed: int) -> None:
+        self.figures = FaultFigures()
+        self._deployment = deployment
+        self._rng = random.Random(seed)
+        self._once: dict[str, list[str]] = {}
+        self._not_run: set[str] = set()
+        self._client = AsyncHTTPClient(
+            force_instance=True, max_clients=1_000, max_body_size=1 << 30
+        )
+
+    async def run(self) -> FaultFigures:
+        """Run each fault alone, then each pair."""
+        plans = [[name] for name in FAULTS]
+        plans += [list(pair) for pair in itertools.combinations(FAULTS, 2)]
+        for plan in plans:
+            await self._round(plan)
+        await asyncio.sleep(SETTLE_S)
+        self._check_runs()
+        self._client.close()
+        return self.figures
+
+    async def _round(self, names: list[str]) -> None:
+        self.figures.rounds += 1
+        sending = [
+            asyncio.ensure_future(self._group(number))
+            for number in range(GROUPS)
+        ]
+        await asyncio.sleep(FAULT_AFTER_S)
+        rngs = [random.Random(self._rng.random()) for _ in names]
+        faults = [
+            FAULTS[name](self._deployment, rng)
+            for name, rng in zip(names, rngs, strict=True)
+        ]
+        await asyncio.gather(*faults)
+        await asyncio.gather(*sending)
+
+    async def _group(self, number: int) -> None:
+        rng = random.Random(self._rng.random())
+        group = f"g{self.figures.rounds}-{number}"
+        path = ("/quotes", "/watches", "/standing")[number % 3]
+        keyed = path != "/quotes" and rng.random() < 0.7
+        await asyncio.sleep(rng.uniform(0, SEND_OVER_S))
+        copies = [f"{group}-{copy}" for copy in range(3 if keyed else 1)]
+        if path != "/quotes":
+            self._once[group] = copies
+        sends = []
+        for copy in copies:
+            key = group if keyed else ""
+            sends.append(self._send(copy, f"{path}/x", key, rng))
+        await asyncio.gather(*sends)
+
+    async def _send(
+        self, name: str, path: str, key: str, rng: random.Random
+    ) -> None:
+        await asyncio.sleep(rng.choice((0.0, 0.0, 0.05, 0.2)))
+        customer = f"customer-{rng.randrange(3)}"
+        if key:
+            customer = "customer-keyed"
+        size = LARGE_BYTES if rng.random() < 0.1 else SMALL_BYTES
+        body = f"{customer}|{name}|".encode() + rng.randbytes(size)
+        entry = rng.choice(self._deployment.entries)
+        headers = {
+            "Content-Type": "application/octet-stream",
+            "X-Request-Name": name,
+            CUSTOMER_HEADER: customer,
+            TIMEOUT_HEADER: str(TIMEOUT_S),
+        }
+        if key:
+            headers[KEY_HEADER] = key
+        request = HTTPRequest(
+            f"http://{entry.settings.listen.caller_address}{path}",
+            method="POST",
+            headers=headers,
+            body=body,
+            request_timeout=CLIENT_TIMEOUT_S,
+        )
+        self.figures.sent += 1
+        try:
+            answer = await self._client.fetch(request, raise_error=False)
+        except OSError:
+            return
+        verdict = answer.headers.get(VERDICT_HEADER, "")
+        if verdict == "not-run":
+            self.figures.told_not_run += 1
+            self._not_run.add(name)
+        if verdict == "may-have-run":
+            self.figures.told_may_have_run += 1
+        if verdict == "ran" and answer.code == OK:
+            self._check_answer(answer.body, body, customer)
+
+    def _check_answer(self, got: bytes, sent: bytes, customer: str) -> None:
+        self.figures.answered += 1
+        if got == sent:
+            return
+        if sent.startswith(got):
+            self.figures.truncated_answers += 1
+            return
+        self.figures.crossed_answers += 1
+        if not got.startswith(customer.encode() + b"|"):
+            self.figures.cross_customer += 1
+
+    def _check_runs(self) -> None:
+        runs: dict[str, int] = {}
+        for machine in self._deployment.machines:
+            for name, count in machine.endpoint.runs.items():
+                runs[name] = runs.get(name, 0) + count
+        for copies in self._once.values():
+            count = sum(runs.get(copy, 0) for copy in copies)
+            self.figures.duplicate_runs += max(0, count - 1)
+        for name in self._not_run:
+            self.figures.false_not_run += runs.get(name, 0) > 0
+
+
+async def run_faults(name: str, seed: int) -> FaultFigures:
+    """Start a deployment and run all fault rounds."""
+    from yuccapoint_standins.deployment import Deployment
+    from yuccapoint_standins.deployment import SHAPES
+
+    deployment = Deployment(SHAPES[name], VMS, ENTRIES, seed)
+    await deployment.start()
+    try:
+        await _set_routes(deployment)
+        return await FaultRounds(deployment, seed).run()
+    finally:
+        deployment.close()
+
+
+async def _set_routes(deployment: Deployment) -> None:
+    shape = deployment.shape
+    routes = [
+        Route(
+            name="bench-watches",
+            prefix="/watches/x",
+            service=shape.service,
+            pool=shape.pool,
+            once="log",
+        ),
+        Route(
+            name="bench-standing",
+            prefix="/standing/x",
+            service=shape.service,
+            pool=shape.pool,
+            once="agent",
+        ),
+        Route(
+            name="bench-quotes",
+            prefix="/quotes/x",
+            service=shape.service,
+            pool=shape.pool,
+            idempotent=True,
+            hedge_after_s=0.05,
+        ),
+    ]
+    entry = deployment.entries[0]
+    for route in routes:
+        edit = RouteEdited(route.name, 0, route.name, "bench", route)
+        await entry.commits.commit(edit, time.monotonic(), 5.0)
+    version = entry.cell.tables.version
+    while any(e.cell.tables.version < version for e in deployment.entries):
+        await asyncio.sleep(0.05)
--- a/src/yuccapoint/bench/requests.py
+++ b/src/yuccapoint/bench/requests.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import time
 
 import msgspec
 
 from yuccapoint.bench.registry import bench
+from yuccapoint.bench.request_faults import FaultFigures
+from yuccapoint.bench.request_faults import run_faults
 from yuccapoint.bench.request_model import percentile_ms
 from yuccapoint.bench.request_model import RequestModel
+from yuccapoint.bench.request_path import measure_path
+from yuccapoint.bench.request_path import PathFigures
 from yuccapoint.connection.messages import AgentReport
 from yuccapoint.connection.messages import EndpointReport
 from yuccapoint.job.size import Size
@@ -55,9 +60,18 @@
     victim_tail_ratio: float
     retry_amplification: float
     failing_answered_ratio: float
+    duplicate_runs: int
+    false_not_run: int
+    crossed_answers: int
+    truncated_answers: int
+    cross_customer: int
+    path_cost_ratio: float
+    cross_region_bytes_ratio: float
     route_decision_us: list[DecisionFigures]
     route_decision_growth: float
     policies: list[PolicyFigures]
+    faults: FaultFigures
+    path: PathFigures
 
 
 @bench("requests")
@@ -74,6 +88,8 @@
     work_s = WORK_S[deployment]
     goodput_ratio, refusal_p99_ms = _overload(work_s, seed)
     amplification, answered = _failing_third(work_s, seed)
+    faults = asyncio.run(run_faults(deployment, seed))
+    path = asyncio.run(measure_path(deployment, seed))
     decisions = [_decision(count, seed) for count in SIZES]
     growth = decisions[-1].route_decision_us / decisions[0].route_decision_us
     return RequestFigures(
@@ -84,9 +100,18 @@
         victim_tail_ratio=_flood(work_s, seed),
         retry_amplification=amplification,
         failing_answered_ratio=answered,
+        duplicate_runs=faults.duplicate_runs,
+        false_not_run=faults.false_not_run,
+        crossed_answers=faults.crossed_answers,
+        truncated_answers=faults.truncated_answers,
+        cross_customer=faults.cross_customer,
+        path_cost_ratio=path.path_cost_ratio,
+        cross_region_bytes_ratio=path.session_bytes_ratio,
         route_decision_us=decisions,
         route_decision_growth=growth,
         policies=[_policy(name, work_s, seed) for name in SELECTION_POLICIES],
+        faults=faults,
+        path=path,
     )
 
 
