Tell an agent's restart by its incarnation in the log

A scenario with real sockets showed a second run: two seconds after a pool's birth the allowance for clocks hid that the key's agent had started again. VmAdopted now names the agent's incarnation, a restart joins anew, and a claim's answer names the start that took it; no clock is compared.

--- a/src/yuccapoint/connection/frames.py
+++ b/src/yuccapoint/connection/frames.py
@@ -115,12 +115,15 @@
     ----------
     refusal : str
         Empty when the key is now claimed.
+    incarnation : int
+        Start of the agent.
     remembers_for_s : float
         For so long the agent has forgotten no key.
     """
 
     request_id: int
     refusal: str
+    incarnation: int
     remembers_for_s: float
 
 
--- a/src/yuccapoint/job/batch_leader.py
+++ b/src/yuccapoint/job/batch_leader.py
@@ -210,7 +210,13 @@
         if led is not None and led.term >= report.term:
             return []
         self._adopting[report.vm] = report.term
-        record = VmAdopted(report.vm, report.term, self.entry, report.pool)
+        record = VmAdopted(
+            report.vm,
+            report.term,
+            self.entry,
+            report.pool,
+            report.incarnation,
+        )
         text = f"asked to lead {report.vm}"
         fields: dict[str, str | int | float] = {
             "vm": report.vm,
--- a/src/yuccapoint/job/records.py
+++ b/src/yuccapoint/job/records.py
@@ -28,12 +28,16 @@
 
 
 class VmAdopted(msgspec.Struct, frozen=True, tag="va"):
-    """An agent asked the entry to lead its VM under a new term."""
+    """An agent asked the entry to lead its VM under a new term.
+
+    ``incarnation`` is the agent's: what it kept dies with it.
+    """
 
     vm: str
     term: int
     entry: str
     pool: str
+    incarnation: int = 0
 
 
 class VmLost(msgspec.Struct, frozen=True, tag="vl"):
--- a/src/yuccapoint/process/agent_keys.py
+++ b/src/yuccapoint/process/agent_keys.py
@@ -112,7 +112,9 @@
         if answer.refusal:
             raise RepeatedKeyError(answer.refusal)
         request.key_holders.append(owner.vm)
-        if answer.remembers_for_s < owner.must_remember_s:
+        if answer.incarnation != owner.incarnation:
             raise UnknownKeyError(
-                f"{owner.vm}, which keeps the key, started again"
+                f"{owner.vm}, which kept the key, started again"
             )
+        if answer.remembers_for_s < owner.must_remember_s:
+            raise UnknownKeyError(f"{owner.vm} may have forgotten the key")
--- a/src/yuccapoint/process/agent_process.py
+++ b/src/yuccapoint/process/agent_process.py
@@ -68,7 +68,7 @@
         self.endpoints = EndpointRegistry(
             settings.limits.slots, settings.limits.connections
         )
-        self.keys = KeyMemory(time.monotonic())
+        self.keys = KeyMemory()
         self.waiting: dict[str, ServedRequest] = {}
         self.client = EndpointClient()
         self.keeper = TaskKeeper(self.name, self.incarnation, Size())
--- a/src/yuccapoint/process/cell_state.py
+++ b/src/yuccapoint/process/cell_state.py
@@ -135,7 +135,9 @@
 
     def _note_vms(self, record: Record, stamp_ms: int) -> None:
         if isinstance(record, VmAdopted):
-            self.key_owners.join(record.vm, record.pool, stamp_ms)
+            self.key_owners.join(
+                record.vm, record.pool, record.incarnation, stamp_ms
+            )
         if not isinstance(record, VmLost | EntryLapsed):
             return
         for vm in self.key_owners.present():
--- a/src/yuccapoint/process/request_server.py
+++ b/src/yuccapoint/process/request_server.py
@@ -140,7 +140,9 @@
             keys.claim(claim.scope, claim.key, claim.claimant, now_s)
         except RequestError as error:
             refusal = str(error)
-        answer = KeyAnswer(claim.request_id, refusal, remembers_for_s)
+        answer = KeyAnswer(
+            claim.request_id, refusal, self.agent.incarnation, remembers_for_s
+        )
         with contextlib.suppress(StreamClosedError):
             self.frames.write(answer)
 
--- a/src/yuccapoint/request/key_memory.py
+++ b/src/yuccapoint/request/key_memory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import math
 
 from yuccapoint.request.exceptions import RepeatedKeyError
 
@@ -24,15 +25,10 @@
     """Remembers keys of non-idempotent requests, the newest ones.
 
     A key is scoped by customer and route, so that customers can't meet.
-
-    Parameters
-    ----------
-    started_s : float
-        Monotonic time from which on all keys are remembered.
     """
 
-    def __init__(self, started_s: float = 0.0) -> None:
-        self._complete_since_s = started_s
+    def __init__(self) -> None:
+        self._complete_since_s = -math.inf
         self._keys: collections.OrderedDict[tuple[str, str], HeldKey] = (
             collections.OrderedDict()
         )
@@ -78,7 +74,7 @@
             del self._keys[scope, key]
 
     def remembers_for_s(self, now_s: float) -> float:
-        """Tell for how long no key has been forgotten early."""
+        """Tell for how long no key was forgotten early; may be infinite."""
         return now_s - self._complete_since_s
 
     def _expire(self, now_s: float) -> None:
--- a/src/yuccapoint/request/key_owners.py
+++ b/src/yuccapoint/request/key_owners.py
@@ -18,16 +18,19 @@
 
 
 class Membership:
-    """One stay of a VM in its pool, by the log's stamps.
+    """One stay of an agent's start in a pool, by the log's stamps.
 
     ``left_ms`` is 0 while the VM is there.
     """
 
-    __slots__ = ("joined_ms", "left_ms", "pool", "vm")
+    __slots__ = ("incarnation", "joined_ms", "left_ms", "pool", "vm")
 
-    def __init__(self, vm: str, pool: str, joined_ms: int) -> None:
+    def __init__(
+        self, vm: str, pool: str, incarnation: int, joined_ms: int
+    ) -> None:
         self.vm = vm
         self.pool = pool
+        self.incarnation = incarnation
         self.joined_ms = joined_ms
         self.left_ms = 0
 
@@ -37,18 +40,26 @@
 
     Attributes
     ----------
+    incarnation : int
+        The start of the agent that owned the key.
     present : bool
-        Whether its VM is still there; if not, what it knew is lost.
+        Whether that start is still there; if not, what it knew is lost.
     must_remember_s : float
-        For so long its memory has to reach back.
+        For so long it may have forgotten no key.
     """
 
-    __slots__ = ("must_remember_s", "present", "vm")
+    __slots__ = ("incarnation", "must_remember_s", "present", "vm")
 
     def __init__(
-        self, vm: str, must_remember_s: float, *, present: bool
+        self,
+        vm: str,
+        incarnation: int,
+        must_remember_s: float,
+        *,
+        present: bool,
     ) -> None:
         self.vm = vm
+        self.incarnation = incarnation
         self.must_remember_s = must_remember_s
         self.present = present
 
@@ -67,14 +78,20 @@
         self._stays: dict[str, list[Membership]] = {}
         self._ranked: dict[tuple[str, int], list[Membership]] = {}
 
-    def join(self, vm: str, pool: str, stamp_ms: int) -> None:
-        """Take note that a VM was adopted."""
+    def join(
+        self, vm: str, pool: str, incarnation: int, stamp_ms: int
+    ) -> None:
+        """Take note that a VM was adopted.
+
+        An agent that started again joins anew: it forgot all keys.
+        """
         known = self._present.get(vm)
-        if known is not None and known.pool == pool:
-            return
         if known is not None:
+            same = known.incarnation == incarnation
+            if same and known.pool == pool:
+                return
             known.left_ms = stamp_ms
-        stay = Membership(vm, pool, stamp_ms)
+        stay = Membership(vm, pool, incarnation, stamp_ms)
         self._present[vm] = stay
         self._stays.setdefault(pool, []).append(stay)
         self._trim(pool, stamp_ms)
@@ -112,16 +129,18 @@
         from_ms = max(now_ms - WINDOW_MS, key_made_ms(key))
         slot = xxhash.xxh64_intdigest(f"{scope}/{key}".encode()) % SLOTS
         stays = self._relevant(pool, slot, now_ms)
-        found: dict[str, KeyOwner] = {}
+        found: dict[tuple[str, int], KeyOwner] = {}
         for moment_ms in _moments(stays, from_ms):
             owner = _owner_at(stays, moment_ms)
-            if owner is None or owner.vm in found:
+            if owner is None or (owner.vm, owner.incarnation) in found:
                 continue
-            since_ms = max(from_ms, owner.joined_ms)
-            found[owner.vm] = KeyOwner(
+            now = self._present.get(owner.vm)
+            found[owner.vm, owner.incarnation] = KeyOwner(
                 owner.vm,
-                max(0.0, (now_ms - since_ms) / 1000 - MEMORY_SLACK_S),
-                present=owner.vm in self._present,
+                owner.incarnation,
+                (now_ms - from_ms) / 1000 + MEMORY_SLACK_S,
+                present=now is not None
+                and now.incarnation == owner.incarnation,
             )
         return list(found.values())
 
--- /dev/null
+++ b/tests/features/steps/request_caller_steps.py
@@ -0,0 +1,187 @@
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from typing import TYPE_CHECKING
+
+from behave import given
+from behave import then
+from behave import when
+import msgspec
+from tornado.httpclient import AsyncHTTPClient
+from tornado.httpclient import HTTPRequest
+from tornado.iostream import StreamClosedError
+from tornado.tcpclient import TCPClient
+
+from yuccapoint.job.records import RouteEdited
+from yuccapoint.version.route import Route
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+    from tornado.httpclient import HTTPResponse
+
+WAIT_S = 10.0
+
+
+def _add_route(context: Context, route: Route) -> None:
+    async def add() -> None:
+        deployment = context.deployment
+        entry = deployment.entries[0]
+        shape = deployment.shape
+        row = msgspec.structs.replace(
+            route, service=shape.service, pool=shape.pool
+        )
+        edit = RouteEdited(row.name, 0, row.name, "test", row)
+        await entry.commits.commit(edit, time.monotonic(), WAIT_S)
+        version = entry.cell.tables.version
+        while any(
+            other.cell.tables.version < version for other in deployment.entries
+        ):
+            await asyncio.sleep(0.01)
+
+    context.loop.run_until_complete(add())
+    context.names = []
+
+
+async def _fetch(
+    context: Context, path: str, entry: int, headers: dict[str, str]
+) -> HTTPResponse:
+    name = f"caller-{len(context.names)}"
+    context.names.append(name)
+    listen = context.deployment.entries[entry].settings.listen
+    client = AsyncHTTPClient(force_instance=True)
+    answer = await client.fetch(
+        HTTPRequest(
+            f"http://{listen.caller_address}{path}",
+            method="POST",
+            body=b"body",
+            headers={"X-Request-Name": name, **headers},
+        ),
+        raise_error=False,
+    )
+    client.close()
+    return answer
+
+
+@given('a route "{prefix}" whose keys the agents keep')
+def key_route(context: Context, prefix: str) -> None:
+    route = Route(name="keyed", prefix=prefix, service="", pool="")
+    _add_route(context, route)
+
+
+@given(
+    'a route "{prefix}" that takes {work:g} s and allows a customer '
+    "{rate:g} requests/s"
+)
+def slow_route(
+    context: Context, prefix: str, work: float, rate: float
+) -> None:
+    for machine in context.deployment.machines:
+        machine.endpoint.work_s = work
+    _add_route(
+        context,
+        Route(
+            name="slow",
+            prefix=prefix,
+            service="",
+            pool="",
+            customer_requests_per_s=rate,
+        ),
+    )
+
+
+@when('a caller sends "{path}" with key "{key}" to entry {entry:d}')
+def send_key(context: Context, path: str, key: str, entry: int) -> None:
+    headers = {"Idempotency-Key": key}
+    context.told = context.loop.run_until_complete(
+        _fetch(context, path, entry, headers)
+    )
+
+
+@when('a caller sends "{path}" with header "{header}"')
+def send_header(context: Context, path: str, header: str) -> None:
+    name, _, value = header.partition(": ")
+    context.told = context.loop.run_until_complete(
+        _fetch(context, path, 0, {name: value})
+    )
+
+
+@when('a caller sends "{path}" {count:d} times at once')
+def send_often(context: Context, path: str, count: int) -> None:
+    async def send() -> list[HTTPResponse]:
+        sends = [_fetch(context, path, 0, {}) for _ in range(count)]
+        return await asyncio.gather(*sends)
+
+    context.told = context.loop.run_until_complete(send())[-1]
+
+
+@when("a caller sends bytes that are no request")
+def send_bytes(context: Context) -> None:
+    listen = context.deployment.entries[0].settings.listen
+    host, _, port = listen.caller_address.rpartition(":")
+
+    async def send() -> bytes:
+        stream = await TCPClient().connect(host, int(port))
+        await stream.write(b"NO REQUEST AT ALL\r\n\r\n")
+        with contextlib.suppress(StreamClosedError):
+            return await stream.read_until(b"\r\n")
+        return b""
+
+    context.raw = context.loop.run_until_complete(send())
+
+
+@when("all agents start again")
+def restart_agents(context: Context) -> None:
+    deployment = context.deployment
+
+    async def restart() -> None:
+        for machine in deployment.machines:
+            deployment.restart_agent(machine)
+        deadline_s = time.monotonic() + WAIT_S
+        while time.monotonic() < deadline_s:
+            agents = [machine.agent for machine in deployment.machines]
+            if all(agent.keeper.lease_until_s for agent in agents):
+                return
+            await asyncio.sleep(0.05)
+
+    context.loop.run_until_complete(restart())
+
+
+@then('the caller is told {status:d} with "{verdict}" because of {reason}')
+def told_because(
+    context: Context, status: int, verdict: str, reason: str
+) -> None:
+    told(context, status, verdict)
+    found = context.told.headers["Yuccapoint-Reason"]
+    assert found == reason, (found, context.told.body)
+
+
+@then('the caller is told {status:d} with "{verdict}"')
+def told(context: Context, status: int, verdict: str) -> None:
+    answer = context.told
+    assert answer.code == status, (answer.code, answer.body)
+    assert answer.headers["Yuccapoint-Verdict"] == verdict
+
+
+@then(
+    'the last of them is told {status:d} with "{verdict}" and when to come '
+    "back"
+)
+def told_when(context: Context, status: int, verdict: str) -> None:
+    told(context, status, verdict)
+    assert int(context.told.headers["Retry-After"]) >= 1
+
+
+@then("the caller's connection is answered {status:d}")
+def raw_status(context: Context, status: int) -> None:
+    assert context.raw.startswith(f"HTTP/1.1 {status}".encode()), context.raw
+
+
+@then("the endpoints ran the caller's requests {count:d} times")
+def ran_times(context: Context, count: int) -> None:
+    total = 0
+    for machine in context.deployment.machines:
+        for name in context.names:
+            total += machine.endpoint.runs.get(name, 0)
+    assert total == count, total
--- a/tests/features/steps/request_key_steps.py
+++ b/tests/features/steps/request_key_steps.py
@@ -33,7 +33,8 @@
         self.rng = rng
         self.now_ms = START_MS
         self.lag_ms = lag_s * 1000
-        self.log: list[tuple[int, str, str]] = []
+        self.log: list[tuple[int, str, str, int]] = []
+        self.starts: dict[str, int] = {}
         self.memories: dict[str, KeyMemory] = {}
         self.entries = [KeyOwners() for _ in range(ENTRIES)]
         self.read_to = [0] * ENTRIES
@@ -42,8 +43,12 @@
             self.join(f"vm-{number}")
 
     def join(self, vm: str) -> None:
-        self.memories[vm] = KeyMemory(self.now_ms / 1000)
-        self.log.append((self.now_ms, "join", vm))
+        self.start(vm)
+        self.log.append((self.now_ms, "join", vm, self.starts[vm]))
+
+    def start(self, vm: str) -> None:
+        self.memories[vm] = KeyMemory()
+        self.starts[vm] = self.starts.get(vm, 0) + 1
 
     def disturb(self) -> None:
         vm = self.rng.choice(list(self.memories))
@@ -51,10 +56,12 @@
         if kind == 0:
             self.join(f"vm-{len(self.log)}-new")
         if kind == 1:
-            self.memories[vm] = KeyMemory(self.now_ms / 1000)
+            self.start(vm)
+            if self.rng.random() < 0.5:
+                self.log.append((self.now_ms, "join", vm, self.starts[vm]))
         if kind == 2 and len(self.memories) > VMS // 2:
             del self.memories[vm]
-            self.log.append((self.now_ms, "leave", vm))
+            self.log.append((self.now_ms, "leave", vm, 0))
 
     def claim(self, index: int, key: str, claimant: str) -> bool:
         owners = self._read(index)
@@ -70,18 +77,19 @@
                 return False
             reach_s = memory.remembers_for_s(self.now_ms / 1000)
             known = known and reach_s >= owner.must_remember_s
+            known = known and self.starts[owner.vm] == owner.incarnation
         return known and bool(found)
 
     def _read(self, index: int) -> KeyOwners:
         owners = self.entries[index]
         until_ms = self.now_ms - self.rng.randint(0, self.lag_ms)
         while self.read_to[index] < len(self.log):
-            stamp_ms, kind, vm = self.log[self.read_to[index]]
+            stamp_ms, kind, vm, start = self.log[self.read_to[index]]
             if stamp_ms > until_ms:
                 break
             self.read_to[index] += 1
             if kind == "join":
-                owners.join(vm, POOL, stamp_ms)
+                owners.join(vm, POOL, start, stamp_ms)
                 continue
             owners.leave(vm, stamp_ms)
         return owners
@@ -131,7 +139,7 @@
     context.now_ms = START_MS
     for number in range(count):
         context.now_ms += STEP_MS
-        context.owners.join(f"vm-{number}", POOL, context.now_ms)
+        context.owners.join(f"vm-{number}", POOL, 1, context.now_ms)
 
 
 @when("one of the key owners is lost an hour later")
--- a/tests/features/steps/request_path_steps.py
+++ b/tests/features/steps/request_path_steps.py
@@ -82,7 +82,7 @@
         metrics=Metrics(),
         max_body_bytes=1 << 20,
         endpoints=EndpointRegistry(SLOTS, 8),
-        keys=KeyMemory(time.monotonic()),
+        keys=KeyMemory(),
         keeper=SimpleNamespace(lease_until_s=time.monotonic() + LONG_S),
         waiting={},
         client=EndpointClient(),
