--- a/src/yuccapoint/connection/messages.py
+++ b/src/yuccapoint/connection/messages.py
@@ -10,6 +10,7 @@
 
 from yuccapoint.job.job import Job
 from yuccapoint.job.size import Size
+from yuccapoint.request.customer_limits import CustomerDemand
 from yuccapoint.version.pool import Pool
 from yuccapoint.version.route import Route
 
@@ -125,7 +126,11 @@
 
 
 class EntryHello(msgspec.Struct, frozen=True, tag="eh", kw_only=True):
-    """An entry's state, sent to other entries and to agents."""
+    """An entry's state, sent to other entries and to agents.
+
+    ``adopts`` tells that the entry reaches the log and so can lead VMs
+    that ask it.
+    """
 
     entry: str
     data_centre: str
@@ -136,6 +141,8 @@
     log_offset: int
     stopping: bool
     known_addresses: list[str]
+    adopts: bool = True
+    demand: list[CustomerDemand] = []
 
 
 class DrainVm(msgspec.Struct, frozen=True, tag="dv"):
--- a/src/yuccapoint/job/vm_view.py
+++ b/src/yuccapoint/job/vm_view.py
@@ -2,7 +2,13 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from yuccapoint.job.size import Size
+from yuccapoint.job.vm_trust import VmTrust
+
+if TYPE_CHECKING:
+    from yuccapoint.job.interference.pair_table import PairTable
 
 
 class VmView:
@@ -15,6 +21,14 @@
         claimed since.
     attempts : dict of str to int
         Attempt number by job, of the attempts that the report names.
+    batch_classes : list of str
+        Classes of the attempts on the VM and of those claimed for it.
+    service : str
+        Class of the service on the VM.
+    pairs : PairTable or None
+        What is known about interference; None where nothing is.
+    claiming : dict of str to Size
+        Sizes by job of the claims that the log has not decided yet.
     granted_until_s : float
         Until then the VM may run its tasks, on the entry's clock.
     """
@@ -22,20 +36,23 @@
     __slots__ = (
         "address",
         "attempts",
+        "batch_classes",
         "capacity",
+        "claiming",
         "data_centre",
         "free",
         "granted_until_s",
         "incarnation",
+        "pairs",
         "pool",
-        "quarantined_until_s",
         "rack",
         "ready",
         "report_sequence",
         "reported_at_s",
         "reported_free",
-        "start_failures",
+        "service",
         "term",
+        "trust",
         "vm",
     )
 
@@ -49,11 +66,31 @@
         self.free = Size()
         self.reported_free = Size()
         self.attempts: dict[str, int] = {}
+        self.batch_classes: list[str] = []
+        self.service = ""
+        self.pairs: PairTable | None = None
         self.incarnation = 0
         self.term = 0
         self.report_sequence = 0
         self.reported_at_s = 0.0
         self.granted_until_s = 0.0
-        self.quarantined_until_s = 0.0
-        self.start_failures = 0
+        self.claiming: dict[str, Size] = {}
+        self.trust = VmTrust()
         self.ready = False
+
+    def count_free(self, missing: list[Size], reserve: Size) -> None:
+        """Count the room anew.
+
+        Parameters
+        ----------
+        missing : list of Size
+            Attempts claimed for the VM that its report does not name.
+        reserve : Size
+            Kept free of batch work.
+        """
+        free = self.reported_free - reserve
+        for size in missing:
+            free = free - size
+        for size in self.claiming.values():
+            free = free - size
+        self.free = free
--- a/src/yuccapoint/process/agent_process.py
+++ b/src/yuccapoint/process/agent_process.py
@@ -70,7 +70,7 @@
         self.endpoints = EndpointRegistry(
             settings.limits.slots, settings.limits.connections
         )
-        self.keys = KeyMemory()
+        self.keys = KeyMemory(time.monotonic())
         self.waiting: dict[str, ServedRequest] = {}
         self.client = EndpointClient()
         self.keeper = TaskKeeper(self.name, self.incarnation, Size())
@@ -160,6 +160,10 @@
             request = self.waiting.get(late.request_key)
             if request is not None:
                 request.expired()
+        for dropped in endpoint.admission.take_evicted():
+            request = self.waiting.get(dropped.request_key)
+            if request is not None:
+                request.displaced()
         while True:
             ticket = endpoint.admission.start_next(now_s)
             if ticket is None:
@@ -245,6 +249,10 @@
         now_s = time.monotonic()
         if isinstance(message, EntryHello):
             self.directory.on_hello(message, now_s)
+            if message.stopping and self.keeper.on_leader_stopping(
+                message.entry
+            ):
+                self.report()
             return
         if isinstance(message, LeaseGrant):
             self.act(self.keeper.on_grant(message, now_s))
@@ -274,4 +282,7 @@
         pool = self.tables.pools.get(self.settings.process.pool)
         if pool is None or not pool.guard:
             return
+        self.guard.configure(
+            self.endpoints.service(), pool.tail_weight, pool.eviction_weight
+        )
         self.act(self.guard.on_usage(samples, time.monotonic()))
--- a/src/yuccapoint/process/caller_server.py
+++ b/src/yuccapoint/process/caller_server.py
@@ -3,18 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from typing import TYPE_CHECKING
 
 from tornado.httputil import HTTPHeaders
 from tornado.httputil import HTTPMessageDelegate
+from tornado.httputil import HTTPOutputError
 from tornado.httputil import HTTPServerConnectionDelegate
 from tornado.httputil import ResponseStartLine
 from tornado.iostream import StreamClosedError
 
 from yuccapoint.exceptions import YuccapointError
+from yuccapoint.request.exceptions import BadRequestError
 from yuccapoint.request.exceptions import NoRouteError
 from yuccapoint.request.exceptions import OverloadedError
+from yuccapoint.request.exceptions import RequestCancelledError
 from yuccapoint.request.exceptions import RequestError
 from yuccapoint.request.exceptions import TooLargeError
 from yuccapoint.request.header import end_to_end
@@ -36,6 +40,7 @@
 REQUEST_HEADER = "Yuccapoint-Request"
 CUSTOMER_HEADER = "Yuccapoint-Customer"
 KEY_HEADER = "Idempotency-Key"
+TIMEOUT_HEADER = "Yuccapoint-Timeout-S"
 NO_BODY_STATUSES = (204, 304)
 
 
@@ -66,6 +71,7 @@
         self._size_bytes = 0
         self._answered = False
         self._counted = False
+        self._customer = ""
         self._task: asyncio.Task[None] | None = None
 
     def headers_received(
@@ -113,8 +119,8 @@
         if route is None:
             raise NoRouteError(f"no route matches {path}")
         customer = entry.access.customer(headers, CUSTOMER_HEADER)
-        if entry.stopping or entry.in_flight >= entry.max_in_flight:
-            raise OverloadedError("the entry is full", retry_after_s=1.0)
+        if entry.stopping:
+            raise OverloadedError("the entry is stopping", retry_after_s=1.0)
         length = headers.get("Content-Length", "0")
         if length.isdigit() and int(length) > entry.max_body_bytes:
             raise self._too_large()
@@ -129,17 +135,44 @@
             time.monotonic(),
         )
         request.key = headers.get(KEY_HEADER, "")
-        entry.in_flight += 1
+        self._shorten(request, headers)
+        now_s = request.started_s
+        entry.customer_limits.take(
+            request.scope,
+            route.customer_requests_per_s,
+            entry.router.entries,
+            now_s,
+        )
+        entry.held.enter(customer)
         self._counted = True
+        self._customer = customer
         return request
 
+    def _shorten(self, request: ServiceRequest, headers: HTTPHeaders) -> None:
+        asked = headers.get(TIMEOUT_HEADER)
+        if asked is None:
+            return
+        try:
+            timeout_s = float(asked)
+        except ValueError:
+            timeout_s = math.nan
+        if not 0 < timeout_s < math.inf:
+            raise BadRequestError(
+                f"{TIMEOUT_HEADER} should be seconds above 0"
+            )
+        request.deadline_s = min(
+            request.deadline_s, request.started_s + timeout_s
+        )
+
     def _too_large(self) -> TooLargeError:
         limit = self._entry.max_body_bytes
         return TooLargeError(f"the body is larger than {limit} bytes")
 
     async def _serve(self, request: ServiceRequest) -> None:
+        sent = False
         try:
             await self._entry.claim_key(request)
+            sent = True
             forwarded = await self._entry.forwarder.forward(request)
         except RequestError as error:
             await self._entry.release_key(request, error)
@@ -148,11 +181,17 @@
         except YuccapointError as error:
             self._refuse(RequestError(str(error), error.verdict))
             return
+        except asyncio.CancelledError:
+            if not sent:
+                gone = RequestCancelledError("the caller is gone")
+                await self._entry.release_key(request, gone)
+            raise
         finally:
             request.chunks.clear()
         try:
-            await self._answer(forwarded, request)
-        except RequestError:
+            async with asyncio.timeout(request.deadline_s - time.monotonic()):
+                await self._answer(forwarded, request)
+        except (RequestError, HTTPOutputError, TimeoutError):
             self._break_off()
         except StreamClosedError:
             pass
@@ -190,7 +229,7 @@
 
     async def _stream_body(self, forwarded: Forwarded) -> None:
         while True:
-            chunk = await forwarded.pending.chunk()
+            chunk = await forwarded.chunk()
             if chunk.data:
                 await self._connection.write(chunk.data)
             if chunk.last:
@@ -237,4 +276,4 @@
         if not self._counted:
             return
         self._counted = False
-        self._entry.in_flight -= 1
+        self._entry.held.leave(self._customer)
--- a/src/yuccapoint/process/entry_process.py
+++ b/src/yuccapoint/process/entry_process.py
@@ -28,6 +28,7 @@
 from yuccapoint.job.records import KeyReleased
 from yuccapoint.job.records import SnapshotChunk
 from yuccapoint.process.access import Access
+from yuccapoint.process.agent_keys import AgentKeys
 from yuccapoint.process.caller_server import CallerServer
 from yuccapoint.process.cell_state import CellState
 from yuccapoint.process.commits import Commits
@@ -39,8 +40,11 @@
 from yuccapoint.process.request_forwarder import RequestForwarder
 from yuccapoint.process.snapshot_schedule import SnapshotSchedule
 from yuccapoint.process.snapshot_writer import SnapshotWriter
+from yuccapoint.request.customer_limits import CustomerLimits
 from yuccapoint.request.exceptions import RepeatedKeyError
 from yuccapoint.request.exceptions import RequestError
+from yuccapoint.request.in_flight import InFlight
+from yuccapoint.request.link_budget import LinkBudget
 from yuccapoint.request.router import Router
 from yuccapoint.request.verdict import Verdict
 from yuccapoint.version.compiled_version import CompiledVersion
@@ -83,14 +87,17 @@
         self.decisions = Decisions()
         self.access = Access(settings.access.tokens_file)
         self.max_body_bytes = settings.limits.max_body_bytes
-        self.max_in_flight = settings.limits.max_in_flight
-        self.in_flight = 0
+        self.held = InFlight(settings.limits.max_in_flight)
+        self.customer_limits = CustomerLimits()
         self.leaving = False
         self.stopping = False
         self.log_fault = ""
         self.cell = CellState()
         self.router = Router(
-            settings.process.data_centre, settings.process.region, self.rng
+            settings.process.data_centre,
+            settings.process.region,
+            self.rng,
+            self.name,
         )
         self.leader = BatchLeader(
             self.entry_id, self.cell.board, self.cell.tables.pool, self.rng
@@ -106,6 +113,10 @@
             self.rng,
             self.logs,
             self.metrics,
+            LinkBudget(settings.limits.cross_region_bytes_per_s),
+        )
+        self.agent_keys = AgentKeys(
+            self.forwarder, self.router, self.cell.key_owners
         )
         self.writer = LogWriter(self.entry_id)
         self.commits = Commits(self.writer)
@@ -147,6 +158,11 @@
         self._ticker = PeriodicCallback(self._tick, TICK_MS)
         self._greeter = PeriodicCallback(self._greet, HELLO_MS)
 
+    @property
+    def in_flight(self) -> int:
+        """Requests that this entry holds."""
+        return self.held.count
+
     @property
     def ready(self) -> bool:
         """Whether the balancer may send requests here."""
@@ -224,7 +240,11 @@
             The log did not decide the claim in time; the request was not
             run, and the claim is released should it still arrive.
         """
-        if request.route.once != "log" or not request.key:
+        if not request.key:
+            return
+        if request.route.once == "agent" and not request.idempotent:
+            await self.agent_keys.claim(request)
+        if request.route.once != "log":
             return
         record = KeyClaimed(
             request.customer,
@@ -247,9 +267,10 @@
         self, request: ServiceRequest, error: RequestError
     ) -> None:
         """Free the key of a request that certainly did not run."""
-        if request.route.once != "log" or not request.key:
+        if not request.key or error.verdict is not Verdict.NOT_RUN:
             return
-        if error.verdict is not Verdict.NOT_RUN:
+        self.agent_keys.release(request)
+        if request.route.once != "log":
             return
         record = KeyReleased(
             request.customer,
@@ -264,7 +285,10 @@
         for action in actions:
             if isinstance(action, Append):
                 self.writer.add(
-                    self._addressed(action.record), time.monotonic()
+                    self._addressed(action.record),
+                    time.monotonic(),
+                    urgent=action.urgent,
+                    bounded=False,
                 )
                 continue
             if isinstance(action, Send):
@@ -331,6 +355,7 @@
     def _greet(self) -> None:
         now_s = time.monotonic()
         hello = self._hello(now_s)
+        self.router.entries = max(1, len(self.directory.alive(now_s)))
         for address in self.directory.addresses(now_s):
             if address != self.settings.listen.control_address:
                 self.mailbox.send(address, hello)
@@ -346,15 +371,20 @@
             tables_version=self.cell.tables.current.version,
             log_offset=self.cell.next_offset,
             stopping=self.leaving,
+            adopts=self.pump.caught_up and not self.log_fault,
             known_addresses=[
                 hello.control_address for hello in self.directory.alive(now_s)
             ],
+            demand=self.customer_limits.demand(now_s),
         )
 
     def _on_message(self, message: ControlMessage) -> None:
         now_s = time.monotonic()
         if isinstance(message, EntryHello):
             self.directory.on_hello(message, now_s)
+            self.customer_limits.on_demand(
+                message.entry, message.demand, now_s
+            )
             self._lend(message, now_s)
             return
         if isinstance(message, TablesUpdate):
@@ -417,6 +447,8 @@
             )
 
     def _on_outage(self, text: str) -> None:
+        if not text:
+            self.agent_keys.log_answered_at_s = time.monotonic()
         if bool(text) == bool(self.log_fault):
             return
         self.log_fault = text
--- a/src/yuccapoint/process/request_forwarder.py
+++ b/src/yuccapoint/process/request_forwarder.py
@@ -10,17 +10,21 @@
 from yuccapoint.connection.agent_session import split_body
 from yuccapoint.connection.frames import RequestHead
 from yuccapoint.request.exceptions import DeadlinePassedError
+from yuccapoint.request.exceptions import EndpointFailedError
 from yuccapoint.request.exceptions import NoEndpointError
 from yuccapoint.request.exceptions import RequestError
+from yuccapoint.request.exceptions import SessionLostError
 from yuccapoint.request.retry_budget import RetryBudget
 from yuccapoint.request.verdict import Verdict
 
 if TYPE_CHECKING:
     import random
 
+    from yuccapoint.connection.frames import AnswerChunk
     from yuccapoint.connection.frames import AnswerHead
     from yuccapoint.process.logs import Logs
     from yuccapoint.process.metrics import Metrics
+    from yuccapoint.request.link_budget import LinkBudget
     from yuccapoint.request.pending_answer import PendingAnswer
     from yuccapoint.request.router import RouteDecision
     from yuccapoint.request.router import Router
@@ -28,13 +32,26 @@
 
 FIRST_BACKOFF_S = 0.005
 MAX_BACKOFF_S = 0.2
+MAX_BUDGETS = 10_000
 SERVER_ERROR = 500
 
 
 class Forwarded:
-    """An answer whose head has come."""
+    """An answer whose head has come.
 
-    __slots__ = ("_session", "decision", "head", "pending", "request_id")
+    The request counts as in flight until the answer is out or given up.
+    """
+
+    __slots__ = (
+        "_customer",
+        "_open",
+        "_session",
+        "decision",
+        "head",
+        "link",
+        "pending",
+        "request_id",
+    )
 
     def __init__(
         self,
@@ -43,20 +60,46 @@
         pending: PendingAnswer,
         session: AgentSession,
         request_id: int,
+        customer: str,
     ) -> None:
+        self._customer = customer
         self.decision = decision
         self.head = head
         self.pending = pending
         self.request_id = request_id
         self._session = session
+        self._open = True
+        self.link: LinkBudget | None = None
+
+    async def chunk(self) -> AnswerChunk:
+        """Wait for the next part of the body and ask for one more.
+
+        Raises
+        ------
+        SessionLostError
+            The rest of the body won't come.
+        """
+        chunk = await self.pending.chunk()
+        if self.link is not None:
+            self.link.use(len(chunk.data))
+        if not chunk.last:
+            self._session.credit(self.request_id)
+        return chunk
 
     def close(self) -> None:
         """Forget the request; the agent is told if the body is not out."""
         self._session.forget(self.request_id)
+        self._end()
 
     def done(self) -> None:
         """Forget a request whose answer came whole."""
         self._session.done(self.request_id)
+        self._end()
+
+    def _end(self) -> None:
+        if self._open:
+            self._open = False
+            self.decision.view.leave(self._customer)
 
 
 class RequestForwarder:
@@ -72,6 +115,8 @@
         The choice of endpoints.
     rng : random.Random
         Source of jitter.
+    link : LinkBudget
+        Budget of bytes to and from the other region.
     """
 
     def __init__(
@@ -82,7 +127,9 @@
         rng: random.Random,
         logs: Logs,
         metrics: Metrics,
+        link: LinkBudget,
     ) -> None:
+        self._link = link
         self._name = name
         self._incarnation = incarnation
         self._router = router
@@ -91,6 +138,7 @@
         self._metrics = metrics
         self._sessions: dict[str, AgentSession] = {}
         self._budgets: dict[str, RetryBudget] = {}
+        self._closed_dropped = 0
 
     async def forward(self, request: ServiceRequest) -> Forwarded:
         """Send a request until an answer's head has come.
@@ -106,7 +154,7 @@
         backoff_s = FIRST_BACKOFF_S
         while True:
             try:
-                return await self._try(request)
+                return await self._try_hedged(request, budget)
             except NoEndpointError as error:
                 if request.tried:
                     error.verdict = verdict
@@ -137,33 +185,83 @@
     @property
     def dropped_answers(self) -> int:
         """Answers that found nobody waiting."""
-        return sum(session.dropped for session in self._sessions.values())
+        dropped = self._closed_dropped
+        for session in self._sessions.values():
+            dropped += session.dropped
+        return dropped
+
+    async def _try_hedged(
+        self, request: ServiceRequest, budget: RetryBudget
+    ) -> Forwarded:
+        after_s = request.route.hedge_after_s
+        if not request.idempotent or after_s <= 0:
+            return await self._try(request)
+        tries = {asyncio.ensure_future(self._try(request))}
+        try:
+            done, _ = await asyncio.wait(tries, timeout=after_s)
+            if not done and budget.spend():
+                self._metrics.count("hedges", route=request.route.name)
+                tries.add(asyncio.ensure_future(self._try(request)))
+            return await _first_answer(tries)
+        finally:
+            for task in tries:
+                task.cancel()
+                task.add_done_callback(_give_up)
 
     async def _try(self, request: ServiceRequest) -> Forwarded:
         now_s = time.monotonic()
-        decision = self._router.choose(request.route, request.tried, now_s)
+        decision = self._choose(request, now_s)
         view = decision.view
         request.tried.add(view.key)
         self._log(request, decision)
-        view.own_in_flight += 1
-        failed = True
+        view.enter(request.customer)
         try:
             forwarded = await self._send(request, decision)
-            failed = forwarded.head.status >= SERVER_ERROR
-            return forwarded
         except RequestError as error:
-            failed = error.status >= SERVER_ERROR
+            view.leave(request.customer)
+            self._note(decision, failed=_is_fault(error))
             raise
-        finally:
-            view.own_in_flight -= 1
-            view.note_result(failed=failed)
+        except asyncio.CancelledError:
+            view.leave(request.customer)
+            raise
+        self._note(decision, failed=forwarded.head.status >= SERVER_ERROR)
+        return forwarded
+
+    def _choose(self, request: ServiceRequest, now_s: float) -> RouteDecision:
+        wait_s = self._link.wait_s(self._router.entries, now_s)
+        try:
+            return self._router.choose(
+                request.route,
+                request.tried,
+                now_s,
+                far=wait_s <= 0,
+                customer=request.customer,
+            )
+        except NoEndpointError as error:
+            error.retry_after_s = max(error.retry_after_s, wait_s)
+            raise
+
+    def _note(self, decision: RouteDecision, *, failed: bool) -> None:
+        view = decision.view
+        now_s = time.monotonic()
+        if not self._router.note_result(view, now_s, failed=failed):
+            return
+        self._metrics.count("quarantines", state=view.state.value)
+        self._logs.say(
+            "route",
+            f"{view.key} is {view.state.value}",
+            failure_rate=round(view.failure_rate, 3),
+        )
 
     async def _send(
         self, request: ServiceRequest, decision: RouteDecision
     ) -> Forwarded:
-        session = self._session(decision)
+        view = decision.view
+        session = self.session(view.vm, view.session_address)
         request_id = session.next_id()
         parts = split_body(request.chunks)
+        if decision.tier == "far":
+            self._link.use(sum(len(part) for part in parts))
         head = RequestHead(
             request_id,
             decision.view.service,
@@ -179,46 +277,58 @@
             parts[0] if parts else b"",
             len(parts) < 2,
         )
-        sent = False
         try:
             async with asyncio.timeout(request.deadline_s - time.monotonic()):
                 pending = await session.call(head, parts[1:])
-                sent = True
                 answer = await pending.head()
         except TimeoutError:
+            verdict = Verdict.NOT_RUN
+            if session.was_sent(request_id):
+                verdict = Verdict.MAY_HAVE_RUN
             session.forget(request_id)
-            raise DeadlinePassedError(
-                "the deadline passed",
-                Verdict.MAY_HAVE_RUN if sent else Verdict.NOT_RUN,
-            ) from None
+            raise DeadlinePassedError("the deadline passed", verdict) from None
+        except asyncio.CancelledError:
+            session.forget(request_id)
+            raise
         except RequestError:
             session.done(request_id)
             raise
-        return Forwarded(decision, answer, pending, session, request_id)
+        forwarded = Forwarded(
+            decision, answer, pending, session, request_id, request.customer
+        )
+        if decision.tier == "far":
+            forwarded.link = self._link
+            self._link.use(len(answer.body))
+        return forwarded
 
-    def _session(self, decision: RouteDecision) -> AgentSession:
-        view = decision.view
-        session = self._sessions.get(view.vm)
-        if session is not None and session.address == view.session_address:
+    def session(self, vm: str, address: str) -> AgentSession:
+        """Give the session to an agent, which opens when it is used."""
+        session = self._sessions.get(vm)
+        if session is not None and session.address == address:
             return session
         if session is not None:
+            self._closed_dropped += session.dropped
             session.close()
 
-        def on_load(in_flight: int) -> None:
-            view.set_load(in_flight, time.monotonic())
+        def on_load(endpoint: str, in_flight: int) -> None:
+            view = self._router.views.get(f"{vm}/{endpoint}")
+            if view is not None:
+                view.set_load(in_flight, time.monotonic())
 
         session = AgentSession(
-            self._name, self._incarnation, view.session_address, on_load
+            self._name, self._incarnation, address, on_load, vm
         )
-        self._sessions[view.vm] = session
+        self._sessions[vm] = session
         return session
 
     def _budget(self, request: ServiceRequest) -> RetryBudget:
-        route = request.route
-        budget = self._budgets.get(route.name)
-        if budget is None or budget.ratio != route.retry_ratio:
-            budget = RetryBudget(route.retry_ratio)
-            self._budgets[route.name] = budget
+        ratio = request.route.retry_ratio
+        budget = self._budgets.get(request.scope)
+        if budget is None or budget.ratio != ratio:
+            budget = RetryBudget(ratio)
+            self._budgets[request.scope] = budget
+            if len(self._budgets) > MAX_BUDGETS:
+                del self._budgets[next(iter(self._budgets))]
         return budget
 
     def _log(self, request: ServiceRequest, decision: RouteDecision) -> None:
@@ -233,3 +343,41 @@
             policy=request.route.policy,
             tries=len(request.tried),
         )
+
+
+async def _first_answer(tries: set[asyncio.Task[Forwarded]]) -> Forwarded:
+    failure: RequestError | None = None
+    waiting = set(tries)
+    while waiting:
+        done, waiting = await asyncio.wait(
+            waiting, return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in done:
+            try:
+                answer = task.result()
+            except RequestError as error:
+                failure = _worse(failure, error)
+                continue
+            tries.discard(task)
+            return answer
+    if failure is None:
+        raise DeadlinePassedError("the deadline passed", Verdict.MAY_HAVE_RUN)
+    raise failure
+
+
+def _worse(known: RequestError | None, error: RequestError) -> RequestError:
+    if known is None or known.verdict is Verdict.NOT_RUN:
+        return error
+    return known
+
+
+def _give_up(task: asyncio.Task[Forwarded]) -> None:
+    if task.cancelled() or task.exception() is not None:
+        return
+    task.result().close()
+
+
+def _is_fault(error: RequestError) -> bool:
+    if isinstance(error, EndpointFailedError | SessionLostError):
+        return True
+    return error.verdict is not Verdict.NOT_RUN
--- a/src/yuccapoint/process/snapshot_image.py
+++ b/src/yuccapoint/process/snapshot_image.py
@@ -23,6 +23,7 @@
 from yuccapoint.job.job_entry import JobState
 from yuccapoint.job.job_entry import JobStep
 from yuccapoint.request.key_claims import KeyClaim
+from yuccapoint.request.key_owners import Membership
 from yuccapoint.version.pool import Pool
 from yuccapoint.version.route import Route
 from yuccapoint.version.table_row import TableRow
@@ -40,6 +41,7 @@
         JobEntry,
         JobStep,
         KeyClaim,
+        Membership,
         TableRow,
         VmLeadership,
     )
@@ -174,8 +176,9 @@
     if not isinstance(value, dict) or not value:
         return ""
     first = next(iter(value.values()))
-    if isinstance(first, list) and first:
-        inner = type(first[0]).__name__
+    if isinstance(first, list):
+        found = next((items for items in value.values() if items), [""])
+        inner = type(found[0]).__name__
         return f"list {inner}" if inner in SLOT_CLASSES else ""
     name = type(first).__name__
     if name == "JobEntry" and not path.endswith("." + JOBS):
--- a/tests/features/steps/snapshot_steps.py
+++ b/tests/features/steps/snapshot_steps.py
@@ -27,6 +27,7 @@
 from yuccapoint.job.records import RouteEdited
 from yuccapoint.job.records import SnapshotChunk
 from yuccapoint.job.records import VmAdopted
+from yuccapoint.job.records import VmLost
 from yuccapoint.job.size import Size
 from yuccapoint.process.cell_state import CellState
 from yuccapoint.process.log_pump import LogPump
@@ -132,6 +133,7 @@
         kinds = [
             EntryRenewed("e"),
             VmAdopted(vm, term + 1, "e", "p"),
+            VmLost(vm, term if rng.random() < 0.2 else 0, "e", "silent"),
             JobSubmitted(Job(job_id=name, size=size, run_time_s=1, **STARTS)),
             JobClaimed(job_id, attempt + 1, vm, term, "e", "fits"),
             JobClaimed(job_id, attempt + 1, vm, term, "e", "fits"),
@@ -181,6 +183,9 @@
     for cell in (one, other):
         cell.skipped_batches = 0
         cell.bad_batches = 0
+        # What only saves bytes or time: older changes, a cache.
+        cell.tables.changes.clear()
+        cell.key_owners._ranked.clear()
     assert _flat(one) == _flat(other)
 
 
