--- a/src/yuccapoint/connection/log_writer.py
+++ b/src/yuccapoint/connection/log_writer.py
@@ -147,7 +147,7 @@
         formed = (r for some in self._formed.values() for r in some)
         return any(
             getattr(record, "edit_id", "") == edit_id
-            for record in itertools.chain(self._queue, formed)
+            for record in itertools.chain(self._urgent, self._queue, formed)
         )
 
     def take_formed_up_to(self, sequence: int) -> list[Record]:
--- a/src/yuccapoint/process/snapshot_image.py
+++ b/src/yuccapoint/process/snapshot_image.py
@@ -176,8 +176,9 @@
     if not isinstance(value, dict) or not value:
         return ""
     first = next(iter(value.values()))
-    if isinstance(first, list) and first:
-        inner = type(first[0]).__name__
+    if isinstance(first, list):
+        found = next((items for items in value.values() if items), [""])
+        inner = type(found[0]).__name__
         return f"list {inner}" if inner in SLOT_CLASSES else ""
     name = type(first).__name__
     if name == "JobEntry" and not path.endswith("." + JOBS):
