Take the tests' loopback ports from below the outgoing range

Cause: free_address() gave ports of the range that outgoing connections use; under parallel test runs 15 scenarios in a row could not start their deployments. Conclusion: addresses to listen on come from 10,000 to 32,000.

--- a/src/yuccapoint_standins/deployment.py
+++ b/src/yuccapoint_standins/deployment.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
+import os
 import pathlib
 import random
 import socket
@@ -29,6 +31,9 @@
 GIB = 1 << 30
 READY_TIMEOUT_S = 15.0
 RACK_SIZE = 3
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
+_PORTS = itertools.count(os.getpid() * 61)
 
 
 class DeploymentShape:
@@ -271,10 +276,20 @@
 
 
 def free_address() -> str:
-    """Find a free loopback address."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Find a free loopback address.
+
+    Ports of outgoing connections are taken from a range above, so that
+    none of them can take the address before it is listened on.
+    """
+    for _ in range(LAST_PORT - FIRST_PORT):
+        port = FIRST_PORT + next(_PORTS) % (LAST_PORT - FIRST_PORT)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return f"127.0.0.1:{port}"
+    raise OSError("no loopback port is free")
 
 
 def load_deployment_tables(name: str) -> TablesFile:
