Mend batch work under faults and measure it in virtual time

bench batch and bench recovery drive the real CellState, LogWriter, BatchLeader and TaskKeeper over a heap of events.

--- a/src/yuccapoint/bench/batch_shape.py
+++ b/src/yuccapoint/bench/batch_shape.py
@@ -49,13 +49,14 @@
     *,
     term: int = 1,
     wants: str = "",
+    incarnation: int = 1,
     tasks: list[TaskReport] | None = None,
 ) -> AgentReport:
     """Give an agent's report."""
     number = int(vm.rpartition("-")[2])
     return AgentReport(
         vm=vm,
-        incarnation=1,
+        incarnation=incarnation,
         sequence=sequence,
         term=term,
         wants_leader=wants,
--- /dev/null
+++ b/src/yuccapoint/bench/batch_world.py
@@ -0,0 +1,139 @@
+"""A small cell in virtual time: real decision logic, faked edges."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from typing import TYPE_CHECKING
+
+from yuccapoint.bench.batch_oracle import BatchOracle
+from yuccapoint.bench.batch_shape import capacity_of
+from yuccapoint.bench.batch_shape import make_pool
+from yuccapoint.bench.cell_entry import CellEntry
+from yuccapoint.bench.cell_vm import CellVm
+from yuccapoint.job.records import PoolEdited
+from yuccapoint_standins.log_store import LogStore
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from yuccapoint.job.job import Job
+
+FIRST_MS = 1_800_000_000_000
+MIN_DELAY_S = 0.001
+MAX_DELAY_S = 0.012
+
+
+class BatchWorld:
+    """Entries, VMs and a log, driven by one heap of events.
+
+    Parameters
+    ----------
+    deployment : str
+        Gives the VMs' capacity.
+    seed : int
+        Seed of all random choices.
+    vms, entries : int
+        How many there are.
+    placement : str
+        Name of the pool's policy.
+    quotas : dict of str to int
+        Millicores by team.
+
+    Attributes
+    ----------
+    now_s : float
+        True time; each process has a clock of its own.
+    log_down : bool
+        Whether the log refuses all calls.
+    lost_answers, lost_messages : float
+        Shares of answers of the log and of messages that get lost.
+    """
+
+    def __init__(
+        self,
+        deployment: str,
+        seed: int,
+        *,
+        vms: int = 11,
+        entries: int = 3,
+        placement: str = "spread",
+        quotas: dict[str, int] | None = None,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.now_s = 0.0
+        self.log = LogStore(1 << 30)
+        self.log_down = False
+        self.lost_answers = 0.0
+        self.lost_messages = 0.0
+        self.appends = 0
+        self.append_bytes = 0
+        self.pool = make_pool(placement, quotas)
+        self.oracle = BatchOracle(self)
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._number = 0
+        self.entry_count = entries
+        self.entries = [
+            CellEntry(self, f"entry-{number}") for number in range(entries)
+        ]
+        self.vms = [
+            CellVm(self, f"vm-{number}", capacity_of(deployment, number))
+            for number in range(vms)
+        ]
+        for entry in self.entries:
+            entry.start()
+        edit = PoolEdited(self.pool.name, 0, "edit-1", "bench", self.pool)
+        self.entries[0].add(edit)
+        for vm in self.vms:
+            vm.start()
+
+    @property
+    def now_ms(self) -> int:
+        """The log's wall clock."""
+        return FIRST_MS + int(self.now_s * 1000)
+
+    def after(self, delay_s: float, call: Callable[[], None]) -> None:
+        """Call something later."""
+        self._number += 1
+        due_s = self.now_s + delay_s
+        heapq.heappush(self._events, (due_s, self._number, call))
+
+    def deliver(self, call: Callable[[], None]) -> None:
+        """Carry a message, unless it gets lost."""
+        if self.lost_messages and self.rng.random() < self.lost_messages:
+            return
+        delay_s = self.rng.uniform(MIN_DELAY_S, MAX_DELAY_S)
+        self.after(delay_s, call)
+
+    def run(self, until_s: float) -> None:
+        """Let time pass."""
+        while self._events and self._events[0][0] <= until_s:
+            due_s, _, call = heapq.heappop(self._events)
+            self.now_s = due_s
+            call()
+        self.now_s = until_s
+
+    def run_until(
+        self, done: Callable[[], bool], until_s: float, step_s: float = 1.0
+    ) -> bool:
+        """Let time pass until something holds; False if it never does."""
+        while not done():
+            if self.now_s >= until_s:
+                return False
+            self.run(self.now_s + step_s)
+        return True
+
+    def vm_of(self, name: str) -> CellVm:
+        """Give a VM by name."""
+        return self.vms[int(name.rpartition("-")[2])]
+
+    def submit(self, job: Job) -> None:
+        """Submit a job at any entry that runs."""
+        running = [entry for entry in self.entries if entry.up]
+        self.rng.choice(running).submit(job)
+
+    def append(self, data: bytes) -> None:
+        """Take an append into the log."""
+        self.appends += 1
+        self.append_bytes += len(data)
+        self.log.append(data, self.now_ms)
--- /dev/null
+++ b/src/yuccapoint/bench/rebuild_cost.py
@@ -0,0 +1,85 @@
+"""What a new entry spends to rebuild a large state from the log."""
+
+from __future__ import annotations
+
+import gc
+import pathlib
+import random
+import time
+
+from yuccapoint.bench.batch_shape import make_job
+from yuccapoint.bench.batch_shape import make_pool
+from yuccapoint.bench.batch_shape import POOL
+from yuccapoint.connection.log_writer import LogWriter
+from yuccapoint.job.records import EntryRenewed
+from yuccapoint.job.records import JobClaimed
+from yuccapoint.job.records import JobSubmitted
+from yuccapoint.job.records import PoolEdited
+from yuccapoint.job.records import VmAdopted
+from yuccapoint.process.cell_state import CellState
+
+VMS = 23_000
+RUNNING = 170_000
+QUEUED = 100_000
+ENTRY = "entry@1"
+PAGE_BYTES = 4_096
+
+
+def rebuild(seed: int) -> tuple[float, int]:
+    """Apply the log of the letter's size.
+
+    Returns
+    -------
+    tuple of float and int
+        Seconds it took and bytes it added to the resident set.
+    """
+    appends = _make_log(seed)
+    gc.collect()
+    before_bytes = _resident_bytes()
+    cell = CellState()
+    started_s = time.perf_counter()
+    for offset, data in enumerate(appends):
+        cell.apply(offset, 1_800_000_000_000 + offset, data)
+    took_s = time.perf_counter() - started_s
+    if len(cell.board.queued) != QUEUED:
+        raise AssertionError("the log was not applied as written")
+    return took_s, _resident_bytes() - before_bytes
+
+
+def _make_log(seed: int) -> list[bytes]:
+    rng = random.Random(seed)
+    writer = LogWriter("loader@1")
+    appends: list[bytes] = []
+    writer.add(PoolEdited(POOL, 0, "e", "bench", make_pool("spread")), 0.0)
+    writer.add(EntryRenewed(ENTRY), 0.0)
+    _flush(writer, appends)
+    for number in range(VMS):
+        record = VmAdopted(f"vm-{number}", 1, ENTRY, POOL)
+        writer.add(record, 0.0, bounded=False)
+    _flush(writer, appends)
+    for number in range(RUNNING + QUEUED):
+        submitted = JobSubmitted(make_job(number, rng))
+        writer.add(submitted, 0.0, bounded=False)
+    _flush(writer, appends)
+    for number in range(RUNNING):
+        vm = f"vm-{number % VMS}"
+        reason = "spread chose it of 12 VMs with room"
+        claim = JobClaimed(f"job-{number}", 1, vm, 1, ENTRY, reason)
+        writer.add(claim, 0.0, bounded=False)
+    _flush(writer, appends)
+    return appends
+
+
+def _flush(writer: LogWriter, appends: list[bytes]) -> None:
+    while True:
+        data = writer.next_append(1.0)
+        if data is None:
+            return
+        appends.append(data)
+        writer.on_appended(writer.sequence)
+        writer.take_formed(writer.sequence)
+
+
+def _resident_bytes() -> int:
+    text = pathlib.Path("/proc/self/statm").read_text("ascii")
+    return int(text.split()[1]) * PAGE_BYTES
--- a/src/yuccapoint/connection/log_writer.py
+++ b/src/yuccapoint/connection/log_writer.py
@@ -44,11 +44,17 @@
     ----------
     writer : str
         Name and incarnation of this process.
+
+    Attributes
+    ----------
+    linger_s : float
+        How long a record waits for others before it is sent.
     """
 
     def __init__(self, writer: str) -> None:
         self.writer = writer
         self.sequence = 0
+        self.linger_s = LINGER_S
         self.out: bytes | None = None
         self._queue: collections.deque[Record] = collections.deque()
         self._urgent: collections.deque[Record] = collections.deque()
@@ -120,7 +126,7 @@
         if not waiting:
             return None
         full = waiting >= MAX_BATCH_RECORDS
-        if not full and now_s < self._oldest_s + LINGER_S:
+        if not full and now_s < self._oldest_s + self.linger_s:
             return None
         self._form_batch()
         self._sent_at_s[self.sequence] = now_s
--- a/src/yuccapoint/connection/messages.py
+++ b/src/yuccapoint/connection/messages.py
@@ -69,11 +69,16 @@
 
 
 class StartAttempt(msgspec.Struct, frozen=True, array_like=True):
-    """Run an attempt of a job, from a checkpoint if there is one."""
+    """Run an attempt of a job, from a checkpoint if there is one.
+
+    ``claimed_term`` is the VM's term at the claim. An agent that was
+    started after it can't tell whether the attempt was started before.
+    """
 
     job: Job
     attempt: int
     checkpoint: str
+    claimed_term: int = 0
 
 
 class StopAttempt(msgspec.Struct, frozen=True, array_like=True):
--- a/src/yuccapoint/job/batch_leader.py
+++ b/src/yuccapoint/job/batch_leader.py
@@ -171,6 +171,11 @@
         self._sweep(now_s)
         return actions
 
+    @property
+    def refused_claims(self) -> int:
+        """How many of this entry's claims the log refused."""
+        return self._claimer.refused_claims
+
     def leads(self, vm: str) -> bool:
         """Tell whether the log says that this entry leads a VM."""
         led = self.board.vms.get(vm)
@@ -349,7 +354,9 @@
                 continue
             room = room - entry.job.size
             starts.append(
-                StartAttempt(entry.job, entry.attempt, entry.checkpoint)
+                StartAttempt(
+                    entry.job, entry.attempt, entry.checkpoint, entry.term
+                )
             )
         return starts
 
@@ -438,7 +445,9 @@
         if now_s + MIN_TTL_S > view.granted_until_s:
             return []
         entry = self.board.jobs[record.job_id]
-        start = StartAttempt(entry.job, entry.attempt, entry.checkpoint)
+        start = StartAttempt(
+            entry.job, entry.attempt, entry.checkpoint, entry.term
+        )
         grant = LeaseGrant(
             entry=self.entry,
             vm=record.vm,
--- a/src/yuccapoint/job/job_board.py
+++ b/src/yuccapoint/job/job_board.py
@@ -238,6 +238,7 @@
         entry.state = JobState.RUNNING
         entry.attempt = record.attempt
         entry.vm = record.vm
+        entry.term = record.term
         if record.attempt > 1:
             entry.resumes += 1
         led.job_ids.add(record.job_id)
--- a/src/yuccapoint/job/job_entry.py
+++ b/src/yuccapoint/job/job_entry.py
@@ -41,6 +41,8 @@
     ----------
     attempt : int
         Number of the newest attempt; 0 before the first claim.
+    term : int
+        Term of the VM under which the newest attempt was claimed.
     failures : int
         Attempts that failed, for whatever reason.
     failed_vms : list of str
@@ -61,6 +63,7 @@
         "state",
         "steps",
         "submitted_at_ms",
+        "term",
         "vm",
     )
 
@@ -69,6 +72,7 @@
         self.state = JobState.QUEUED
         self.attempt = 0
         self.vm = ""
+        self.term = 0
         self.checkpoint = ""
         self.failures = 0
         self.failed_vms: list[str] = []
--- a/src/yuccapoint/job/task_keeper.py
+++ b/src/yuccapoint/job/task_keeper.py
@@ -182,6 +182,8 @@
             self.lease_until_s,
             lease_rules.held_until_s(asked_at_s, lease_rules.VM_LEASE_S),
         )
+        if grant.ttl_s:
+            self._repeat_stops(actions)
         for noted in grant.noted:
             self._forget(noted.job_id, noted.attempt)
         for stop in grant.stops:
@@ -234,6 +236,17 @@
         }
         return [Explain("agent", text.strip(), fields)]
 
+    def _same_start(self, term: int) -> bool:
+        ours = self.term // TERMS_PER_INCARNATION
+        return term // TERMS_PER_INCARNATION == ours
+
+    def _repeat_stops(self, actions: list[Action]) -> None:
+        # The worker may have got a stop before the start it belongs to.
+        for task in self.tasks.values():
+            if task.stopping and not task.outcome:
+                stop = WorkerStop(task.job_id, task.attempt, task.stopping)
+                actions.append(stop)
+
     def _start(self, start: StartAttempt, actions: list[Action]) -> None:
         job = start.job
         known = self.tasks.get(job.job_id)
@@ -255,6 +268,10 @@
             task.reason = past.reason
             task.checkpoint = past.checkpoint
             return task
+        if start.claimed_term and not self._same_start(start.claimed_term):
+            task.outcome = "refused"
+            task.reason = "the agent was started after the claim"
+            return task
         try:
             self.ledger.reserve(job.job_id, job.size)
         except CommitRefusedError as error:
