--- a/tests/features/proof/sequences.feature
+++ b/tests/features/proof/sequences.feature
@@ -10,3 +10,4 @@
       | a job ends while its agent is replaced |
       | a start's answer is lost               |
       | an agent stops while requests are on their way |
+      | records age out while an entry is away |
--- a/tests/fuzzing/fault_rules.py
+++ b/tests/fuzzing/fault_rules.py
@@ -16,6 +16,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+FEW_RECORDS = 80
+
 indexes = st.integers(0, 2)
 counts = st.integers(1, 4)
 spans_s = st.sampled_from([0.1, 0.5, 1.0, 2.0, 4.0, 8.0])
@@ -98,6 +100,10 @@
         self.world.log.faults.lost_answers = lost
         self.world.log.faults.late_appends = late
 
+    @step()
+    def records_age_out(self) -> None:
+        self.world.log.store.retained = FEW_RECORDS
+
     @step(index=indexes)
     def vm_is_lost(self, index: int) -> None:
         self.world.lose_vm(index)
--- a/tests/fuzzing/members.py
+++ b/tests/fuzzing/members.py
@@ -39,6 +39,8 @@
 control_address = {host}:3
 [log]
 address = 127.9.0.1:1
+snapshot_every_records = 30
+snapshot_every_s = 60
 [entries]
 seeds = {seeds}
 """
--- a/tests/fuzzing/sequences.py
+++ b/tests/fuzzing/sequences.py
@@ -302,3 +302,22 @@
     world.advance(2)
     world.request(0, "book", once=True)
     world.stop(world.agents[0])
+
+
+@sequence("records age out while an entry is away")
+def records_age_out(world: World) -> None:
+    world.network.cut_from_log.add("entry-1")
+    submit(world, 400)
+    for number in range(20):
+        submit(world, 0.5)
+        row = msgspec.structs.replace(POOL, max_attempts=2 + number % 2)
+        tables = world.entries[0].process.cell.tables
+        world.edit(0, "pools", "pool", tables.pools["pool"].version, row)
+        world.advance(8)
+    world.log.store.retained = 60
+    submit(world, 1)
+    world.advance(10)
+    assert world.log.store.earliest_offset
+    world.network.cut_from_log.clear()
+    world.advance(10)
+    world.restart(world.entries[0])
