Let no word from another process stop a reader

Cause: a report with an unknown endpoint state, or a refusal with an unknown verdict, raised in the middle of the inbox's or the session's reader and ended it: the entry then heard no agent at all, until it was restarted. Found by feeding messages that are damaged by structure.

An unknown state counts as suspected (no new work), an unknown verdict as one that may have run, and a message that can't be handled is told to the loop's exception handler while the reception goes on.

Ruled out: enumerations in the messages, which would drop whole reports of a newer version for one new word.

Before: hostile control messages, 400 fed: red (process_lives, ValueError). After: green.

--- a/src/yuccapoint/connection/mailbox.py
+++ b/src/yuccapoint/connection/mailbox.py
@@ -121,4 +121,10 @@
         except msgspec.DecodeError:
             self.damaged += 1
             return
-        self._deliver(message)
+        try:
+            self._deliver(message)
+        except Exception as error:
+            # One message must not end the reception of all others.
+            asyncio.get_running_loop().call_exception_handler(
+                {"message": "a message was not handled", "exception": error}
+            )
--- a/src/yuccapoint/request/endpoint_view.py
+++ b/src/yuccapoint/request/endpoint_view.py
@@ -23,6 +23,12 @@
     QUARANTINED = "quarantined"
     LEAVING = "leaving"
 
+    @classmethod
+    def _missing_(cls, value: object) -> EndpointState:
+        """Give an unknown state, of a newer version say, no new work."""
+        del value
+        return cls.SUSPECTED
+
 
 class EndpointView:
     """One endpoint: its last report and what this entry sent since.
--- a/src/yuccapoint/request/verdict.py
+++ b/src/yuccapoint/request/verdict.py
@@ -12,6 +12,12 @@
     MAY_HAVE_RUN = "may-have-run"
     RAN = "ran"
 
+    @classmethod
+    def _missing_(cls, value: object) -> Verdict:
+        """Take a word that is not known for the careful verdict."""
+        del value
+        return cls.MAY_HAVE_RUN
+
     def allows_retry(self, *, idempotent: bool) -> bool:
         """Tell whether the request may be sent again.
 
