Feed bad input by structure to all readers

Control messages, session frames, log records, operators' bodies, byte streams and settings texts are damaged by structure (a part replaced by a hostile value of its kind, dropped, or the bytes cut) and fed to a working world; all members live, answer, and the entries agree on the jobs.

--- /dev/null
+++ b/tests/features/proof/bad_input.feature
@@ -0,0 +1,13 @@
+Feature: Bad input gets a clear error and harms nobody
+
+  Scenario Outline: hostile <input> leave all members at work
+    When <count> hostile <input> are fed
+
+    Examples:
+      | input            | count |
+      | control messages | 400   |
+      | session frames   | 400   |
+      | log records      | 300   |
+      | operators' calls | 100   |
+      | byte streams     | 500   |
+      | settings texts   | 500   |
--- /dev/null
+++ b/tests/features/steps/proof_bad_input.py
@@ -0,0 +1,20 @@
+from __future__ import annotations
+
+import pathlib
+import sys
+from typing import TYPE_CHECKING
+
+from behave import when
+
+sys.path.append(str(pathlib.Path(__file__).parents[2]))
+
+from fuzzing.bad_input import FEEDS  # noqa: E402
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+
+@when("{count:d} hostile {kind} are fed")
+def feed(context: Context, count: int, kind: str) -> None:
+    del context
+    FEEDS[kind](count)
--- a/tests/fuzzing/network.py
+++ b/tests/fuzzing/network.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 from typing import TYPE_CHECKING
 
 import msgspec
 from tornado.iostream import StreamClosedError
 
+from yuccapoint.connection.mailbox import Mailbox
 from yuccapoint.connection.messages import ControlMessage
 
 if TYPE_CHECKING:
@@ -45,6 +47,7 @@
         self.members: dict[str, Member] = {}
         self.sessions: dict[str, Member] = {}
         self.streams: list[ScriptedStream] = []
+        self.written: collections.deque[bytes] = collections.deque(maxlen=200)
         self.faults: list[str] = []
         self.cut_regions: set[str] = set()
         self.cut_names: set[str] = set()
@@ -131,8 +134,8 @@
     return "; ".join(found)
 
 
-class ScriptedMailbox:
-    """Takes the place of a mailbox."""
+class ScriptedMailbox(Mailbox):
+    """A mailbox whose messages go over the scripted network."""
 
     def __init__(
         self,
@@ -140,14 +143,9 @@
         member: Member,
         deliver: Callable[[ControlMessage], None],
     ) -> None:
-        self.dropped = 0
-        self.damaged = 0
-        self.sent_bytes = 0
-        self.received_bytes = 0
+        super().__init__("", deliver)
         self._network = network
         self._member = member
-        self._deliver = deliver
-        self._decoder = msgspec.msgpack.Decoder(ControlMessage)
 
     def send(self, address: str, message: ControlMessage) -> None:
         if not self._member.alive:
@@ -156,10 +154,7 @@
         self._network.send(Packet(self._member, address, data))
 
     def take(self, data: bytes) -> None:
-        self._deliver(self._decoder.decode(data))
-
-    def close(self) -> None:
-        """Do nothing: nothing is open."""
+        self._take(data)
 
 
 class ScriptedStream:
@@ -167,6 +162,7 @@
 
     def __init__(self, network: Network, member: Member) -> None:
         self.member = member
+        self._network = network
         self.peer: ScriptedStream
         self.out = bytearray()
         self._in = bytearray()
@@ -185,6 +181,7 @@
         if self._closed:
             raise StreamClosedError
         self.out += data
+        self._network.written.append(data)
         done = asyncio.get_event_loop().create_future()
         done.set_result(None)
         return done
--- a/tests/fuzzing/world.py
+++ b/tests/fuzzing/world.py
@@ -184,7 +184,7 @@
         )
         exchange.edit = body
         exchange.row_name = f"{table}/{name}"
-        self._operate(index, exchange)
+        self.operate(index, exchange)
         return exchange
 
     def submit(self, index: int, **fields: Any) -> Exchange:
@@ -201,12 +201,12 @@
         body = msgspec.json.encode(job)
         exchange = Exchange(job.job_id, "POST", "/v1/jobs", body)
         exchange.job = job
-        self._operate(index, exchange)
+        self.operate(index, exchange)
         return exchange
 
     def cancel(self, index: int, job_id: str) -> None:
         path = f"/v1/jobs/{job_id}"
-        self._operate(index, Exchange(job_id, "DELETE", path, b""))
+        self.operate(index, Exchange(job_id, "DELETE", path, b""))
 
     def request(
         self,
@@ -319,7 +319,8 @@
         self.loop.close()
         asyncio.set_event_loop(None)
 
-    def _operate(self, index: int, exchange: Exchange) -> None:
+    def operate(self, index: int, exchange: Exchange) -> None:
+        """Send an operator's call to an entry."""
         entry = self.entries[index % len(self.entries)]
         self._send(entry, entry.operators, exchange, HTTPHeaders())
 
