Send hostile HTTP heads to all ports

Heads that are damaged, smuggled, huge, endless or half sent go to an entry's callers' and operators' ports and an agent's announce and session ports; a proper request is answered after them and none stays in flight.

--- a/tests/features/proof/bad_input.feature
+++ b/tests/features/proof/bad_input.feature
@@ -11,3 +11,7 @@
       | operators' calls | 100   |
       | byte streams     | 500   |
       | settings texts   | 500   |
+
+  Scenario: hostile HTTP heads leave entry and agent at work
+    Given the deployment caribfert with 1 VMs and 1 entries
+    When 300 hostile heads are sent to all HTTP ports
--- a/tests/features/steps/proof_bad_input.py
+++ b/tests/features/steps/proof_bad_input.py
@@ -9,6 +9,7 @@
 sys.path.append(str(pathlib.Path(__file__).parents[2]))
 
 from fuzzing.bad_input import FEEDS  # noqa: E402
+from fuzzing.hostile_http import feed_heads  # noqa: E402
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -18,3 +19,8 @@
 def feed(context: Context, count: int, kind: str) -> None:
     del context
     FEEDS[kind](count)
+
+
+@when("{count:d} hostile heads are sent to all HTTP ports")
+def feed_http(context: Context, count: int) -> None:
+    context.loop.run_until_complete(feed_heads(context.deployment, count))
