Count only a stopped process's own requests as cut

The check now looks at the requests that run in the stopped process, at an endpoint that lives, or are on their way to it. The agents' rows are compared with the entries' of one version too, and the mutation of the agents' tables follows HeldTables.

--- a/tests/fuzzing/mutations.py
+++ b/tests/fuzzing/mutations.py
@@ -32,6 +32,7 @@
 from yuccapoint.request.verdict import Verdict
 from yuccapoint.version import tables
 from yuccapoint.version.compiled_version import CompiledVersion
+from yuccapoint.version.held_tables import HeldTables
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -198,12 +199,13 @@
 
 @mutation("agents take newer tables only")
 def install_all() -> Patch:
-    def install(agent: AgentProcess, update: Any) -> None:
-        agent.tables = CompiledVersion(
+    def take(held: HeldTables, update: Any) -> bool:
+        held.current = CompiledVersion(
             update.version, update.routes, update.pools
         )
+        return True
 
-    return patch.object(AgentProcess, "_install", install)
+    return patch.object(HeldTables, "take", take)
 
 
 @mutation("an edit names the version it was made against")
--- a/tests/fuzzing/oracle.py
+++ b/tests/fuzzing/oracle.py
@@ -125,7 +125,7 @@
             tables = getattr(process, "tables", None)
             if tables is None:
                 tables = process.cell.tables.current
-                self._check_content(name, tables)
+            self._check_content(name, tables)
             if tables.version < self._versions.get(name, 0):
                 text = f"{name} went back to version {tables.version}"
                 self.fail("version_reverted", text)
--- a/tests/fuzzing/world.py
+++ b/tests/fuzzing/world.py
@@ -148,6 +148,7 @@
             if exchange.service
             and not exchange.finished
             and not exchange.broken
+            and self._serves(member, exchange)
         ]
         member.start_stop()
         while not member.stopped or not member.stopped.done():
@@ -339,6 +340,24 @@
         self.trace(f"caller -> {entry.name} {exchange.name}")
         entry.call(exchange.send, delegate, headers)
 
+    def _serves(self, member: Member, exchange: Exchange) -> bool:
+        """Tell whether a request runs, or is on its way, in a member."""
+        name = exchange.name
+        if isinstance(member, EntryMember) and exchange.member is not member:
+            return False
+        for agent in self.agents:
+            if not agent.alive:
+                continue
+            if isinstance(member, AgentMember) and agent is not member:
+                continue
+            if any(name == run for run, _ in agent.endpoint.runs):
+                return True
+        return any(
+            name.encode() in stream.out
+            for stream in self.network.streams
+            if stream.peer.member is member
+        )
+
     def _put(self, members: list[Any], index: int, member: Any) -> None:
         if index < len(members):
             members[index] = member
