--- a/tests/features/proof/mutations.feature
+++ b/tests/features/proof/mutations.feature
@@ -28,3 +28,4 @@
       | lost_accepted_edit    | an edit is accepted by the log              | an entry dies with an edit while the log is down    | nothing                            |
       | planned_stop_cuts     | an entry waits for its requests             | an entry stops as planned under load                | nothing                            |
       | planned_stop_cuts     | an agent waits for its requests             | an agent stops as planned under load                | nothing                            |
+      | process_lives         | an unknown state counts as suspected        | a report names an unknown endpoint state            | nothing                            |
--- a/tests/fuzzing/mutations.py
+++ b/tests/fuzzing/mutations.py
@@ -197,6 +197,11 @@
     return patch.object(EndpointRegistry, "state", state)
 
 
+@mutation("an unknown state counts as suspected")
+def no_unknown_state() -> Patch:
+    return patch.object(EndpointState, "_missing_", lambda value: None)
+
+
 @mutation("agents take newer tables only")
 def install_all() -> Patch:
     def take(held: HeldTables, update: Any) -> bool:
--- a/tests/fuzzing/sequences.py
+++ b/tests/fuzzing/sequences.py
@@ -9,6 +9,7 @@
 
 from fuzzing.world import POOL
 from fuzzing.world import World
+from yuccapoint.connection.messages import AgentReport
 from yuccapoint.connection.messages import LeaseGrant
 from yuccapoint.connection.messages import TablesUpdate
 from yuccapoint.job.size import Size
@@ -336,3 +337,19 @@
     board = world.entries[0].process.cell.board
     if not board.jobs[good.name].state.final:
         world.oracle.fail("job_lost", "a good job waits behind bad ones")
+
+
+@sequence("a report names an unknown endpoint state")
+def state_is_unknown(world: World) -> None:
+    def holds(message: ControlMessage) -> bool:
+        return isinstance(message, AgentReport) and bool(message.endpoints)
+
+    world.network.holds = holds
+    world.advance(2)
+    world.network.holds = None
+    packet = world.network.held.pop()
+    report = msgspec.msgpack.decode(packet.data)
+    report["endpoints"][0][2] = "unknown"
+    member = world.network.members[packet.address]
+    member.call(member.process.mailbox.take, msgspec.msgpack.encode(report))
+    world.advance(1)
