Break off an answer that can't be passed on

Cause: a head with line breaks in a header's name, and a refusal with a Retry-After of infinity, raised past the handlers of CallerRequest, so its caller waited for ever.

Such a head now breaks the answer off as other bad heads do, and a Retry-After beyond an hour is left out.

Before: hostile answers of an agent, 6 fed: red (the caller waits). After: green.

--- a/src/yuccapoint/process/caller_server.py
+++ b/src/yuccapoint/process/caller_server.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPInputError
 from tornado.httputil import HTTPMessageDelegate
 from tornado.httputil import HTTPOutputError
 from tornado.httputil import HTTPServerConnectionDelegate
@@ -42,6 +43,13 @@
 KEY_HEADER = "Idempotency-Key"
 TIMEOUT_HEADER = "Yuccapoint-Timeout-S"
 NO_BODY_STATUSES = (204, 304)
+MAX_RETRY_AFTER_S = 3_600.0
+BROKEN_ANSWERS = (
+    RequestError,
+    HTTPInputError,
+    HTTPOutputError,
+    TimeoutError,
+)
 
 
 class CallerServer(HTTPServerConnectionDelegate):
@@ -191,7 +199,7 @@
         try:
             async with asyncio.timeout(request.deadline_s - time.monotonic()):
                 await self._answer(forwarded, request)
-        except (RequestError, HTTPOutputError, TimeoutError):
+        except BROKEN_ANSWERS:
             self._break_off()
         except StreamClosedError:
             pass
@@ -249,7 +257,7 @@
                 "Content-Length": str(len(text)),
             }
         )
-        if error.retry_after_s > 0:
+        if 0 < error.retry_after_s < MAX_RETRY_AFTER_S:
             headers["Retry-After"] = str(int(error.retry_after_s) + 1)
         if self._method == "HEAD":
             text = b""
