--- a/tests/features/proof/bad_input.feature
+++ b/tests/features/proof/bad_input.feature
@@ -7,6 +7,7 @@
       | input            | count |
       | control messages | 400   |
       | session frames   | 400   |
+      | answers of an agent | 6  |
       | log records      | 300   |
       | operators' calls | 100   |
       | byte streams     | 500   |
--- a/tests/fuzzing/bad_input.py
+++ b/tests/fuzzing/bad_input.py
@@ -16,11 +16,14 @@
 from fuzzing.world import World
 from yuccapoint.connection.frame_stream import FrameStream
 from yuccapoint.connection.frame_stream import MAX_FRAME_BYTES
+from yuccapoint.connection.frames import AnswerChunk
+from yuccapoint.connection.frames import AnswerHead
 from yuccapoint.connection.frames import AnswerRefused
 from yuccapoint.exceptions import ProtocolError
 from yuccapoint.exceptions import SettingsError
 from yuccapoint.process.settings.loader import parse_settings
 from yuccapoint.process.settings.sections import EntrySettings
+from yuccapoint.request.header import Header
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -171,6 +174,40 @@
     end(world)
 
 
+def hostile_answers(number: int) -> list[Frame]:
+    """Give answers to a request that no agent should give."""
+    nan, inf = float("nan"), float("inf")
+    split = [Header("A\r\nB", "c\r\nd")]
+    return [
+        AnswerHead(number, 200, "OK", split, 0, b"", True),
+        AnswerHead(number, -1, "x", [], 0, b"", True),
+        AnswerHead(number, 200, "a\r\nb", [], 0, b"x", False),
+        AnswerRefused(number, -5, "unknown", "t\r\nx", nan, -9, "r\r\n"),
+        AnswerRefused(number, 503, "ran", "t", inf, 0, ""),
+        AnswerChunk(number, b"zz", True),
+    ]
+
+
+def feed_answers(count: int) -> None:
+    """Answer requests in hostile ways; no caller may wait for ever."""
+    for case in range(count):
+        world, _ = busy_world()
+        for endpoint in world.endpoints:
+            endpoint.work_s = 1.0
+        exchange = world.request(0, "book", once=True)
+        world.advance(0.3)
+        sessions = world.entries[0].process.forwarder._sessions.values()
+        session = next(s for s in sessions if s._pending)
+        number = next(iter(session._pending))
+        body = msgspec.msgpack.encode(hostile_answers(number)[case])
+        agent: Any = session._frames._stream.peer  # type: ignore
+        agent.out += struct.pack("!I", len(body)) + body
+        world.advance(8)
+        assert exchange.finished or exchange.broken, body
+        assert not world.entries[0].process.in_flight, body
+        end(world)
+
+
 def feed_records(count: int) -> None:
     """Append damaged records to the log."""
     world, _ = busy_world()
@@ -313,6 +350,7 @@
 FEEDS: dict[str, Callable[[int], None]] = {
     "control messages": feed_messages,
     "session frames": feed_frames,
+    "answers of an agent": feed_answers,
     "log records": feed_records,
     "operators' calls": feed_operators,
     "byte streams": feed_streams,
--- a/tests/fuzzing/world.py
+++ b/tests/fuzzing/world.py
@@ -46,6 +46,15 @@
 TRACE_LINES = 120
 
 
+OPEN: list[World] = []
+
+
+def close_all() -> None:
+    """Close the worlds that a failed test left open."""
+    for world in list(OPEN):
+        world.close()
+
+
 class World:
     """Entries, agents, workers and the log, and what they were asked.
 
@@ -57,6 +66,7 @@
 
     def __init__(self, entries: int = 2, vms: int = 3) -> None:
         self.loop = VirtualLoop()
+        OPEN.append(self)
         asyncio.set_event_loop(self.loop)
         self.loop.set_exception_handler(self._on_crash)
         self.scripted_time = ScriptedTime()
@@ -309,6 +319,7 @@
 
     def close(self) -> None:
         """End everything; the loop is closed."""
+        OPEN.remove(self)
         for member in self.members():
             self.kill(member)
         tasks = asyncio.all_tasks(self.loop)
