--- a/tests/fuzzing/sequences.py
+++ b/tests/fuzzing/sequences.py
@@ -9,6 +9,7 @@
 
 from fuzzing.world import POOL
 from fuzzing.world import World
+from yuccapoint.connection.messages import AgentReport
 from yuccapoint.connection.messages import LeaseGrant
 from yuccapoint.connection.messages import TablesUpdate
 from yuccapoint.job.size import Size
@@ -302,3 +303,53 @@
     world.advance(2)
     world.request(0, "book", once=True)
     world.stop(world.agents[0])
+
+
+@sequence("records age out while an entry is away")
+def records_age_out(world: World) -> None:
+    world.network.cut_from_log.add("entry-1")
+    submit(world, 400)
+    for number in range(20):
+        submit(world, 0.5)
+        row = msgspec.structs.replace(POOL, max_attempts=2 + number % 2)
+        tables = world.entries[0].process.cell.tables
+        world.edit(0, "pools", "pool", tables.pools["pool"].version, row)
+        world.advance(8)
+    world.log.store.retained = 60
+    submit(world, 1)
+    world.advance(10)
+    assert world.log.store.earliest_offset
+    world.network.cut_from_log.clear()
+    world.advance(10)
+    world.restart(world.entries[0])
+
+
+@sequence("jobs that always fail stand before a good one")
+def good_job_waits(world: World) -> None:
+    size = Size(2000, 2000, 1)
+    for _ in range(8):
+        world.submit(
+            0, team="large", size=size, command="fails=1", urgent=True
+        )
+    world.advance(2)
+    good = world.submit(0, team="large", size=size, command="run_s=1")
+    world.advance(200)
+    board = world.entries[0].process.cell.board
+    if not board.jobs[good.name].state.final:
+        world.oracle.fail("job_lost", "a good job waits behind bad ones")
+
+
+@sequence("a report names an unknown endpoint state")
+def state_is_unknown(world: World) -> None:
+    def holds(message: ControlMessage) -> bool:
+        return isinstance(message, AgentReport) and bool(message.endpoints)
+
+    world.network.holds = holds
+    world.advance(2)
+    world.network.holds = None
+    packet = world.network.held.pop()
+    report = msgspec.msgpack.decode(packet.data)
+    report["endpoints"][0][2] = "unknown"
+    member = world.network.members[packet.address]
+    member.call(member.process.mailbox.take, msgspec.msgpack.encode(report))
+    world.advance(1)
--- a/tests/fuzzing/world.py
+++ b/tests/fuzzing/world.py
@@ -46,6 +46,15 @@
 TRACE_LINES = 120
 
 
+OPEN: list[World] = []
+
+
+def close_all() -> None:
+    """Close the worlds that a failed test left open."""
+    for world in list(OPEN):
+        world.close()
+
+
 class World:
     """Entries, agents, workers and the log, and what they were asked.
 
@@ -57,6 +66,7 @@
 
     def __init__(self, entries: int = 2, vms: int = 3) -> None:
         self.loop = VirtualLoop()
+        OPEN.append(self)
         asyncio.set_event_loop(self.loop)
         self.loop.set_exception_handler(self._on_crash)
         self.scripted_time = ScriptedTime()
@@ -148,6 +158,7 @@
             if exchange.service
             and not exchange.finished
             and not exchange.broken
+            and self._serves(member, exchange)
         ]
         member.start_stop()
         while not member.stopped or not member.stopped.done():
@@ -184,7 +195,7 @@
         )
         exchange.edit = body
         exchange.row_name = f"{table}/{name}"
-        self._operate(index, exchange)
+        self.operate(index, exchange)
         return exchange
 
     def submit(self, index: int, **fields: Any) -> Exchange:
@@ -201,12 +212,12 @@
         body = msgspec.json.encode(job)
         exchange = Exchange(job.job_id, "POST", "/v1/jobs", body)
         exchange.job = job
-        self._operate(index, exchange)
+        self.operate(index, exchange)
         return exchange
 
     def cancel(self, index: int, job_id: str) -> None:
         path = f"/v1/jobs/{job_id}"
-        self._operate(index, Exchange(job_id, "DELETE", path, b""))
+        self.operate(index, Exchange(job_id, "DELETE", path, b""))
 
     def request(
         self,
@@ -308,6 +319,7 @@
 
     def close(self) -> None:
         """End everything; the loop is closed."""
+        OPEN.remove(self)
         for member in self.members():
             self.kill(member)
         tasks = asyncio.all_tasks(self.loop)
@@ -319,7 +331,8 @@
         self.loop.close()
         asyncio.set_event_loop(None)
 
-    def _operate(self, index: int, exchange: Exchange) -> None:
+    def operate(self, index: int, exchange: Exchange) -> None:
+        """Send an operator's call to an entry."""
         entry = self.entries[index % len(self.entries)]
         self._send(entry, entry.operators, exchange, HTTPHeaders())
 
@@ -338,6 +351,24 @@
         self.trace(f"caller -> {entry.name} {exchange.name}")
         entry.call(exchange.send, delegate, headers)
 
+    def _serves(self, member: Member, exchange: Exchange) -> bool:
+        """Tell whether a request runs, or is on its way, in a member."""
+        name = exchange.name
+        if isinstance(member, EntryMember) and exchange.member is not member:
+            return False
+        for agent in self.agents:
+            if not agent.alive:
+                continue
+            if isinstance(member, AgentMember) and agent is not member:
+                continue
+            if any(name == run for run, _ in agent.endpoint.runs):
+                return True
+        return any(
+            name.encode() in stream.out
+            for stream in self.network.streams
+            if stream.peer.member is member
+        )
+
     def _put(self, members: list[Any], index: int, member: Any) -> None:
         if index < len(members):
             members[index] = member
