Judge a timed-out request by what was written of it

A session that broke in the same turn as the deadline had forgotten the request, which was then called not-run although it was sent. An HTTP/1.0 caller gets no answer of unknown length.

--- a/src/yuccapoint/bench/request_faults.py
+++ b/src/yuccapoint/bench/request_faults.py
@@ -24,15 +24,18 @@
 
 if TYPE_CHECKING:
     from yuccapoint_standins.deployment import Deployment
+    from yuccapoint_standins.deployment import Machine
 
 VMS = 3
 ENTRIES = 2
 GROUPS = 24
-SEND_OVER_S = 0.3
+SEND_OVER_S = 0.2
 FAULT_AFTER_S = 0.05
-FAULT_LASTS_S = 0.2
-TIMEOUT_S = 0.6
+FAULT_LASTS_S = 0.15
+TIMEOUT_S = 0.4
 CLIENT_TIMEOUT_S = 3.0
+IMPATIENT_S = 0.02
+IMPATIENT_SHARE = 0.1
 SLOW_WORK_S = 0.8
 SMALL_BYTES = 2_000
 LARGE_BYTES = 300_000
@@ -53,10 +56,14 @@
     return register
 
 
+def _living(deployment: Deployment) -> list[Machine]:
+    return [m for m in deployment.machines if m.agent.alive]
+
+
 @fault("cut sessions")
 async def _cut(deployment: Deployment, rng: random.Random) -> None:
     for _ in range(4):
-        machine = rng.choice(deployment.machines)
+        machine = rng.choice(_living(deployment))
         machine.agent._requests.close_all()
         await asyncio.sleep(FAULT_LASTS_S / 4)
 
@@ -64,14 +71,14 @@
 @fault("endpoint drops connections")
 async def _drop(deployment: Deployment, rng: random.Random) -> None:
     for _ in range(4):
-        machine = rng.choice(deployment.machines)
+        machine = rng.choice(_living(deployment))
         await machine.endpoint._server.close_all_connections()
         await asyncio.sleep(FAULT_LASTS_S / 4)
 
 
 @fault("agent restarts")
 async def _restart(deployment: Deployment, rng: random.Random) -> None:
-    deployment.restart_agent(rng.choice(deployment.machines))
+    deployment.restart_agent(rng.choice(_living(deployment)))
     await asyncio.sleep(FAULT_LASTS_S)
 
 
@@ -87,7 +94,7 @@
 
 @fault("slow endpoint")
 async def _slow(deployment: Deployment, rng: random.Random) -> None:
-    machine = rng.choice(deployment.machines)
+    machine = rng.choice(_living(deployment))
     usual_s = machine.endpoint.work_s
     machine.endpoint.work_s = SLOW_WORK_S
     await asyncio.sleep(FAULT_LASTS_S)
@@ -96,7 +103,7 @@
 
 @fault("endpoint fails everything")
 async def _fail(deployment: Deployment, rng: random.Random) -> None:
-    machine = rng.choice(deployment.machines)
+    machine = rng.choice(_living(deployment))
     machine.endpoint.failing = True
     await asyncio.sleep(FAULT_LASTS_S)
     machine.endpoint.failing = False
@@ -118,6 +125,13 @@
     deployment.log.faults.down = False
 
 
+@fault("VM dies")
+async def _vm_dies(deployment: Deployment, rng: random.Random) -> None:
+    rng.choice(_living(deployment)).die()
+    await asyncio.sleep(FAULT_LASTS_S)
+    deployment.add_machine(len(deployment.machines))
+
+
 class FaultFigures(msgspec.Struct):
     """What went wrong over all rounds; the first five must be 0."""
 
@@ -230,12 +244,15 @@
         }
         if key:
             headers[KEY_HEADER] = key
+        timeout_s = CLIENT_TIMEOUT_S
+        if rng.random() < IMPATIENT_SHARE:
+            timeout_s = IMPATIENT_S
         request = HTTPRequest(
             f"http://{entry.settings.listen.caller_address}{path}",
             method="POST",
             headers=headers,
             body=body,
-            request_timeout=CLIENT_TIMEOUT_S,
+            request_timeout=timeout_s,
         )
         self.figures.sent += 1
         try:
--- a/src/yuccapoint/connection/agent_session.py
+++ b/src/yuccapoint/connection/agent_session.py
@@ -86,7 +86,10 @@
         return self._next_id
 
     async def call(
-        self, head: RequestHead, rest: list[bytes]
+        self,
+        head: RequestHead,
+        rest: list[bytes],
+        pending: PendingAnswer | None = None,
     ) -> PendingAnswer:
         """Send a request.
 
@@ -96,6 +99,8 @@
             The request with the first part of its body.
         rest : list of bytes
             The other parts, in order.
+        pending : PendingAnswer or None
+            What to fill; its ``sent`` tells how far a broken call came.
 
         Returns
         -------
@@ -108,7 +113,8 @@
             The agent could not be reached or the session broke.
         """
         frames = await self._open()
-        pending = PendingAnswer(head.endpoint)
+        if pending is None:
+            pending = PendingAnswer(head.endpoint)
         self._pending[head.request_id] = pending
         try:
             await self._write(frames, head, rest, pending)
@@ -170,11 +176,6 @@
             with contextlib.suppress(StreamClosedError):
                 self._frames.write(AnswerCredit(request_id, 1))
 
-    def was_sent(self, request_id: int) -> bool:
-        """Tell whether a request that waits was written whole."""
-        pending = self._pending.get(request_id)
-        return pending is not None and pending.sent
-
     def forget(self, request_id: int) -> None:
         """Stop waiting for an answer; a late one will be dropped."""
         if self._pending.pop(request_id, None) is None:
--- a/src/yuccapoint/process/caller_server.py
+++ b/src/yuccapoint/process/caller_server.py
@@ -16,6 +16,7 @@
 
 from yuccapoint.exceptions import YuccapointError
 from yuccapoint.request.exceptions import BadRequestError
+from yuccapoint.request.exceptions import EndpointFailedError
 from yuccapoint.request.exceptions import NoRouteError
 from yuccapoint.request.exceptions import OverloadedError
 from yuccapoint.request.exceptions import RequestCancelledError
@@ -68,6 +69,7 @@
         self._connection = connection
         self._request: ServiceRequest | None = None
         self._method = ""
+        self._old = False
         self._size_bytes = 0
         self._answered = False
         self._counted = False
@@ -80,6 +82,7 @@
         """Check what the head tells before the body is read."""
         line: RequestStartLine = start_line  # type: ignore[assignment]
         self._method = line.method
+        self._old = line.version == "HTTP/1.0"
         try:
             self._request = self._begin(line, headers)
         except RequestError as error:
@@ -191,7 +194,11 @@
         try:
             async with asyncio.timeout(request.deadline_s - time.monotonic()):
                 await self._answer(forwarded, request)
-        except (RequestError, HTTPOutputError, TimeoutError):
+        except RequestError as error:
+            if self._answered:
+                self._break_off()
+            self._refuse(error)
+        except (HTTPOutputError, TimeoutError):
             self._break_off()
         except StreamClosedError:
             pass
@@ -211,6 +218,11 @@
         bodyless = self._method == "HEAD" or head.status in NO_BODY_STATUSES
         if head.last and not bodyless and "Content-Length" not in headers:
             headers["Content-Length"] = str(len(head.body))
+        if not head.last and "Content-Length" not in headers and self._old:
+            raise EndpointFailedError(
+                "an HTTP/1.0 caller can't tell whether this answer is whole",
+                Verdict.RAN,
+            )
         line = ResponseStartLine("HTTP/1.1", head.status, head.reason)
         self._answered = True
         if bodyless:
--- a/src/yuccapoint/process/request_forwarder.py
+++ b/src/yuccapoint/process/request_forwarder.py
@@ -14,6 +14,7 @@
 from yuccapoint.request.exceptions import NoEndpointError
 from yuccapoint.request.exceptions import RequestError
 from yuccapoint.request.exceptions import SessionLostError
+from yuccapoint.request.pending_answer import PendingAnswer
 from yuccapoint.request.retry_budget import RetryBudget
 from yuccapoint.request.verdict import Verdict
 
@@ -25,7 +26,6 @@
     from yuccapoint.process.logs import Logs
     from yuccapoint.process.metrics import Metrics
     from yuccapoint.request.link_budget import LinkBudget
-    from yuccapoint.request.pending_answer import PendingAnswer
     from yuccapoint.request.router import RouteDecision
     from yuccapoint.request.router import Router
     from yuccapoint.request.service_request import ServiceRequest
@@ -277,13 +277,14 @@
             parts[0] if parts else b"",
             len(parts) < 2,
         )
+        pending = PendingAnswer(head.endpoint)
         try:
             async with asyncio.timeout(request.deadline_s - time.monotonic()):
-                pending = await session.call(head, parts[1:])
+                await session.call(head, parts[1:], pending)
                 answer = await pending.head()
         except TimeoutError:
             verdict = Verdict.NOT_RUN
-            if session.was_sent(request_id):
+            if pending.sent:
                 verdict = Verdict.MAY_HAVE_RUN
             session.forget(request_id)
             raise DeadlinePassedError("the deadline passed", verdict) from None
