Draw three endpoints; spread a customer over full ones by time

Full endpoints are now drawn evenly and ranked by the customer's own requests times the reported service time.

--- a/src/yuccapoint/bench/request_model.py
+++ b/src/yuccapoint/bench/request_model.py
@@ -159,13 +159,22 @@
         return total * SLOTS / self._work_s
 
     def load(
-        self, customer: str, rate_per_s: float, from_s: float, until_s: float
+        self,
+        customer: str,
+        rate_per_s: float,
+        from_s: float,
+        until_s: float,
+        rng: random.Random | None = None,
     ) -> None:
-        """Plan requests of a customer, in seconds after now."""
+        """Plan requests of a customer, in seconds after now.
+
+        Equal ``rng`` give equal requests, for comparing two phases.
+        """
+        rng = rng or self._load_rng
         at_s = self.now_s + from_s
         end_s = self.now_s + until_s
         while True:
-            at_s += self._load_rng.expovariate(rate_per_s)
+            at_s += rng.expovariate(rate_per_s)
             if at_s >= end_s:
                 return
             self.requests += 1
@@ -173,8 +182,8 @@
                 f"{customer}-{self.requests}",
                 customer,
                 at_s,
-                self._load_rng.expovariate(1.0 / self._work_s),
-                self._load_rng.randrange(ENTRIES),
+                rng.expovariate(1.0 / self._work_s),
+                rng.randrange(ENTRIES),
             )
             self._at(at_s, self._send, request)
 
@@ -223,6 +232,7 @@
                     SLOTS,
                     len(admission.running),
                     admission.queued,
+                    admission.service_time_s,
                 )
             ],
             tasks=[],
--- a/src/yuccapoint/bench/requests.py
+++ b/src/yuccapoint/bench/requests.py
@@ -148,7 +148,11 @@
 def _flood(work_s: float, seed: int) -> float:
     model = RequestModel("balanced", work_s, seed)
     capacity_per_s = model.capacity_per_s
-    model.load("victim", 0.2 * capacity_per_s, 0.0, 2 * FLOOD_S)
+    for phase in range(2):
+        rng = random.Random(seed)
+        from_s = phase * FLOOD_S
+        rate_per_s = 0.2 * capacity_per_s
+        model.load("victim", rate_per_s, from_s, from_s + FLOOD_S, rng)
     model.load("flood", 0.4 * capacity_per_s, 0.0, FLOOD_S)
     model.load("flood", OVERLOAD * capacity_per_s, FLOOD_S, 2 * FLOOD_S)
     flood_s = model.now_s + FLOOD_S
--- a/src/yuccapoint/connection/messages.py
+++ b/src/yuccapoint/connection/messages.py
@@ -24,6 +24,7 @@
     slots: int
     in_flight: int
     queued: int
+    service_time_s: float = 0.0
 
 
 class TaskReport(msgspec.Struct, frozen=True, array_like=True):
--- a/src/yuccapoint/process/endpoint_registry.py
+++ b/src/yuccapoint/process/endpoint_registry.py
@@ -120,6 +120,7 @@
                     admission.slots,
                     len(admission.running),
                     admission.queued,
+                    admission.service_time_s,
                 )
             )
         return found
--- a/src/yuccapoint/request/endpoint_view.py
+++ b/src/yuccapoint/request/endpoint_view.py
@@ -12,6 +12,7 @@
 FAILURE_WEIGHT = 0.2
 REPORT_HALF_LIFE_S = 1.0
 FAILURE_STEP = 0.25
+FAILURE_HALF_LIFE_S = 5.0
 
 
 class EndpointState(enum.Enum):
@@ -33,6 +34,8 @@
         Requests of this entry that the endpoint has not answered.
     customers : dict of str to int
         The same by customer.
+    failed_at_s : float
+        When a request failed last; older failures count less.
     failure_rate : float
         Decayed share of failed requests, 0 to 1.
     reported_at_s : float
@@ -45,6 +48,7 @@
         "chosen_count",
         "customers",
         "data_centre",
+        "failed_at_s",
         "failure_rate",
         "failures_in_row",
         "key",
@@ -57,6 +61,7 @@
         "reported_at_s",
         "reported_load",
         "service",
+        "service_time_s",
         "session_address",
         "slots",
         "state",
@@ -69,10 +74,12 @@
         self.service = endpoint.service
         self.chosen_count = 0
         self.customers: dict[str, int] = {}
+        self.failed_at_s = 0.0
         self.failure_rate = 0.0
         self.failures_in_row = 0
         self.probe_at_s = 0.0
         self.quarantine_s = 0.0
+        self.service_time_s = 0.0
         self.own_in_flight = 0
         self.own_in_flight_then = 0
         self.state = EndpointState.JOINING
@@ -87,6 +94,7 @@
         self.session_address = report.session_address
         self.slots = max(1, endpoint.slots)
         self.state = EndpointState(endpoint.state)
+        self.service_time_s = endpoint.service_time_s
         self.set_load(endpoint.in_flight + endpoint.queued, now_s)
 
     def set_load(self, in_flight: int, now_s: float) -> None:
@@ -120,9 +128,22 @@
         others = max(0, self.reported_load - self.own_in_flight_then)
         return (others * fresh + self.own_in_flight) / self.slots
 
+    def crowding(self, customer: str, now_s: float) -> tuple[float, float]:
+        """Order full endpoints for a customer; smaller is better.
+
+        The customer's requests there take turns with the other lines, so
+        that its own count and the service time tell its wait.
+        """
+        own = 1 + self.customers.get(customer, 0)
+        return own * self.service_time_s / self.slots, self.load(now_s)
+
     def rank(self, now_s: float) -> tuple[int, float]:
         """Order by success first, then by load; smaller is better."""
-        return int(self.failure_rate / FAILURE_STEP), self.load(now_s)
+        rate = self.failure_rate
+        if rate:
+            age_s = now_s - self.failed_at_s
+            rate *= 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
+        return int(rate / FAILURE_STEP), self.load(now_s)
 
     def note_result(self, *, failed: bool) -> None:
         """Count the result of one request."""
--- a/src/yuccapoint/request/router.py
+++ b/src/yuccapoint/request/router.py
@@ -7,7 +7,7 @@
 from yuccapoint.request.endpoint_view import EndpointState
 from yuccapoint.request.endpoint_view import EndpointView
 from yuccapoint.request.exceptions import NoEndpointError
-import yuccapoint.request.selection.policies  # noqa: F401
+from yuccapoint.request.selection.policies import choose_random
 from yuccapoint.request.selection.registry import SELECTION_POLICIES
 from yuccapoint.request.service_endpoints import ServiceEndpoints
 
@@ -151,7 +151,7 @@
         drawn = self._draw(service, route, excluded, now_s, far=far)
         view = min(
             drawn,
-            key=lambda view: view.customers.get(customer, 0) / view.slots,
+            key=lambda view: view.crowding(customer, now_s),
             default=None,
         )
         if view is not None:
@@ -187,24 +187,30 @@
     ) -> list[EndpointView]:
         policy = SELECTION_POLICIES[route.policy]
         fresh_after_s = now_s - SILENT_AFTER_S
-        full: list[EndpointView] = []
-        for name, tier in service.tiers.items():
-            if name == "far" and not far:
-                continue
+        tiers = [
+            (name, tier)
+            for name, tier in service.tiers.items()
+            if len(tier) and (far or name != "far")
+        ]
+        for name, tier in tiers:
+            view = tier.draw(
+                policy, self._rng, excluded, fresh_after_s, now_s, self.entries
+            )
+            if view is not None and view.load(now_s) < SPILL_LOADS[name]:
+                return [view]
+        full = []
+        for _, tier in tiers:
             for _ in range(FULL_DRAWS):
                 view = tier.draw(
-                    policy,
+                    choose_random,
                     self._rng,
                     excluded,
                     fresh_after_s,
                     now_s,
                     self.entries,
                 )
-                if view is None:
-                    break
-                if view.load(now_s) < SPILL_LOADS[name]:
-                    return [view]
-                full.append(view)
+                if view is not None:
+                    full.append(view)
         return full
 
     def _decide(
--- a/src/yuccapoint/request/selection/policies.py
+++ b/src/yuccapoint/request/selection/policies.py
@@ -11,6 +11,8 @@
 
     from yuccapoint.request.endpoint_view import EndpointView
 
+DRAWS = 3
+
 
 @selection_policy("random")
 def choose_random(
@@ -53,7 +55,7 @@
 def choose_balanced(
     views: list[EndpointView], rng: random.Random, now_s: float
 ) -> EndpointView:
-    """Take the better of two by success first, then by load."""
-    first = views[rng.randrange(len(views))]
-    second = views[rng.randrange(len(views))]
-    return min(first, second, key=lambda view: view.rank(now_s))
+    """Take the best of a few by success first, then by load."""
+    count = len(views)
+    drawn = [views[rng.randrange(count)] for _ in range(DRAWS)]
+    return min(drawn, key=lambda view: view.rank(now_s))
--- a/src/yuccapoint/request/service_endpoints.py
+++ b/src/yuccapoint/request/service_endpoints.py
@@ -11,8 +11,8 @@
     from yuccapoint.request.endpoint_view import EndpointView
 
 TIERS = ("data centre", "region", "far")
-FAILING_RATE = 0.5
-FAILING_RESULTS = 4
+FAILING_RATE = 0.3
+FAILING_RESULTS = 2
 FIRST_QUARANTINE_S = 1.0
 MAX_QUARANTINE_S = 30.0
 MAX_QUARANTINED_SHARE = 0.5
@@ -68,6 +68,8 @@
     ) -> bool:
         """Count a result; True when the endpoint's state changed."""
         view.note_result(failed=failed)
+        if failed:
+            view.failed_at_s = now_s
         if view.key in self.quarantined:
             return self._note_probe(view, now_s, failed=failed)
         view.failures_in_row = view.failures_in_row + 1 if failed else 0
