Share pair estimates and place jobs by them

Cause: a new VM began with no estimate, and placement knew nothing of interference, so each VM learned every pair by a breach of its own.

Agents report at most eight pairs each four seconds; every entry keeps a bounded table in which a VM's newer report replaces its last under its incarnation and revision, so that a doubled or late report changes nothing. The VM's leader hands the merged pairs back to a VM that asks. The policy 'interference-aware' takes the VM whose service the job slows least beyond a free part. The guard says limits again, since a call to the worker may be lost; a raise must fit the allowance by the mean estimate, or it is taken back a few seconds later.

--- a/src/yuccapoint/bench/interference.py
+++ b/src/yuccapoint/bench/interference.py
@@ -15,6 +15,7 @@
 from yuccapoint.bench.registry import bench
 from yuccapoint.job.guard import Guard
 from yuccapoint.job.size import Size
+from yuccapoint_standins.hidden_interference import NOISY
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -55,7 +56,9 @@
     eviction_ratio : float
         Evictions against a guard that evicts at each breach.
     flaps_per_vm_min : float
-        Changes of a throttle's direction per VM and minute.
+        Changes of a throttle's direction per VM and minute; ``_waves``
+        under interference that swings between none and double in 6 to 20
+        seconds.
     culprit_share : float
         Share of the evictions that hit a true culprit.
     runs : dict of str to Measured
@@ -71,6 +74,8 @@
     eviction_ratio_first_guard: float
     evictions: int
     flaps_per_vm_min: float
+    flaps_per_vm_min_waves: float
+    tail_ratio_waves: float
     culprit_share: float
     tail_ratio_no_guard: float
     tail_ratio_by_arrival: float
@@ -108,6 +113,7 @@
         "ours": Trial(shape, seed, OURS, guard(Guard)),
         "ours_best_fit": Trial(shape, seed, "best-fit", guard(Guard)),
         "ours_by_arrival": Trial(shape, seed, OURS, guard(ArrivalGuard)),
+        "ours_waves": Trial(shape, seed, OURS, guard(Guard), swing=NOISY),
     }
     runs = {name: trial.run() for name, trial in trials.items()}
     return _figures(deployment, seed, runs)
@@ -132,6 +138,8 @@
         ),
         evictions=ours.evictions,
         flaps_per_vm_min=ours.turns_per_vm_min,
+        flaps_per_vm_min_waves=runs["ours_waves"].turns_per_vm_min,
+        tail_ratio_waves=_ratio(runs["ours_waves"].p99, tail),
         culprit_share=ours.culprit_share,
         tail_ratio_no_guard=_ratio(runs["no_guard"].p99, tail),
         tail_ratio_by_arrival=_ratio(arrival.p99, tail),
--- a/src/yuccapoint/bench/interference_trial.py
+++ b/src/yuccapoint/bench/interference_trial.py
@@ -18,6 +18,7 @@
 from yuccapoint.job.size import Size
 from yuccapoint.job.vm_view import VmView
 from yuccapoint_standins.hidden_interference import HiddenInterference
+from yuccapoint_standins.hidden_interference import SLOW
 from yuccapoint_standins.lagging_usage import LaggingUsage
 from yuccapoint_standins.lagging_usage import UsageFaults
 
@@ -26,6 +27,7 @@
 
     from yuccapoint.bench.simulated_vm import UsageGuard
     from yuccapoint.job.worker_events import TaskEnded
+    from yuccapoint_standins.hidden_interference import Swing
 
 STEP_S = 0.25
 RUN_S = 600.0
@@ -110,6 +112,8 @@
         Makes the guard of a VM; None for none.
     batch : bool
         Whether batch jobs come at all.
+    swing : Swing
+        Waves in the interference.
     """
 
     def __init__(
@@ -120,6 +124,7 @@
         new_guard: Callable[[SimulatedVm], UsageGuard] | None,
         *,
         batch: bool = True,
+        swing: Swing = SLOW,
     ) -> None:
         self.vms: dict[str, SimulatedVm] = {}
         self._shape = shape
@@ -136,7 +141,7 @@
         self._latencies: list[float] = []
         self._table = PairTable()
         self._share_at_s = 0.0
-        hidden = HiddenInterference(seed)
+        hidden = HiddenInterference(seed, swing)
         for number in range(VMS):
             service = shape.services[number % len(shape.services)]
             vm = SimulatedVm(f"vm-{number}", service, shape.capacity)
--- a/src/yuccapoint/bench/simulated_vm.py
+++ b/src/yuccapoint/bench/simulated_vm.py
@@ -111,6 +111,8 @@
         rises: dict[str, bool] = {}
         turns = 0
         for _, job_id, share in self.throttles:
+            if share == shares.get(job_id, 1.0):
+                continue
             rise = share > shares.get(job_id, 1.0)
             turns += job_id in rises and rises[job_id] != rise
             shares[job_id] = share
--- a/src/yuccapoint/connection/messages.py
+++ b/src/yuccapoint/connection/messages.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from yuccapoint.job.interference.pair_report import PairEstimate
+from yuccapoint.job.interference.pair_report import PairReport
 from yuccapoint.job.job import Job
 from yuccapoint.job.size import Size
 from yuccapoint.request.customer_limits import CustomerDemand
@@ -66,6 +68,7 @@
     tables_version: int
     endpoints: list[EndpointReport]
     tasks: list[TaskReport]
+    pairs: PairReport | None = None
 
 
 class StartAttempt(msgspec.Struct, frozen=True, array_like=True):
@@ -125,6 +128,13 @@
     digest: int = 0
 
 
+class PairPriors(msgspec.Struct, frozen=True, tag="pp", kw_only=True):
+    """What all VMs learned about interference, for one that asked."""
+
+    vm: str
+    pairs: list[PairEstimate]
+
+
 class EntryHello(msgspec.Struct, frozen=True, tag="eh", kw_only=True):
     """An entry's state, sent to other entries and to agents.
 
@@ -152,4 +162,6 @@
     operator: str
 
 
-ControlMessage = AgentReport | LeaseGrant | TablesUpdate | EntryHello | DrainVm
+ControlMessage = (
+    AgentReport | LeaseGrant | TablesUpdate | PairPriors | EntryHello | DrainVm
+)
--- a/src/yuccapoint/job/batch_leader.py
+++ b/src/yuccapoint/job/batch_leader.py
@@ -6,6 +6,7 @@
 
 from yuccapoint.connection.messages import AttemptNoted
 from yuccapoint.connection.messages import LeaseGrant
+from yuccapoint.connection.messages import PairPriors
 from yuccapoint.connection.messages import StartAttempt
 from yuccapoint.connection.messages import StopAttempt
 from yuccapoint.job import lease_rules
@@ -13,6 +14,8 @@
 from yuccapoint.job.actions import Explain
 from yuccapoint.job.actions import Send
 from yuccapoint.job.claimer import Claimer
+from yuccapoint.job.interference.pair_table import PairTable
+from yuccapoint.job.interference.service_class import service_class
 from yuccapoint.job.job_entry import JobState
 from yuccapoint.job.records import EntryLapsed
 from yuccapoint.job.records import EntryRenewed
@@ -81,6 +84,7 @@
         self._renew_at_s = 0.0
         self._sweep_at_s = 0.0
         self._silence = SilenceWatch()
+        self.pairs = PairTable()
         self._claimer = Claimer(entry, board, find_pool, rng, self._is_open)
 
     def on_renewal_acked(self, sent_at_s: float) -> None:
@@ -120,6 +124,11 @@
         grant = self._grant(view, report, led, now_s)
         if grant is not None:
             actions.append(Send(report.control_address, grant))
+        if report.pairs is not None and report.pairs.wants_priors:
+            priors = PairPriors(
+                vm=report.vm, pairs=self.pairs.priors(view.service)
+            )
+            actions.append(Send(report.control_address, priors))
         return actions
 
     def on_record(
@@ -144,6 +153,7 @@
             self._ending.discard((record.job_id, record.attempt))
         if isinstance(record, VmLost):
             self._losing.discard(record.vm)
+            self.pairs.forget(record.vm)
         if isinstance(record, EntryLapsed):
             self._lapsing.discard(record.entry)
         if isinstance(record, JobRejected):
@@ -199,6 +209,10 @@
         view.ready = report.ready and not report.stopping
         view.term = report.term
         view.attempts = {t.job_id: t.attempt for t in report.tasks}
+        view.service = service_class(e.service for e in report.endpoints)
+        view.pairs = self.pairs
+        if report.pairs is not None:
+            self.pairs.put(report.vm, report.incarnation, report.pairs)
         return view
 
     def _adopt(self, report: AgentReport, now_s: float) -> list[Action]:
@@ -294,6 +308,7 @@
                 continue
             del self.views[vm]
             self._claimer.forget_vm(vm)
+            self.pairs.forget(vm)
 
     def _known_view(self, vm: str, now_s: float) -> VmView:
         view = self.views.get(vm)
--- a/src/yuccapoint/job/claimer.py
+++ b/src/yuccapoint/job/claimer.py
@@ -8,6 +8,7 @@
 from yuccapoint.job.actions import Explain
 from yuccapoint.job.claim_budget import ClaimBudget
 from yuccapoint.job.claim_queue import ClaimQueue
+import yuccapoint.job.placement.interference_aware  # noqa: F401
 import yuccapoint.job.placement.policies  # noqa: F401
 from yuccapoint.job.placement.registry import PLACEMENT_POLICIES
 from yuccapoint.job.placement.registry import TIGHT_POLICIES
@@ -85,6 +86,7 @@
         self.shapes.note(view.vm, view.pool, view.capacity)
         pool = self._find_pool(view.pool)
         view.count_free(self._missing(view), _reserve(pool))
+        view.batch_classes = self._batch_classes(view)
         if not self._is_open(view, now_s):
             self.withdraw_vm(view.vm)
             return
@@ -165,6 +167,14 @@
                 missing.append(entry.job.size)
         return missing
 
+    def _batch_classes(self, view: VmView) -> list[str]:
+        led = self._board.vms.get(view.vm)
+        job_ids = set(view.claiming)
+        if led is not None:
+            job_ids.update(led.job_ids)
+        entries = (self._board.jobs.get(job_id) for job_id in job_ids)
+        return [entry.job.job_class for entry in entries if entry]
+
     def _rooms_of(self, pool: str) -> VmRooms:
         rooms = self._rooms.get(pool)
         if rooms is None:
@@ -268,6 +278,7 @@
         job = entry.job
         choice.free = choice.free - job.size
         choice.claiming[job.job_id] = job.size
+        choice.batch_classes.append(job.job_class)
         choice.trust.on_claimed(job.job_id)
         self.claiming[job.job_id] = choice
         key = (pool.name, job.team)
--- a/src/yuccapoint/job/guard.py
+++ b/src/yuccapoint/job/guard.py
@@ -28,8 +28,7 @@
 TARGET_SLOWDOWN = 1.25
 MOST_ALLOWANCE_FACTOR = 1.6
 RAISE_ALLOWANCE_FACTOR = 0.75
-LOWER_AFTER_SAMPLES = 2
-EVICTION_COST_S = 15.0
+EVICTION_COST_S = 25.0
 MIN_RUN_S = 30.0
 EVICTION_SPACING_S = 6.0
 NOT_ENOUGH_S = 5.0
@@ -37,7 +36,10 @@
 MOVES_TO_STOP = 2
 STOPPED_FOR_S = 30.0
 SETTLE_S = 1.0
+PAIRS_EVERY_S = 4.0
 PRIORS_EVERY_S = 10.0
+REPEAT_EVERY_S = 5.0
+REPEAT_FOR_S = 15.0
 MOVE_GAIN = 0.5
 MAX_STEP_S = 2.0
 
@@ -72,7 +74,6 @@
         self._gate = SampleGate()
         self._history = CompanyHistory()
         self._tasks: dict[str, ThrottledTask] = {}
-        self._over_samples = 0
         self._over_since_s = math.inf
         self._moving = ""
         self._moved_at_s: list[float] = []
@@ -80,6 +81,8 @@
         self._decided_at_s = -math.inf
         self._acted_at_s = -math.inf
         self._revision = 0
+        self._repeat_at_s = -math.inf
+        self._report_at_s = -math.inf
         self._priors_at_s = -math.inf
         self._elsewhere: dict[str, float] = {}
 
@@ -91,10 +94,22 @@
         self.tail_weight = tail_weight
         self.eviction_weight = eviction_weight
 
+    def release(self) -> list[Action]:
+        """Let all tasks run at full share; the guard is switched off."""
+        actions: list[Action] = [
+            WorkerThrottle(task.job_id, task.attempt, 1.0)
+            for task in self._tasks.values()
+            if task.share < 1.0
+        ]
+        self._tasks.clear()
+        self.state = GuardState.NORMAL
+        return actions
+
     def pair_report(self, now_s: float) -> PairReport | None:
-        """Give what the VM learned lately; None if it knows no service."""
-        if not self.service:
+        """Give what the VM learned lately; None if none is due."""
+        if not self.service or now_s < self._report_at_s:
             return None
+        self._report_at_s = now_s + PAIRS_EVERY_S
         self._revision += 1
         estimates = self.estimates
         pairs = [
@@ -109,8 +124,6 @@
         ]
         return PairReport(
             revision=self._revision,
-            complete=not self._gate.stale(now_s),
-            as_of_s=round(min(now_s - self._gate.newest_s, 1e6), 3),
             wants_priors=now_s >= self._priors_at_s + PRIORS_EVERY_S,
             pairs=pairs,
         )
@@ -136,6 +149,10 @@
         factor = min(max(factor, 1.0), MOST_ALLOWANCE_FACTOR)
         return (TARGET_SLOWDOWN - 1.0) * factor
 
+    @property
+    def _over(self) -> bool:
+        return math.isfinite(self._over_since_s)
+
     def takes_batch(self, now_s: float) -> bool:
         """Tell whether the VM should get new batch tasks."""
         if self.state in (GuardState.MOVING, GuardState.STOPPED):
@@ -166,6 +183,7 @@
             self._learn(sample, now_s)
         actions: list[Action] = []
         self._charge(now_s)
+        self._repeat(now_s, actions)
         if fresh and not self._gate.stale(now_s):
             self._decide(company, now_s, actions)
         return actions
@@ -182,10 +200,12 @@
             if found is None or found.attempt != known.attempt:
                 del self._tasks[job_id]
         for job_id, task in running.items():
-            if job_id not in self._tasks:
-                self._tasks[job_id] = ThrottledTask(
-                    job_id, task.attempt, task.job_class, now_s
-                )
+            if job_id in self._tasks:
+                continue
+            known = ThrottledTask(job_id, task.attempt, task.job_class, now_s)
+            # A former start of the agent may have limited it.
+            known.was_limited = math.isinf(self._decided_at_s)
+            self._tasks[job_id] = known
         return [
             Neighbour(task.job_id, task.job_class, task.share)
             for task in self._tasks.values()
@@ -217,15 +237,25 @@
         for task in self._tasks.values():
             task.charge(step_s)
 
+    def _repeat(self, now_s: float, actions: list[Action]) -> None:
+        """Say the shares again, since a call to the worker may be lost."""
+        if now_s < self._repeat_at_s:
+            return
+        self._repeat_at_s = now_s + REPEAT_EVERY_S
+        for task in self._tasks.values():
+            recent = now_s < task.changed_at_s + REPEAT_FOR_S
+            if task.share < 1.0 or (recent and task.was_limited):
+                actions.append(
+                    WorkerThrottle(task.job_id, task.attempt, task.share)
+                )
+
     def _decide(
         self, company: list[Neighbour], now_s: float, actions: list[Action]
     ) -> None:
         excess = self.estimates.excess(company)
         if excess <= self.allowance:
-            self._over_samples = 0
             self._over_since_s = math.inf
         else:
-            self._over_samples += 1
             self._over_since_s = min(self._over_since_s, now_s)
         self._lower(company, excess, now_s, actions)
         self._raise(company, excess, now_s, actions)
@@ -239,7 +269,7 @@
         now_s: float,
         actions: list[Action],
     ) -> None:
-        if self._over_samples < LOWER_AFTER_SAMPLES:
+        if not self._over:
             return
         if self._gate.newest_s < self._acted_at_s + SETTLE_S:
             return
@@ -274,16 +304,23 @@
         now_s: float,
         actions: list[Action],
     ) -> None:
-        if now_s < self._stopped_until_s or self._over_samples:
+        if now_s < self._stopped_until_s or self._over:
             return
         allowance = self.allowance * RAISE_ALLOWANCE_FACTOR
         lower = self.estimates.lower
         plan = plan_shares(company, lower, lower, allowance)
         for job_id, share in plan.items():
             task = self._tasks[job_id]
-            if share > task.share + 0.01 and task.may_raise(now_s):
-                task.raise_to(share, now_s)
-                self._throttle(task, excess, actions)
+            if share <= task.share + 0.01 or not task.may_raise(now_s):
+                continue
+            share = task.next_raise(share)
+            weight = self.estimates.weight(task.job_class)
+            added = weight * (share - task.share)
+            if excess + added > self.allowance:
+                continue
+            excess += added
+            task.raise_to(share, now_s)
+            self._throttle(task, excess, actions)
 
     def _throttle(
         self, task: ThrottledTask, excess: float, actions: list[Action]
--- a/src/yuccapoint/job/interference/pair_report.py
+++ b/src/yuccapoint/job/interference/pair_report.py
@@ -30,16 +30,10 @@
     ----------
     revision : int
         Rises with each report of an agent's incarnation.
-    complete : bool
-        False while samples may still come that change the estimates.
-    as_of_s : float
-        Age of the newest sample that the estimates hold, in seconds.
     wants_priors : bool
         Whether the agent asks for what other VMs learned.
     """
 
     revision: int
-    complete: bool
-    as_of_s: float
     wants_priors: bool
     pairs: list[PairEstimate]
--- a/src/yuccapoint/job/interference/pair_table.py
+++ b/src/yuccapoint/job/interference/pair_table.py
@@ -56,6 +56,9 @@
         self._rows: dict[str, list[PairEstimate]] = {}
         self._merged: dict[tuple[str, str], MergedPair] = {}
 
+    def __len__(self) -> int:
+        return len(self._merged)
+
     def put(self, vm: str, incarnation: int, report: PairReport) -> bool:
         """Take a VM's report; False if it is not newer than the last."""
         revision = (incarnation, report.revision)
--- a/src/yuccapoint/job/interference/sample_gate.py
+++ b/src/yuccapoint/job/interference/sample_gate.py
@@ -9,6 +9,7 @@
     from yuccapoint.job.worker_events import UsageSample
 
 ALLOWED_LATENESS_S = 6.0
+TOO_OLD_S = 12.0
 STALE_AFTER_S = 5.0
 MAX_SLOWDOWN = 100.0
 MAX_AHEAD_S = 0.5
@@ -70,7 +71,7 @@
         return now_s - self.newest_s > STALE_AFTER_S
 
     def _in_time(self, sample: UsageSample, now_s: float) -> bool:
-        oldest_s = max(self.watermark_s, now_s - 2 * ALLOWED_LATENESS_S)
+        oldest_s = max(self.watermark_s, now_s - TOO_OLD_S)
         return sample.described_at_s >= oldest_s
 
     def _forget(self) -> None:
--- a/src/yuccapoint/job/interference/throttled_task.py
+++ b/src/yuccapoint/job/interference/throttled_task.py
@@ -23,6 +23,10 @@
         When the guard first saw the attempt.
     share : float
         Share of its processors that the task may use.
+    changed_at_s : float
+        When the share changed last.
+    was_limited : bool
+        Whether the worker may hold a limit for the task.
     lost_s : float
         Run time at full share that the throttle has cost.
     reversals : int
@@ -30,16 +34,17 @@
     """
 
     __slots__ = (
-        "_changed_at_s",
         "_hold_s",
         "_raised_at_s",
         "attempt",
         "began_at_s",
+        "changed_at_s",
         "job_class",
         "job_id",
         "lost_s",
         "reversals",
         "share",
+        "was_limited",
     )
 
     def __init__(
@@ -52,7 +57,8 @@
         self.share = 1.0
         self.lost_s = 0.0
         self.reversals = 0
-        self._changed_at_s = now_s
+        self.was_limited = False
+        self.changed_at_s = now_s
         self._raised_at_s = -math.inf
         self._hold_s = RAISE_HOLD_S
 
@@ -60,23 +66,28 @@
         """Limit the task."""
         if now_s < self._raised_at_s + REVERSAL_S:
             self._hold_s = min(self._hold_s * 2.0, MAX_RAISE_HOLD_S)
-        if self._raised_at_s == self._changed_at_s:
+        if self._raised_at_s == self.changed_at_s:
             self.reversals += 1
         self.share = share
-        self._changed_at_s = now_s
+        self.was_limited = True
+        self.changed_at_s = now_s
 
     def may_raise(self, now_s: float) -> bool:
         """Tell whether the last change is long enough ago."""
-        return now_s >= self._changed_at_s + self._hold_s
+        return now_s >= self.changed_at_s + self._hold_s
+
+    def next_raise(self, share: float) -> float:
+        """Give the next share towards a goal, by a step at most."""
+        return min(share, round(self.share + MAX_RAISE, 3))
 
     def raise_to(self, share: float, now_s: float) -> None:
-        """Give the task more, by a step at most."""
-        if self._raised_at_s != self._changed_at_s:
+        """Give the task more."""
+        if self._raised_at_s != self.changed_at_s:
             self.reversals += 1
-        if now_s > self._changed_at_s + FORGIVE_S:
+        if now_s > self.changed_at_s + FORGIVE_S:
             self._hold_s = RAISE_HOLD_S
-        self.share = min(share, round(self.share + MAX_RAISE, 3))
-        self._changed_at_s = now_s
+        self.share = share
+        self.changed_at_s = now_s
         self._raised_at_s = now_s
 
     def charge(self, step_s: float) -> None:
--- a/src/yuccapoint/process/agent_process.py
+++ b/src/yuccapoint/process/agent_process.py
@@ -17,6 +17,7 @@
 from yuccapoint.connection.messages import DrainVm
 from yuccapoint.connection.messages import EntryHello
 from yuccapoint.connection.messages import LeaseGrant
+from yuccapoint.connection.messages import PairPriors
 from yuccapoint.connection.messages import TablesUpdate
 from yuccapoint.job.actions import Explain
 from yuccapoint.job.actions import Send
@@ -215,11 +216,12 @@
             session_address=listen.session_address,
             capacity=keeper.ledger.capacity,
             free=keeper.ledger.free,
-            ready=keeper.knows_worker,
+            ready=keeper.knows_worker and self._takes_batch(now_s),
             stopping=self.stopping,
             tables_version=self.held.reported_version,
             endpoints=self.endpoints.reports(now_s, stopping=self.stopping),
             tasks=[task.report for task in keeper.tasks.values()],
+            pairs=self.guard.pair_report(now_s),
         )
 
     def _tick(self) -> None:
@@ -257,6 +259,9 @@
         if isinstance(message, LeaseGrant):
             self.act(self.keeper.on_grant(message, now_s))
             return
+        if isinstance(message, PairPriors):
+            self.guard.take_priors(message.pairs, now_s)
+            return
         if isinstance(message, TablesUpdate):
             self._install(message)
             return
@@ -282,9 +287,18 @@
         self.act(self.keeper.on_ended(ended))
         self.report()
 
-    def _on_usage(self, samples: list[UsageSample]) -> None:
+    def _takes_batch(self, now_s: float) -> bool:
         pool = self.tables.pools.get(self.settings.process.pool)
         if pool is None or not pool.guard:
+            return True
+        return self.guard.takes_batch(now_s)
+
+    def _on_usage(self, samples: list[UsageSample]) -> None:
+        pool = self.tables.pools.get(self.settings.process.pool)
+        if pool is None:
+            return
+        if not pool.guard:
+            self.act(self.guard.release())
             return
         self.guard.configure(
             self.endpoints.service(), pool.tail_weight, pool.eviction_weight
--- a/src/yuccapoint/process/endpoint_registry.py
+++ b/src/yuccapoint/process/endpoint_registry.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from yuccapoint.connection.messages import EndpointReport
+from yuccapoint.job.interference.service_class import service_class
 from yuccapoint.request.admission import Admission
 from yuccapoint.request.endpoint_view import EndpointState
 
@@ -88,11 +89,10 @@
 
     def service(self) -> str:
         """Give the service class of the VM; empty if none announced."""
-        services = {
+        return service_class(
             endpoint.announcement.service
             for endpoint in self._endpoints.values()
-        }
-        return "+".join(sorted(services))
+        )
 
     def state(
         self, endpoint: LocalEndpoint, now_s: float, *, stopping: bool
