Keep bad jobs from quarantining a good VM; note batch design

A job that failed before no longer speaks against a VM, loses its urgency after two failures, and the quarantine stays 15 s.

--- a/src/yuccapoint/job/batch_leader.py
+++ b/src/yuccapoint/job/batch_leader.py
@@ -291,7 +291,8 @@
         if task.outcome == "done":
             trust.on_done()
             return
-        if task.outcome != "failed":
+        failed_before = self.board.jobs[task.job_id].failures
+        if task.outcome != "failed" or failed_before:
             trust.on_over(task.job_id)
             return
         if trust.on_failed(task.job_id, now_s):
--- a/src/yuccapoint/job/claim_queue.py
+++ b/src/yuccapoint/job/claim_queue.py
@@ -19,6 +19,7 @@
 
 SYNCED_PER_TICK = 5_000
 RESORTED_PER_TICK = 2_000
+URGENT_FAILURES = 2
 FOREIGN_LOOKS = 200
 FOREIGN_WAIT_MS = 2_000
 FOREIGN_URGENT_WAIT_MS = 500
@@ -46,6 +47,7 @@
         self._own: dict[Lane, FairLane] = {}
         self._foreign: dict[Lane, OrderedDict[str, JobEntry]] = {}
         self._waiting: dict[str, JobEntry] = {}
+        self._lanes: dict[str, Lane] = {}
         self._mine: set[str] = set()
         self._resort: list[str] = []
         self._sorted_at_version = 0
@@ -137,7 +139,10 @@
         if entry is None or job_id in claiming:
             return
         self._waiting[job_id] = entry
-        lane = (entry.job.pool, entry.job.urgent)
+        # A job that keeps failing may not hold up those that don't.
+        urgent = entry.job.urgent and entry.failures < URGENT_FAILURES
+        lane = (entry.job.pool, urgent)
+        self._lanes[job_id] = lane
         if not self.ranks.rank(entry.job):
             self._mine.add(job_id)
             self.own(lane[0], urgent=lane[1]).add(entry)
@@ -146,7 +151,7 @@
 
     def _drop(self, entry: JobEntry) -> None:
         self._mine.discard(entry.job.job_id)
-        lane = (entry.job.pool, entry.job.urgent)
+        lane = self._lanes.pop(entry.job.job_id)
         own = self._own.get(lane)
         if own is not None and own.discard(entry):
             return
--- a/src/yuccapoint/job/vm_trust.py
+++ b/src/yuccapoint/job/vm_trust.py
@@ -3,16 +3,17 @@
 from __future__ import annotations
 
 FAILURES_TO_QUARANTINE = 3
-FIRST_QUARANTINE_S = 15.0
-MAX_QUARANTINE_S = 600.0
+QUARANTINE_S = 15.0
 
 
 class VmTrust:
     """Quarantines a VM that fails everything and probes it back.
 
     Different jobs that fail without a success between them quarantine the
-    VM. After the quarantine it is given one job; its success ends the
-    suspicion, its failure doubles the quarantine.
+    VM; a job that failed before tells nothing of the VM. After the
+    quarantine it is given one job; its success ends the suspicion, its
+    failure begins another quarantine. That does not grow, so that bad jobs
+    that meet the probes can't keep a good VM out for long.
 
     Attributes
     ----------
@@ -22,13 +23,12 @@
         Whether the VM is given one job at a time.
     """
 
-    __slots__ = ("_failed", "_probe", "_rounds", "probing", "until_s")
+    __slots__ = ("_failed", "_probe", "probing", "until_s")
 
     def __init__(self) -> None:
         self.until_s = 0.0
         self.probing = False
         self._probe = ""
-        self._rounds = 0
         self._failed: set[str] = set()
 
     def allows(self, now_s: float) -> bool:
@@ -48,7 +48,6 @@
     def on_done(self) -> None:
         """Take note of a success."""
         self._failed.clear()
-        self._rounds = 0
         self.probing = False
         self._probe = ""
 
@@ -59,9 +58,7 @@
             return False
         if now_s < self.until_s:
             return False
-        wait_s = FIRST_QUARANTINE_S * 2**self._rounds
-        self.until_s = now_s + min(MAX_QUARANTINE_S, wait_s)
-        self._rounds = min(self._rounds + 1, 10)
+        self.until_s = now_s + QUARANTINE_S
         self.probing = True
         self._probe = ""
         return True
