--- /dev/null
+++ b/src/yuccapoint/bench/membership.py
@@ -0,0 +1,90 @@
+"""``bench membership``: planned stops, false deaths, an agent's cost."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import msgspec
+
+from yuccapoint.bench.agent_cost import bytes_per_row
+from yuccapoint.bench.agent_cost import control_bytes_per_s
+from yuccapoint.bench.agent_cost import core_share
+from yuccapoint.bench.capacity import resident_bytes
+from yuccapoint.bench.registry import bench
+from yuccapoint.bench.silence_trial import SilenceTrial
+from yuccapoint.bench.slope import fit
+
+ENTRY_COUNTS = [3.0, 6.0, 12.0, 24.0]
+ENTRIES_TODAY = 3
+ENTRIES_AT_SIZE = 30
+ROWS_AT_SIZE = 2_000
+
+
+class MembershipFigures(msgspec.Struct, frozen=True):
+    """Stops with sockets, deaths in virtual time, an agent's cost.
+
+    ``at_size`` is worked out from the measured slope over the entries
+    that an agent reports to, with 30 entries for 23,000 workers and
+    2,000 rows in the agent's pool. ``agent_core_share`` leaves out the
+    sockets. ``agent_resident_bytes`` is this whole process, bench and
+    all, and so an upper bound.
+    """
+
+    deployment: str
+    seed: int
+    new_work_after_leave_max_s: float
+    cut_in_flight: int
+    refused_not_run: int
+    requests_sent: int
+    false_deaths: int
+    false_deaths_fixed_timeout: int
+    death_noticed_max_s: float
+    agent_control_bytes_per_s: float
+    agent_control_bytes_per_s_at_size: float
+    agent_core_share: float
+    agent_core_share_at_size: float
+    agent_resident_bytes: int
+    agent_resident_bytes_at_size: int
+
+
+@bench("membership")
+def measure_membership(deployment: str, seed: int) -> MembershipFigures:
+    """Measure leaving, dying and what membership costs an agent."""
+    from yuccapoint.bench.stop_trial import StopTrial
+
+    resident = resident_bytes()
+    counts = ENTRY_COUNTS
+    sent = fit(
+        "agent_control_bytes_per_s",
+        "entry",
+        counts,
+        [control_bytes_per_s(int(count)) for count in counts],
+    )
+    share = fit(
+        "agent_core_share",
+        "entry",
+        counts,
+        [core_share(int(count)) for count in counts],
+    )
+    silence = SilenceTrial(random.Random(seed))
+    silence.run()
+    stops = StopTrial(deployment, seed)
+    asyncio.run(stops.run())
+    return MembershipFigures(
+        deployment,
+        seed,
+        round(stops.new_work_s, 3),
+        stops.cut,
+        stops.refused,
+        stops.sent,
+        silence.false_deaths,
+        silence.baseline_false_deaths,
+        round(max(silence.noticed_s), 3),
+        round(sent.at(ENTRIES_TODAY), 1),
+        round(sent.at(ENTRIES_AT_SIZE), 1),
+        round(share.at(ENTRIES_TODAY), 6),
+        round(share.at(ENTRIES_AT_SIZE), 6),
+        resident,
+        resident + int(bytes_per_row() * ROWS_AT_SIZE),
+    )
--- a/src/yuccapoint/connection/messages.py
+++ b/src/yuccapoint/connection/messages.py
@@ -40,7 +40,9 @@
     checkpoint: str
 
 
-class AgentReport(msgspec.Struct, frozen=True, tag="ar", kw_only=True):
+class AgentReport(
+    msgspec.Struct, frozen=True, tag="ar", array_like=True, kw_only=True
+):
     """An agent's state, sent each second; it asks for the VM's lease.
 
     ``wants_leader`` names the entry that is asked to adopt the VM under
@@ -91,7 +93,9 @@
     attempt: int
 
 
-class LeaseGrant(msgspec.Struct, frozen=True, tag="lg", kw_only=True):
+class LeaseGrant(
+    msgspec.Struct, frozen=True, tag="lg", array_like=True, kw_only=True
+):
     """The right to run tasks on a VM, in answer to one report.
 
     ``ttl_s`` counts from when the agent sent the report that
@@ -109,7 +113,9 @@
     noted: list[AttemptNoted]
 
 
-class TablesUpdate(msgspec.Struct, frozen=True, tag="tu", kw_only=True):
+class TablesUpdate(
+    msgspec.Struct, frozen=True, tag="tu", array_like=True, kw_only=True
+):
     """The rows that concern a member, at a version.
 
     With a ``base``, only what changed since that version; else all rows.
@@ -125,7 +131,9 @@
     digest: int = 0
 
 
-class EntryHello(msgspec.Struct, frozen=True, tag="eh", kw_only=True):
+class EntryHello(
+    msgspec.Struct, frozen=True, tag="eh", array_like=True, kw_only=True
+):
     """An entry's state, sent to other entries and to agents.
 
     ``adopts`` tells that the entry reaches the log and so can lead VMs
@@ -145,7 +153,7 @@
     demand: list[CustomerDemand] = []
 
 
-class DrainVm(msgspec.Struct, frozen=True, tag="dv"):
+class DrainVm(msgspec.Struct, frozen=True, tag="dv", array_like=True):
     """An operator asks the agent to take no new work and move the old."""
 
     vm: str
--- a/src/yuccapoint/process/entry_process.py
+++ b/src/yuccapoint/process/entry_process.py
@@ -7,6 +7,7 @@
 import time
 from typing import TYPE_CHECKING
 
+import msgspec
 from tornado.httpserver import HTTPServer
 from tornado.ioloop import PeriodicCallback
 
@@ -64,6 +65,7 @@
 HELLO_MS = 1_000
 LEAVE_TIMEOUT_S = 2.0
 LEAVE_GRACE_S = 2.0
+ADDRESSES_EVERY = 8
 MAX_HEADER_BYTES = 65_536
 
 
@@ -413,7 +415,10 @@
     def _on_report(self, report: AgentReport, now_s: float) -> None:
         self.router.on_report(report, now_s)
         self.agent_versions[report.vm] = report.tables_version
-        self.mailbox.send(report.control_address, self._hello(now_s))
+        hello = self._hello(now_s)
+        if report.sequence % ADDRESSES_EVERY:
+            hello = msgspec.structs.replace(hello, known_addresses=[])
+        self.mailbox.send(report.control_address, hello)
         if self.pump.caught_up and not self.leaving:
             self.act(self.leader.on_report(report, now_s))
         leads = report.leader in ("", self.entry_id)
