--- a/src/yuccapoint/connection/messages.py
+++ b/src/yuccapoint/connection/messages.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from yuccapoint.job.interference.pair_report import PairEstimate
+from yuccapoint.job.interference.pair_report import PairReport
 from yuccapoint.job.job import Job
 from yuccapoint.job.size import Size
 from yuccapoint.request.customer_limits import CustomerDemand
@@ -24,6 +26,7 @@
     slots: int
     in_flight: int
     queued: int
+    service_time_s: float = 0.0
 
 
 class TaskReport(msgspec.Struct, frozen=True, array_like=True):
@@ -68,14 +71,20 @@
     tables_version: int
     endpoints: list[EndpointReport]
     tasks: list[TaskReport]
+    pairs: PairReport | None = None
 
 
 class StartAttempt(msgspec.Struct, frozen=True, array_like=True):
-    """Run an attempt of a job, from a checkpoint if there is one."""
+    """Run an attempt of a job, from a checkpoint if there is one.
+
+    ``claimed_term`` is the VM's term at the claim. An agent that was
+    started after it can't tell whether the attempt was started before.
+    """
 
     job: Job
     attempt: int
     checkpoint: str
+    claimed_term: int = 0
 
 
 class StopAttempt(msgspec.Struct, frozen=True, array_like=True):
@@ -131,6 +140,15 @@
     digest: int = 0
 
 
+class PairPriors(
+    msgspec.Struct, frozen=True, tag="pp", array_like=True, kw_only=True
+):
+    """What all VMs learned about interference, for one that asked."""
+
+    vm: str
+    pairs: list[PairEstimate]
+
+
 class EntryHello(
     msgspec.Struct, frozen=True, tag="eh", array_like=True, kw_only=True
 ):
@@ -160,4 +178,6 @@
     operator: str
 
 
-ControlMessage = AgentReport | LeaseGrant | TablesUpdate | EntryHello | DrainVm
+ControlMessage = (
+    AgentReport | LeaseGrant | TablesUpdate | PairPriors | EntryHello | DrainVm
+)
--- a/src/yuccapoint/job/task_keeper.py
+++ b/src/yuccapoint/job/task_keeper.py
@@ -93,6 +93,7 @@
         self._asked_at_s: dict[int, float] = {}
         self._granted_at_s = 0.0
         self._tombstones: dict[str, int] = {}
+        self._past_ends: dict[str, TaskEnded] = {}
 
     def next_sequence(self, now_s: float) -> int:
         """Number a report; a lease granted in answer counts from now."""
@@ -181,6 +182,8 @@
             self.lease_until_s,
             lease_rules.held_until_s(asked_at_s, lease_rules.VM_LEASE_S),
         )
+        if grant.ttl_s:
+            self._repeat_stops(actions)
         for noted in grant.noted:
             self._forget(noted.job_id, noted.attempt)
         for stop in grant.stops:
@@ -203,6 +206,19 @@
         task.stopping = reason
         actions.append(WorkerStop(job_id, attempt, reason))
 
+    def on_past_end(self, ended: TaskEnded) -> list[Action]:
+        """Take an end that may have come before this agent's start.
+
+        The leader may not know of it and send the attempt's start again.
+        """
+        if ended.job_id in self.tasks:
+            return self.on_ended(ended)
+        self._past_ends.pop(ended.job_id, None)
+        self._past_ends[ended.job_id] = ended
+        if len(self._past_ends) > MAX_TOMBSTONES:
+            del self._past_ends[next(iter(self._past_ends))]
+        return []
+
     def on_ended(self, ended: TaskEnded) -> list[Action]:
         """Take the end of an attempt from the worker."""
         task = self.tasks.get(ended.job_id)
@@ -220,6 +236,17 @@
         }
         return [Explain("agent", text.strip(), fields)]
 
+    def _same_start(self, term: int) -> bool:
+        ours = self.term // TERMS_PER_INCARNATION
+        return term // TERMS_PER_INCARNATION == ours
+
+    def _repeat_stops(self, actions: list[Action]) -> None:
+        # The worker may have got a stop before the start it belongs to.
+        for task in self.tasks.values():
+            if task.stopping and not task.outcome:
+                stop = WorkerStop(task.job_id, task.attempt, task.stopping)
+                actions.append(stop)
+
     def _start(self, start: StartAttempt, actions: list[Action]) -> None:
         job = start.job
         known = self.tasks.get(job.job_id)
@@ -235,6 +262,16 @@
         self, job: Job, start: StartAttempt, actions: list[Action]
     ) -> Task:
         task = Task(job.job_id, start.attempt, job.size, job.job_class)
+        past = self._past_ends.get(job.job_id)
+        if past is not None and past.attempt == start.attempt:
+            task.outcome = past.outcome
+            task.reason = past.reason
+            task.checkpoint = past.checkpoint
+            return task
+        if start.claimed_term and not self._same_start(start.claimed_term):
+            task.outcome = "refused"
+            task.reason = "the agent was started after the claim"
+            return task
         try:
             self.ledger.reserve(job.job_id, job.size)
         except CommitRefusedError as error:
