--- a/src/yuccapoint/console/commands/watch.py
+++ b/src/yuccapoint/console/commands/watch.py
@@ -24,7 +24,9 @@
 def watch(
     where: Annotated[
         list[str] | None,
-        typer.Option(help="Only decisions with field=value, such as vm=a."),
+        typer.Option(
+            help="Only decisions with field=value, such as vm=a or part=guard."
+        ),
     ] = None,
     json: Json = False,
     entry: Entry = DEFAULT_ENTRY,
@@ -46,7 +48,10 @@
     decision = msgspec.json.decode(line, type=DecisionView)
     for wanted in where:
         field, _, value = wanted.partition("=")
-        if str(decision.fields.get(field, "")) != value:
+        given = decision.fields.get(field, "")
+        if field == "part":
+            given = decision.part
+        if str(given) != value:
             return
     if json:
         typer.echo(line.decode())
