Explain requests; reload tokens and certificates without a restart

Cause: explain knew jobs only, although route decisions were logged with their figures; TLS files in the settings were read by nobody, and tokens once at the start. All decisions of an entry are kept by what it logs, those of routes apart so that they don't push out the others. A damaged file leaves the former credentials in force and says so; a refused operator is logged with peer and path, without the token.

--- a/src/yuccapoint/console/commands/explain.py
+++ b/src/yuccapoint/console/commands/explain.py
@@ -13,7 +13,9 @@
 from yuccapoint.console.options import Entry
 from yuccapoint.console.options import Json
 from yuccapoint.console.options import Token
+from yuccapoint.process.operator_messages import DecisionView
 from yuccapoint.process.operator_messages import Explanation
+from yuccapoint.process.operator_messages import RequestExplanation
 
 
 def register(application: typer.Typer) -> None:
@@ -22,13 +24,19 @@
 
 
 def explain(
-    job_id: Annotated[str, typer.Argument(help="Id of the job.")],
+    name: Annotated[str, typer.Argument(help="Id of the job or request.")],
+    request: Annotated[
+        bool, typer.Option("--request", help="The id is a request's.")
+    ] = False,
     json: Json = False,
     entry: Entry = DEFAULT_ENTRY,
     token: Token = "",
 ) -> None:
-    """Say why a job went where it is, or why it waits."""
-    path = f"/v1/jobs/{job_id}"
+    """Say why a job or request went where it is, or why a job waits."""
+    if request:
+        _explain_request(EntryClient(entry, token), name, json=json)
+        return
+    path = f"/v1/jobs/{name}"
     found = EntryClient(entry, token).call("GET", path, Explanation)
     if json:
         typer.echo(msgspec.json.encode(found).decode())
@@ -36,6 +44,20 @@
     typer.echo(f"{found.job.job_id} {found.job.state}: {found.why}")
     for step in found.job.steps:
         typer.echo(f"  {step.at_ms} {step.text}")
-    for decision in found.decisions:
+    _show(found.decisions)
+
+
+def _explain_request(client: EntryClient, name: str, *, json: bool) -> None:
+    path = f"/v1/requests/{name}"
+    found = client.call("GET", path, RequestExplanation)
+    if json:
+        typer.echo(msgspec.json.encode(found).decode())
+        return
+    typer.echo(found.request_id)
+    _show(found.decisions)
+
+
+def _show(decisions: list[DecisionView]) -> None:
+    for decision in decisions:
         fields = ", ".join(f"{k}={v}" for k, v in decision.fields.items())
         typer.echo(f"  {decision.part}: {decision.text} ({fields})")
--- a/src/yuccapoint/process/access.py
+++ b/src/yuccapoint/process/access.py
@@ -31,10 +31,33 @@
 
     def __init__(self, path: str) -> None:
         self._open = not path
+        self._path = path
+        self._stamp = 0
         self._callers: dict[str, str] = {}
         self._operators: dict[str, str] = {}
-        if path:
-            self._load(path)
+        self.reload()
+
+    def reload(self) -> bool:
+        """Load the file if it changed; True if it did.
+
+        Raises
+        ------
+        SettingsError
+            The file can't be read; the former tokens stay in force.
+        """
+        if self._open:
+            return False
+        try:
+            stamp = pathlib.Path(self._path).stat().st_mtime_ns
+        except OSError as error:
+            raise SettingsError(
+                f"{self._path} can't be read: {error}"
+            ) from None
+        if stamp == self._stamp:
+            return False
+        self._load(self._path)
+        self._stamp = stamp
+        return True
 
     def customer(self, headers: HTTPHeaders, claimed_header: str) -> str:
         """Give the customer that a caller's credentials name.
@@ -78,10 +101,12 @@
         for section in parser.sections():
             if section not in ("callers", "operators"):
                 raise SettingsError(f"{path}: [{section}] is not known")
-        if parser.has_section("callers"):
-            self._callers = dict(parser["callers"])
-        if parser.has_section("operators"):
-            self._operators = dict(parser["operators"])
+        self._callers = _section(parser, "callers")
+        self._operators = _section(parser, "operators")
+
+
+def _section(parser: configparser.ConfigParser, name: str) -> dict[str, str]:
+    return dict(parser[name]) if parser.has_section(name) else {}
 
 
 def _find(names: dict[str, str], headers: HTTPHeaders) -> str:
--- a/src/yuccapoint/process/decisions.py
+++ b/src/yuccapoint/process/decisions.py
@@ -4,10 +4,9 @@
 
 import asyncio
 import collections
-from typing import TYPE_CHECKING
+from typing import Any
 
-if TYPE_CHECKING:
-    from yuccapoint.job.actions import Explain
+from yuccapoint.job.actions import Explain
 
 MAX_DECISIONS = 2_000
 MAX_BEHIND = 1_000
@@ -20,18 +19,27 @@
         self._newest: collections.deque[Explain] = collections.deque(
             maxlen=MAX_DECISIONS
         )
+        self._routed: collections.deque[Explain] = collections.deque(
+            maxlen=MAX_DECISIONS
+        )
         self._watchers: list[asyncio.Queue[Explain]] = []
 
     def note(self, decision: Explain) -> None:
         """Keep a decision and pass it to the watchers."""
-        self._newest.append(decision)
+        kept = self._routed if decision.part == "route" else self._newest
+        kept.append(decision)
         for watcher in self._watchers:
             if watcher.qsize() < MAX_BEHIND:
                 watcher.put_nowait(decision)
 
+    def observe(self, part: str, text: str, fields: dict[str, Any]) -> None:
+        """Keep a log line of this process as a decision."""
+        self.note(Explain(part, text, fields))
+
     def about(self, field: str, value: str) -> list[Explain]:
         """Give the kept decisions whose field has a value."""
-        return [d for d in self._newest if d.fields.get(field) == value]
+        kept = (*self._newest, *self._routed)
+        return [d for d in kept if d.fields.get(field) == value]
 
     def watch(self) -> asyncio.Queue[Explain]:
         """Begin to watch; decisions arrive in the queue."""
--- a/src/yuccapoint/process/entry_process.py
+++ b/src/yuccapoint/process/entry_process.py
@@ -41,6 +41,7 @@
 from yuccapoint.process.request_forwarder import RequestForwarder
 from yuccapoint.process.snapshot_schedule import SnapshotSchedule
 from yuccapoint.process.snapshot_writer import SnapshotWriter
+from yuccapoint.process.tls import make_tls
 from yuccapoint.request.customer_limits import CustomerLimits
 from yuccapoint.request.exceptions import RepeatedKeyError
 from yuccapoint.request.exceptions import RequestError
@@ -84,10 +85,11 @@
         self.incarnation = time.time_ns() // 1_000_000
         self.entry_id = f"{self.name}@{self.incarnation}"
         self.rng = random.Random(self.incarnation)
-        self.logs = Logs(self.name)
-        self.metrics = Metrics()
         self.decisions = Decisions()
+        self.logs = Logs(self.name, self.decisions.observe)
+        self.metrics = Metrics()
         self.access = Access(settings.access.tokens_file)
+        self.tls = make_tls(settings.access)
         self.max_body_bytes = settings.limits.max_body_bytes
         self.held = InFlight(settings.limits.max_in_flight)
         self.customer_limits = CustomerLimits()
@@ -155,8 +157,12 @@
             CallerServer(self),
             max_body_size=1 << 40,
             max_header_size=MAX_HEADER_BYTES,
+            ssl_options=self.tls.context if self.tls else None,
+        )
+        self._operators = HTTPServer(
+            operator_application(self),
+            ssl_options=self.tls.context if self.tls else None,
         )
-        self._operators = HTTPServer(operator_application(self))
         self._ticker = PeriodicCallback(self._tick, TICK_MS)
         self._greeter = PeriodicCallback(self._greet, HELLO_MS)
 
@@ -297,7 +303,6 @@
                 self.mailbox.send(action.address, action.message)
                 continue
             if isinstance(action, Explain):
-                self.decisions.note(action)
                 self.logs.say(action.part, action.text, **action.fields)
 
     def _addressed(self, record: Record) -> Record:
@@ -354,8 +359,21 @@
     def _stands(self) -> str:
         return f"offset {self.cell.next_offset}"
 
+    def _reload_access(self) -> None:
+        """Take new tokens and certificates; keep the old if they fail."""
+        try:
+            changed = self.access.reload()
+            if self.tls is not None:
+                changed = self.tls.reload() or changed
+        except YuccapointError as error:
+            self.logs.say("access", f"kept the former files: {error}")
+            return
+        if changed:
+            self.logs.say("access", "new credentials are in force")
+
     def _greet(self) -> None:
         now_s = time.monotonic()
+        self._reload_access()
         hello = self._hello(now_s)
         self.router.entries = max(1, len(self.directory.alive(now_s)))
         for address in self.directory.addresses(now_s):
--- a/src/yuccapoint/process/logs.py
+++ b/src/yuccapoint/process/logs.py
@@ -4,10 +4,14 @@
 
 import sys
 from typing import Any
+from typing import TYPE_CHECKING
 
 import eliot
 import msgspec
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 FIELDS_OF_ELIOT = (
     "task_uuid",
     "task_level",
@@ -25,10 +29,17 @@
     ----------
     process : str
         Name of the process, on each line.
+    observe : callable, optional
+        Called with part, text and fields of each line.
     """
 
-    def __init__(self, process: str) -> None:
+    def __init__(
+        self,
+        process: str,
+        observe: Callable[[str, str, dict[str, Any]], None] | None = None,
+    ) -> None:
         self.process = process
+        self._observe = observe
 
     def say(
         self, part: str, text: str, **fields: str | float | list[str]
@@ -44,6 +55,8 @@
         **fields
             What was weighed, with units in the names.
         """
+        if self._observe is not None:
+            self._observe(part, text, fields)
         eliot.log_message(
             message_type=part, text=text, process=self.process, **fields
         )
--- a/src/yuccapoint/process/operator_api.py
+++ b/src/yuccapoint/process/operator_api.py
@@ -26,6 +26,7 @@
 from yuccapoint.process.operator_messages import EditBody
 from yuccapoint.process.operator_messages import Explanation
 from yuccapoint.process.operator_messages import Fault
+from yuccapoint.process.operator_messages import RequestExplanation
 from yuccapoint.request.exceptions import AccessRefusedError
 from yuccapoint.request.verdict import Verdict
 
@@ -57,7 +58,12 @@
         try:
             self.operator = self.entry.access.operator(self.request.headers)
         except AccessRefusedError as error:
-            self.entry.logs.say("operator", f"refused: {error}")
+            self.entry.logs.say(
+                "access",
+                f"refused an operator: {error}",
+                peer=self.request.remote_ip or "",
+                path=self.request.path,
+            )
             self.fail(403, str(error), Verdict.NOT_RUN)
 
     def answer(self, body: msgspec.Struct | list[msgspec.Struct]) -> None:
@@ -213,6 +219,20 @@
         self.answer(views.job_view(self.entry.cell.board.jobs[job_id]))
 
 
+class RequestIdHandler(OperatorHandler):
+    """One request that this entry served lately."""
+
+    def get(self, request_id: str) -> None:
+        """Explain where a request went."""
+        found = self.entry.decisions.about("request", request_id)
+        if not found:
+            text = f"this entry remembers no request {request_id}"
+            self.fail(STATUS_NOT_FOUND, text, Verdict.NOT_RUN)
+            return
+        views = [DecisionView(d.part, d.text, d.fields) for d in found]
+        self.answer(RequestExplanation(request_id, views))
+
+
 class StatusHandler(OperatorHandler):
     """All that the entry knows."""
 
@@ -302,6 +322,7 @@
             (r"/v1/edits/([^/]+)", EditHandler, given),
             (r"/v1/jobs", JobsHandler, given),
             (r"/v1/jobs/([^/]+)", JobHandler, given),
+            (r"/v1/requests/([^/]+)", RequestIdHandler, given),
             (r"/v1/status", StatusHandler, given),
             (r"/v1/vms/([^/]+)/drain", DrainHandler, given),
             (r"/v1/watch", WatchHandler, given),
--- a/src/yuccapoint/process/operator_messages.py
+++ b/src/yuccapoint/process/operator_messages.py
@@ -152,6 +152,13 @@
     decisions: list[DecisionView]
 
 
+class RequestExplanation(msgspec.Struct, frozen=True):
+    """Where a request went and what was weighed, the newest ones."""
+
+    request_id: str
+    decisions: list[DecisionView]
+
+
 class DrainAnswer(msgspec.Struct, frozen=True):
     """A VM was asked to drain."""
 
--- a/src/yuccapoint/process/request_forwarder.py
+++ b/src/yuccapoint/process/request_forwarder.py
@@ -336,6 +336,9 @@
         self._logs.say(
             "route",
             f"{request.route.name} to {decision.view.key}",
+            route=request.route.name,
+            pool=request.route.pool,
+            vm=decision.view.vm,
             request=request.request_id,
             customer=request.customer,
             tier=decision.tier,
--- /dev/null
+++ b/src/yuccapoint/process/tls.py
@@ -0,0 +1,62 @@
+"""TLS of the callers' and operators' ports, reloaded without a restart."""
+
+from __future__ import annotations
+
+import pathlib
+import ssl
+from typing import TYPE_CHECKING
+
+from yuccapoint.exceptions import SettingsError
+
+if TYPE_CHECKING:
+    from yuccapoint.process.settings.sections import AccessSection
+
+
+class Tls:
+    """A context that takes new files for the handshakes to come.
+
+    Parameters
+    ----------
+    settings : AccessSection
+        Names the certificate, its key, and the authority of clients'
+        certificates; an authority makes these required.
+
+    Raises
+    ------
+    SettingsError
+        A file can't be read or does not fit.
+    """
+
+    def __init__(self, settings: AccessSection) -> None:
+        self.context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+        self._settings = settings
+        self._stamps: list[int] = []
+        self.reload()
+
+    def reload(self) -> bool:
+        """Load the files if they changed; True if they did."""
+        settings = self._settings
+        paths = [settings.tls_certificate_file, settings.tls_key_file]
+        if settings.tls_client_ca_file:
+            paths.append(settings.tls_client_ca_file)
+        try:
+            stamps = [pathlib.Path(p).stat().st_mtime_ns for p in paths]
+            if stamps == self._stamps:
+                return False
+            self.context.load_cert_chain(paths[0], paths[1])
+            if settings.tls_client_ca_file:
+                self.context.load_verify_locations(paths[2])
+                self.context.verify_mode = ssl.CERT_REQUIRED
+        except (OSError, ssl.SSLError) as error:
+            raise SettingsError(
+                f"TLS files can't be loaded: {error}"
+            ) from None
+        self._stamps = stamps
+        return True
+
+
+def make_tls(settings: AccessSection) -> Tls | None:
+    """Make the context if the settings name a certificate."""
+    if not settings.tls_certificate_file:
+        return None
+    return Tls(settings)
