--- a/src/yuccapoint/process/cell_state.py
+++ b/src/yuccapoint/process/cell_state.py
@@ -134,8 +134,9 @@
         """
         if snapshot.next_offset <= self.next_offset:
             return False
-        snapshot_image.restore("", CellState(), snapshot.slices)
-        snapshot_image.restore("", self, snapshot.slices)
+        whole = CellState()
+        snapshot_image.restore("", whole, snapshot.slices)
+        snapshot_image.take_over(self, whole)
         self.next_offset = snapshot.next_offset
         return True
 
--- a/src/yuccapoint/process/snapshot_image.py
+++ b/src/yuccapoint/process/snapshot_image.py
@@ -155,6 +155,27 @@
             yield name, value
 
 
+def take_over(part: object, other: object) -> None:
+    """Put the state of another part of the same class into a part.
+
+    Containers stay the same objects, as others hold on to them.
+    """
+    found = dict(_attributes(other))
+    for name, value in _attributes(part):
+        if isinstance(value, CONTAINERS):
+            value.clear()
+            holder: Any = value
+            fill = getattr(holder, "update", None) or holder.extend
+            fill(found[name])
+        elif hasattr(value, "__dict__"):
+            take_over(value, found[name])
+        else:
+            setattr(part, name, found[name])
+    rebuild = getattr(part, "rebuild", None)
+    if rebuild is not None:
+        rebuild()
+
+
 def _container(path: str, value: Any) -> Iterator[bytes]:
     kind = type(value).__name__
     item = _item_kind(path, value)
@@ -225,14 +246,16 @@
     if piece.item == "JobRef":
         target.update((job_id, jobs[job_id]) for job_id in items)
         return
+    made: dict[object, object] = {}
     for found, value in items:
         key = tuple(found) if isinstance(found, list) else found
         if piece.item.startswith("list "):
-            target[key] = _inner(piece.item, value)
+            made[key] = _inner(piece.item, value)
             continue
-        target[key] = _make(piece.item, value, name)
+        made[key] = _make(piece.item, value, name)
+    target.update(made)
     if piece.item == "JobEntry":
-        jobs.update(target)
+        jobs.update(made)  # type: ignore[arg-type]
 
 
 def _make(kind: str, value: Any, attribute: str) -> object:
@@ -246,7 +269,7 @@
         inner = SLOT_KINDS.get((kind, slot), "")
         if kind == "TableRow" and slot == "row":
             inner = ROW_KINDS[attribute]
-        setattr(made, slot, _inner(inner, content))
+        setattr(made, slot, _inner(inner, content) if inner else content)
     return made
 
 
