--- a/src/yuccapoint/bench/all.py
+++ b/src/yuccapoint/bench/all.py
@@ -6,5 +6,6 @@
 import yuccapoint.bench.capacity  # noqa: F401
 import yuccapoint.bench.config  # noqa: F401
 import yuccapoint.bench.interference  # noqa: F401
+import yuccapoint.bench.membership  # noqa: F401
 import yuccapoint.bench.recovery  # noqa: F401
 import yuccapoint.bench.requests  # noqa: F401
