--- a/tests/fuzzing/platform.py
+++ b/tests/fuzzing/platform.py
@@ -255,6 +255,7 @@
             raise EndpointFailedError("refused", Verdict.NOT_RUN)
         names = [h.value for h in headers if h.name == "X-Request-Name"]
         endpoint.runs.append((names[0], self._loop.now_s))
+        self._member.served.add(names[0])
         endpoint.running += 1
         left_s = deadline_s - self._member.clock.monotonic()
         try:
