Name traced messages by their types

A new kind of control message was not in the trace's own list, and the KeyError went red as process_lives. The list now comes from the messages.

--- a/tests/fuzzing/network.py
+++ b/tests/fuzzing/network.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+from typing import get_args
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -19,11 +20,8 @@
 
 
 KINDS = {
-    "ar": "report",
-    "lg": "grant",
-    "tu": "tables",
-    "eh": "hello",
-    "dv": "drain",
+    kind.__struct_config__.tag: kind.__name__
+    for kind in get_args(ControlMessage)
 }
 
 
