Name the priors of pairs in the fuzzing network

Cause: the message PairPriors is new, and the scripted network of the fuzzing looked its kind up in a fixed table: KeyError('pp') in 'The machine for batch finds no broken promise'. No check is eased: the kind is listed like the others, so it is dropped, doubled and delayed like them.

--- a/tests/fuzzing/network.py
+++ b/tests/fuzzing/network.py
@@ -22,6 +22,7 @@
     "ar": "report",
     "lg": "grant",
     "tu": "tables",
+    "pp": "priors",
     "eh": "hello",
     "dv": "drain",
 }
