Stop looking at others' jobs after eight that find no room

On a full cell each tick weighed up to 200 jobs of other entries that none had room for. Scenarios of job/ and sequences.feature: 38 passed.

--- a/src/yuccapoint/job/claim_queue.py
+++ b/src/yuccapoint/job/claim_queue.py
@@ -21,6 +21,7 @@
 RESORTED_PER_TICK = 2_000
 URGENT_FAILURES = 2
 FOREIGN_LOOKS = 200
+FOREIGN_MISSES = 8
 FOREIGN_WAIT_MS = 2_000
 FOREIGN_URGENT_WAIT_MS = 500
 
@@ -99,8 +100,9 @@
         if not jobs:
             return
         step_ms = FOREIGN_URGENT_WAIT_MS if lane[1] else FOREIGN_WAIT_MS
+        misses = 0
         for job_id in list(itertools.islice(jobs, 0, FOREIGN_LOOKS)):
-            if not budget.left:
+            if not budget.left or misses >= FOREIGN_MISSES:
                 return
             entry = jobs[job_id]
             rank = self.ranks.rank(entry.job)
@@ -111,6 +113,7 @@
                 budget.claimed()
                 del jobs[job_id]
                 continue
+            misses += 1
             jobs.move_to_end(job_id)
 
     def _find_missed(self, claiming: int) -> None:
