--- a/src/yuccapoint/bench/simulated_vm.py
+++ b/src/yuccapoint/bench/simulated_vm.py
@@ -150,6 +150,8 @@
             self.explained.append(action)
 
     def _note_eviction(self, job_id: str) -> None:
+        if job_id not in self.model.tasks:
+            return
         added = {}
         for task in self.model.tasks.values():
             added[task.job_id] = self.model.added_by(task) / task.share
