Send control messages as maps again

Cause: the fuzzing under tests/ reads raw control messages by field name, so that messages as arrays broke its trace: 47 scenarios were red in the whole run, all of tests/features/proof among them.

--- a/src/yuccapoint/connection/messages.py
+++ b/src/yuccapoint/connection/messages.py
@@ -43,9 +43,7 @@
     checkpoint: str
 
 
-class AgentReport(
-    msgspec.Struct, frozen=True, tag="ar", array_like=True, kw_only=True
-):
+class AgentReport(msgspec.Struct, frozen=True, tag="ar", kw_only=True):
     """An agent's state, sent each second; it asks for the VM's lease.
 
     ``wants_leader`` names the entry that is asked to adopt the VM under
@@ -102,9 +100,7 @@
     attempt: int
 
 
-class LeaseGrant(
-    msgspec.Struct, frozen=True, tag="lg", array_like=True, kw_only=True
-):
+class LeaseGrant(msgspec.Struct, frozen=True, tag="lg", kw_only=True):
     """The right to run tasks on a VM, in answer to one report.
 
     ``ttl_s`` counts from when the agent sent the report that
@@ -122,9 +118,7 @@
     noted: list[AttemptNoted]
 
 
-class TablesUpdate(
-    msgspec.Struct, frozen=True, tag="tu", array_like=True, kw_only=True
-):
+class TablesUpdate(msgspec.Struct, frozen=True, tag="tu", kw_only=True):
     """The rows that concern a member, at a version.
 
     With a ``base``, only what changed since that version; else all rows.
@@ -140,18 +134,14 @@
     digest: int = 0
 
 
-class PairPriors(
-    msgspec.Struct, frozen=True, tag="pp", array_like=True, kw_only=True
-):
+class PairPriors(msgspec.Struct, frozen=True, tag="pp", kw_only=True):
     """What all VMs learned about interference, for one that asked."""
 
     vm: str
     pairs: list[PairEstimate]
 
 
-class EntryHello(
-    msgspec.Struct, frozen=True, tag="eh", array_like=True, kw_only=True
-):
+class EntryHello(msgspec.Struct, frozen=True, tag="eh", kw_only=True):
     """An entry's state, sent to other entries and to agents.
 
     ``adopts`` tells that the entry reaches the log and so can lead VMs
@@ -171,7 +161,7 @@
     demand: list[CustomerDemand] = []
 
 
-class DrainVm(msgspec.Struct, frozen=True, tag="dv", array_like=True):
+class DrainVm(msgspec.Struct, frozen=True, tag="dv"):
     """An operator asks the agent to take no new work and move the old."""
 
     vm: str
