--- /dev/null
+++ b/src/yuccapoint/bench/run_records.py
@@ -0,0 +1,113 @@
+"""Reads what a run left: JSON log lines and lines of benches."""
+
+from __future__ import annotations
+
+import pathlib
+from typing import Any
+
+import msgspec
+
+from yuccapoint.exceptions import YuccapointError
+
+MEASURED_PARTS = ("place", "guard", "lease", "route", "caller", "tables")
+
+
+class RunUnreadableError(YuccapointError):
+    """A file is neither log lines nor a bench's line, or can't be read."""
+
+
+class VersionTime:
+    """When a version of the tables came in force, since the epoch."""
+
+    __slots__ = ("time_s", "version")
+
+    def __init__(self, time_s: float, version: int) -> None:
+        self.time_s = time_s
+        self.version = version
+
+
+class RunRecords:
+    """The lines of a run, sorted by what they are.
+
+    Attributes
+    ----------
+    benches : dict of str to dict
+        Figures by file name, as the benches printed them.
+    times_s : dict of str to list of float
+        Times of the log lines of each part, since the epoch.
+    versions : list of VersionTime
+        When which version of the tables came in force.
+    """
+
+    __slots__ = ("benches", "times_s", "versions")
+
+    def __init__(self) -> None:
+        self.benches: dict[str, dict[str, Any]] = {}
+        self.times_s: dict[str, list[float]] = {}
+        self.versions: list[VersionTime] = []
+
+    @property
+    def lines(self) -> int:
+        """Log lines of the parts that are shown."""
+        return sum(len(times) for times in self.times_s.values())
+
+    def read(self, path: str) -> None:
+        """Add a file.
+
+        Raises
+        ------
+        RunUnreadableError
+            The file can't be read, or holds nothing that can be shown.
+        """
+        try:
+            text = pathlib.Path(path).read_text("utf-8")
+        except (OSError, UnicodeDecodeError) as error:
+            raise RunUnreadableError(
+                f"{path} can't be read: {error}"
+            ) from None
+        found = 0
+        for line in text.splitlines():
+            found += self._take(pathlib.Path(path).stem, line)
+        if not found:
+            raise RunUnreadableError(f"{path} holds no JSON line of a run")
+
+    def _take(self, name: str, line: str) -> bool:
+        try:
+            values = msgspec.json.decode(line)
+        except msgspec.DecodeError:
+            return False
+        if not isinstance(values, dict):
+            return False
+        if "message_type" not in values:
+            self.benches[name] = values
+            return True
+        self._take_log_line(values)
+        return True
+
+    def _take_log_line(self, values: dict[str, Any]) -> None:
+        part = values.get("message_type")
+        time_s = values.get("timestamp")
+        if part not in MEASURED_PARTS or not isinstance(time_s, int | float):
+            return
+        self.times_s.setdefault(part, []).append(float(time_s))
+        if part == "tables":
+            self._take_version(float(time_s), str(values.get("text", "")))
+
+    def _take_version(self, time_s: float, text: str) -> None:
+        word, _, rest = text.partition(" ")
+        number = rest.partition(" ")[0]
+        if word == "version" and number.isdigit():
+            self.versions.append(VersionTime(time_s, int(number)))
+
+
+def flat_figures(values: dict[str, Any], prefix: str = "") -> dict[str, float]:
+    """Give the single figures of a bench by their dotted names."""
+    figures: dict[str, float] = {}
+    for name, value in values.items():
+        if isinstance(value, dict):
+            figures.update(flat_figures(value, f"{prefix}{name}."))
+            continue
+        if isinstance(value, bool) or not isinstance(value, int | float):
+            continue
+        figures[f"{prefix}{name}"] = float(value)
+    return figures
--- a/src/yuccapoint/console/application.py
+++ b/src/yuccapoint/console/application.py
@@ -17,6 +17,7 @@
 from yuccapoint.console.commands import explain
 from yuccapoint.console.commands import jobs
 from yuccapoint.console.commands import pool
+from yuccapoint.console.commands import report
 from yuccapoint.console.commands import route
 from yuccapoint.console.commands import status
 from yuccapoint.console.commands import submit
@@ -47,6 +48,7 @@
     entry,
     explain,
     jobs,
+    report,
     status,
     submit,
     watch,
--- /dev/null
+++ b/src/yuccapoint/console/commands/report.py
@@ -0,0 +1,35 @@
+"""``yuccapoint report``: a page of a run."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import typer
+
+from yuccapoint.bench.run_page import draw_page
+from yuccapoint.bench.run_records import RunRecords
+from yuccapoint.console import exit_codes
+
+
+def register(application: typer.Typer) -> None:
+    """Add the command."""
+    application.command("report", epilog=exit_codes.HELP)(report)
+
+
+def report(
+    files: Annotated[
+        list[str],
+        typer.Argument(help="JSON logs of processes, or lines of benches."),
+    ],
+    out: Annotated[
+        str, typer.Option(help="Page to write: .png, .svg or .pdf.")
+    ] = "report.png",
+) -> None:
+    """Draw latency, evictions, ratios, decisions and versions of a run."""
+    records = RunRecords()
+    for path in files:
+        records.read(path)
+    draw_page(records, out)
+    typer.echo(
+        f"{out}: {len(records.benches)} benches, {records.lines} log lines"
+    )
--- /dev/null
+++ b/tests/features/steps/report_steps.py
@@ -0,0 +1,79 @@
+from __future__ import annotations
+
+import json
+import pathlib
+import tempfile
+from typing import TYPE_CHECKING
+
+from behave import given
+from behave import then
+from behave import when
+
+from yuccapoint.bench.run_page import draw_page
+from yuccapoint.bench.run_records import RunRecords
+from yuccapoint.bench.run_records import RunUnreadableError
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+PNG_MAGIC = b"\x89PNG"
+
+
+def _write(context: Context, texts: list[str]) -> None:
+    folder = tempfile.TemporaryDirectory()
+    context.cleanups.append(folder.cleanup)
+    context.report_folder = pathlib.Path(folder.name)
+    context.report_files = []
+    for number, text in enumerate(texts):
+        path = context.report_folder / f"run-{number}.json"
+        path.write_text(text, "utf-8")
+        context.report_files.append(str(path))
+
+
+@given("report files with a bench line and {count:d} log lines")
+def given_run(context: Context, count: int) -> None:
+    lines = [
+        json.dumps(
+            {
+                "message_type": "tables" if number % 2 else "guard",
+                "timestamp": 1_000.0 + number,
+                "text": f"version {number} is in force",
+            }
+        )
+        for number in range(count)
+    ]
+    policy = {"policy": "random", "p50_ms": 1.0, "p99_ms": 2.0}
+    bench = {"tail_ratio": 1.1, "policies": [policy]}
+    _write(context, [json.dumps(bench), "\n".join(lines)])
+
+
+@given("a report file with other text")
+def given_other(context: Context) -> None:
+    _write(context, ["no run\n"])
+
+
+@when("the report page is drawn")
+def draw(context: Context) -> None:
+    context.report_records = RunRecords()
+    context.report_error = ""
+    context.report_page = context.report_folder / "page.png"
+    try:
+        for path in context.report_files:
+            context.report_records.read(path)
+        draw_page(context.report_records, str(context.report_page))
+    except RunUnreadableError as error:
+        context.report_error = str(error)
+
+
+@then("the report page shows {benches:d} benches and {lines:d} log lines")
+def is_picture(context: Context, benches: int, lines: int) -> None:
+    assert context.report_page.read_bytes()[:4] == PNG_MAGIC
+    assert len(context.report_records.benches) == benches
+    assert context.report_records.lines == lines
+    assert len(context.report_records.versions) == lines // 2
+
+
+@then('the report is refused with "{text}"')
+def is_refused(context: Context, text: str) -> None:
+    assert text in context.report_error, context.report_error
+    assert not context.report_page.exists()
