--- a/src/yuccapoint_standins/demo.py
+++ b/src/yuccapoint_standins/demo.py
@@ -36,6 +36,7 @@
 SHOWN_PARTS = ("place", "guard", "lease", "log", "tables")
 MAX_SHOWN_OF_A_PART = 6
 JOBS_TIMEOUT_S = 25.0
+NOISY_RUN_S = 3.0
 
 
 class Demo:
@@ -111,7 +112,7 @@
             noise = 0.9 if number % 10 == 3 else 0.02
             run_s = self.rng.uniform(2.0, 7.0)
             if noise > 0.5:
-                run_s = 9.0
+                run_s = NOISY_RUN_S
             job = Job(
                 job_id=f"sheet-{number}",
                 team=teams[number % len(teams)],
@@ -142,16 +143,19 @@
         self.submitted.add(job.job_id)
 
     async def _faults(self) -> None:
-        await asyncio.sleep(4.0)
-        machine = max(
-            self.deployment.machines,
-            key=lambda m: len(m.worker.model.tasks),
-        )
+        await asyncio.sleep(2.0)
+        drained = self._busiest()
+        evicted = list(drained.worker.model.tasks)
+        self.say(f"drain {drained.agent.name}, which runs {evicted}")
+        drained.agent.drain()
+        await asyncio.sleep(2.0)
+        machine = self._busiest()
         count = len(machine.worker.model.tasks)
         self.say(f"kill {machine.agent.name}, which runs {count} tasks")
         self.checker.sample()
         machine.die()
         await asyncio.sleep(3.0)
+        self._show_steps(evicted)
         await self._change_route()
         await asyncio.sleep(1.0)
         self.say("the log goes down")
@@ -162,8 +166,18 @@
         self.deployment.log.faults.lost_answers = 0.3
         await asyncio.sleep(3.0)
         self.deployment.log.faults.lost_answers = 0.0
-        self.say(f"drain {self.deployment.machines[0].agent.name}")
-        self.deployment.machines[0].agent.drain()
+
+    def _busiest(self) -> Machine:
+        return max(
+            (m for m in self._live() if not m.agent.stopping),
+            key=lambda m: len(m.worker.model.tasks),
+        )
+
+    def _show_steps(self, job_ids: list[str]) -> None:
+        board = self.deployment.entries[0].cell.board
+        for job_id in job_ids[:1]:
+            for step in board.jobs[job_id].steps:
+                self.say(f"    {job_id}: {step.text}")
 
     async def _change_route(self) -> None:
         entry = self.deployment.entries[0]
