--- /dev/null
+++ b/src/yuccapoint/console/table_application.py
@@ -0,0 +1,161 @@
+"""The commands of one table; both tables have the same."""
+
+from __future__ import annotations
+
+from typing import Annotated
+from typing import TYPE_CHECKING
+
+import typer
+
+from yuccapoint.console import exit_codes
+from yuccapoint.console import table_commands
+from yuccapoint.console.entry_client import EntryClient
+from yuccapoint.console.options import DEFAULT_ENTRY
+from yuccapoint.console.options import EditId
+from yuccapoint.console.options import Entry
+from yuccapoint.console.options import Token
+from yuccapoint.process.operator_messages import EditBody
+from yuccapoint.version.pool import Pool
+from yuccapoint.version.route import Route
+
+if TYPE_CHECKING:
+    from yuccapoint.process.operator_messages import PoolView
+    from yuccapoint.process.operator_messages import RouteView
+
+Name = Annotated[str, typer.Argument(help="Name of the row.")]
+Changes = Annotated[
+    list[str], typer.Argument(help="Fields to set, as field=value.")
+]
+Wait = Annotated[
+    bool,
+    typer.Option(
+        "--wait", help="Return when the version is in force everywhere."
+    ),
+]
+Against = Annotated[
+    int,
+    typer.Option(help="Row version the edit is made against; -1: newest."),
+]
+FateId = Annotated[str, typer.Argument(help="Id of the edit.")]
+ROW_CLASSES: dict[str, type[Route] | type[Pool]] = {
+    "route": Route,
+    "pool": Pool,
+}
+
+
+def table_application(word: str) -> typer.Typer:
+    """Build the commands of a table.
+
+    Parameters
+    ----------
+    word : str
+        What a row is called, ``route`` or ``pool``.
+
+    Returns
+    -------
+    typer.Typer
+        Commands that list, show, set and remove rows.
+    """
+    table = f"{word}s"
+    application = typer.Typer(
+        help=f"List, show, set and remove {table}.",
+        no_args_is_help=True,
+        rich_markup_mode=None,
+    )
+    _add_views(application, word, table)
+    _add_edits(application, word, table)
+    return application
+
+
+def _add_views(application: typer.Typer, word: str, table: str) -> None:
+    @application.command(
+        "list",
+        help=f"List all {table}, a JSON line each.",
+        epilog=exit_codes.HELP,
+    )
+    def list_rows(entry: Entry = DEFAULT_ENTRY, token: Token = "") -> None:
+        table_commands.show_rows(EntryClient(entry, token), table, "")
+
+    @application.command(
+        "show",
+        help=f"Show one {word} and the version that wrote it.",
+        epilog=exit_codes.HELP,
+    )
+    def show(
+        name: Name, entry: Entry = DEFAULT_ENTRY, token: Token = ""
+    ) -> None:
+        table_commands.show_rows(EntryClient(entry, token), table, name)
+
+    @application.command(
+        "fate",
+        help="Tell what became of an edit whose answer was lost.",
+        epilog=exit_codes.HELP,
+    )
+    def fate(
+        edit_id: FateId, entry: Entry = DEFAULT_ENTRY, token: Token = ""
+    ) -> None:
+        table_commands.show_fate(EntryClient(entry, token), edit_id)
+
+
+def _add_edits(application: typer.Typer, word: str, table: str) -> None:
+    @application.command(
+        "set",
+        help=f"Set fields of a {word}, or make it. Units are in the names.",
+        epilog=exit_codes.HELP,
+    )
+    def set_row(
+        name: Name,
+        changes: Changes,
+        against: Against = -1,
+        wait: Wait = False,
+        edit_id: EditId = "",
+        entry: Entry = DEFAULT_ENTRY,
+        token: Token = "",
+    ) -> None:
+        client = EntryClient(entry, token)
+        known = _find(client, table, name)
+        row = table_commands.edited_row(
+            ROW_CLASSES[word], name, known.row if known else None, changes
+        )
+        body = _edit(edit_id, against, known, row)
+        table_commands.send_edit(client, table, name, body, wait=wait)
+
+    @application.command(
+        "remove", help=f"Remove a {word}.", epilog=exit_codes.HELP
+    )
+    def remove(
+        name: Name,
+        against: Against = -1,
+        wait: Wait = False,
+        edit_id: EditId = "",
+        entry: Entry = DEFAULT_ENTRY,
+        token: Token = "",
+    ) -> None:
+        client = EntryClient(entry, token)
+        known = _find(client, table, name)
+        body = _edit(edit_id, against, known, None)
+        table_commands.send_edit(client, table, name, body, wait=wait)
+
+
+def _find(
+    client: EntryClient, table: str, name: str
+) -> RouteView | PoolView | None:
+    for view in table_commands.find_rows(client, table):
+        if view.row.name == name:
+            return view
+    return None
+
+
+def _edit(
+    edit_id: str,
+    against: int,
+    known: RouteView | PoolView | None,
+    row: Route | Pool | None,
+) -> EditBody:
+    version = known.version if known else 0
+    return EditBody(
+        edit_id or table_commands.new_edit_id(),
+        version if against < 0 else against,
+        route=row if isinstance(row, Route) else None,
+        pool=row if isinstance(row, Pool) else None,
+    )
--- a/src/yuccapoint_standins/caller_load.py
+++ b/src/yuccapoint_standins/caller_load.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from tornado.httpclient import AsyncHTTPClient
+from tornado.httpclient import HTTPClientError
 from tornado.httpclient import HTTPRequest
 
 from yuccapoint.process.caller_server import VERDICT_HEADER
@@ -78,7 +79,7 @@
         started_s = time.monotonic()
         try:
             answer = await self._client.fetch(request, raise_error=False)
-        except OSError:
+        except (HTTPClientError, OSError):
             self.unknown += 1
             return
         verdict = answer.headers.get(VERDICT_HEADER, "")
