Make the fuzzing's endpoint keep deadlines; lift its limits on failing jobs

The scripted endpoint client answered 502 there, where the real one says that the deadline passed (504, may-have-run); no stop had cut anything.

--- a/tests/fuzzing/batch_machine.py
+++ b/tests/fuzzing/batch_machine.py
@@ -12,7 +12,6 @@
 from yuccapoint.job.size import Size
 
 MAX_JOBS = 14
-MAX_FAILING_JOBS = 2
 
 sizes = st.sampled_from(
     [
@@ -51,9 +50,6 @@
         known = self.world.oracle.submitted()
         if len(known) + count > MAX_JOBS:
             return
-        failing = sum("fails" in e.job.command for e in known if e.job)
-        if failing + count > MAX_FAILING_JOBS:
-            command = command.replace("fails=1", "run_s=2")
         if size.millicores > QUOTA_MILLICORES:
             team = "large"
         for _ in range(count):
--- a/tests/fuzzing/oracle.py
+++ b/tests/fuzzing/oracle.py
@@ -196,10 +196,7 @@
                 if entry is None:
                     text = f"{member.name} does not know {job_id}"
                     self.fail("job_lost", text)
-                # What fails by itself may wait for a trusted VM for long.
-                elif not entry.state.final and "fails" not in (
-                    exchange.job.command
-                ):
+                elif not entry.state.final:
                     steps = [step.text for step in entry.steps]
                     text = f"{job_id} is {entry.state.value}: {steps}"
                     self.fail("job_lost", text)
@@ -207,7 +204,7 @@
     def _all_final(self) -> bool:
         boards = [m.process.cell.board for m in self._world.entries]
         return all(
-            entry.state.final or "fails" in entry.job.command
+            entry.state.final
             for board in boards
             for entry in board.jobs.values()
         )
--- a/tests/fuzzing/platform.py
+++ b/tests/fuzzing/platform.py
@@ -18,6 +18,7 @@
 from yuccapoint.job.worker_events import Inventory
 from yuccapoint.job.worker_events import WorkerNews
 from yuccapoint.process.endpoint_registry import Announcement
+from yuccapoint.request.exceptions import DeadlinePassedError
 from yuccapoint.request.exceptions import EndpointFailedError
 from yuccapoint.request.header import Header
 from yuccapoint.request.verdict import Verdict
@@ -263,8 +264,10 @@
         finally:
             endpoint.running -= 1
         await self._member.unpaused()
-        if not endpoint.alive or endpoint.work_s > left_s:
+        if not endpoint.alive:
             raise EndpointFailedError("broke off", Verdict.MAY_HAVE_RUN)
+        if endpoint.work_s > left_s:
+            raise DeadlinePassedError("too slow", Verdict.MAY_HAVE_RUN)
         listed = [Header("X-Request-Name", names[0])]
         listed.append(Header("Content-Length", str(len(body))))
         on_head(EndpointAnswer(200, "OK", listed))
