Say in a sentence that an address can't be listened on

Cause: an entry or agent whose address was taken or not of its VM ended in a traceback (seen with the examples' settings on this machine). Before: a traceback of pynng or tornado, exit code 1. After: one sentence, exit code 1, for each of an entry's three ports; 19 of 19 console scenarios pass.

--- a/src/yuccapoint/connection/mailbox.py
+++ b/src/yuccapoint/connection/mailbox.py
@@ -11,6 +11,7 @@
 from pynng import _nng
 
 from yuccapoint.connection.messages import ControlMessage
+from yuccapoint.exceptions import ListenError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -65,12 +66,22 @@
         self._task: asyncio.Task[None] | None = None
 
     def open(self) -> None:
-        """Listen and deliver from now on."""
+        """Listen and deliver from now on.
+
+        Raises
+        ------
+        ListenError
+            The address is taken or not of this VM.
+        """
         limit_threads()
-        self._inbox = pynng.Pull0(
-            listen=f"tcp://{self.address}",
-            recv_buffer_size=MAX_QUEUED_MESSAGES,
-        )
+        try:
+            self._inbox = pynng.Pull0(
+                listen=f"tcp://{self.address}",
+                recv_buffer_size=MAX_QUEUED_MESSAGES,
+            )
+        except pynng.NNGException as error:
+            text = f"can't listen on {self.address}: {error}"
+            raise ListenError(text) from None
         self._task = asyncio.ensure_future(self._receive(self._inbox))
 
     def send(self, address: str, message: ControlMessage) -> None:
--- a/src/yuccapoint/console/run_process.py
+++ b/src/yuccapoint/console/run_process.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from yuccapoint.console import exit_codes
+from yuccapoint.exceptions import ListenError
 
 
 class Stoppable(Protocol):
@@ -33,13 +34,25 @@
     -------
     int
         The exit code.
+
+    Raises
+    ------
+    ListenError
+        An address of the settings is taken or not of this VM.
     """
     return asyncio.run(_run(make, settings))
 
 
 async def _run(make: object, settings: object) -> int:
     process: Stoppable = make(settings)  # type: ignore[operator]
-    process.start()
+    try:
+        process.start()
+    except ListenError:
+        process.kill()
+        raise
+    except OSError as error:
+        process.kill()
+        raise ListenError(f"can't listen: {error}") from None
     loop = asyncio.get_running_loop()
     asked = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/src/yuccapoint/exceptions.py
+++ b/src/yuccapoint/exceptions.py
@@ -30,6 +30,10 @@
     """A process could not be reached."""
 
 
+class ListenError(YuccapointError):
+    """A process can't listen on an address of its settings."""
+
+
 class ProtocolError(YuccapointError):
     """A peer sent bytes that do not form a message."""
 
--- a/tests/features/console/commands.feature
+++ b/tests/features/console/commands.feature
@@ -45,3 +45,14 @@
     When each answer of the log is lost while the command line sets timeout_s=2
     Then the command ends with 0 and its output has "accepted as version"
     And the row was changed by one append
+
+  Scenario Outline: An address that is taken is told in a sentence
+    Given entry settings whose <port> port is taken
+    When the command line runs an entry by these settings
+    Then the command ends with 1 and one sentence with "can't listen"
+
+    Examples:
+      | port     |
+      | control  |
+      | operator |
+      | caller   |
