Remove an error and a constant that nothing uses

Cause: late copies are dropped and counted, never answered, and whether a route is idempotent is its own field; both names were left from tries.

--- a/src/yuccapoint/request/exceptions.py
+++ b/src/yuccapoint/request/exceptions.py
@@ -95,13 +95,6 @@
     status = 504
 
 
-class LateCopyError(RequestError):
-    """A copy of a request that was begun or given up before."""
-
-    status = 409
-    verdict = Verdict.MAY_HAVE_RUN
-
-
 REASONS = {kind.__name__: kind for kind in RequestError.__subclasses__()}
 
 
--- a/src/yuccapoint/version/route.py
+++ b/src/yuccapoint/version/route.py
@@ -4,8 +4,6 @@
 
 import msgspec
 
-IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
-
 
 class Route(msgspec.Struct, frozen=True, kw_only=True):
     """Where the requests of one path prefix go, and how.
