--- a/src/yuccapoint/cell/cell_leader.py
+++ b/src/yuccapoint/cell/cell_leader.py
@@ -273,6 +273,10 @@
                 task=task.task_id,
                 run=run,
                 vm=vm.name,
+                kind=task.step.spec.kind,
+                millicores=task.step.spec.size.millicores,
+                image=task.step.spec.image,
+                max_per_vm=task.step.spec.max_per_vm,
                 waited_ms=int(waited_s * 1000),
             )
 
--- a/src/yuccapoint/cell/step_spec.py
+++ b/src/yuccapoint/cell/step_spec.py
@@ -69,3 +69,10 @@
         if not self.filling:
             return self.size
         return Size(0, self.size.memory_bytes, self.size.accelerators)
+
+    @property
+    def kind(self) -> str:
+        """How its tasks share a VM: ``serving``, ``filling`` or ``plain``."""
+        if self.target_ms:
+            return "serving"
+        return "filling" if self.filling else "plain"
