--- a/src/yuccapoint/cell/cell_leader.py
+++ b/src/yuccapoint/cell/cell_leader.py
@@ -9,6 +9,7 @@
 from yuccapoint.cell.advice_book import AdviceBook
 from yuccapoint.cell.claim_planner import ClaimPlanner
 from yuccapoint.cell.commit_batch import CommitBatch
+from yuccapoint.cell.disturbance_watch import DisturbanceWatch
 from yuccapoint.cell.job_run import JobRun
 from yuccapoint.cell.order_writer import write_orders
 from yuccapoint.cell.progress import Outcome
@@ -62,6 +63,7 @@
         self.vms: dict[str, VmLedger] = {}
         self.explanations: list[Explain] = []
         self.advice = AdviceBook()
+        self.disturbances = DisturbanceWatch()
         self._took_over_at_s = now_s
         self._dirty: dict[str, OccurrenceRun] = {}
         self._claimed: list[tuple[TaskRun, int]] = []
@@ -151,6 +153,7 @@
         for refused in report.refused:
             self._ends.on_refused(vm, refused, now_s)
         self._take_running(vm, report, now_s)
+        self.disturbances.on_report(vm, now_s)
 
     def _take_worker(
         self, vm: VmLedger, report: VmReport, now_s: float
@@ -250,7 +253,13 @@
         self._plan(now_s, wall_ms)
 
     def _plan(self, now_s: float, wall_ms: int) -> None:
-        planner = ClaimPlanner(self.vms.values(), self.advice, now_s, wall_ms)
+        planner = ClaimPlanner(
+            self.vms.values(),
+            self.advice,
+            self.disturbances,
+            now_s,
+            wall_ms,
+        )
         chosen = planner.plan(self.jobs.values())
         # All members of a gang get the same number.
         gang_runs = {
--- a/src/yuccapoint/cell/cell_messages.py
+++ b/src/yuccapoint/cell/cell_messages.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from yuccapoint.cell.progress import WorkerLife
+from yuccapoint.job.interference.pair_report import PairEstimate
 from yuccapoint.job.size import Size
 
 
@@ -93,15 +94,15 @@
     run: int
     payload: str
     checkpoint: str
-    target_ms: int
-    filling: bool
     ticket: str = ""
 
 
 class TaskTraits(msgspec.Struct, frozen=True, array_like=True):
-    """What the agent has to know of a run that it didn't start."""
+    """What the agent has to know of a run that shares its VM."""
 
     task_id: str
+    image: str
+    millicores: int
     target_ms: int
     filling: bool
 
@@ -128,6 +129,7 @@
     starts: tuple[StartOrder, ...]
     stops: tuple[tuple[str, int], ...]
     traits: tuple[TaskTraits, ...]
+    pairs: tuple[PairEstimate, ...]
 
 
 CellMessage = VmReport | LeaderOrders
--- a/src/yuccapoint/cell/claim_planner.py
+++ b/src/yuccapoint/cell/claim_planner.py
@@ -13,6 +13,7 @@
     from collections.abc import Iterable
 
     from yuccapoint.cell.advice_book import AdviceBook
+    from yuccapoint.cell.disturbance_watch import DisturbanceWatch
     from yuccapoint.cell.job_run import JobRun
     from yuccapoint.cell.job_run import StepRun
     from yuccapoint.cell.job_run import TaskRun
@@ -35,6 +36,8 @@
         All VMs.
     advice : AdviceBook
         Permissions for steps of queues that have an adviser.
+    disturbances : DisturbanceWatch
+        What is known of images that disturb each other.
     now_s : float
         Steady time in seconds.
     wall_ms : int
@@ -45,17 +48,19 @@
         self,
         vms: Iterable[VmLedger],
         advice: AdviceBook,
+        disturbances: DisturbanceWatch,
         now_s: float,
         wall_ms: int,
     ) -> None:
         self._advice = advice
+        self._disturbances = disturbances
         self._now_s = now_s
         self._wall_ms = wall_ms
         self._rooms: dict[str, list[VmRoom]] = {}
         for vm in vms:
             if vm.worker is not None and vm.is_open(now_s):
                 rooms = self._rooms.setdefault(vm.worker.pool, [])
-                rooms.append(VmRoom(vm))
+                rooms.append(VmRoom(vm, disturbances))
 
     def plan(self, jobs: Iterable[JobRun]) -> list[tuple[TaskRun, VmLedger]]:
         """Choose tasks and their VMs, the most urgent first."""
@@ -102,11 +107,16 @@
     def _place_tasks(
         self, step: StepRun, rooms: list[VmRoom]
     ) -> list[tuple[TaskRun, VmLedger]]:
-        chosen = []
+        chosen: list[tuple[TaskRun, VmLedger]] = []
+        # Each job gets on, however much filling work waits for processors.
+        idle = all(
+            task.phase is not Phase.CLAIMED for task in step.occurrence.tasks
+        )
         for task in step.tasks:
             if not self._waits(task):
                 continue
-            room = self._choose(task, rooms)
+            first = idle and not chosen
+            room = self._choose(task, rooms, overbook=first)
             if room is None:
                 # The other tasks of the step are as large as this one.
                 break
@@ -132,10 +142,7 @@
     def _place_all(
         self, step: StepRun, rooms: list[VmRoom]
     ) -> list[tuple[TaskRun, VmLedger]]:
-        copies = [VmRoom(room.ledger) for room in rooms]
-        for copy, room in zip(copies, rooms, strict=True):
-            copy.free = room.free
-            copy.demand_millicores = room.demand_millicores
+        copies = [room.copy() for room in rooms]
         chosen = []
         for task in step.tasks:
             copied = self._choose(task, copies)
@@ -148,7 +155,9 @@
             by_name[ledger.name].take(step.spec, id(step))
         return chosen
 
-    def _choose(self, task: TaskRun, rooms: list[VmRoom]) -> VmRoom | None:
+    def _choose(
+        self, task: TaskRun, rooms: list[VmRoom], *, overbook: bool = False
+    ) -> VmRoom | None:
         spec = task.step.spec
         best: VmRoom | None = None
         best_cost = float("inf")
@@ -160,7 +169,8 @@
             count = room.step_counts.get(id(task.step), 0)
             if spec.max_per_vm and count >= spec.max_per_vm:
                 continue
-            if spec.filling and not _has_idle_processors(spec.size, room):
+            crowded = not _has_idle_processors(spec.size, room)
+            if spec.filling and not overbook and crowded:
                 continue
             if room.ledger.probing and room.step_counts:
                 continue
--- a/src/yuccapoint/cell/order_writer.py
+++ b/src/yuccapoint/cell/order_writer.py
@@ -13,10 +13,13 @@
     from yuccapoint.cell.cell_leader import CellLeader
     from yuccapoint.cell.job_run import TaskRun
     from yuccapoint.cell.vm_ledger import VmLedger
+    from yuccapoint.job.interference.pair_report import PairEstimate
 
 # An order that nothing was heard of is sent again after so many seconds:
 # longer than a report takes over the slow link.
 REPEAT_ORDER_S = 0.25
+# The pairs of images on a VM are sent this often, in seconds.
+PAIRS_EVERY_S = 1.5
 # Most starts in a message; payloads may be long.
 MAX_STARTS = 40
 
@@ -66,6 +69,7 @@
         starts=tuple(starts),
         stops=tuple(stops),
         traits=tuple(traits),
+        pairs=_pairs(leader, vm, now_s),
     )
 
 
@@ -80,18 +84,45 @@
 def _start(
     leader: CellLeader, task: TaskRun, vm: VmLedger, now_s: float
 ) -> StartOrder:
-    spec = task.step.spec
     return StartOrder(
         task_id=task.task_id,
         run=task.run,
         payload=task.step.occurrence.job.submission.payload,
         checkpoint=task.checkpoint,
-        target_ms=spec.target_ms,
-        filling=spec.filling,
         ticket=leader.advice.ticket(task.step, vm.life, now_s),
     )
 
 
 def _traits(task: TaskRun) -> TaskTraits:
     spec = task.step.spec
-    return TaskTraits(task.task_id, spec.target_ms, spec.filling)
+    return TaskTraits(
+        task.task_id,
+        spec.image,
+        spec.size.millicores,
+        spec.target_ms,
+        spec.filling,
+    )
+
+
+def _pairs(
+    leader: CellLeader, vm: VmLedger, now_s: float
+) -> tuple[PairEstimate, ...]:
+    if now_s - vm.pairs_sent_at_s < PAIRS_EVERY_S:
+        return ()
+    serving = set()
+    filling = set()
+    for task in vm.claims.values():
+        spec = task.step.spec
+        if spec.target_ms:
+            serving.add(spec.image)
+        if spec.filling:
+            filling.add(spec.image)
+    if not serving or not filling:
+        return ()
+    vm.pairs_sent_at_s = now_s
+    return tuple(
+        pair
+        for image in sorted(serving)
+        for pair in leader.disturbances.known_pairs(image)
+        if pair.job_class in filling
+    )
--- a/src/yuccapoint/cell/pace_guard.py
+++ b/src/yuccapoint/cell/pace_guard.py
@@ -4,41 +4,114 @@
 
 from typing import TYPE_CHECKING
 
+from yuccapoint.cell.disturbance_watch import NEIGHBOUR_SHARE
+from yuccapoint.cell.service_load import ServiceFloors
+from yuccapoint.job.interference.pair_estimates import UNKNOWN_SLOWDOWN
+from yuccapoint.job.interference.pair_estimates import WEIGHT_SD
+
 if TYPE_CHECKING:
     from yuccapoint.cell.cell_messages import RunningTask
     from yuccapoint.cell.cell_messages import TaskTraits
+    from yuccapoint.job.interference.pair_report import PairEstimate
 
-# Share of the target from which filling work is slowed down, and below
-# which it is sped up; between them it stays, so that it doesn't swing.
-SLOW_DOWN_FROM = 0.85
-SPEED_UP_BELOW = 0.65
-# Factors on the pace above the slow-down share, and above the target.
-EASE = 0.7
-BRAKE = 0.4
-# A pace below this many percent only delays: stop the work instead.
+# Share of the target that the guard steers to; the rest is for swings of
+# the load between two looks.
+AIM_AT = 0.8
+# Share of the target above which unsure images are slowed down at once.
+BRAKE_FROM = 0.95
+BRAKE = 0.35
+# A pace below this many percent only delays the work.
 LEAST_PERCENT = 8
-# Percent that the pace rises by with each calm look, half a second apart.
-RAISE_PERCENT = 12
+# Most percent that a pace rises by with one look.
+RAISE_PERCENT = 25
 FULL_PERCENT = 100
 # Seconds until a change of the pace shows in the measured tail.
-SETTLE_S = 0.7
+SETTLE_S = 0.6
+# Looks that follow closer are of the same half second, in seconds.
+STEER_EVERY_S = 0.4
+# An image that makes up less than this share of the disturbance is spared.
+CULPRIT_SHARE = 0.15
+# An image is unsure while its deviation is above this.
+UNSURE_DEVIATION = 0.12
+# After so many looks past the target all filling work is slowed down.
+MAX_LOOKS_PAST_TARGET = 2
+
+
+class FillingRun:
+    """A run that only fills, as a look shows it."""
+
+    __slots__ = ("full_share", "image", "key", "share")
+
+    def __init__(
+        self, task: RunningTask, traits: TaskTraits, vm_millicores: int
+    ) -> None:
+        unit = max(1.0, NEIGHBOUR_SHARE * vm_millicores)
+        self.key = (task.task_id, task.run)
+        self.image = traits.image
+        self.share = task.load / unit
+        self.full_share = traits.millicores / unit
+
+
+class ServingRun:
+    """A run with a latency target, as a look shows it.
+
+    Attributes
+    ----------
+    pressure : float
+        Tail latency as a share of the target.
+    load, most_load : float
+        How busy the service is, and how busy it may be.
+    """
+
+    __slots__ = ("image", "load", "most_load", "pressure")
+
+    def __init__(
+        self, task: RunningTask, traits: TaskTraits, floors: ServiceFloors
+    ) -> None:
+        self.image = traits.image
+        self.pressure = task.load / traits.target_ms
+        self.load = floors.load(traits.image, task.load, traits.target_ms)
+        self.most_load = floors.most_load(
+            traits.image, traits.target_ms, AIM_AT
+        )
 
 
 class PaceGuard:
-    """Keeps one pace for all filling work of a VM."""
+    """Paces the images that disturb the services beside them.
+
+    Answers a load in which few pairs of images disturb each other much and
+    most do not: only the culprits are slowed down, and only while the
+    service is busy with its own callers.
+    """
 
     def __init__(self) -> None:
-        self.percent = FULL_PERCENT
-        self._changed_at_s = 0.0
-        self._paced: dict[tuple[str, int], int] = {}
+        self._floors = ServiceFloors()
+        self._pairs: dict[tuple[str, str], PairEstimate] = {}
+        self._paces: dict[str, int] = {}
+        self._sent: dict[tuple[str, int], int] = {}
+        self._changed_at_s: dict[str, float] = {}
+        self._looked_at_s = 0.0
+        self._looks_past_target = 0
 
     def on_look(
         self,
         running: tuple[RunningTask, ...],
         traits: dict[str, TaskTraits],
+        vm_millicores: int,
         now_s: float,
     ) -> list[tuple[str, int, int]]:
-        """Decide on the pace after a look at the worker.
+        """Decide on paces after a look at the worker.
+
+        Parameters
+        ----------
+        running : tuple of RunningTask
+            All runs on the worker.
+        traits : dict
+            What is known of them, by task.
+        vm_millicores : int
+            Processors of the VM in thousandths.
+        now_s : float
+            Steady time in seconds.
 
         Returns
         -------
@@ -46,44 +119,114 @@
             Task, run and percent of each run to pace anew.
         """
         filling = []
-        worst = 0.0
+        serving = []
         for task in running:
             known = traits.get(task.task_id)
             if known is None:
                 continue
             if known.filling:
-                filling.append(task)
-            if known.target_ms:
-                worst = max(worst, task.load / known.target_ms)
-        if not filling:
-            self.percent = FULL_PERCENT
-            self._paced.clear()
-            return []
-        self._adjust(worst, now_s)
-        changes = []
-        for task in filling:
-            key = (task.task_id, task.run)
-            if self._paced.get(key, FULL_PERCENT) != self.percent:
-                self._paced[key] = self.percent
-                changes.append((task.task_id, task.run, self.percent))
-        return changes
+                filling.append(FillingRun(task, known, vm_millicores))
+            elif known.target_ms and task.percent >= FULL_PERCENT:
+                serving.append(ServingRun(task, known, self._floors))
+        if now_s - self._looked_at_s >= STEER_EVERY_S:
+            self._looked_at_s = now_s
+            self._steer(serving, filling, now_s)
+        return self._changes(filling)
 
     def on_unpaced(self, task_id: str, run: int) -> None:
         """Forget a pace that the worker did not confirm."""
-        self._paced.pop((task_id, run), None)
+        self._sent.pop((task_id, run), None)
 
-    def _adjust(self, worst: float, now_s: float) -> None:
-        if now_s - self._changed_at_s < SETTLE_S:
+    def take_pairs(self, pairs: tuple[PairEstimate, ...]) -> None:
+        """Take what the leader knows of who disturbs whom."""
+        for pair in pairs:
+            self._pairs[(pair.service, pair.job_class)] = pair
+
+    def _weight(self, image: str, filling_image: str) -> float:
+        pair = self._pairs.get((image, filling_image))
+        return UNKNOWN_SLOWDOWN if pair is None else pair.slowdown
+
+    def _deviation(self, image: str, filling_image: str) -> float:
+        pair = self._pairs.get((image, filling_image))
+        return WEIGHT_SD if pair is None else pair.deviation
+
+    def _steer(
+        self,
+        serving: list[ServingRun],
+        filling: list[FillingRun],
+        now_s: float,
+    ) -> None:
+        wanted = dict.fromkeys((run.image for run in filling), FULL_PERCENT)
+        for served in serving:
+            self._limit(served, filling, wanted)
+        worst = max((served.pressure for served in serving), default=0.0)
+        if worst < 1.0:
+            self._looks_past_target = 0
+        else:
+            self._looks_past_target += 1
+        for image, percent in wanted.items():
+            pace = self._paces.get(image, FULL_PERCENT)
+            if worst >= BRAKE_FROM and self._may_be_at_fault(image, serving):
+                percent = min(percent, int(pace * BRAKE))
+            settled_s = now_s - self._changed_at_s.get(image, 0.0)
+            if percent > pace:
+                if settled_s < SETTLE_S or worst >= AIM_AT:
+                    continue
+                percent = min(percent, pace + RAISE_PERCENT)
+            if percent < LEAST_PERCENT:
+                percent = 0
+            if percent != pace:
+                self._paces[image] = percent
+                self._changed_at_s[image] = now_s
+
+    def _limit(
+        self,
+        served: ServingRun,
+        filling: list[FillingRun],
+        wanted: dict[str, int],
+    ) -> None:
+        present = 0.0
+        full: dict[str, float] = {}
+        for run in filling:
+            weight = self._weight(served.image, run.image)
+            present += weight * run.share
+            most = weight * run.full_share
+            full[run.image] = full.get(run.image, 0.0) + most
+        total = sum(full.values())
+        own = max(0.0, served.load - present)
+        allowed = max(0.0, served.most_load - own)
+        if total <= allowed:
             return
-        percent = self.percent
-        if worst >= 1.0:
-            percent = int(percent * BRAKE)
-        elif worst >= SLOW_DOWN_FROM:
-            percent = int(percent * EASE)
-        elif worst < SPEED_UP_BELOW:
-            percent = min(FULL_PERCENT, percent + RAISE_PERCENT)
-        if percent < LEAST_PERCENT:
-            percent = 0
-        if percent != self.percent:
-            self.percent = percent
-            self._changed_at_s = now_s
+        spared = sum(
+            part for part in full.values() if part < CULPRIT_SHARE * total
+        )
+        factor = max(0.0, allowed - spared) / (total - spared)
+        for image, part in full.items():
+            if part < CULPRIT_SHARE * total:
+                continue
+            percent = int(FULL_PERCENT * factor)
+            wanted[image] = min(wanted[image], percent)
+
+    def _may_be_at_fault(self, image: str, serving: list[ServingRun]) -> bool:
+        if self._looks_past_target > MAX_LOOKS_PAST_TARGET:
+            return True
+        for served in serving:
+            if served.pressure < BRAKE_FROM:
+                continue
+            if self._deviation(served.image, image) > UNSURE_DEVIATION:
+                return True
+        return False
+
+    def _changes(
+        self, filling: list[FillingRun]
+    ) -> list[tuple[str, int, int]]:
+        changes = []
+        present = {run.key for run in filling}
+        for key in [key for key in self._sent if key not in present]:
+            del self._sent[key]
+        for run in filling:
+            percent = self._paces.get(run.image, FULL_PERCENT)
+            if self._sent.get(run.key, FULL_PERCENT) != percent:
+                self._sent[run.key] = percent
+                changes.append((*run.key, percent))
+        return changes
--- a/src/yuccapoint/cell/placement_costs.py
+++ b/src/yuccapoint/cell/placement_costs.py
@@ -20,8 +20,9 @@
 FAR_FROM_DATA = 0.5
 # A VM on which the task failed is the last resort.
 FAILED_HERE = 10.0
-# Filling work beside serving work costs the serving work's users.
-DISTURBS_SERVING = 2.0
+# Weight of the disturbance of serving work against the demand on a VM: a
+# serving task past its target costs its users four times its share.
+DISTURBS_SERVING = 4.0
 
 
 def placement_cost(name: str) -> Callable[[PlacementCost], PlacementCost]:
@@ -60,17 +61,31 @@
 
 @placement_cost("company")
 def company(task: TaskRun, room: VmRoom) -> float:
-    """Keep filling work away from work with a latency target."""
+    """Keep images apart that disturb each other, as far as is known."""
     spec = task.step.spec
-    if not room.capacity.millicores:
-        return 0.0
+    disturbances = room.disturbances
     if spec.filling:
-        return DISTURBS_SERVING if room.serving_millicores else 0.0
+        expected = [
+            disturbances.expected(image, spec.image)
+            for image in room.serving_images
+        ]
+        worst = max(expected, default=0.0)
+        return DISTURBS_SERVING * worst * room.share_of(spec)
     if not spec.target_ms:
         return 0.0
-    filling = room.filling_millicores / room.capacity.millicores
-    serving = room.serving_millicores / room.capacity.millicores
-    return DISTURBS_SERVING * filling - serving
+    disturbance = sum(
+        disturbances.expected(spec.image, image) * share
+        for image, share in room.filling_images.items()
+    )
+    return DISTURBS_SERVING * disturbance
+
+
+@placement_cost("together")
+def together(task: TaskRun, room: VmRoom) -> float:
+    """Gather serving tasks, which leaves whole VMs to filling work."""
+    if not task.step.spec.target_ms or not room.capacity.millicores:
+        return 0.0
+    return -room.serving_millicores / room.capacity.millicores
 
 
 def total_cost(task: TaskRun, room: VmRoom) -> float:
--- a/src/yuccapoint/cell/vm_keeper.py
+++ b/src/yuccapoint/cell/vm_keeper.py
@@ -188,6 +188,7 @@
                 if number <= self._noted_number:
                     del self._ends[number]
         self._traits = {traits.task_id: traits for traits in orders.traits}
+        self._guard.take_pairs(orders.pairs)
         wanted = {(start.task_id, start.run) for start in orders.starts}
         for key, held in list(self._runs.items()):
             if held.stage is RunStage.REFUSED and key not in wanted:
@@ -378,8 +379,15 @@
             held.reason = held.reason or "stopped"
             self.report_due = True
 
+    @property
+    def _millicores(self) -> int:
+        check_in = self.check_in
+        return 0 if check_in is None else check_in.capacity.millicores
+
     def _pace(self, now_s: float) -> None:
-        changes = self._guard.on_look(self._running, self._traits, now_s)
+        changes = self._guard.on_look(
+            self._running, self._traits, self._millicores, now_s
+        )
         for task_id, run, percent in changes:
             self._paces.append(PaceCall(task_id, run, percent, self.term))
             self._explain(
--- a/src/yuccapoint/cell/vm_ledger.py
+++ b/src/yuccapoint/cell/vm_ledger.py
@@ -63,6 +63,7 @@
         self.quarantine_s = QUARANTINE_S
         self.probing = False
         self.full_until_s = 0.0
+        self.pairs_sent_at_s = 0.0
 
     @property
     def life(self) -> WorkerLife | None:
--- a/src/yuccapoint/cell/vm_room.py
+++ b/src/yuccapoint/cell/vm_room.py
@@ -4,9 +4,11 @@
 
 from typing import TYPE_CHECKING
 
+from yuccapoint.cell.disturbance_watch import NEIGHBOUR_SHARE
 from yuccapoint.job.size import Size
 
 if TYPE_CHECKING:
+    from yuccapoint.cell.disturbance_watch import DisturbanceWatch
     from yuccapoint.cell.step_spec import StepSpec
     from yuccapoint.cell.vm_ledger import VmLedger
 
@@ -32,16 +34,22 @@
         "capacity",
         "demand_millicores",
         "filling_millicores",
+        "filling_images",
         "free",
         "labels",
         "ledger",
+        "disturbances",
+        "serving_images",
         "serving_millicores",
         "step_counts",
     )
 
-    def __init__(self, ledger: VmLedger) -> None:
+    def __init__(
+        self, ledger: VmLedger, disturbances: DisturbanceWatch
+    ) -> None:
         worker = ledger.worker
         self.ledger = ledger
+        self.disturbances = disturbances
         self.capacity = Size() if worker is None else worker.capacity
         self.labels = () if worker is None else worker.labels
         self.free = ledger.room
@@ -49,13 +57,27 @@
         self.serving_millicores = 0
         self.demand_millicores = 0.0
         self.step_counts: dict[int, int] = {}
+        self.serving_images: set[str] = set()
+        self.filling_images: dict[str, float] = {}
         for task in ledger.claims.values():
             self._weigh(task.step.spec, id(task.step))
 
-    @property
-    def filling_room(self) -> float:
-        """Processors, in thousandths, that nothing is expected to use."""
-        return self.capacity.millicores - self.demand_millicores
+    def share_of(self, spec: StepSpec) -> float:
+        """Give a task's processors in units of a usual neighbour."""
+        unit = NEIGHBOUR_SHARE * self.capacity.millicores
+        return spec.size.millicores / max(1.0, unit)
+
+    def copy(self) -> VmRoom:
+        """Give a copy to try placements on."""
+        made = VmRoom(self.ledger, self.disturbances)
+        made.free = self.free
+        made.demand_millicores = self.demand_millicores
+        made.filling_millicores = self.filling_millicores
+        made.serving_millicores = self.serving_millicores
+        made.step_counts = dict(self.step_counts)
+        made.serving_images = set(self.serving_images)
+        made.filling_images = dict(self.filling_images)
+        return made
 
     def take(self, spec: StepSpec, step_key: int) -> None:
         """Take a task in."""
@@ -66,10 +88,14 @@
         self.step_counts[step_key] = self.step_counts.get(step_key, 0) + 1
         millicores = spec.size.millicores
         if spec.filling:
+            share = self.share_of(spec)
+            before = self.filling_images.get(spec.image, 0.0)
+            self.filling_images[spec.image] = before + share
             self.filling_millicores += millicores
             self.demand_millicores += millicores
             return
         if spec.target_ms:
+            self.serving_images.add(spec.image)
             self.serving_millicores += millicores
             self.demand_millicores += SERVING_USE * millicores
             return
--- a/src/yuccapoint/platform/roles.py
+++ b/src/yuccapoint/platform/roles.py
@@ -61,6 +61,16 @@
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         self._metrics_server.listen(METRICS_PORT, self.settings.ip)
 
+    async def wait_for_end(self, failed: asyncio.Event) -> None:
+        """Wait until a signal asks for a stop or a part has failed."""
+        ends = [
+            asyncio.ensure_future(event.wait())
+            for event in (self.stop_asked, failed)
+        ]
+        await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
+        for end in ends:
+            end.cancel()
+
     def store(self, topic: str) -> StorePartition:
         """Give the first partition of a topic, with its own connections."""
         client = KeptClient(self.settings.platform.address)
@@ -130,7 +140,7 @@
         asyncio.ensure_future(feed.run()),
         asyncio.ensure_future(role.watch_settings()),
     ]
-    await role.stop_asked.wait()
+    await role.wait_for_end(entry.failed)
     entry.desk.stopping = True
     front.stop_listening()
     loop = asyncio.get_running_loop()
@@ -170,7 +180,7 @@
     check_ins.listen(settings.listen_addrs.control)
     agent.start()
     watch = asyncio.ensure_future(role.watch_settings())
-    await role.stop_asked.wait()
+    await role.wait_for_end(agent.failed)
     await agent.stop()
     watch.cancel()
     role.logs.say("agent", "stopped")
--- a/src/yuccapoint/process/cell_agent_process.py
+++ b/src/yuccapoint/process/cell_agent_process.py
@@ -19,6 +19,7 @@
 from yuccapoint.connection.mailbox import Mailbox
 from yuccapoint.exceptions import YuccapointError
 from yuccapoint.process.steady_clock import steady_s
+from yuccapoint.process.watched_task import watched
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -72,6 +73,11 @@
         Where decisions are said.
     metrics : Metrics
         Counters of the process.
+
+    Attributes
+    ----------
+    failed : asyncio.Event
+        Set when a part of the process failed; it has to start anew.
     """
 
     def __init__(
@@ -100,12 +106,13 @@
         self._redialed_at_s = 0.0
         self._tasks: list[asyncio.Task[None]] = []
         self._calls: set[asyncio.Task[None]] = set()
+        self.failed = asyncio.Event()
 
     def start(self) -> None:
         """Register, follow the leader and look at the worker."""
         self._mailbox.open()
         for job in (self._register(), self._look(), self._run()):
-            self._tasks.append(asyncio.ensure_future(job))
+            self._tasks.append(watched(job, self.logs, self.failed))
         self.logs.say("agent", "started", incarnation=self.incarnation)
 
     async def stop(self) -> None:
--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -28,6 +28,7 @@
 from yuccapoint.process.cell_writer import CellWriter
 from yuccapoint.process.steady_clock import steady_s
 from yuccapoint.process.steady_clock import wall_ms
+from yuccapoint.process.watched_task import watched
 
 if TYPE_CHECKING:
     from yuccapoint.cell.cell_records import CellRecord
@@ -66,6 +67,11 @@
         Where decisions are said.
     metrics : Metrics
         Counters of the process.
+
+    Attributes
+    ----------
+    failed : asyncio.Event
+        Set when a part of the process failed; it has to start anew.
     """
 
     def __init__(
@@ -100,12 +106,13 @@
         self._wake = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         self._stopping = False
+        self.failed = asyncio.Event()
 
     def start(self) -> None:
         """Follow the store and receive control messages."""
         self._mailbox.open()
         for job in (self.tail.run(), self._run_rounds()):
-            self._tasks.append(asyncio.ensure_future(job))
+            self._tasks.append(watched(job, self.logs, self.failed))
         self.logs.say(
             "entry", "started", incarnation=self.incarnation, at=self.address
         )
