--- a/src/yuccapoint/cell/cell_leader.py
+++ b/src/yuccapoint/cell/cell_leader.py
@@ -15,6 +15,8 @@
 from yuccapoint.cell.progress import Outcome
 from yuccapoint.cell.progress import Phase
 from yuccapoint.cell.run_ends import RunEnds
+from yuccapoint.cell.throttle_moves import find_moves
+from yuccapoint.cell.throttle_moves import note_speed
 from yuccapoint.cell.vm_ledger import VmLedger
 from yuccapoint.job.actions import Explain
 from yuccapoint.job.size import Size
@@ -75,6 +77,8 @@
         """Take over everything that the store says."""
         for member in view.members.values():
             self.on_member(member)
+        if view.pairs is not None:
+            self.disturbances.take_known(view.pairs.pairs)
         for job in view.jobs.values():
             self.on_job(job, now_s)
 
@@ -236,6 +240,7 @@
             task.percent = running.percent
             task.progressed_at_s = now_s
         task.load = running.load
+        note_speed(task, now_s)
 
     # Rounds -------------------------------------------------------------
 
@@ -249,6 +254,8 @@
             self._stop_stuck(vm, now_s)
             if vm.worker is not None and vm.worker.draining:
                 self._evacuate(vm, now_s)
+        for task in find_moves(self.vms.values(), self.disturbances, now_s):
+            self.stop(task, "the run is slowed down here", now_s)
         self._ready_schedules(wall_ms)
         self._plan(now_s, wall_ms)
 
@@ -365,6 +372,15 @@
                 batch.noted.append(noted)
         return batch
 
+    def write_pairs(self, batch: CommitBatch) -> None:
+        """Add what is known of images that disturb each other."""
+        pairs = self.disturbances.all_pairs()
+        if pairs:
+            record = cell_records.KnownPairs(pairs)
+            batch.records.append(
+                (cell_records.PAIRS, cell_records.encode(record))
+            )
+
     def commit(self, batch: CommitBatch) -> None:
         """Act on a batch that is in the store."""
         for task, run in batch.claims:
--- a/src/yuccapoint/cell/cell_records.py
+++ b/src/yuccapoint/cell/cell_records.py
@@ -6,17 +6,21 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import msgspec
 
 from yuccapoint.cell.exceptions import DamagedRecordError
 from yuccapoint.cell.progress import OccurrenceState
 from yuccapoint.cell.submission import Submission
+from yuccapoint.job.interference.pair_report import PairEstimate
 
 SUBMISSION = "s:"
 CANCELLATION = "c:"
 PROGRESS = "p:"
 MEMBER = "m:"
 LEADERSHIP = "leader"
+PAIRS = "pairs"
 
 
 class Leadership(msgspec.Struct, frozen=True, array_like=True):
@@ -58,19 +62,33 @@
     at_ms: int
 
 
-CellRecord = Leadership | Member | Cancellation | Submission | OccurrenceState
+class KnownPairs(msgspec.Struct, frozen=True, array_like=True):
+    """Which images disturb which, for the next leader."""
+
+    pairs: tuple[PairEstimate, ...]
+
+
+CellRecord = (
+    Leadership
+    | Member
+    | Cancellation
+    | Submission
+    | OccurrenceState
+    | KnownPairs
+)
 
-_TYPES: dict[str, type[CellRecord]] = {
+_TYPES: dict[str, type[Any]] = {
     SUBMISSION: Submission,
     CANCELLATION: Cancellation,
     PROGRESS: OccurrenceState,
     MEMBER: Member,
 }
 _encoder = msgspec.msgpack.Encoder()
-_decoders = {
+_decoders: dict[str, msgspec.msgpack.Decoder[Any]] = {
     prefix: msgspec.msgpack.Decoder(kind) for prefix, kind in _TYPES.items()
 }
-_leadership = msgspec.msgpack.Decoder(Leadership)
+_decoders[LEADERSHIP] = msgspec.msgpack.Decoder(Leadership)
+_decoders[PAIRS] = msgspec.msgpack.Decoder(KnownPairs)
 
 
 def progress_key(job_id: str, occurrence: int) -> str:
@@ -91,10 +109,11 @@
     DamagedRecordError
         The key or the value is not of this project.
     """
-    decoder = _leadership if key == LEADERSHIP else _decoders.get(key[:2])
+    decoder = _decoders.get(key) or _decoders.get(key[:2])
     if decoder is None:
         raise DamagedRecordError(f"no record has the key {key!r}")
     try:
-        return decoder.decode(value)
+        record: CellRecord = decoder.decode(value)
     except msgspec.DecodeError as error:
         raise DamagedRecordError(f"record {key!r}: {error}") from None
+    return record
--- a/src/yuccapoint/cell/cell_view.py
+++ b/src/yuccapoint/cell/cell_view.py
@@ -6,6 +6,7 @@
 
 from yuccapoint.cell import cell_records
 from yuccapoint.cell.cell_records import Cancellation
+from yuccapoint.cell.cell_records import KnownPairs
 from yuccapoint.cell.cell_records import Leadership
 from yuccapoint.cell.cell_records import Member
 from yuccapoint.cell.progress import OccurrenceState
@@ -55,6 +56,7 @@
         self.jobs: dict[str, JobView] = {}
         self.members: dict[str, Member] = {}
         self.leadership: Leadership | None = None
+        self.pairs: KnownPairs | None = None
         self._offsets: dict[str, int] = {}
         self._orphans: dict[str, dict[str, CellRecord]] = {}
 
@@ -87,6 +89,9 @@
         if isinstance(record, Member):
             self.members[record.vm] = record
             return True
+        if isinstance(record, KnownPairs):
+            self.pairs = record
+            return True
         if isinstance(record, Submission):
             self._submit(record)
             return True
--- a/src/yuccapoint/cell/disturbance_watch.py
+++ b/src/yuccapoint/cell/disturbance_watch.py
@@ -24,6 +24,8 @@
 # Standard deviation of the loads of a step's tasks that run alone, as seen
 # on both small sites: tails are whole milliseconds.
 LOAD_NOISE_SD = 0.07
+# Pairs that are kept for the next leader; about 40 bytes each.
+MAX_KEPT_PAIRS = 1_024
 
 
 class SeenLoad:
@@ -86,6 +88,22 @@
             return UNKNOWN_SLOWDOWN
         return estimates.weight(filling_image)
 
+    def take_known(self, pairs: tuple[PairEstimate, ...]) -> None:
+        """Take over what a former leader learned."""
+        for pair in pairs:
+            estimates = self._estimates.get(pair.service)
+            if estimates is None:
+                estimates = PairEstimates(LOAD_NOISE_SD)
+                self._estimates[pair.service] = estimates
+            estimates.take_prior(pair.job_class, pair.slowdown, pair.deviation)
+
+    def all_pairs(self) -> tuple[PairEstimate, ...]:
+        """Give all that is known, for the next leader."""
+        found: list[PairEstimate] = []
+        for image in sorted(self._estimates):
+            found.extend(self.known_pairs(image))
+        return tuple(found[:MAX_KEPT_PAIRS])
+
     def known_pairs(self, image: str) -> list[PairEstimate]:
         """Give all that is known of who disturbs a service."""
         estimates = self._estimates.get(image)
--- a/src/yuccapoint/cell/job_run.py
+++ b/src/yuccapoint/cell/job_run.py
@@ -54,6 +54,7 @@
         "progressed_at_s",
         "run",
         "seen_running",
+        "slowed_since_s",
         "started_at_s",
         "step",
         "stopping",
@@ -83,6 +84,7 @@
         self.durable = False
         self.ordered_at_s = 0.0
         self.seen_running = False
+        self.slowed_since_s = 0.0
         self.stopping = ""
         self.started_at_s = 0.0
         self.percent = 0
--- a/src/yuccapoint/cell/order_writer.py
+++ b/src/yuccapoint/cell/order_writer.py
@@ -107,8 +107,6 @@
 def _pairs(
     leader: CellLeader, vm: VmLedger, now_s: float
 ) -> tuple[PairEstimate, ...]:
-    if now_s - vm.pairs_sent_at_s < PAIRS_EVERY_S:
-        return ()
     serving = set()
     filling = set()
     for task in vm.claims.values():
@@ -117,9 +115,12 @@
             serving.add(spec.image)
         if spec.filling:
             filling.add(spec.image)
-    if not serving or not filling:
+    images = frozenset(serving | filling)
+    recent = now_s - vm.pairs_sent_at_s < PAIRS_EVERY_S
+    if not serving or not filling or (recent and images == vm.pairs_sent_of):
         return ()
     vm.pairs_sent_at_s = now_s
+    vm.pairs_sent_of = images
     return tuple(
         pair
         for image in sorted(serving)
--- a/src/yuccapoint/cell/pace_guard.py
+++ b/src/yuccapoint/cell/pace_guard.py
@@ -16,7 +16,7 @@
 
 # Share of the target that the guard steers to; the rest is for swings of
 # the load between two looks.
-AIM_AT = 0.8
+AIM_AT = 0.75
 # Share of the target above which unsure images are slowed down at once.
 BRAKE_FROM = 0.95
 BRAKE = 0.35
@@ -25,6 +25,7 @@
 # Most percent that a pace rises by with one look.
 RAISE_PERCENT = 25
 FULL_PERCENT = 100
+UNKNOWN_PERCENT = -1
 # Seconds until a change of the pace shows in the measured tail.
 SETTLE_S = 0.6
 # Looks that follow closer are of the same half second, in seconds.
@@ -92,6 +93,7 @@
         self._changed_at_s: dict[str, float] = {}
         self._looked_at_s = 0.0
         self._looks_past_target = 0
+        self._first_look = True
 
     def on_look(
         self,
@@ -134,8 +136,9 @@
         return self._changes(filling)
 
     def on_unpaced(self, task_id: str, run: int) -> None:
-        """Forget a pace that the worker did not confirm."""
-        self._sent.pop((task_id, run), None)
+        """Note that the worker did not confirm a pace."""
+        if (task_id, run) in self._sent:
+            self._sent[(task_id, run)] = UNKNOWN_PERCENT
 
     def take_pairs(self, pairs: tuple[PairEstimate, ...]) -> None:
         """Take what the leader knows of who disturbs whom."""
@@ -221,6 +224,10 @@
         self, filling: list[FillingRun]
     ) -> list[tuple[str, int, int]]:
         changes = []
+        if self._first_look and filling:
+            # A former agent may have paced them.
+            self._first_look = False
+            self._sent = {run.key: UNKNOWN_PERCENT for run in filling}
         present = {run.key for run in filling}
         for key in [key for key in self._sent if key not in present]:
             del self._sent[key]
--- a/src/yuccapoint/cell/placement_costs.py
+++ b/src/yuccapoint/cell/placement_costs.py
@@ -63,21 +63,19 @@
 def company(task: TaskRun, room: VmRoom) -> float:
     """Keep images apart that disturb each other, as far as is known."""
     spec = task.step.spec
-    disturbances = room.disturbances
     if spec.filling:
-        expected = [
-            disturbances.expected(image, spec.image)
-            for image in room.serving_images
-        ]
-        worst = max(expected, default=0.0)
-        return DISTURBS_SERVING * worst * room.share_of(spec)
+        share = room.share_of(spec)
+        return DISTURBS_SERVING * max(
+            (
+                room.disturbance(image)
+                + share * room.disturbances.expected(image, spec.image)
+                for image in room.serving_images
+            ),
+            default=0.0,
+        )
     if not spec.target_ms:
         return 0.0
-    disturbance = sum(
-        disturbances.expected(spec.image, image) * share
-        for image, share in room.filling_images.items()
-    )
-    return DISTURBS_SERVING * disturbance
+    return DISTURBS_SERVING * room.disturbance(spec.image)
 
 
 @placement_cost("together")
--- a/src/yuccapoint/cell/vm_ledger.py
+++ b/src/yuccapoint/cell/vm_ledger.py
@@ -64,6 +64,8 @@
         self.probing = False
         self.full_until_s = 0.0
         self.pairs_sent_at_s = 0.0
+        self.pairs_sent_of: frozenset[str] = frozenset()
+        self.moved_at_s = 0.0
 
     @property
     def life(self) -> WorkerLife | None:
--- a/src/yuccapoint/cell/vm_room.py
+++ b/src/yuccapoint/cell/vm_room.py
@@ -67,6 +67,13 @@
         unit = NEIGHBOUR_SHARE * self.capacity.millicores
         return spec.size.millicores / max(1.0, unit)
 
+    def disturbance(self, image: str) -> float:
+        """Give the load that all filling work adds to a service."""
+        return sum(
+            share * self.disturbances.expected(image, filling_image)
+            for filling_image, share in self.filling_images.items()
+        )
+
     def copy(self) -> VmRoom:
         """Give a copy to try placements on."""
         made = VmRoom(self.ledger, self.disturbances)
--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -45,6 +45,9 @@
 # earliest, and after the second figure at the latest.
 MIN_ROUND_S = 0.02
 MAX_ROUND_S = 0.1
+# What was learned of images that disturb each other is kept this often, in
+# seconds; a new leader learns what is missing in about as long.
+KEEP_PAIRS_EVERY_S = 5.0
 # Rate of attempts to take the cell over, in seconds.
 TAKE_OVER_EVERY_S = 0.5
 
@@ -102,6 +105,7 @@
         self._append: asyncio.Task[None] | None = None
         self._renewed_at_s = 0.0
         self._renewal = 0
+        self._pairs_kept_at_s = 0.0
         self._tried_at_s = 0.0
         self._wake = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
@@ -272,6 +276,9 @@
             batch.records.append(
                 (cell_records.LEADERSHIP, cell_records.encode(record))
             )
+        if now_s - self._pairs_kept_at_s > KEEP_PAIRS_EVERY_S:
+            self._pairs_kept_at_s = now_s
+            leader.write_pairs(batch)
         if not batch.records:
             if batch.noted:
                 leader.commit(batch)
