Pace filling runs as they start and expect a rising load

Cause (trial with all looks printed): most looks past the target came within half a second of the start of a run whose image was already paced, since a run starts at full speed; others at a rising load.

--- a/src/yuccapoint/cell/pace_guard.py
+++ b/src/yuccapoint/cell/pace_guard.py
@@ -26,6 +26,11 @@
 RAISE_PERCENT = 25
 FULL_PERCENT = 100
 UNKNOWN_PERCENT = -1
+# Load that a neighbour of unknown image is taken to add when it starts: as
+# much as those images add that disturb at all.
+UNKNOWN_AT_START = 0.15
+# Most that a service's own load rises by until the next look.
+MAX_RISE = 0.1
 # Seconds until a change of the pace shows in the measured tail.
 SETTLE_S = 0.6
 # Looks that follow closer are of the same half second, in seconds.
@@ -64,12 +69,13 @@
         How busy the service is, and how busy it may be.
     """
 
-    __slots__ = ("image", "load", "most_load", "pressure")
+    __slots__ = ("image", "key", "load", "most_load", "pressure")
 
     def __init__(
         self, task: RunningTask, traits: TaskTraits, floors: ServiceFloors
     ) -> None:
         self.image = traits.image
+        self.key = (task.task_id, task.run)
         self.pressure = task.load / traits.target_ms
         self.load = floors.load(traits.image, task.load, traits.target_ms)
         self.most_load = floors.most_load(
@@ -94,6 +100,8 @@
         self._looked_at_s = 0.0
         self._looks_past_target = 0
         self._first_look = True
+        self._serving: list[ServingRun] = []
+        self._own_loads: dict[tuple[str, int], float] = {}
 
     def on_look(
         self,
@@ -132,9 +140,46 @@
                 serving.append(ServingRun(task, known, self._floors))
         if now_s - self._looked_at_s >= STEER_EVERY_S:
             self._looked_at_s = now_s
+            self._serving = serving
             self._steer(serving, filling, now_s)
         return self._changes(filling)
 
+    def on_start(
+        self,
+        task_id: str,
+        run: int,
+        traits: TaskTraits,
+        vm_millicores: int,
+    ) -> int | None:
+        """Decide on the pace of a filling run that has just started.
+
+        A run starts at full speed, and the next look may be half a second
+        away.
+
+        Returns
+        -------
+        int or None
+            The percent to pace it to; None to leave it at full speed.
+        """
+        unit = max(1.0, NEIGHBOUR_SHARE * vm_millicores)
+        share = traits.millicores / unit
+        percent = self._paces.get(traits.image, FULL_PERCENT)
+        for served in self._serving:
+            weight = self._weight(served.image, traits.image)
+            if (served.image, traits.image) not in self._pairs:
+                weight = UNKNOWN_AT_START
+            left = max(0.0, served.most_load - served.load)
+            if weight * share > left:
+                percent = min(percent, int(FULL_PERCENT * left / weight))
+        if percent < LEAST_PERCENT:
+            percent = 0
+        if percent >= FULL_PERCENT:
+            return None
+        if percent < self._paces.get(traits.image, FULL_PERCENT):
+            self._paces[traits.image] = percent
+        self._sent[(task_id, run)] = percent
+        return percent
+
     def on_unpaced(self, task_id: str, run: int) -> None:
         """Note that the worker did not confirm a pace."""
         if (task_id, run) in self._sent:
@@ -160,8 +205,15 @@
         now_s: float,
     ) -> None:
         wanted = dict.fromkeys((run.image for run in filling), FULL_PERCENT)
+        own_loads = {}
         for served in serving:
-            self._limit(served, filling, wanted)
+            own = self._own_load(served, filling)
+            own_loads[served.key] = own
+            rise = own - self._own_loads.get(served.key, own)
+            expected = own + min(MAX_RISE, max(0.0, rise))
+            allowed = max(0.0, served.most_load - expected)
+            self._limit(served, filling, allowed, wanted)
+        self._own_loads = own_loads
         worst = max((served.pressure for served in serving), default=0.0)
         if worst < 1.0:
             self._looks_past_target = 0
@@ -182,22 +234,28 @@
                 self._paces[image] = percent
                 self._changed_at_s[image] = now_s
 
+    def _own_load(
+        self, served: ServingRun, filling: list[FillingRun]
+    ) -> float:
+        added = sum(
+            self._weight(served.image, run.image) * run.share
+            for run in filling
+        )
+        return max(0.0, served.load - added)
+
     def _limit(
         self,
         served: ServingRun,
         filling: list[FillingRun],
+        allowed: float,
         wanted: dict[str, int],
     ) -> None:
-        present = 0.0
         full: dict[str, float] = {}
         for run in filling:
             weight = self._weight(served.image, run.image)
-            present += weight * run.share
             most = weight * run.full_share
             full[run.image] = full.get(run.image, 0.0) + most
         total = sum(full.values())
-        own = max(0.0, served.load - present)
-        allowed = max(0.0, served.most_load - own)
         if total <= allowed:
             return
         spared = sum(
--- a/src/yuccapoint/cell/vm_keeper.py
+++ b/src/yuccapoint/cell/vm_keeper.py
@@ -279,6 +279,7 @@
         if result is CallResult.DONE:
             held.stage = RunStage.RUNNING
             held.started_at_s = now_s
+            self._pace_start(held)
             return
         held.call_at_s = now_s + REPEAT_CALL_S
         if result is CallResult.REFUSED and reason in ("fence", "late"):
@@ -289,6 +290,18 @@
             return
         held.refuse(reason or result.value)
 
+    def _pace_start(self, held: HeldRun) -> None:
+        traits = self._traits.get(held.task_id)
+        if traits is None or not traits.filling:
+            return
+        percent = self._guard.on_start(
+            held.task_id, held.run, traits, self._millicores
+        )
+        if percent is not None:
+            self._paces.append(
+                PaceCall(held.task_id, held.run, percent, self.term)
+            )
+
     def on_stop_result(
         self, call: StopCall, result: CallResult, now_s: float
     ) -> None:
