Order jobs by what callers still gain; spare filling work a crowded VM

Load answered: a burst of large jobs; all waited behind earlier ones and all were late. Jobs that can be in time go first, least work first.

--- a/src/yuccapoint/cell/claim_planner.py
+++ b/src/yuccapoint/cell/claim_planner.py
@@ -17,12 +17,18 @@
     from yuccapoint.cell.job_run import JobRun
     from yuccapoint.cell.job_run import StepRun
     from yuccapoint.cell.job_run import TaskRun
+    from yuccapoint.cell.step_spec import StepSpec
     from yuccapoint.cell.vm_ledger import VmLedger
-    from yuccapoint.job.size import Size
 
 # Filling work may want this much more than the processors that are left:
 # its demand is uneven, and more would only slow all of it down.
 FILLING_OVERBOOKING = 1.1
+# Estimates are rough: a job counts as late when it is expected to end this
+# share of its objective's span after it.
+MEET_SLACK = 0.1
+# Most load that filling work may add to a service, as far as is known:
+# beyond, the guard would slow all of it down.
+MAX_DISTURBANCE = 0.25
 # A job this many objectives late earns nothing and goes last.
 HOPELESS_OBJECTIVES = 3.0
 
@@ -94,15 +100,28 @@
             return False
         return task.not_before_s <= self._now_s
 
-    def _urgency(self, step: StepRun) -> tuple[bool, int, float]:
+    def _urgency(self, step: StepRun) -> tuple[int, int, float]:
+        """Order steps by what their callers still gain.
+
+        Answers a burst of more work than can be done in time: without it
+        every job waits behind all earlier ones and all are late. First go
+        jobs that can still meet their objective, the least work left
+        first, then late ones, then those whose callers gain nothing more.
+        """
         job = step.occurrence.job
         queue = job.submission.queue
+        if step.spec.lasting:
+            return (0, 0, 0.0)
         objective_ms = job.objective_at_ms(step.occurrence.number)
         span_ms = queue.objective_factor * job.chain_ms + queue.objective_ms
-        late_ms = objective_ms + (HOPELESS_OBJECTIVES - 1) * span_ms
-        lasting = step.spec.lasting
-        hopeless = not lasting and self._wall_ms > late_ms
-        return (hopeless, 0 if lasting else queue.priority, objective_ms)
+        left_ms = step.occurrence.chain_left_ms()
+        end_ms = self._wall_ms + left_ms
+        lateness = 0
+        if end_ms > objective_ms + MEET_SLACK * span_ms:
+            lateness = 1
+        if end_ms > objective_ms + (HOPELESS_OBJECTIVES - 1) * span_ms:
+            lateness = 2
+        return (lateness, queue.priority, step.occurrence.work_left())
 
     def _place_tasks(
         self, step: StepRun, rooms: list[VmRoom]
@@ -169,8 +188,7 @@
             count = room.step_counts.get(id(task.step), 0)
             if spec.max_per_vm and count >= spec.max_per_vm:
                 continue
-            crowded = not _has_idle_processors(spec.size, room)
-            if spec.filling and not overbook and crowded:
+            if spec.filling and not overbook and _is_crowded(spec, room):
                 continue
             if room.ledger.probing and room.step_counts:
                 continue
@@ -185,8 +203,16 @@
         return best
 
 
-def _has_idle_processors(size: Size, room: VmRoom) -> bool:
+def _is_crowded(spec: StepSpec, room: VmRoom) -> bool:
+    """Tell whether one more filling task would slow others down."""
     if not room.filling_millicores:
-        return True
+        return False
     idle = room.capacity.millicores * FILLING_OVERBOOKING
-    return size.millicores <= idle - room.demand_millicores
+    if spec.size.millicores > idle - room.demand_millicores:
+        return True
+    share = room.share_of(spec)
+    for image in room.serving_images:
+        added = share * room.disturbances.expected(image, spec.image)
+        if room.disturbance(image) + added > MAX_DISTURBANCE:
+            return True
+    return False
--- a/src/yuccapoint/cell/job_run.py
+++ b/src/yuccapoint/cell/job_run.py
@@ -167,6 +167,30 @@
         """Tell whether all steps that a step depends on are done."""
         return all(self.steps[n].finished for n in step.spec.depends_on)
 
+    def chain_left_ms(self) -> float:
+        """Give the longest chain of work that is not yet done."""
+        ends: list[float] = []
+        for step in self.steps:
+            begin_ms = max((ends[n] for n in step.spec.depends_on), default=0)
+            left_ms = 0.0
+            if not step.finished:
+                done = min(
+                    (t.percent for t in step.tasks if t.life is not None),
+                    default=0,
+                )
+                left_ms = step.estimate_ms * (100 - done) / 100
+            ends.append(begin_ms + left_ms)
+        return max(ends)
+
+    def work_left(self) -> float:
+        """Give the work that is not yet done, in millicore-milliseconds."""
+        return sum(
+            (len(step.tasks) - step.done)
+            * step.spec.size.millicores
+            * step.estimate_ms
+            for step in self.steps
+        )
+
     def load(self, state: OccurrenceState) -> None:
         """Take over what the store says."""
         self.outcome = state.outcome
