Lease a VM only from its last report; drop starts given up since

Found by a mutation that showed nothing: hellos to a silent VM prolonged the leader's reckoning of its lease, so that a VM was only given up when the leader's own authority ended.

--- a/src/yuccapoint/cell/cell_leader.py
+++ b/src/yuccapoint/cell/cell_leader.py
@@ -219,6 +219,10 @@
                 vm.strangers[(running.task_id, running.run)] = size
                 continue
             self._note_progress(task, running, now_s)
+        for task_id, run in report.pending:
+            task = vm.claims.get(task_id)
+            if task is None or task.run != run:
+                vm.strangers[(task_id, run)] = Size()
         here = {running.task_id for running in report.running}
         for task in vm.claims.values():
             if task.seen_running and task.task_id not in here:
--- a/src/yuccapoint/cell/cell_messages.py
+++ b/src/yuccapoint/cell/cell_messages.py
@@ -113,7 +113,9 @@
     """What the leader wants on a VM, and the VM's lease.
 
     ``answers`` is the number of the report that ``lease_ms`` answers: the
-    agent counts the lease from when it sent that report.
+    agent counts the lease from when it sent that report. ``awaited`` names
+    all runs whose start the leader still waits for; others that the agent
+    was told to start were given up since.
     """
 
     vm: str
@@ -127,6 +129,7 @@
     life: WorkerLife | None
     noted_number: int
     starts: tuple[StartOrder, ...]
+    awaited: tuple[tuple[str, int], ...]
     stops: tuple[tuple[str, int], ...]
     traits: tuple[TaskTraits, ...]
     pairs: tuple[PairEstimate, ...]
--- a/src/yuccapoint/cell/lease_bounds.py
+++ b/src/yuccapoint/cell/lease_bounds.py
@@ -25,9 +25,9 @@
 REDIAL_AFTER_S = 1.3
 
 
-def granted_until_s(answered_at_s: float) -> float:
-    """Give when a lease granted at a time has surely run out."""
-    return answered_at_s + VM_LEASE_S * CLOCK_DRIFT
+def granted_until_s(asked_at_s: float) -> float:
+    """Give when a lease that was asked for by a time has surely run out."""
+    return asked_at_s + VM_LEASE_S * CLOCK_DRIFT
 
 
 def foreign_grants_until_s(took_over_at_s: float) -> float:
--- a/src/yuccapoint/cell/order_writer.py
+++ b/src/yuccapoint/cell/order_writer.py
@@ -42,16 +42,19 @@
     """
     vm.order_sequence += 1
     if grant:
-        vm.grant(now_s)
+        vm.grant()
     starts: list[StartOrder] = []
     stops = list(vm.strangers)
     traits = []
+    awaited = []
     for task in vm.claims.values():
         if task.stopping:
             stops.append((task.task_id, task.run))
             continue
         if task.step.spec.target_ms or task.step.spec.filling:
             traits.append(_traits(task))
+        if not task.seen_running:
+            awaited.append((task.task_id, task.run))
         if _is_start_due(vm, task, now_s) and len(starts) < MAX_STARTS:
             task.ordered_at_s = now_s
             starts.append(_start(leader, task, vm, now_s))
@@ -67,6 +70,7 @@
         life=vm.life,
         noted_number=vm.noted_number,
         starts=tuple(starts),
+        awaited=tuple(awaited),
         stops=tuple(stops),
         traits=tuple(traits),
         pairs=_pairs(leader, vm, now_s),
--- a/src/yuccapoint/cell/vm_keeper.py
+++ b/src/yuccapoint/cell/vm_keeper.py
@@ -197,6 +197,16 @@
         for key, held in list(self._runs.items()):
             if held.stage is RunStage.REFUSED and key not in wanted:
                 del self._runs[key]
+        awaited = set(orders.awaited)
+        for key, held in list(self._runs.items()):
+            if (
+                held.stage is RunStage.STARTING
+                and not held.calling
+                and key not in awaited
+            ):
+                # Given up since; a lease that is newer must not start it.
+                held.refuse("given up")
+                self.report_due = True
         for start in orders.starts:
             self._order_start(start, now_s)
         for task_id, run in orders.stops:
--- a/src/yuccapoint/cell/vm_ledger.py
+++ b/src/yuccapoint/cell/vm_ledger.py
@@ -87,9 +87,13 @@
         self.report_sequence = report.sequence
         return True
 
-    def grant(self, now_s: float) -> None:
-        """Note that a lease was granted just now."""
-        until_s = lease_bounds.granted_until_s(now_s)
+    def grant(self) -> None:
+        """Note that a lease is granted in answer to the last report.
+
+        The agent counts it from before that report arrived, however late
+        or often it is answered.
+        """
+        until_s = lease_bounds.granted_until_s(self.heard_at_s)
         self.leased_until_s = max(self.leased_until_s, until_s)
 
     def is_open(self, now_s: float) -> bool:
