--- a/src/yuccapoint/cell/advice_book.py
+++ b/src/yuccapoint/cell/advice_book.py
@@ -10,6 +10,10 @@
 
 # A ticket must still be valid when the start reaches the worker, seconds.
 TICKET_MARGIN_S = 0.5
+# The adviser is asked anew this long before its answer runs out, seconds.
+ASK_AHEAD_S = 1.0
+# Workers in one question.
+MAX_ASKED = 30
 
 
 class Ticket:
@@ -30,6 +34,7 @@
 
     def __init__(self) -> None:
         self._tickets: dict[str, dict[WorkerLife, Ticket]] = {}
+        self._asked_at_s: dict[str, dict[WorkerLife, float]] = {}
 
     def note(
         self, step: StepRun, life: WorkerLife, text: str, until_s: float
@@ -38,9 +43,37 @@
         tickets = self._tickets.setdefault(step_id(step), {})
         tickets[life] = Ticket(text, until_s)
 
+    def to_ask(
+        self, step: StepRun, lives: list[WorkerLife], now_s: float
+    ) -> list[WorkerLife]:
+        """Choose the workers to ask about, the given order kept.
+
+        The adviser needs time for each worker, so few are asked, and none
+        again while its answer still holds.
+        """
+        asked = self._asked_at_s.setdefault(step_id(step), {})
+        valid_s = step.occurrence.job.submission.queue.advice_valid_ms / 1000
+        return [
+            life
+            for life in lives
+            if now_s - asked.get(life, -valid_s) >= valid_s - ASK_AHEAD_S
+        ][:MAX_ASKED]
+
+    def note_asked(
+        self, step: StepRun, lives: list[WorkerLife], now_s: float
+    ) -> None:
+        """Note that the adviser is asked now."""
+        asked = self._asked_at_s.setdefault(step_id(step), {})
+        asked.update(dict.fromkeys(lives, now_s))
+
+    def forget_asking(self, step: StepRun) -> None:
+        """Ask again, as the adviser gave no answer."""
+        self._asked_at_s.pop(step_id(step), None)
+
     def forget_step(self, step: StepRun) -> None:
         """Drop the tickets of a step, as one was not accepted."""
         self._tickets.pop(step_id(step), None)
+        self.forget_asking(step)
 
     def ticket(
         self, step: StepRun, life: WorkerLife | None, now_s: float
@@ -55,7 +88,7 @@
 
     def allows(self, step: StepRun, life: WorkerLife, now_s: float) -> bool:
         """Tell whether a step may start on a worker."""
-        if not step.occurrence.job.submission.queue.advised:
+        if not step.occurrence.job.submission.queue.advice_valid_ms:
             return True
         return bool(self.ticket(step, life, now_s))
 
--- a/src/yuccapoint/cell/cell_leader.py
+++ b/src/yuccapoint/cell/cell_leader.py
@@ -7,6 +7,7 @@
 from yuccapoint.cell import cell_records
 from yuccapoint.cell import lease_bounds
 from yuccapoint.cell.advice_book import AdviceBook
+from yuccapoint.cell.advice_book import step_id
 from yuccapoint.cell.claim_planner import ClaimPlanner
 from yuccapoint.cell.commit_batch import CommitBatch
 from yuccapoint.cell.disturbance_watch import DisturbanceWatch
@@ -29,6 +30,7 @@
     from yuccapoint.cell.cell_view import CellView
     from yuccapoint.cell.cell_view import JobView
     from yuccapoint.cell.job_run import OccurrenceRun
+    from yuccapoint.cell.job_run import StepRun
     from yuccapoint.cell.job_run import TaskRun
     from yuccapoint.cell.progress import WorkerLife
 
@@ -264,13 +266,7 @@
         self._plan(now_s, wall_ms)
 
     def _plan(self, now_s: float, wall_ms: int) -> None:
-        planner = ClaimPlanner(
-            self.vms.values(),
-            self.advice,
-            self.disturbances,
-            now_s,
-            wall_ms,
-        )
+        planner = self._planner(now_s, wall_ms)
         chosen = planner.plan(self.jobs.values())
         # All members of a gang get the same number.
         gang_runs = {
@@ -300,6 +296,15 @@
                 waited_ms=int(waited_s * 1000),
             )
 
+    def _planner(self, now_s: float, wall_ms: int) -> ClaimPlanner:
+        return ClaimPlanner(
+            self.vms.values(),
+            self.advice,
+            self.disturbances,
+            now_s,
+            wall_ms,
+        )
+
     def _ready_schedules(self, wall_ms: int) -> None:
         for job in self.jobs.values():
             submission = job.submission
@@ -416,6 +421,64 @@
             if ended and not unwritten:
                 del self.jobs[job_id]
 
+    # Advice -------------------------------------------------------------
+
+    def next_question(
+        self, now_s: float, wall_ms: int
+    ) -> tuple[StepRun, list[WorkerLife]] | None:
+        """Give the next step to ask the adviser about, and the workers."""
+        advised = [
+            job
+            for job in self.jobs.values()
+            if job.submission.queue.advice_valid_ms
+        ]
+        if not advised:
+            return None
+        for step in self._planner(now_s, wall_ms).ready_steps(advised):
+            queue = step.occurrence.job.submission.queue
+            vms = [
+                vm
+                for vm in self.vms.values()
+                if vm.worker is not None
+                and vm.worker.pool == queue.pool
+                and vm.is_open(now_s)
+            ]
+            vms.sort(key=lambda vm: -vm.room.millicores)
+            lives = [vm.life for vm in vms if vm.life is not None]
+            asked = self.advice.to_ask(step, lives, now_s)
+            if asked:
+                self.advice.note_asked(step, asked, now_s)
+                return step, asked
+        return None
+
+    def on_advice(
+        self,
+        step: StepRun,
+        asked: list[WorkerLife],
+        tickets: dict[str, str] | None,
+        now_s: float,
+    ) -> None:
+        """Take the adviser's answer: tickets by worker id, None if lost.
+
+        ``now_s`` is when the question was sent.
+        """
+        if tickets is None:
+            self.advice.forget_asking(step)
+            return
+        valid_ms = step.occurrence.job.submission.queue.advice_valid_ms
+        for life in asked:
+            text = tickets.get(life.worker_id)
+            if text is not None:
+                until_s = now_s + valid_ms / 1000
+                self.advice.note(step, life, text, until_s)
+        self._explain(
+            "place",
+            "advised",
+            step=step_id(step),
+            asked=len(asked),
+            allowed=len(tickets),
+        )
+
     # Orders -------------------------------------------------------------
 
     def take_orders(
--- a/src/yuccapoint/cell/claim_planner.py
+++ b/src/yuccapoint/cell/claim_planner.py
@@ -71,7 +71,7 @@
     def plan(self, jobs: Iterable[JobRun]) -> list[tuple[TaskRun, VmLedger]]:
         """Choose tasks and their VMs, the most urgent first."""
         chosen: list[tuple[TaskRun, VmLedger]] = []
-        for step in sorted(self._ready_steps(jobs), key=self._urgency):
+        for step in sorted(self.ready_steps(jobs), key=self._urgency):
             rooms = self._rooms.get(step.occurrence.job.submission.queue.pool)
             if not rooms:
                 continue
@@ -81,7 +81,8 @@
             chosen.extend(self._place_tasks(step, rooms))
         return chosen
 
-    def _ready_steps(self, jobs: Iterable[JobRun]) -> Iterable[StepRun]:
+    def ready_steps(self, jobs: Iterable[JobRun]) -> Iterable[StepRun]:
+        """Give all steps with tasks that wait for a VM."""
         for job in jobs:
             for occurrence in job.occurrences.values():
                 if occurrence.outcome is not Outcome.OPEN:
--- a/src/yuccapoint/cell/queue_rules.py
+++ b/src/yuccapoint/cell/queue_rules.py
@@ -22,8 +22,8 @@
         Objective as a multiple of the longest chain of work.
     objective_ms : int
         Added to the objective.
-    advised : bool
-        Whether an adviser decides which VMs may run a step.
+    advice_valid_ms : int
+        How long an adviser's permission holds; 0 for no adviser.
     """
 
     route: str
@@ -32,4 +32,4 @@
     max_attempts: int = 1
     objective_factor: float = 1.0
     objective_ms: int = 0
-    advised: bool = False
+    advice_valid_ms: int = 0
--- a/src/yuccapoint/cell/throttle_moves.py
+++ b/src/yuccapoint/cell/throttle_moves.py
@@ -15,12 +15,12 @@
     from yuccapoint.cell.vm_ledger import VmLedger
 
 # A run below this share of its processors is slowed down by the guard.
-SLOWED_SHARE = 0.3
+SLOWED_SHARE = 0.2
 # It is moved after being slowed down for so many seconds: longer than the
 # peak of a service's load usually lasts.
-SLOWED_FOR_S = 3.0
+SLOWED_FOR_S = 3.5
 # One move from a VM in so many seconds, so that its effect shows first.
-MOVE_EVERY_S = 1.5
+MOVE_EVERY_S = 2.5
 # The other VM has to be better by this much, in shares of a VM.
 LEAST_GAIN = 0.5
 # Run time that a move costs in seconds; shorter work stays.
--- a/src/yuccapoint/platform/operator_config.py
+++ b/src/yuccapoint/platform/operator_config.py
@@ -14,6 +14,10 @@
 DEFAULT_MAX_BODY_BYTES = 262_144
 
 
+class _Advisor(msgspec.Struct, rename="pascal"):
+    validity_ms: int = 0
+
+
 class _Route(msgspec.Struct, rename="pascal"):
     name: str
     host: str
@@ -24,7 +28,7 @@
     max_attempts: int = 1
     slo_factor: float = 1.0
     slo_ms: int = 0
-    advisor: dict[str, float] | None = None
+    advisor: _Advisor | None = None
 
 
 class _Limits(msgspec.Struct, rename="pascal"):
@@ -58,7 +62,9 @@
             max_attempts=max(1, route.max_attempts),
             objective_factor=route.slo_factor,
             objective_ms=route.slo_ms,
-            advised=route.advisor is not None,
+            advice_valid_ms=0
+            if route.advisor is None
+            else route.advisor.validity_ms,
         )
         routes.append(QueueRoute(route.host, route.path_prefix, rules))
     return QueueTable(config.version, routes, config.limits.max_body_bytes)
--- a/src/yuccapoint/platform/roles.py
+++ b/src/yuccapoint/platform/roles.py
@@ -118,6 +118,7 @@
 
 async def run_entry() -> None:
     """Run an entry until a signal stops it."""
+    from yuccapoint.platform.adviser import AdviserClient
     from yuccapoint.platform.front import Front
     from yuccapoint.process.cell_entry_process import CellEntryProcess
 
@@ -131,6 +132,8 @@
         role.logs,
         role.metrics,
     )
+    if settings.advisor:
+        entry.adviser = AdviserClient(settings.advisor)
     front = Front(entry.desk)
     listen = settings.listen_addrs
     front.listen(listen.front, listen.ready)
--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -5,12 +5,14 @@
 import asyncio
 import contextlib
 import time
+from typing import Protocol
 from typing import TYPE_CHECKING
 
 import xxhash
 
 from yuccapoint.cell import cell_records
 from yuccapoint.cell import lease_bounds
+from yuccapoint.cell.advice_book import step_id
 from yuccapoint.cell.cell_leader import CellLeader
 from yuccapoint.cell.cell_messages import CellMessage
 from yuccapoint.cell.cell_messages import VmReport
@@ -48,6 +50,8 @@
 # What was learned of images that disturb each other is kept this often, in
 # seconds; a new leader learns what is missing in about as long.
 KEEP_PAIRS_EVERY_S = 5.0
+# Pause in seconds while the adviser has nothing to be asked.
+ADVICE_PAUSE_S = 0.1
 # Rate of attempts to take the cell over, in seconds.
 TAKE_OVER_EVERY_S = 0.5
 
@@ -57,6 +61,13 @@
 TAKE_OVER_TIMEOUT_S = 1.5
 
 
+class AdviserPort(Protocol):
+    """Knows which workers may run a step."""
+
+    async def ask(self, step: str, worker_ids: list[str]) -> dict[str, str]:
+        """Give tickets by the id of each worker that may run a step."""
+
+
 class CellEntryProcess:
     """Wires desk, tail, leader and writer of one cell.
 
@@ -73,6 +84,8 @@
 
     Attributes
     ----------
+    adviser : AdviserPort or None
+        Asked for steps of queues that have an adviser.
     failed : asyncio.Event
         Set when a part of the process failed; it has to start anew.
     """
@@ -92,6 +105,7 @@
         self.metrics = metrics
         self.view = CellView()
         self.leader: CellLeader | None = None
+        self.adviser: AdviserPort | None = None
         self._store = store
         stagger = xxhash.xxh32_intdigest(name.encode()) / 2**32
         self._watch = LeadershipWatch(name, self.incarnation, stagger)
@@ -115,7 +129,7 @@
     def start(self) -> None:
         """Follow the store and receive control messages."""
         self._mailbox.open()
-        for job in (self.tail.run(), self._run_rounds()):
+        for job in (self.tail.run(), self._run_rounds(), self._run_advice()):
             self._tasks.append(watched(job, self.logs, self.failed))
         self.logs.say(
             "entry", "started", incarnation=self.incarnation, at=self.address
@@ -304,6 +318,28 @@
             leader.commit(batch)
         self._wake.set()
 
+    async def _run_advice(self) -> None:
+        while True:
+            leader, adviser = self.leader, self.adviser
+            question = None
+            now_s = steady_s()
+            if leader is not None and adviser is not None:
+                question = leader.next_question(now_s, wall_ms())
+            if leader is None or adviser is None or question is None:
+                await asyncio.sleep(ADVICE_PAUSE_S)
+                continue
+            step, lives = question
+            tickets = None
+            try:
+                tickets = await adviser.ask(
+                    step_id(step), [life.worker_id for life in lives]
+                )
+            except YuccapointError as error:
+                self.logs.say("place", "no advice", error=str(error))
+                await asyncio.sleep(ADVICE_PAUSE_S)
+            leader.on_advice(step, lives, tickets, now_s)
+            self._wake.set()
+
     def _on_message(self, message: CellMessage) -> None:
         if self.leader is None or not isinstance(message, VmReport):
             return
--- /dev/null
+++ b/tests/features/steps/cell_leader_steps.py
@@ -0,0 +1,137 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from behave import given
+from behave import then
+from behave import when
+
+from yuccapoint.cell.cell_leader import CellLeader
+from yuccapoint.cell.cell_messages import VmReport
+from yuccapoint.cell.cell_messages import WorkerReport
+from yuccapoint.cell.cell_records import Member
+from yuccapoint.cell.cell_view import JobView
+from yuccapoint.cell.progress import WorkerLife
+from yuccapoint.cell.queue_rules import QueueRules
+from yuccapoint.cell.step_spec import StepSpec
+from yuccapoint.cell.submission import Submission
+from yuccapoint.job.size import Size
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+WALL_MS = 1_000_000
+VALID_MS = 10_000
+
+
+def report(vm: str, sequence: int, **changes) -> VmReport:
+    worker = WorkerReport(
+        life=WorkerLife(vm, f"i-{vm}", 1),
+        pool="pool",
+        capacity=changes.pop("capacity", Size(8_000, 2**35, 0)),
+        labels=("a", "r1"),
+        draining=False,
+        remaining_ms=0,
+        over=False,
+    )
+    fields = {
+        "vm": vm,
+        "address": vm,
+        "incarnation": 1,
+        "sequence": sequence,
+        "term": 1,
+        "worker": worker,
+        "looked": True,
+        "running": (),
+        "ends": (),
+        "refused": (),
+        "pending": (),
+    }
+    return VmReport(**{**fields, **changes})
+
+
+def make_leader(vms: int) -> CellLeader:
+    leader = CellLeader("e-0", "e-0", 1, 0.0)
+    for number in range(vms):
+        leader.on_member(Member(f"vm-{number}", f"vm-{number}", 1))
+        leader.on_report(report(f"vm-{number}", 1), 10.0)
+    return leader
+
+
+def add_job(
+    leader: CellLeader, job_id: str, step: StepSpec, **rules
+) -> Submission:
+    job = Submission(
+        job_id=job_id,
+        queue=QueueRules("route", "pool", **rules),
+        payload="payload",
+        steps=(step,),
+        accepted_at_ms=WALL_MS,
+    )
+    leader.on_job(JobView(job), 10.0)
+    return job
+
+
+@given("a leader with {vms:d} VMs and an advised job of {tasks:d} tasks")
+def advised_job(context: Context, vms: int, tasks: int) -> None:
+    context.leader = make_leader(vms)
+    context.now_s = 10.0
+    step = StepSpec(tasks, Size(1_000, 2**20, 0))
+    add_job(context.leader, "0" * 16, step, advice_valid_ms=VALID_MS)
+
+
+@when('the adviser allows "{vm}" with ticket "{ticket}"')
+def allow(context: Context, vm: str, ticket: str) -> None:
+    question = context.leader.next_question(context.now_s, WALL_MS)
+    assert question is not None
+    step, lives = question
+    tickets = {f"i-{vm}": ticket}
+    context.leader.on_advice(step, lives, tickets, context.now_s)
+
+
+@when("{seconds:d} s pass")
+def time_passes(context: Context, seconds: int) -> None:
+    context.now_s += seconds
+    for number, vm in enumerate(context.leader.vms):
+        context.leader.on_report(report(vm, 2 + number), context.now_s)
+
+
+@when("the leader plans")
+def plan(context: Context) -> None:
+    context.leader.tick(context.now_s, WALL_MS)
+    context.leader.commit(context.leader.take_batch())
+
+
+@when("the leader asks the adviser")
+def ask(context: Context) -> None:
+    context.question = context.leader.next_question(context.now_s, WALL_MS)
+    assert len(context.question[1]) == len(context.leader.vms)
+
+
+@then("a second question names no worker")
+def no_second(context: Context) -> None:
+    assert context.leader.next_question(context.now_s, WALL_MS) is None
+
+
+@then("after a lost answer the same workers are asked again")
+def ask_again(context: Context) -> None:
+    step, lives = context.question
+    context.leader.on_advice(step, lives, None, context.now_s)
+    again = context.leader.next_question(context.now_s, WALL_MS)
+    assert again is not None
+    assert set(again[1]) == set(lives)
+
+
+@then("no task is claimed")
+def none_claimed(context: Context) -> None:
+    for vm in context.leader.vms.values():
+        assert not vm.claims, vm.claims
+
+
+@then('all claims are on "{vm}" and their starts carry "{ticket}"')
+def claimed_with_ticket(context: Context, vm: str, ticket: str) -> None:
+    claimed = {n: len(v.claims) for n, v in context.leader.vms.items()}
+    assert sum(claimed.values()) == claimed[vm] == 2, claimed
+    due = context.leader.take_orders(context.now_s, may_grant=True)
+    orders = {ledger.name: message for ledger, message in due}
+    assert [s.ticket for s in orders[vm].starts] == [ticket] * 2
