--- a/src/yuccapoint/cell/cell_leader.py
+++ b/src/yuccapoint/cell/cell_leader.py
@@ -37,6 +37,11 @@
 # A run that doesn't move for so many seconds hangs: at one percent a step,
 # a run a tenth as fast as declared still moves more often.
 STUCK_AFTER_S = 2.5
+# A job's state is told for this many seconds after its end: what callers
+# are promised, and half as much again.
+KEEP_ENDED_S = 180.0
+# Keys that are dropped with one append.
+MAX_DROPPED = 500
 # Occurrences of a schedule are made ready this long before they are due.
 SCHEDULE_AHEAD_MS = 1_000
 
@@ -71,6 +76,7 @@
         self._took_over_at_s = now_s
         self._dirty: dict[str, OccurrenceRun] = {}
         self._claimed: list[tuple[TaskRun, int]] = []
+        self._ended_at_s: dict[str, float] = {}
         self._ends = RunEnds(self)
 
     # Jobs ---------------------------------------------------------------
@@ -381,6 +387,26 @@
                 batch.noted.append(noted)
         return batch
 
+    def drop_forgotten(self, view: CellView, now_s: float) -> CommitBatch:
+        """Give the dropping of jobs that nobody asks for any more."""
+        batch = CommitBatch()
+        for job_id, job in view.jobs.items():
+            if job.outcome is Outcome.OPEN or job_id in self.jobs:
+                self._ended_at_s.pop(job_id, None)
+                continue
+            ended_at_s = self._ended_at_s.setdefault(job_id, now_s)
+            if now_s - ended_at_s < KEEP_ENDED_S:
+                continue
+            del self._ended_at_s[job_id]
+            for number in job.occurrences:
+                key = cell_records.progress_key(job_id, number)
+                batch.records.append((key, None))
+            batch.records.append((cell_records.CANCELLATION + job_id, None))
+            batch.records.append((cell_records.SUBMISSION + job_id, None))
+            if len(batch.records) >= MAX_DROPPED:
+                break
+        return batch
+
     def write_pairs(self, batch: CommitBatch) -> None:
         """Add what is known of images that disturb each other."""
         pairs = self.disturbances.all_pairs()
--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -293,6 +293,8 @@
         if now_s - self._pairs_kept_at_s > KEEP_PAIRS_EVERY_S:
             self._pairs_kept_at_s = now_s
             leader.write_pairs(batch)
+            dropped = leader.drop_forgotten(self.view, now_s)
+            batch.records.extend(dropped.records)
         if not batch.records:
             if batch.noted:
                 leader.commit(batch)
--- a/tests/features/steps/cell_leader_steps.py
+++ b/tests/features/steps/cell_leader_steps.py
@@ -6,11 +6,16 @@
 from behave import then
 from behave import when
 
+from yuccapoint.cell import cell_records
 from yuccapoint.cell.cell_leader import CellLeader
 from yuccapoint.cell.cell_messages import VmReport
 from yuccapoint.cell.cell_messages import WorkerReport
 from yuccapoint.cell.cell_records import Member
+from yuccapoint.cell.cell_view import CellView
 from yuccapoint.cell.cell_view import JobView
+from yuccapoint.cell.progress import OccurrenceState
+from yuccapoint.cell.progress import Outcome
+from yuccapoint.cell.progress import TaskState
 from yuccapoint.cell.progress import WorkerLife
 from yuccapoint.cell.queue_rules import QueueRules
 from yuccapoint.cell.step_spec import StepSpec
@@ -135,3 +140,50 @@
     due = context.leader.take_orders(context.now_s, may_grant=True)
     orders = {ledger.name: message for ledger, message in due}
     assert [s.ticket for s in orders[vm].starts] == [ticket] * 2
+
+
+@given("a leader with {vms:d} VMs and a view with one ended and one open job")
+def leader_and_view(context: Context, vms: int) -> None:
+    context.leader = make_leader(vms)
+    context.view = CellView()
+    step = StepSpec(1, Size(1_000, 2**20, 0))
+    for offset, job_id in enumerate(("e" * 16, "0" * 16)):
+        job = add_job(context.leader, job_id, step)
+        key = cell_records.SUBMISSION + job_id
+        context.view.apply(key, job, offset)
+    del context.leader.jobs["e" * 16]
+    state = OccurrenceState(Outcome.COMPLETED, [], [[TaskState()]])
+    context.view.apply(cell_records.progress_key("e" * 16, 0), state, 2)
+    context.dropped = []
+
+
+@when("the leader drops what is forgotten at {first:d} s and at {then:d} s")
+def drop_twice(context: Context, first: int, then: int) -> None:
+    for now_s in (first, then):
+        batch = context.leader.drop_forgotten(context.view, float(now_s))
+        context.dropped.extend(batch.records)
+
+
+@when("the leader drops what is forgotten at {now_s:d} s")
+def drop_once(context: Context, now_s: int) -> None:
+    batch = context.leader.drop_forgotten(context.view, float(now_s))
+    context.dropped.extend(batch.records)
+
+
+@then("no key was dropped")
+def nothing_dropped(context: Context) -> None:
+    assert not context.dropped, context.dropped
+
+
+@then("only the keys of the ended job are dropped")
+def ended_dropped(context: Context) -> None:
+    keys = {key for key, value in context.dropped if value is None}
+    assert keys == {f"p:{'e' * 16}.0", f"c:{'e' * 16}", f"s:{'e' * 16}"}
+
+
+@then("the view no longer knows the ended job")
+def view_forgot(context: Context) -> None:
+    for offset, (key, _) in enumerate(context.dropped):
+        context.view.apply(key, None, 10 + offset)
+    assert context.view.find("e" * 16) is None
+    assert context.view.find("0" * 16) is not None
