Split the leader and the keeper by what they look after

No change of behaviour but one: the report of a worker's new life waits until every start of the former one is barred, also after a first look.

--- a/src/yuccapoint/cell/cell_leader.py
+++ b/src/yuccapoint/cell/cell_leader.py
@@ -7,7 +7,7 @@
 from yuccapoint.cell import cell_records
 from yuccapoint.cell import lease_bounds
 from yuccapoint.cell.advice_book import AdviceBook
-from yuccapoint.cell.advice_book import step_id
+from yuccapoint.cell.advice_questions import AdviceQuestions
 from yuccapoint.cell.claim_planner import ClaimPlanner
 from yuccapoint.cell.commit_batch import CommitBatch
 from yuccapoint.cell.disturbance_watch import DisturbanceWatch
@@ -15,33 +15,26 @@
 from yuccapoint.cell.order_writer import write_orders
 from yuccapoint.cell.progress import Outcome
 from yuccapoint.cell.progress import Phase
+from yuccapoint.cell.report_intake import ReportIntake
 from yuccapoint.cell.run_ends import RunEnds
+from yuccapoint.cell.store_upkeep import StoreUpkeep
 from yuccapoint.cell.throttle_moves import find_moves
-from yuccapoint.cell.throttle_moves import note_speed
 from yuccapoint.cell.vm_ledger import VmLedger
 from yuccapoint.job.actions import Explain
-from yuccapoint.job.size import Size
 
 if TYPE_CHECKING:
     from yuccapoint.cell.cell_messages import LeaderOrders
-    from yuccapoint.cell.cell_messages import RunningTask
     from yuccapoint.cell.cell_messages import VmReport
     from yuccapoint.cell.cell_records import Member
     from yuccapoint.cell.cell_view import CellView
     from yuccapoint.cell.cell_view import JobView
     from yuccapoint.cell.job_run import OccurrenceRun
-    from yuccapoint.cell.job_run import StepRun
     from yuccapoint.cell.job_run import TaskRun
     from yuccapoint.cell.progress import WorkerLife
 
 # A run that doesn't move for so many seconds hangs: at one percent a step,
 # a run a tenth as fast as declared still moves more often.
 STUCK_AFTER_S = 2.5
-# A job's state is told for this many seconds after its end: what callers
-# are promised, and half as much again.
-KEEP_ENDED_S = 180.0
-# Keys that are dropped with one append.
-MAX_DROPPED = 500
 # Occurrences of a schedule are made ready this long before they are due.
 SCHEDULE_AHEAD_MS = 1_000
 
@@ -76,10 +69,10 @@
         self._took_over_at_s = now_s
         self._dirty: dict[str, OccurrenceRun] = {}
         self._claimed: list[tuple[TaskRun, int]] = []
-        self._ended_at_s: dict[str, float] = {}
         self._ends = RunEnds(self)
-
-    # Jobs ---------------------------------------------------------------
+        self._intake = ReportIntake(self, self._ends)
+        self.upkeep = StoreUpkeep(self)
+        self.questions = AdviceQuestions(self)
 
     def load(self, view: CellView, now_s: float) -> None:
         """Take over everything that the store says."""
@@ -139,8 +132,6 @@
             occurrence=occurrence.number,
         )
 
-    # VMs ----------------------------------------------------------------
-
     def on_member(self, member: Member) -> None:
         """Get to know a VM's agent, or its new address."""
         vm = self._vm(member.vm, member.address)
@@ -157,110 +148,15 @@
         vm.follows = report.term == self.term
         if report.term > self.term:
             return
-        self._take_worker(vm, report, now_s)
-        if not report.looked or report.worker is None:
-            return
-        for ended in report.ends:
-            self._ends.on_ended(vm, ended, now_s)
-        for refused in report.refused:
-            self._ends.on_refused(vm, refused, now_s)
-        self._take_running(vm, report, now_s)
-        self.disturbances.on_report(vm, now_s)
-
-    def _take_worker(
-        self, vm: VmLedger, report: VmReport, now_s: float
-    ) -> None:
-        worker = report.worker
-        if worker is None:
-            vm.looked = False
-            return
-        before = vm.worker
-        vm.worker = worker
-        vm.looked = report.looked
-        if before is None or before.life != worker.life:
-            vm.ends_through = 0
-            vm.noted_number = 0
-            vm.strangers.clear()
-            self._release_older_lives(vm, worker.life, now_s)
-            self._explain(
-                "vm",
-                "a worker came",
-                vm=vm.name,
-                worker=worker.life.worker_id,
-                born_ms=worker.life.born_ms,
-            )
-        if before is not None and worker.draining and not before.draining:
-            self._explain(
-                "vm", "drains", vm=vm.name, remaining_ms=worker.remaining_ms
-            )
-        vm.drain_until_s = now_s + worker.remaining_ms / 1000
-        if worker.over:
-            self._release_claims(vm, "the worker's lease ran out", now_s)
-
-    def _release_older_lives(
-        self, vm: VmLedger, life: WorkerLife, now_s: float
-    ) -> None:
-        for task in list(vm.claims.values()):
-            if task.life is None or task.life == life:
-                continue
-            if task.life.born_ms > life.born_ms:
-                continue
-            self._ends.lose(vm, task, "the worker started anew", now_s)
-
-    def _release_claims(self, vm: VmLedger, why: str, now_s: float) -> None:
-        if not vm.claims:
-            return
-        self._explain("vm", why, vm=vm.name, tasks=len(vm.claims))
-        for task in list(vm.claims.values()):
-            self._ends.lose(vm, task, why, now_s)
-
-    def _take_running(
-        self, vm: VmLedger, report: VmReport, now_s: float
-    ) -> None:
-        vm.pending = set(report.pending)
-        vm.strangers.clear()
-        for running in report.running:
-            task = vm.claims.get(running.task_id)
-            if task is None or task.run != running.run:
-                known = self.find_task(running.task_id)
-                size = Size() if known is None else known.step.spec.committed
-                vm.strangers[(running.task_id, running.run)] = size
-                continue
-            self._note_progress(task, running, now_s)
-        for task_id, run in report.pending:
-            task = vm.claims.get(task_id)
-            if task is None or task.run != run:
-                vm.strangers[(task_id, run)] = Size()
-        here = {running.task_id for running in report.running}
-        for task in vm.claims.values():
-            if task.seen_running and task.task_id not in here:
-                # Told to start again, the worker says what became of it.
-                task.seen_running = False
-                task.ordered_at_s = now_s
-
-    def _note_progress(
-        self, task: TaskRun, running: RunningTask, now_s: float
-    ) -> None:
-        if not task.seen_running:
-            task.seen_running = True
-            task.started_at_s = now_s
-            task.progressed_at_s = now_s
-        if running.checkpoint and running.checkpoint != task.checkpoint:
-            task.checkpoint = running.checkpoint
-            task.progressed_at_s = now_s
-        if running.percent != task.percent:
-            task.percent = running.percent
-            task.progressed_at_s = now_s
-        task.load = running.load
-        note_speed(task, now_s)
-
-    # Rounds -------------------------------------------------------------
+        self._intake.take(vm, report, now_s)
 
     def tick(self, now_s: float, wall_ms: int) -> None:
         """Give lost VMs up, stop what hangs or must move, and claim."""
         for vm in self.vms.values():
             if vm.claims and now_s > vm.leased_until_s:
-                self._release_claims(vm, "the VM's lease ran out", now_s)
+                self._intake.release_claims(
+                    vm, "the VM's lease ran out", now_s
+                )
                 vm.worker = None
                 vm.looked = False
             self._stop_stuck(vm, now_s)
@@ -272,7 +168,7 @@
         self._plan(now_s, wall_ms)
 
     def _plan(self, now_s: float, wall_ms: int) -> None:
-        planner = self._planner(now_s, wall_ms)
+        planner = self.planner(now_s, wall_ms)
         chosen = planner.plan(self.jobs.values())
         # All members of a gang get the same number.
         gang_runs = {
@@ -302,7 +198,8 @@
                 waited_ms=int(waited_s * 1000),
             )
 
-    def _planner(self, now_s: float, wall_ms: int) -> ClaimPlanner:
+    def planner(self, now_s: float, wall_ms: int) -> ClaimPlanner:
+        """Give a planner for this moment."""
         return ClaimPlanner(
             self.vms.values(),
             self.advice,
@@ -365,8 +262,6 @@
         vm.orders_due = True
         self._explain("run", "stopping", task=task.task_id, why=why)
 
-    # Store --------------------------------------------------------------
-
     def mark(self, occurrence: OccurrenceRun) -> None:
         """Have an occurrence written with the next batch."""
         job_id = occurrence.job.submission.job_id
@@ -387,35 +282,6 @@
                 batch.noted.append(noted)
         return batch
 
-    def drop_forgotten(self, view: CellView, now_s: float) -> CommitBatch:
-        """Give the dropping of jobs that nobody asks for any more."""
-        batch = CommitBatch()
-        for job_id, job in view.jobs.items():
-            if job.outcome is Outcome.OPEN or job_id in self.jobs:
-                self._ended_at_s.pop(job_id, None)
-                continue
-            ended_at_s = self._ended_at_s.setdefault(job_id, now_s)
-            if now_s - ended_at_s < KEEP_ENDED_S:
-                continue
-            del self._ended_at_s[job_id]
-            for number in job.occurrences:
-                key = cell_records.progress_key(job_id, number)
-                batch.records.append((key, None))
-            batch.records.append((cell_records.CANCELLATION + job_id, None))
-            batch.records.append((cell_records.SUBMISSION + job_id, None))
-            if len(batch.records) >= MAX_DROPPED:
-                break
-        return batch
-
-    def write_pairs(self, batch: CommitBatch) -> None:
-        """Add what is known of images that disturb each other."""
-        pairs = self.disturbances.all_pairs()
-        if pairs:
-            record = cell_records.KnownPairs(pairs)
-            batch.records.append(
-                (cell_records.PAIRS, cell_records.encode(record))
-            )
-
     def commit(self, batch: CommitBatch) -> None:
         """Act on a batch that is in the store."""
         for task, run in batch.claims:
@@ -447,66 +313,6 @@
             if ended and not unwritten:
                 del self.jobs[job_id]
 
-    # Advice -------------------------------------------------------------
-
-    def next_question(
-        self, now_s: float, wall_ms: int
-    ) -> tuple[StepRun, list[WorkerLife]] | None:
-        """Give the next step to ask the adviser about, and the workers."""
-        advised = [
-            job
-            for job in self.jobs.values()
-            if job.submission.queue.advice_valid_ms
-        ]
-        if not advised:
-            return None
-        for step in self._planner(now_s, wall_ms).ready_steps(advised):
-            queue = step.occurrence.job.submission.queue
-            vms = [
-                vm
-                for vm in self.vms.values()
-                if vm.worker is not None
-                and vm.worker.pool == queue.pool
-                and vm.is_open(now_s)
-            ]
-            vms.sort(key=lambda vm: -vm.room.millicores)
-            lives = [vm.life for vm in vms if vm.life is not None]
-            asked = self.advice.to_ask(step, lives, now_s)
-            if asked:
-                self.advice.note_asked(step, asked, now_s)
-                return step, asked
-        return None
-
-    def on_advice(
-        self,
-        step: StepRun,
-        asked: list[WorkerLife],
-        tickets: dict[str, str] | None,
-        now_s: float,
-    ) -> None:
-        """Take the adviser's answer: tickets by worker id, None if lost.
-
-        ``now_s`` is when the question was sent.
-        """
-        if tickets is None:
-            self.advice.forget_asking(step)
-            return
-        valid_ms = step.occurrence.job.submission.queue.advice_valid_ms
-        for life in asked:
-            text = tickets.get(life.worker_id)
-            if text is not None:
-                until_s = now_s + valid_ms / 1000
-                self.advice.note(step, life, text, until_s)
-        self._explain(
-            "place",
-            "advised",
-            step=step_id(step),
-            asked=len(asked),
-            allowed=len(tickets),
-        )
-
-    # Orders -------------------------------------------------------------
-
     def take_orders(
         self, now_s: float, *, may_grant: bool
     ) -> list[tuple[VmLedger, LeaderOrders]]:
@@ -521,8 +327,6 @@
             due.append((vm, write_orders(self, vm, now_s, grant=may_grant)))
         return due
 
-    # Lookups ------------------------------------------------------------
-
     def find_task(self, task_id: str) -> TaskRun | None:
         """Give a task by its id."""
         job_id, _, rest = task_id.partition(".")
--- a/src/yuccapoint/cell/held_run.py
+++ b/src/yuccapoint/cell/held_run.py
@@ -27,11 +27,14 @@
         Whether a start call got no answer: it may take effect later.
     listed : bool
         Whether a look at the intended life of the worker listed the run.
+    bars_life : bool
+        Whether it bars a start that was meant for the worker's former life.
     stop_acked_at_s : float
         When the worker confirmed the stop; 0 while it has not.
     """
 
     __slots__ = (
+        "bars_life",
         "call_at_s",
         "calling",
         "first_call_at_s",
@@ -60,6 +63,7 @@
         self.reason = ""
         self.unanswered = False
         self.listed = False
+        self.bars_life = False
         self.calling = False
         self.call_at_s = 0.0
         self.first_call_at_s = 0.0
--- /dev/null
+++ b/src/yuccapoint/cell/store_upkeep.py
@@ -0,0 +1,64 @@
+"""What the leader keeps in the store besides jobs, and what it drops."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from yuccapoint.cell import cell_records
+from yuccapoint.cell.progress import Outcome
+
+if TYPE_CHECKING:
+    from yuccapoint.cell.cell_leader import CellLeader
+    from yuccapoint.cell.cell_view import CellView
+
+# A job's state is told for this many seconds after its end: what callers
+# are promised, and half as much again.
+KEEP_ENDED_S = 180.0
+# Keys that are dropped with one append.
+MAX_DROPPED = 500
+
+Records = list[tuple[str, bytes | None]]
+
+
+class StoreUpkeep:
+    """Writes what was learned, drops jobs that ended long ago.
+
+    Parameters
+    ----------
+    leader : CellLeader
+        Whose jobs are not dropped.
+    """
+
+    __slots__ = ("_ended_at_s", "_leader")
+
+    def __init__(self, leader: CellLeader) -> None:
+        self._leader = leader
+        self._ended_at_s: dict[str, float] = {}
+
+    def drop_forgotten(self, view: CellView, now_s: float) -> Records:
+        """Give the dropping of jobs that nobody asks for any more."""
+        records: Records = []
+        for job_id, job in view.jobs.items():
+            if job.outcome is Outcome.OPEN or job_id in self._leader.jobs:
+                self._ended_at_s.pop(job_id, None)
+                continue
+            ended_at_s = self._ended_at_s.setdefault(job_id, now_s)
+            if now_s - ended_at_s < KEEP_ENDED_S:
+                continue
+            del self._ended_at_s[job_id]
+            for number in job.occurrences:
+                key = cell_records.progress_key(job_id, number)
+                records.append((key, None))
+            records.append((cell_records.CANCELLATION + job_id, None))
+            records.append((cell_records.SUBMISSION + job_id, None))
+            if len(records) >= MAX_DROPPED:
+                break
+        return records
+
+    def write_pairs(self) -> Records:
+        """Give what is known of images that disturb each other."""
+        pairs = self._leader.disturbances.all_pairs()
+        if not pairs:
+            return []
+        record = cell_records.KnownPairs(pairs)
+        return [(cell_records.PAIRS, cell_records.encode(record))]
--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -148,8 +148,6 @@
             self._append.cancel()
         self._mailbox.close()
 
-    # Records --------------------------------------------------------------
-
     def _on_record(self, key: str, record: CellRecord | None) -> None:
         if self.leader is None or record is None:
             return
@@ -176,8 +174,6 @@
         if self._watch.should_take_over(now_s) and not self._stopping:
             self._wake.set()
 
-    # Leading --------------------------------------------------------------
-
     async def _take_over(self) -> None:
         now_s = steady_s()
         if now_s - self._tried_at_s < TAKE_OVER_EVERY_S:
@@ -246,8 +242,6 @@
         )
         self._step_down("the entry stops")
 
-    # Rounds ---------------------------------------------------------------
-
     async def _run_rounds(self) -> None:
         while True:
             with contextlib.suppress(TimeoutError):
@@ -292,9 +286,10 @@
             )
         if now_s - self._pairs_kept_at_s > KEEP_PAIRS_EVERY_S:
             self._pairs_kept_at_s = now_s
-            leader.write_pairs(batch)
-            dropped = leader.drop_forgotten(self.view, now_s)
-            batch.records.extend(dropped.records)
+            batch.records.extend(leader.upkeep.write_pairs())
+            batch.records.extend(
+                leader.upkeep.drop_forgotten(self.view, now_s)
+            )
         if not batch.records:
             if batch.noted:
                 leader.commit(batch)
@@ -326,7 +321,7 @@
             question = None
             now_s = steady_s()
             if leader is not None and adviser is not None:
-                question = leader.next_question(now_s, wall_ms())
+                question = leader.questions.next_question(now_s, wall_ms())
             if leader is None or adviser is None or question is None:
                 await asyncio.sleep(ADVICE_PAUSE_S)
                 continue
@@ -339,7 +334,7 @@
             except YuccapointError as error:
                 self.logs.say("place", "no advice", error=str(error))
                 await asyncio.sleep(ADVICE_PAUSE_S)
-            leader.on_advice(step, lives, tickets, now_s)
+            leader.questions.on_advice(step, lives, tickets, now_s)
             self._wake.set()
 
     def _on_message(self, message: CellMessage) -> None:
--- a/tests/features/steps/cell_leader_steps.py
+++ b/tests/features/steps/cell_leader_steps.py
@@ -87,11 +87,11 @@
 
 @when('the adviser allows "{vm}" with ticket "{ticket}"')
 def allow(context: Context, vm: str, ticket: str) -> None:
-    question = context.leader.next_question(context.now_s, WALL_MS)
+    question = context.leader.questions.next_question(context.now_s, WALL_MS)
     assert question is not None
     step, lives = question
     tickets = {f"i-{vm}": ticket}
-    context.leader.on_advice(step, lives, tickets, context.now_s)
+    context.leader.questions.on_advice(step, lives, tickets, context.now_s)
 
 
 @when("{seconds:d} s pass")
@@ -109,20 +109,24 @@
 
 @when("the leader asks the adviser")
 def ask(context: Context) -> None:
-    context.question = context.leader.next_question(context.now_s, WALL_MS)
+    context.question = context.leader.questions.next_question(
+        context.now_s, WALL_MS
+    )
     assert len(context.question[1]) == len(context.leader.vms)
 
 
 @then("a second question names no worker")
 def no_second(context: Context) -> None:
-    assert context.leader.next_question(context.now_s, WALL_MS) is None
+    assert (
+        context.leader.questions.next_question(context.now_s, WALL_MS) is None
+    )
 
 
 @then("after a lost answer the same workers are asked again")
 def ask_again(context: Context) -> None:
     step, lives = context.question
-    context.leader.on_advice(step, lives, None, context.now_s)
-    again = context.leader.next_question(context.now_s, WALL_MS)
+    context.leader.questions.on_advice(step, lives, None, context.now_s)
+    again = context.leader.questions.next_question(context.now_s, WALL_MS)
     assert again is not None
     assert set(again[1]) == set(lives)
 
@@ -160,14 +164,16 @@
 @when("the leader drops what is forgotten at {first:d} s and at {then:d} s")
 def drop_twice(context: Context, first: int, then: int) -> None:
     for now_s in (first, then):
-        batch = context.leader.drop_forgotten(context.view, float(now_s))
-        context.dropped.extend(batch.records)
+        context.dropped.extend(
+            context.leader.upkeep.drop_forgotten(context.view, float(now_s))
+        )
 
 
 @when("the leader drops what is forgotten at {now_s:d} s")
 def drop_once(context: Context, now_s: int) -> None:
-    batch = context.leader.drop_forgotten(context.view, float(now_s))
-    context.dropped.extend(batch.records)
+    context.dropped.extend(
+        context.leader.upkeep.drop_forgotten(context.view, float(now_s))
+    )
 
 
 @then("no key was dropped")
