--- /dev/null
+++ b/src/yuccapoint_standins/platform_store.py
@@ -0,0 +1,202 @@
+"""A stand-in for the users' store: one topic, one partition each."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import struct
+from typing import Any
+
+import msgspec
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPServerRequest
+from tornado.httputil import ResponseStartLine
+from tornado.iostream import StreamClosedError
+
+HEAD = struct.Struct(">QQ")
+LENGTH = struct.Struct(">I")
+PAGE = 500
+
+
+class PlatformPartition:
+    """The records of one topic's first partition."""
+
+    def __init__(self) -> None:
+        self.records: list[bytes] = []
+        self.first_offset = 0
+        self.epochs: dict[str, tuple[int, int]] = {}
+        self.grown = asyncio.Event()
+
+    @property
+    def end_offset(self) -> int:
+        """The offset that the next record gets."""
+        return self.first_offset + len(self.records)
+
+    def append(self, records: list[bytes]) -> int:
+        """Append records and give the first one's offset."""
+        offset = self.end_offset
+        self.records.extend(records)
+        self.grown.set()
+        self.grown = asyncio.Event()
+        return offset
+
+
+class PlatformStore:
+    """Serves appends, reads and newest records over HTTP.
+
+    Attributes
+    ----------
+    refuse : bool
+        Whether all calls are answered with 503.
+    lose_answers : bool
+        Whether appends are done and not answered.
+    """
+
+    def __init__(self) -> None:
+        self.refuse = False
+        self.lose_answers = False
+        self.appends = 0
+        self._topics: dict[str, PlatformPartition] = {}
+        self._newest: dict[str, dict[str, tuple[int, bytes]]] = {}
+        self._server = HTTPServer(self._on_request)
+
+    def listen(self, address: str) -> None:
+        """Listen on an address."""
+        host, _, port = address.rpartition(":")
+        self._server.listen(int(port), host)
+
+    def stop(self) -> None:
+        """Stop listening."""
+        self._server.stop()
+
+    def put(self, topic: str, key: str, value: bytes) -> None:
+        """Write a record as the operator does."""
+        content = bytes((len(key),)) + key.encode() + value
+        self._append(topic, [content])
+
+    def forget_history(self, topic: str) -> None:
+        """Drop all but the newest record of each key."""
+        partition = self._partition(topic)
+        partition.first_offset = partition.end_offset
+        partition.records.clear()
+
+    def _partition(self, topic: str) -> PlatformPartition:
+        return self._topics.setdefault(topic, PlatformPartition())
+
+    def _append(self, topic: str, contents: list[bytes]) -> int:
+        offset = self._partition(topic).append(contents)
+        newest = self._newest.setdefault(topic, {})
+        for number, content in enumerate(contents):
+            size = content[0]
+            key = content[1 : 1 + size].decode()
+            value = content[1 + size :]
+            if value:
+                newest[key] = (offset + number, value)
+            else:
+                newest.pop(key, None)
+        return offset
+
+    def _on_request(self, request: HTTPServerRequest) -> None:
+        asyncio.ensure_future(self._serve(request))
+
+    async def _serve(self, request: HTTPServerRequest) -> None:
+        call = request.path.rpartition("/")[2]
+        query = {k: v[0].decode() for k, v in request.arguments.items()}
+        if self.refuse:
+            self._answer(request, 503, b"")
+            return
+        if call == "log-append":
+            status, body = self._serve_append(query, request.body)
+            if self.lose_answers:
+                if request.connection is not None:
+                    request.connection.detach().close()  # type: ignore[attr-defined]
+                return
+            self._answer(request, status, body)
+            return
+        if call == "log-read":
+            status, body = await self._serve_read(query)
+            self._answer(request, status, body)
+            return
+        if call == "log-newest":
+            self._answer(request, 200, self._serve_newest(query))
+            return
+        self._answer(request, 404, b"")
+
+    def _serve_append(
+        self, query: dict[str, str], body: bytes
+    ) -> tuple[int, bytes]:
+        self.appends += 1
+        partition = self._partition(query["Topic"])
+        writer = query.get("Producer")
+        if writer is not None:
+            epoch, sequence = int(query["epoch"]), int(query["Seq"])
+            held = partition.epochs.get(writer, (0, 0))
+            if epoch < held[0]:
+                return 409, _encode({"Reason": "fenced"})
+            if epoch == held[0] and sequence == held[1]:
+                return 200, _encode({"Offset": partition.end_offset})
+            if epoch == held[0] and sequence != held[1] + 1:
+                return 409, _encode({"Reason": "seq", "Seq": held[1] + 1})
+            partition.epochs[writer] = (epoch, sequence)
+        contents = []
+        position = 0
+        while position < len(body):
+            (size,) = LENGTH.unpack_from(body, position)
+            position += LENGTH.size
+            contents.append(body[position : position + size])
+            position += size
+        offset = self._append(query["Topic"], contents)
+        return 200, _encode({"Offset": offset})
+
+    async def _serve_read(self, query: dict[str, str]) -> tuple[int, bytes]:
+        partition = self._partition(query["Topic"])
+        start = int(query["From"])
+        if start < partition.first_offset:
+            return 410, _encode({"FirstOffset": partition.first_offset})
+        if start >= partition.end_offset:
+            wait_s = int(query.get("WaitMs", "0")) / 1000
+            waiter = asyncio.ensure_future(partition.grown.wait())
+            await asyncio.wait([waiter], timeout=wait_s)
+            waiter.cancel()
+        parts = [HEAD.pack(partition.end_offset, partition.first_offset)]
+        for content in partition.records[start - partition.first_offset :]:
+            parts.append(LENGTH.pack(len(content)) + content)
+        return 200, b"".join(parts)
+
+    def _serve_newest(self, query: dict[str, str]) -> bytes:
+        topic = query["Topic"]
+        after = query.get("DependsOn", "")
+        newest = self._newest.get(topic, {})
+        keys = sorted(key for key in newest if key > after)
+        items = [
+            {
+                "Key": key,
+                "Value": base64.b64encode(newest[key][1]).decode(),
+                "Offset": newest[key][0],
+            }
+            for key in keys[:PAGE]
+        ]
+        page = {
+            "items": items,
+            "HasMore": len(keys) > PAGE,
+            "EndOffset": self._partition(topic).end_offset,
+        }
+        return _encode(page)
+
+    def _answer(
+        self, request: HTTPServerRequest, status: int, body: bytes
+    ) -> None:
+        start = ResponseStartLine("HTTP/1.1", status, "")
+        headers = HTTPHeaders({"Content-Length": str(len(body))})
+        if request.connection is None:
+            return
+        try:
+            request.connection.write_headers(start, headers, body)
+            request.connection.finish()
+        except StreamClosedError:
+            return
+
+
+def _encode(value: Any) -> bytes:
+    return msgspec.json.encode(value)
--- /dev/null
+++ b/tests/features/steps/platform_path_steps.py
@@ -0,0 +1,378 @@
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from typing import TYPE_CHECKING
+
+from behave import given
+from behave import then
+from behave import when
+import msgspec
+
+from yuccapoint.connection.kept_client import KeptClient
+from yuccapoint.platform.check_ins import CheckIns
+from yuccapoint.platform.config_feed import ConfigFeed
+from yuccapoint.platform.front import Front
+from yuccapoint.platform.store import StorePartition
+from yuccapoint.platform.worker import WorkerClient
+from yuccapoint.process.cell_agent_process import CellAgentProcess
+from yuccapoint.process.cell_entry_process import CellEntryProcess
+from yuccapoint.process.logs import Logs
+from yuccapoint.process.metrics import Metrics
+from yuccapoint_standins.platform_store import PlatformStore
+from yuccapoint_standins.platform_worker import PlatformWorker
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+# What the client that is used here sends as its host.
+HOST = "127.0.0.1"
+JOB_ID = "00000000000000cc"
+RUN_S = 0.4
+
+
+def free_address() -> str:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def config(version: int, *, routes: bool = True) -> bytes:
+    route = {
+        "Name": "q",
+        "Host": HOST,
+        "PathPrefix": "/q/",
+        "Service": "pool",
+        "MaxAttempts": 2,
+        "SloFactor": 2.0,
+        "SloMs": 1000,
+    }
+    body = {"Version": version, "Routes": [route] if routes else []}
+    return msgspec.json.encode(body)
+
+
+class Deployment:
+    """Entries, agents and workers in one loop, on loopback."""
+
+    def __init__(self, entries: int, vms: int) -> None:
+        self.store = PlatformStore()
+        self.store_address = free_address()
+        self.store.listen(self.store_address)
+        self.store.put("keyed.op", "config", config(2))
+        self.fronts: list[str] = []
+        self.entries: list[CellEntryProcess] = []
+        self.agents: list[CellAgentProcess] = []
+        self.agent_addresses: list[str] = []
+        self.control: list[str] = []
+        self.workers: list[PlatformWorker] = []
+        self._helpers: list[asyncio.Task[None]] = []
+        self._servers: list[object] = []
+        for number in range(entries):
+            self._add_entry(number)
+        for number in range(vms):
+            self._add_vm(number)
+
+    def partition(self, topic: str) -> StorePartition:
+        return StorePartition(KeptClient(self.store_address), topic, 0)
+
+    def _add_entry(self, number: int) -> None:
+        name = f"entry-{number}"
+        entry = CellEntryProcess(
+            name,
+            free_address(),
+            self.partition("cell"),
+            Logs(name),
+            Metrics(),
+        )
+        front = Front(entry.desk)
+        address = free_address()
+        front.listen(address, address)
+        feed = ConfigFeed(self.partition("op"), entry.desk.install, Logs(name))
+        entry.start()
+        self._helpers.append(asyncio.ensure_future(feed.run()))
+        self._servers.append(front)
+        self.entries.append(entry)
+        self.fronts.append(address)
+
+    def _add_vm(self, number: int) -> None:
+        vm = f"vm-{number}"
+        control = free_address()
+        self.control.append(control)
+        self.agent_addresses.append(free_address())
+        self.agents.append(self.start_agent(number))
+        check_ins = CheckIns(
+            vm,
+            lambda check_in: self.agents[number].on_check_in(check_in),
+            lambda worker_id: self.agents[number].on_leave(worker_id),
+            lambda text: self.agents[number].on_damaged(text),
+        )
+        check_ins.listen(control)
+        self._servers.append(check_ins)
+        worker = PlatformWorker(
+            f"i-{number}", "pool", free_address(), control, RUN_S
+        )
+        worker.start()
+        self.workers.append(worker)
+
+    def start_agent(self, number: int) -> CellAgentProcess:
+        vm = f"vm-{number}"
+        agent = CellAgentProcess(
+            vm,
+            self.agent_addresses[number],
+            self.partition("cell"),
+            WorkerClient,
+            Logs(vm),
+            Metrics(),
+        )
+        agent.start()
+        return agent
+
+    def leader(self) -> CellEntryProcess | None:
+        for entry in self.entries:
+            if entry.leader is not None:
+                return entry
+        return None
+
+    def kill(self, entry: CellEntryProcess) -> None:
+        entry.leader = None
+        for task in entry._tasks:
+            task.cancel()
+        entry._mailbox.close()
+
+    def close(self) -> None:
+        for entry in self.entries:
+            self.kill(entry)
+        for agent in self.agents:
+            for task in agent._tasks:
+                task.cancel()
+            agent._mailbox.close()
+        for worker in self.workers:
+            worker.stop()
+        for helper in self._helpers:
+            helper.cancel()
+        for server in self._servers:
+            if isinstance(server, Front):
+                server.stop_listening()
+            else:
+                server.stop()
+        self.store.stop()
+
+
+def run(context: Context, job):
+    return context.loop.run_until_complete(asyncio.wait_for(job, 30))
+
+
+async def until(check, seconds: float) -> bool:
+    end_s = time.monotonic() + seconds
+    while time.monotonic() < end_s:
+        if check():
+            return True
+        await asyncio.sleep(0.02)
+    return False
+
+
+async def call(context: Context, entry: int, method: str, path: str, body):
+    client = KeptClient(context.deployment.fronts[entry])
+    began_s = time.monotonic()
+    context.answer = await client.call(method, path, body, timeout_s=6.0)
+    context.took_s = time.monotonic() - began_s
+    client.close()
+    return context.answer
+
+
+def job_body(steps: int, tasks: int, **more) -> bytes:
+    listed = [
+        {
+            "Count": tasks,
+            "Cpu": 500,
+            "MemMb": 64,
+            "EstimateMs": 400,
+            **({"DependsOn": [number - 1]} if number else {}),
+            **more,
+        }
+        for number in range(steps)
+    ]
+    return msgspec.json.encode({"Spec": "work", "Steps": listed})
+
+
+@given("a platform with {entries:d} entries and {vms:d} VMs")
+def make_platform(context: Context, entries: int, vms: int) -> None:
+    async def start() -> None:
+        context.deployment = Deployment(entries, vms)
+        context.cleanups.append(context.deployment.close)
+
+        def ready() -> bool:
+            leader = context.deployment.leader()
+            if leader is None or leader.leader is None:
+                return False
+            known = leader.leader.vms.values()
+            looked = sum(vm.looked for vm in known)
+            return looked == vms and all(
+                entry.desk.ready for entry in context.deployment.entries
+            )
+
+        assert await until(ready, 10)
+
+    run(context, start())
+
+
+@when("a caller submits a job of {steps:d} steps with {tasks:d} tasks each")
+def submit(context: Context, steps: int, tasks: int) -> None:
+    context.body = job_body(steps, tasks)
+    run(context, call(context, 0, "POST", f"/q/{JOB_ID}", context.body))
+
+
+@when("a caller submits a job that lasts")
+def submit_lasting(context: Context) -> None:
+    context.body = job_body(1, 1, Persistent=True)
+    run(context, call(context, 0, "POST", f"/q/{JOB_ID}", context.body))
+
+
+@when("the same job comes again at the other entry")
+def submit_again(context: Context) -> None:
+    run(context, call(context, 1, "POST", f"/q/{JOB_ID}", context.body))
+
+
+@when("the caller cancels it at the other entry")
+def cancel(context: Context) -> None:
+    run(context, call(context, 1, "DELETE", f"/q/{JOB_ID}", b""))
+
+
+@when("the leading entry is killed")
+def kill_leader(context: Context) -> None:
+    async def kill() -> None:
+        await asyncio.sleep(0.2)
+        leader = context.deployment.leader()
+        context.left = 1 - context.deployment.entries.index(leader)
+        context.deployment.kill(leader)
+
+    run(context, kill())
+
+
+@when("each agent is started anew")
+def restart_agents(context: Context) -> None:
+    async def restart() -> None:
+        await asyncio.sleep(0.2)
+        for number, agent in enumerate(context.deployment.agents):
+            await agent.stop()
+            await asyncio.sleep(0.05)
+            fresh = context.deployment.start_agent(number)
+            context.deployment.agents[number] = fresh
+
+    run(context, restart())
+
+
+@when("the store refuses all calls")
+def refuse(context: Context) -> None:
+    context.deployment.store.refuse = True
+
+
+@when("the answers of the store get lost")
+def lose(context: Context) -> None:
+    context.deployment.store.lose_answers = True
+
+
+@when("the store forgets its history")
+def forget(context: Context) -> None:
+    context.deployment.store.forget_history("keyed.cell")
+
+
+@when('a caller sends {method} "{path}" with "{body}"')
+def send(context: Context, method: str, path: str, body: str) -> None:
+    run(context, call(context, 0, method, path, body.encode()))
+
+
+@when('a caller sends {method} "{path}" with ""')
+def send_empty(context: Context, method: str, path: str) -> None:
+    run(context, call(context, 0, method, path, b""))
+
+
+@when("another writer leaves damaged records in the store")
+def damage(context: Context) -> None:
+    store = context.deployment.store
+    for key in ("s:xx", "leader", "p:1.0", "nothing known", "m:vm-9"):
+        store.put("keyed.cell", key, b"\xc1 no record")
+    store.put("keyed.op", "config", b"no config")
+
+
+@when('a worker\'s check-in is "{first}" and then "{second}"')
+def bad_check_in(context: Context, first: str, second: str) -> None:
+    async def put() -> None:
+        client = KeptClient(context.deployment.control[0])
+        for body in (first, second):
+            answer = await client.call(
+                "PUT",
+                "/yuccapoint/instances/i-0",
+                body.encode(),
+                timeout_s=2.0,
+            )
+            assert answer.status == 400, answer.status
+        client.close()
+
+    run(context, put())
+
+
+@when(
+    "the operator writes version {first:d}"
+    " and then version {second:d} without routes"
+)
+def lower_version(context: Context, first: int, second: int) -> None:
+    async def write() -> None:
+        store = context.deployment.store
+        store.put("keyed.op", "config", config(first))
+        await asyncio.sleep(0.3)
+        store.put("keyed.op", "config", config(second, routes=False))
+        await asyncio.sleep(0.3)
+
+    run(context, write())
+
+
+@then("the answer is {status:d}")
+def check_status(context: Context, status: int) -> None:
+    assert context.answer.status == status, context.answer.status
+
+
+@then(
+    "the answer is {status:d} with a time to come back, within {seconds:d} s"
+)
+def check_refusal(context: Context, status: int, seconds: int) -> None:
+    assert context.answer.status == status, context.answer.status
+    assert int(context.answer.headers["Retry-After"]) > 0
+    assert context.took_s < seconds, context.took_s
+
+
+async def wait_for_state(
+    context: Context, entry: int, state: str, seconds: float
+) -> None:
+    end_s = time.monotonic() + seconds
+    seen = b""
+    while time.monotonic() < end_s:
+        answer = await call(context, entry, "GET", f"/q/{JOB_ID}", b"")
+        seen = answer.body
+        wanted = msgspec.json.encode({"State": state})
+        if answer.status == 200 and seen == wanted:
+            return
+        await asyncio.sleep(0.1)
+    raise AssertionError((entry, seen))
+
+
+@then('the job is "{state}" within {seconds:d} s at each entry')
+def state_everywhere(context: Context, state: str, seconds: int) -> None:
+    for entry in range(len(context.deployment.entries)):
+        run(context, wait_for_state(context, entry, state, seconds))
+
+
+@then('the job is "{state}" within {seconds:d} s at the entry that is left')
+def state_left(context: Context, state: str, seconds: int) -> None:
+    run(context, wait_for_state(context, context.left, state, seconds))
+
+
+@then("each of its {count:d} tasks was started once, the first step first")
+def started_once(context: Context, count: int) -> None:
+    started = [
+        task
+        for worker in context.deployment.workers
+        for task, _ in worker.started
+    ]
+    assert len(started) == len(set(started)) == count, started
