--- /dev/null
+++ b/tests/features/steps/cell_colocation_steps.py
@@ -0,0 +1,196 @@
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from behave import given
+from behave import then
+from behave import when
+from cell_leader_steps import add_job
+from cell_leader_steps import hear
+from cell_leader_steps import make_leader
+from cell_leader_steps import report
+
+from yuccapoint.cell.cell_messages import RunningTask
+from yuccapoint.cell.cell_messages import TaskTraits
+from yuccapoint.cell.pace_guard import PaceGuard
+from yuccapoint.cell.progress import Phase
+from yuccapoint.cell.step_spec import StepSpec
+from yuccapoint.job.interference.pair_report import PairEstimate
+from yuccapoint.job.size import Size
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+VM_MILLICORES = 8_000
+TARGET_MS = 18
+WALL_MS = 1_000_000
+SERVICE = "a" * 16
+
+
+def _look(context: Context, tail_ms: float, images: list[str]) -> None:
+    running = [RunningTask("service", 1, "", 100, tail_ms)]
+    traits = {"service": TaskTraits("service", "svc", 2_000, TARGET_MS, False)}
+    for image in images:
+        running.append(RunningTask(image, 1, "", 10, 1_000.0))
+        traits[image] = TaskTraits(image, image, 1_000, 0, True)
+    context.now_s += 1.0
+    changes = context.guard.on_look(
+        tuple(running), traits, VM_MILLICORES, context.now_s
+    )
+    context.paces.update({task: percent for task, _, percent in changes})
+    context.sent.extend(changes)
+
+
+@given(
+    'a guard that knows "{one}" adds {first:g} and "{other}" adds {second:g}'
+)
+def make_guard(
+    context: Context, one: str, first: float, other: str, second: float
+) -> None:
+    context.guard = PaceGuard()
+    context.guard.take_pairs(
+        (
+            PairEstimate("svc", one, first, 0.02, 20.0),
+            PairEstimate("svc", other, second, 0.02, 20.0),
+        )
+    )
+    context.now_s = 10.0
+    context.paces = {}
+    context.sent = []
+
+
+@when(
+    "a service has a tail of {tail:d} ms of {target:d}"
+    ' beside "{one}" and "{other}"'
+)
+def serve(
+    context: Context, tail: int, target: int, one: str, other: str
+) -> None:
+    assert target == TARGET_MS
+    # The least tail shows what the service needs alone.
+    _look(context, 5.0, [])
+    _look(context, float(tail), [one, other])
+
+
+@then('"{image}" is paced below {percent:d} percent')
+def paced(context: Context, image: str, percent: int) -> None:
+    assert context.paces.get(image, 100) < percent, context.paces
+
+
+@then('"{image}" is not paced')
+def not_paced(context: Context, image: str) -> None:
+    assert context.paces.get(image, 100) == 100, context.paces
+
+
+@then('a further run of "{image}" starts paced below {percent:d} percent')
+def starts_paced(context: Context, image: str, percent: int) -> None:
+    traits = TaskTraits("further", image, 1_000, 0, True)
+    given_percent = context.guard.on_start("further", 1, traits, VM_MILLICORES)
+    assert given_percent is not None
+    assert given_percent < percent, given_percent
+
+
+@then("a pace of {percent:d} percent was sent for each filling run")
+def paces_sent(context: Context, percent: int) -> None:
+    seen = {task: p for task, _, p in context.sent}
+    assert seen == {"heavy": percent, "light": percent}, seen
+
+
+@given("a leader with {vms:d} VMs and a service on each")
+def service_on_each(context: Context, vms: int) -> None:
+    context.leader = make_leader(vms)
+    context.now_s = 10.0
+    context.sequence = 100
+    step = StepSpec(
+        vms,
+        Size(2_000, 2**20, 0),
+        lasting=True,
+        image="svc",
+        target_ms=18,
+        max_per_vm=1,
+    )
+    add_job(context.leader, SERVICE, step)
+    for number, image in enumerate(("heavy", "light")):
+        filling = StepSpec(
+            1, Size(1_000, 2**20, 0), 60_000, filling=True, image=image
+        )
+        add_job(context.leader, str(number) * 16, filling)
+    context.leader.tick(context.now_s, WALL_MS)
+    # The filling tasks stand where the scenario wants them.
+    for number, vm in (("0", "vm-1"), ("1", "vm-0")):
+        task = context.leader.find_task(f"{number * 16}.0.0.0")
+        for ledger in context.leader.vms.values():
+            ledger.claims.pop(task.task_id, None)
+        ledger = context.leader.vms[vm]
+        task.claim(ledger.life, 1)
+        ledger.claims[task.task_id] = task
+    context.leader.commit(context.leader.take_batch())
+
+
+@when(
+    'for {seconds:d} s the service swings and is disturbed on "{vm}"'
+    ' by "{image}"'
+)
+def swing(context: Context, seconds: int, vm: str, image: str) -> None:
+    del image
+    for tick in range(seconds):
+        load = 0.4 + 0.2 * math.sin(tick / 1.6)
+        for name, ledger in context.leader.vms.items():
+            own = load + (0.2 if name == vm else 0.0)
+            running = []
+            for task in ledger.claims.values():
+                spec = task.step.spec
+                tail = 1_000.0 if spec.filling else 4.0 / (1.0 - own)
+                running.append(
+                    RunningTask(task.task_id, task.run, "", 100, tail)
+                )
+            # Reports of the VMs come one after the other.
+            context.now_s += 0.25
+            context.sequence += 1
+            hear(
+                context.leader,
+                report(name, context.sequence, running=tuple(running)),
+                context.now_s,
+            )
+
+
+@then(
+    '"{heavy}" is known to add at least {least:g}'
+    ' and "{light}" at most {most:g}'
+)
+def known(
+    context: Context, heavy: str, least: float, light: str, most: float
+) -> None:
+    watch = context.leader.disturbances
+    assert watch.expected("svc", heavy) >= least, watch.known_pairs("svc")
+    assert watch.expected("svc", light) <= most, watch.known_pairs("svc")
+
+
+@when('the service leaves "{vm}"')
+def service_leaves(context: Context, vm: str) -> None:
+    ledger = context.leader.vms[vm]
+    for task in list(ledger.claims.values()):
+        if task.step.spec.target_ms:
+            del ledger.claims[task.task_id]
+            task.release("", context.now_s)
+            task.not_before_s = context.now_s + 60
+
+
+@when('a job of {tasks:d} filling tasks "{image}" comes')
+def filling_job(context: Context, tasks: int, image: str) -> None:
+    context.job_id = "f" * 16
+    step = StepSpec(
+        tasks, Size(1_000, 2**20, 0), 2_000, filling=True, image=image
+    )
+    add_job(context.leader, context.job_id, step)
+    context.leader.tick(context.now_s, WALL_MS)
+
+
+@then('all its tasks are claimed on "{vm}"')
+def claimed_on(context: Context, vm: str) -> None:
+    job = context.leader.jobs[context.job_id]
+    tasks = job.occurrences[0].tasks
+    phases = [task.phase for task in tasks]
+    assert phases == [Phase.CLAIMED] * len(tasks), phases
+    assert {task.life.vm for task in tasks} == {vm}, tasks
--- a/tests/features/steps/cell_leader_steps.py
+++ b/tests/features/steps/cell_leader_steps.py
@@ -55,11 +55,17 @@
     return VmReport(**{**fields, **changes})
 
 
+def hear(leader: CellLeader, message: VmReport, now_s: float) -> None:
+    """Take a report and answer it with a lease, as a round does."""
+    leader.on_report(message, now_s)
+    leader.take_orders(now_s, may_grant=True)
+
+
 def make_leader(vms: int) -> CellLeader:
     leader = CellLeader("e-0", "e-0", 1, 0.0)
     for number in range(vms):
         leader.on_member(Member(f"vm-{number}", f"vm-{number}", 1))
-        leader.on_report(report(f"vm-{number}", 1), 10.0)
+        hear(leader, report(f"vm-{number}", 1), 10.0)
     return leader
 
 
@@ -98,7 +104,7 @@
 def time_passes(context: Context, seconds: int) -> None:
     context.now_s += seconds
     for number, vm in enumerate(context.leader.vms):
-        context.leader.on_report(report(vm, 2 + number), context.now_s)
+        hear(context.leader, report(vm, 2 + number), context.now_s)
 
 
 @when("the leader plans")
--- /dev/null
+++ b/tests/features/steps/cell_waiting_steps.py
@@ -0,0 +1,154 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from behave import given
+from behave import then
+from behave import when
+from cell_leader_steps import add_job
+from cell_leader_steps import hear
+from cell_leader_steps import make_leader
+from cell_leader_steps import report
+
+from yuccapoint.cell.cell_messages import RefusedRun
+from yuccapoint.cell.step_spec import StepSpec
+from yuccapoint.cell.submission import Submission
+from yuccapoint.cell.vm_ledger import MAX_QUARANTINE_S
+from yuccapoint.cell.vm_ledger import QUARANTINE_S
+from yuccapoint.job.size import Size
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+ONE = Size(1_000, 2**20, 0)
+
+
+def _job_id(name: str) -> str:
+    return name.ljust(16, "0")
+
+
+def _claims(context: Context) -> list[tuple[str, int, str]]:
+    return [
+        (task.task_id, task.run, vm.name)
+        for vm in context.leader.vms.values()
+        for task in vm.claims.values()
+    ]
+
+
+@given("a leader with {vms:d} VMs of {processors:d} processors")
+def leader(context: Context, vms: int, processors: int) -> None:
+    assert processors == 8
+    context.leader = make_leader(vms)
+    context.now_s = 10.0
+
+
+@when('a job "{name}" comes that is late already')
+def late_job(context: Context, name: str) -> None:
+    step = StepSpec(2, ONE, 1_000)
+    job = add_job(context.leader, _job_id(name), step, objective_ms=100)
+    run = context.leader.jobs.pop(job.job_id)
+    fields = {f: getattr(job, f) for f in Submission.__struct_fields__}
+    fields["accepted_at_ms"] = job.accepted_at_ms - 2_500
+    run.submission = Submission(**fields)
+    context.leader.jobs[job.job_id] = run
+
+
+@when(
+    'a large job "{large}" and a small job "{small}" come that can be in time'
+)
+def two_jobs(context: Context, large: str, small: str) -> None:
+    for name, tasks in ((large, 3), (small, 1)):
+        step = StepSpec(tasks, ONE, 1_000)
+        add_job(
+            context.leader,
+            _job_id(name),
+            step,
+            objective_ms=60_000,
+            priority=2,
+        )
+
+
+@when('an urgent job "{name}" comes')
+def urgent_job(context: Context, name: str) -> None:
+    step = StepSpec(4, ONE, 1_000)
+    add_job(context.leader, _job_id(name), step, objective_ms=60_000)
+
+
+@when("{jobs:d} jobs of {tasks:d} filling tasks come")
+def filling_jobs(context: Context, jobs: int, tasks: int) -> None:
+    for number in range(jobs):
+        step = StepSpec(
+            tasks, Size(4_000, 2**20, 0), 5_000, filling=True, image="f"
+        )
+        add_job(context.leader, _job_id(f"f{number}"), step)
+
+
+@given('the VM has failed jobs "{names}" and its quarantine is over')
+def after_quarantine(context: Context, names: str) -> None:
+    vm = context.leader.vms["vm-0"]
+    for name in names.split():
+        vm.blame(name, context.now_s)
+    assert not vm.is_open(context.now_s)
+    context.now_s += QUARANTINE_S + 0.1
+    hear(context.leader, report("vm-0", 5), context.now_s)
+    assert vm.is_open(context.now_s)
+
+
+@when("a lasting job comes")
+def lasting_job(context: Context) -> None:
+    add_job(context.leader, _job_id("ll"), StepSpec(1, ONE, lasting=True))
+
+
+@when("{seconds:d} s pass for the VM")
+def pass_time(context: Context, seconds: int) -> None:
+    assert seconds < MAX_QUARANTINE_S
+    context.now_s += seconds
+    hear(context.leader, report("vm-0", 9), context.now_s)
+
+
+@when('"{vm}" refuses all its starts for want of room')
+def refuse(context: Context, vm: str) -> None:
+    refused = tuple(
+        RefusedRun(task.task_id, task.run, "room")
+        for task in context.leader.vms[vm].claims.values()
+    )
+    hear(context.leader, report(vm, 7, refused=refused), context.now_s)
+
+
+@when("a gang of {tasks:d} tasks of 1 processor comes")
+def gang(context: Context, tasks: int) -> None:
+    step = StepSpec(tasks, ONE, 1_000, gang=True)
+    add_job(context.leader, _job_id(f"{tasks:02d}"), step)
+
+
+@then('the tasks were claimed in the order "{names}"')
+def order(context: Context, names: str) -> None:
+    seen = list(
+        dict.fromkeys(task_id[:2] for task_id, _, _ in _claims(context))
+    )
+    assert seen == names.split(), seen
+
+
+@then("each of the {jobs:d} jobs has a task claimed")
+def each_runs(context: Context, jobs: int) -> None:
+    seen = {task_id[:2] for task_id, _, _ in _claims(context)}
+    assert len(seen) == jobs, seen
+
+
+@then("{count:d} task is claimed")
+def count_claimed(context: Context, count: int) -> None:
+    assert len(_claims(context)) == count, _claims(context)
+
+
+@then('all tasks are claimed on "{vm}"')
+def all_on(context: Context, vm: str) -> None:
+    claims = _claims(context)
+    assert claims, context.leader.explanations[-1].text
+    assert {name for _, _, name in claims} == {vm}, claims
+
+
+@then("{count:d} tasks are claimed with the same run")
+def same_run(context: Context, count: int) -> None:
+    claims = _claims(context)
+    assert len(claims) == count, len(claims)
+    assert len({run for _, run, _ in claims}) == 1, claims
