--- a/src/yuccapoint/cell/claim_planner.py
+++ b/src/yuccapoint/cell/claim_planner.py
@@ -59,7 +59,6 @@
         wall_ms: int,
     ) -> None:
         self._advice = advice
-        self._disturbances = disturbances
         self._now_s = now_s
         self._wall_ms = wall_ms
         self._rooms: dict[str, list[VmRoom]] = {}
--- a/src/yuccapoint/platform/node_settings.py
+++ b/src/yuccapoint/platform/node_settings.py
@@ -73,11 +73,6 @@
         """Where control messages of other processes arrive."""
         return f"{self.ip}:{self.port_range[0]}"
 
-    @property
-    def metrics_port(self) -> int:
-        """Where the metrics are served on this VM."""
-        return self.port_range[1]
-
 
 def settings_path() -> pathlib.Path:
     """Give the path of the settings file.
--- a/src/yuccapoint/platform/roles.py
+++ b/src/yuccapoint/platform/roles.py
@@ -15,6 +15,7 @@
 from yuccapoint.platform.config_feed import ConfigFeed
 from yuccapoint.platform.node_settings import load_node_settings
 from yuccapoint.platform.node_settings import settings_path
+from yuccapoint.platform.operator_config import CONFIG_TOPIC
 from yuccapoint.platform.store import StorePartition
 from yuccapoint.process.log_output import LogOutput
 from yuccapoint.process.logs import Logs
@@ -28,8 +29,7 @@
     from yuccapoint.platform.node_settings import NodeSettings
 
 CELL_TOPIC = "cell"
-METRICS_PATH = "/metrics"
-# Port of the metrics; deploy/system.toml names it too.
+# Port of the metrics, on any path; deploy/system.toml names it too.
 METRICS_PORT = 9_611
 # The settings file is looked at this often, in seconds; it may change
 # without a signal.
@@ -138,7 +138,7 @@
     listen = settings.listen_addrs
     front.listen(listen.front, listen.ready)
     entry.start()
-    feed = ConfigFeed(role.store("op"), entry.desk.install, role.logs)
+    feed = ConfigFeed(role.store(CONFIG_TOPIC), entry.desk.install, role.logs)
     helpers = [
         asyncio.ensure_future(feed.run()),
         asyncio.ensure_future(role.watch_settings()),
--- a/src/yuccapoint_standins/platform_store.py
+++ b/src/yuccapoint_standins/platform_store.py
@@ -109,8 +109,7 @@
         if call == "log-append":
             status, body = self._serve_append(query, request.body)
             if self.lose_answers:
-                if request.connection is not None:
-                    request.connection.detach().close()  # type: ignore[attr-defined]
+                _cut(request)
                 return
             self._answer(request, status, body)
             return
@@ -198,5 +197,12 @@
             return
 
 
+def _cut(request: HTTPServerRequest) -> None:
+    """Close a connection without an answer."""
+    connection: Any = request.connection
+    if connection is not None:
+        connection.detach().close()
+
+
 def _encode(value: Any) -> bytes:
     return msgspec.json.encode(value)
