Let no cancellation get lost that meets a wake-up

Cause: asyncio.wait_for of Python 3.11 drops a cancellation that meets the end of what it waits for; a part of a stopped process then goes on, and a planned stop hangs. The new scenario fails with the old code and passes now.

--- a/src/yuccapoint/connection/kept_client.py
+++ b/src/yuccapoint/connection/kept_client.py
@@ -116,9 +116,8 @@
         kept = False
         try:
             left_s = max(0.001, deadline_s - time.monotonic())
-            answer, kept = await asyncio.wait_for(
-                self._exchange(stream, head + body), left_s
-            )
+            async with asyncio.timeout(left_s):
+                answer, kept = await self._exchange(stream, head + body)
         except (StreamClosedError, OSError, TimeoutError, ValueError) as error:
             raise AnswerLostError(
                 f"no answer from {self.address}: {error!r}"
@@ -147,9 +146,8 @@
             stream.close()
         left_s = max(0.001, deadline_s - now_s)
         try:
-            stream = await asyncio.wait_for(
-                self._tcp.connect(self._host, self._port), left_s
-            )
+            async with asyncio.timeout(left_s):
+                stream = await self._tcp.connect(self._host, self._port)
         except (OSError, TimeoutError, StreamClosedError) as error:
             raise NotSentError(
                 f"can't connect to {self.address}: {error!r}"
--- a/src/yuccapoint/process/cell_agent_process.py
+++ b/src/yuccapoint/process/cell_agent_process.py
@@ -165,7 +165,8 @@
     async def _run(self) -> None:
         while True:
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._wake.wait(), TICK_S)
+                async with asyncio.timeout(TICK_S):
+                    await self._wake.wait()
             self._wake.clear()
             now_s = steady_s()
             for call in self.keeper.take_calls(now_s):
@@ -226,7 +227,8 @@
             if request is None or self._worker is None:
                 self._look_wanted.clear()
                 with contextlib.suppress(TimeoutError):
-                    await asyncio.wait_for(self._look_wanted.wait(), 1.0)
+                    async with asyncio.timeout(1.0):
+                        await self._look_wanted.wait()
                 continue
             if not await self._look_once(self._worker, request):
                 await asyncio.sleep(LOOK_RETRY_S)
--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -141,7 +141,8 @@
         self.logs.say("entry", "stopping", leads=self.leader is not None)
         if self.leader is not None:
             with contextlib.suppress(YuccapointError, TimeoutError):
-                await asyncio.wait_for(self._resign(), RESIGN_TIMEOUT_S)
+                async with asyncio.timeout(RESIGN_TIMEOUT_S):
+                    await self._resign()
         for task in self._tasks:
             task.cancel()
         if self._append is not None:
@@ -185,10 +186,10 @@
         record = Leadership(term, self.name, self.incarnation)
         key = cell_records.LEADERSHIP
         try:
-            sent_at_s = await asyncio.wait_for(
-                writer.append([(key, cell_records.encode(record))]),
-                TAKE_OVER_TIMEOUT_S,
-            )
+            async with asyncio.timeout(TAKE_OVER_TIMEOUT_S):
+                sent_at_s = await writer.append(
+                    [(key, cell_records.encode(record))]
+                )
         except (YuccapointError, TimeoutError) as error:
             self.logs.say("leader", "not taken over", error=repr(error))
             return
@@ -245,7 +246,8 @@
     async def _run_rounds(self) -> None:
         while True:
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._wake.wait(), MAX_ROUND_S)
+                async with asyncio.timeout(MAX_ROUND_S):
+                    await self._wake.wait()
             self._wake.clear()
             if self._stopping:
                 return
--- /dev/null
+++ b/tests/features/platform/stopping.feature
@@ -0,0 +1,6 @@
+Feature: A planned stop ends at once, whatever happens meanwhile
+
+  Scenario: A stop that meets a wake-up is not lost
+    Given a platform with 2 entries and 2 VMs
+    When each entry and each agent is stopped 40 times as it wakes up
+    Then no part of any of them goes on
--- a/tests/features/steps/platform_path_steps.py
+++ b/tests/features/steps/platform_path_steps.py
@@ -376,3 +376,37 @@
         for task, _ in worker.started
     ]
     assert len(started) == len(set(started)) == count, started
+
+
+@when("each entry and each agent is stopped {times:d} times as it wakes up")
+def stop_at_wake_up(context: Context, times: int) -> None:
+    async def stop_all() -> list[asyncio.Task[None]]:
+        deployment = context.deployment
+        parts = [*deployment.entries, *deployment.agents]
+        left = []
+        for _ in range(times):
+            for part in parts:
+                loop = (
+                    part._run_rounds()
+                    if isinstance(part, CellEntryProcess)
+                    else part._run()
+                )
+                task = asyncio.ensure_future(loop)
+                await asyncio.sleep(0.001)
+                # The wake-up and the cancellation meet in one turn.
+                part._wake.set()
+                task.cancel()
+                await asyncio.sleep(0)
+                left.append(task)
+        await asyncio.wait(left, timeout=1.0)
+        return [task for task in left if not task.done()]
+
+    context.left = run(context, stop_all())
+
+
+@then("no part of any of them goes on")
+def nothing_left(context: Context) -> None:
+    stuck = len(context.left)
+    for task in context.left:
+        task.cancel()
+    assert not stuck, stuck
