Start nothing more of a cancelled schedule

Found by reading the diff: occurrences that were not due yet came after a cancellation and were started, and the job was never forgotten.

--- a/src/yuccapoint/cell/cell_leader.py
+++ b/src/yuccapoint/cell/cell_leader.py
@@ -111,6 +111,10 @@
         job = self.jobs.get(job_id)
         if job is None:
             return
+        # Occurrences that are not due yet never come.
+        job.cancelled = True
+        if not job.occurrences:
+            del self.jobs[job_id]
         for occurrence in job.occurrences.values():
             if occurrence.outcome is Outcome.OPEN:
                 self.end_occurrence(occurrence, Outcome.CANCELLED, now_s)
@@ -211,7 +215,7 @@
     def _ready_schedules(self, wall_ms: int) -> None:
         for job in self.jobs.values():
             submission = job.submission
-            if not submission.repeats:
+            if not submission.repeats or job.cancelled:
                 continue
             next_number = len(job.occurrences)
             while next_number < submission.repeats:
@@ -224,7 +228,7 @@
     def _stop_stuck(self, vm: VmLedger, now_s: float) -> None:
         if not vm.claims or now_s - vm.heard_at_s > lease_bounds.FRESH_S:
             return
-        for task in vm.claims.values():
+        for task in list(vm.claims.values()):
             spec = task.step.spec
             if spec.lasting or spec.filling or spec.gang or task.stopping:
                 continue
@@ -302,7 +306,8 @@
             job = self.jobs.get(job_id)
             if job is None:
                 continue
-            if len(job.occurrences) < job.submission.occurrences:
+            expected = job.submission.occurrences
+            if len(job.occurrences) < expected and not job.cancelled:
                 continue
             ended = all(
                 occurrence.outcome is not Outcome.OPEN
--- a/src/yuccapoint/cell/job_run.py
+++ b/src/yuccapoint/cell/job_run.py
@@ -236,10 +236,11 @@
 class JobRun:
     """A job that the cell's leader looks after."""
 
-    __slots__ = ("chain_ms", "occurrences", "submission")
+    __slots__ = ("cancelled", "chain_ms", "occurrences", "submission")
 
     def __init__(self, submission: Submission) -> None:
         self.submission = submission
+        self.cancelled = False
         self.occurrences: dict[int, OccurrenceRun] = {}
         self.chain_ms = _longest_chain_ms(submission)
 
--- a/tests/features/steps/cell_waiting_steps.py
+++ b/tests/features/steps/cell_waiting_steps.py
@@ -9,8 +9,11 @@
 from cell_leader_steps import hear
 from cell_leader_steps import make_leader
 from cell_leader_steps import report
+from cell_leader_steps import WALL_MS
 
 from yuccapoint.cell.cell_messages import RefusedRun
+from yuccapoint.cell.cell_view import JobView
+from yuccapoint.cell.queue_rules import QueueRules
 from yuccapoint.cell.step_spec import StepSpec
 from yuccapoint.cell.submission import Submission
 from yuccapoint.cell.vm_ledger import MAX_QUARANTINE_S
@@ -152,3 +155,36 @@
     claims = _claims(context)
     assert len(claims) == count, len(claims)
     assert len({run for _, run, _ in claims}) == 1, claims
+
+
+@when("a job comes that is due in {due:d} s, {times:d} times, each {gap:d} s")
+def scheduled_job(context: Context, due: int, times: int, gap: int) -> None:
+    context.job_id = _job_id("sched")
+    job = Submission(
+        job_id=context.job_id,
+        queue=QueueRules("route", "pool"),
+        payload="payload",
+        steps=(StepSpec(1, ONE, 1_000),),
+        repeats=times,
+        first_due_ms=WALL_MS + due * 1000,
+        interval_ms=gap * 1000,
+    )
+    context.leader.on_job(JobView(job), 10.0)
+
+
+@when("the job is cancelled")
+def cancel_job(context: Context) -> None:
+    context.leader.on_cancel(context.job_id, context.now_s)
+    context.leader.commit(context.leader.take_batch())
+
+
+@when("the leader plans {seconds:d} s later")
+def plan_later(context: Context, seconds: int) -> None:
+    # The VMs keep reporting; only the schedule's clock matters here.
+    context.leader.tick(context.now_s, WALL_MS + seconds * 1000)
+    context.leader.commit(context.leader.take_batch())
+
+
+@then("the leader has forgotten the job")
+def forgotten(context: Context) -> None:
+    assert context.job_id not in context.leader.jobs
