Answer, weigh and record in one place each; drop dead state

Three copies of sending an answer on the platform's ports become platform/http_answer.py; the phrases come from the standard library. The leadership record, the estimates of an image and the check of size and label are made in one place. Gone: a count of failures that nobody read, a key that no caller used, a second name for explain. Loads of ended steps are forgotten; the method for it was never called. No behaviour changes otherwise.

--- a/src/yuccapoint/cell/cell_leader.py
+++ b/src/yuccapoint/cell/cell_leader.py
@@ -118,7 +118,7 @@
         for occurrence in job.occurrences.values():
             if occurrence.outcome is Outcome.OPEN:
                 self.end_occurrence(occurrence, Outcome.CANCELLED, now_s)
-        self._explain("job", "cancelled", job=job_id)
+        self.explain("job", "cancelled", job=job_id)
 
     def end_occurrence(
         self, occurrence: OccurrenceRun, outcome: Outcome, now_s: float
@@ -129,7 +129,7 @@
         for task in occurrence.tasks:
             if task.phase is Phase.CLAIMED:
                 self.stop(task, outcome.value, now_s)
-        self._explain(
+        self.explain(
             "job",
             f"occurrence {outcome.value}",
             job=occurrence.job.submission.job_id,
@@ -189,7 +189,7 @@
             vm.claims[task.task_id] = task
             self.mark(task.step.occurrence)
             self._claimed.append((task, run))
-            self._explain(
+            self.explain(
                 "place",
                 "claimed",
                 task=task.task_id,
@@ -264,7 +264,7 @@
             self._ends.lose(vm, task, why, now_s)
             return
         vm.orders_due = True
-        self._explain("run", "stopping", task=task.task_id, why=why)
+        self.explain("run", "stopping", task=task.task_id, why=why)
 
     def mark(self, occurrence: OccurrenceRun) -> None:
         """Have an occurrence written with the next batch."""
@@ -315,8 +315,12 @@
                 for occurrence in job.occurrences.values()
             )
             unwritten = any(k.startswith(f"p:{job_id}.") for k in self._dirty)
-            if ended and not unwritten:
-                del self.jobs[job_id]
+            if not ended or unwritten:
+                continue
+            del self.jobs[job_id]
+            for occurrence in job.occurrences.values():
+                for step in occurrence.steps:
+                    self.disturbances.forget(step)
 
     def take_orders(
         self, now_s: float, *, may_grant: bool
@@ -350,9 +354,6 @@
 
     def explain(self, part: str, text: str, **fields: str | int) -> None:
         """Log a decision."""
-        self._explain(part, text, **fields)
-
-    def _explain(self, part: str, text: str, **fields: str | int) -> None:
         self.explanations.append(Explain(part, text, dict(fields)))
 
     def _vm(self, name: str, address: str) -> VmLedger:
--- a/src/yuccapoint/cell/claim_planner.py
+++ b/src/yuccapoint/cell/claim_planner.py
@@ -181,9 +181,7 @@
         best: VmRoom | None = None
         best_cost = float("inf")
         for room in rooms:
-            if not spec.committed.fits(room.free):
-                continue
-            if spec.label and spec.label not in room.labels:
+            if not room.suits(spec):
                 continue
             count = room.step_counts.get(id(task.step), 0)
             if spec.max_per_vm and count >= spec.max_per_vm:
--- a/src/yuccapoint/cell/disturbance_watch.py
+++ b/src/yuccapoint/cell/disturbance_watch.py
@@ -11,6 +11,7 @@
 from yuccapoint.job.interference.pair_report import PairEstimate
 
 if TYPE_CHECKING:
+    from yuccapoint.cell.job_run import StepRun
     from yuccapoint.cell.job_run import TaskRun
     from yuccapoint.cell.vm_ledger import VmLedger
 
@@ -77,9 +78,9 @@
         for task in serving:
             self._learn(task, company, now_s)
 
-    def forget(self, step_key: int) -> None:
-        """Drop what is known of a step that ended."""
-        self._loads.pop(step_key, None)
+    def forget(self, step: StepRun) -> None:
+        """Drop the loads of a step whose job has ended."""
+        self._loads.pop(id(step), None)
 
     def expected(self, image: str, filling_image: str) -> float:
         """Give the load that a filling neighbour adds to a service."""
@@ -91,10 +92,7 @@
     def take_known(self, pairs: tuple[PairEstimate, ...]) -> None:
         """Take over what a former leader learned."""
         for pair in pairs:
-            estimates = self._estimates.get(pair.service)
-            if estimates is None:
-                estimates = PairEstimates(LOAD_NOISE_SD)
-                self._estimates[pair.service] = estimates
+            estimates = self._estimates_of(pair.service)
             estimates.take_prior(pair.job_class, pair.slowdown, pair.deviation)
 
     def all_pairs(self) -> tuple[PairEstimate, ...]:
@@ -139,9 +137,12 @@
         if len(fresh) < 2:
             return
         excess = loads[task.task_id].load - min(fresh)
-        image = task.step.spec.image
+        estimates = self._estimates_of(task.step.spec.image)
+        estimates.learn(company, 1.0 + excess, now_s)
+
+    def _estimates_of(self, image: str) -> PairEstimates:
         estimates = self._estimates.get(image)
         if estimates is None:
             estimates = PairEstimates(LOAD_NOISE_SD)
             self._estimates[image] = estimates
-        estimates.learn(company, 1.0 + excess, now_s)
+        return estimates
--- a/src/yuccapoint/cell/throttle_moves.py
+++ b/src/yuccapoint/cell/throttle_moves.py
@@ -94,9 +94,7 @@
         other = room.ledger.worker
         if room is here or other is None or other.pool != pool:
             continue
-        if not spec.committed.fits(room.free):
-            continue
-        if spec.label and spec.label not in room.labels:
+        if not room.suits(spec):
             continue
         if total_cost(task, room) + LEAST_GAIN < cost_here:
             room.take(spec, id(task.step))
--- a/src/yuccapoint/cell/vm_ledger.py
+++ b/src/yuccapoint/cell/vm_ledger.py
@@ -60,7 +60,6 @@
         self.noted_number = 0
         self.orders_due = False
         self.drain_until_s = 0.0
-        self.failures = 0
         self.failed_jobs: set[str] = set()
         self.quarantined_until_s = 0.0
         self.quarantine_s = QUARANTINE_S
@@ -131,7 +130,6 @@
     def blame(self, job_id: str, now_s: float) -> bool:
         """Note a failed run; tell whether the VM is now quarantined."""
         self.failed_jobs.add(job_id)
-        self.failures += 1
         if not self.probing and len(self.failed_jobs) < SUSPECT_FAILURES:
             return False
         self.quarantined_until_s = now_s + self.quarantine_s
@@ -142,7 +140,6 @@
 
     def praise(self) -> None:
         """Note a run that was done."""
-        self.failures = 0
         self.failed_jobs.clear()
         self.probing = False
         self.quarantine_s = QUARANTINE_S
--- a/src/yuccapoint/cell/vm_room.py
+++ b/src/yuccapoint/cell/vm_room.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 from typing import TYPE_CHECKING
 
 from yuccapoint.cell.disturbance_watch import NEIGHBOUR_SHARE
@@ -76,16 +77,18 @@
 
     def copy(self) -> VmRoom:
         """Give a copy to try placements on."""
-        made = VmRoom(self.ledger, self.disturbances)
-        made.free = self.free
-        made.demand_millicores = self.demand_millicores
-        made.filling_millicores = self.filling_millicores
-        made.serving_millicores = self.serving_millicores
+        made = copy.copy(self)
         made.step_counts = dict(self.step_counts)
         made.serving_images = set(self.serving_images)
         made.filling_images = dict(self.filling_images)
         return made
 
+    def suits(self, spec: StepSpec) -> bool:
+        """Tell whether a task fits and finds the label that it needs."""
+        if spec.label and spec.label not in self.labels:
+            return False
+        return spec.committed.fits(self.free)
+
     def take(self, spec: StepSpec, step_key: int) -> None:
         """Take a task in."""
         self.free -= spec.committed
--- a/src/yuccapoint/platform/check_ins.py
+++ b/src/yuccapoint/platform/check_ins.py
@@ -7,14 +7,12 @@
 
 import msgspec
 from tornado.httpserver import HTTPServer
-from tornado.httputil import HTTPHeaders
-from tornado.httputil import ResponseStartLine
-from tornado.iostream import StreamClosedError
 
 from yuccapoint.cell.progress import WorkerLife
 from yuccapoint.cell.worker_events import CheckIn
 from yuccapoint.job.size import Size
 from yuccapoint.platform.exceptions import DamagedMessageError
+from yuccapoint.platform.http_answer import send_answer
 from yuccapoint.platform.job_body import MEBIBYTE
 
 if TYPE_CHECKING:
@@ -84,14 +82,7 @@
         worker_id = request.path.removeprefix(PATH)
         if request.path.startswith(PATH) and worker_id:
             status = self._take(request, worker_id)
-        start = ResponseStartLine("HTTP/1.1", status, "")
-        headers = HTTPHeaders({"Content-Length": "0"})
-        if request.connection is None:
-            return
-        try:
-            request.connection.write_headers(start, headers)
-            request.connection.finish()
-        except StreamClosedError:
+        if not send_answer(request, status):
             self._on_damaged("the worker did not wait for the answer")
 
     def _take(self, request: HTTPServerRequest, worker_id: str) -> int:
--- a/src/yuccapoint/platform/front.py
+++ b/src/yuccapoint/platform/front.py
@@ -9,14 +9,13 @@
 
 import msgspec
 from tornado.httpserver import HTTPServer
-from tornado.httputil import HTTPHeaders
-from tornado.httputil import ResponseStartLine
-from tornado.iostream import StreamClosedError
 
 from yuccapoint.cell.exceptions import InvalidJobError
 from yuccapoint.cell.job_desk import DeskVerdict
 from yuccapoint.platform.exceptions import DamagedMessageError
+from yuccapoint.platform.http_answer import send_answer
 from yuccapoint.platform.job_body import decode_job
+from yuccapoint.process.steady_clock import wall_ms
 
 if TYPE_CHECKING:
     from tornado.httputil import HTTPServerRequest
@@ -31,18 +30,6 @@
 READY_PATH = "/yuccapoint/readyz"
 # Kept for the way of an answer to its caller, in seconds.
 ANSWER_MARGIN_S = 0.15
-REASONS = {
-    200: "OK",
-    400: "Bad Request",
-    404: "Not Found",
-    405: "Method Not Allowed",
-    410: "Gone",
-    413: "Content Too Large",
-    429: "Too Many Requests",
-    500: "Internal Server Error",
-    503: "Service Unavailable",
-    504: "Gateway Timeout",
-}
 _VERDICT_STATUSES = {
     DeskVerdict.ACCEPTED: 200,
     DeskVerdict.UNKNOWN_JOB: 410,
@@ -144,9 +131,8 @@
     async def _submit(
         self, route: QueueRoute, job_id: str, body: bytes, deadline_s: float
     ) -> Answer:
-        now_ms = time.time_ns() // 1_000_000
         try:
-            submission = decode_job(body, job_id, route.rules, now_ms)
+            submission = decode_job(body, job_id, route.rules, wall_ms())
         except (DamagedMessageError, InvalidJobError) as error:
             self._desk.note_bad_job(job_id, str(error))
             return Answer(400, {"Error": str(error)})
@@ -176,22 +162,13 @@
 
     def _send(self, request: HTTPServerRequest, answer: Answer) -> None:
         body = b""
-        headers = HTTPHeaders()
+        headers = {}
         if answer.body is not None:
             body = msgspec.json.encode(answer.body)
             headers["Content-Type"] = "application/json"
-        headers["Content-Length"] = str(len(body))
         if answer.retry_after_s:
             headers["Retry-After"] = str(answer.retry_after_s)
-        connection = request.connection
-        if connection is None:
-            return
-        reason = REASONS[answer.status]
-        start = ResponseStartLine("HTTP/1.1", answer.status, reason)
-        try:
-            connection.write_headers(start, headers, body)
-            connection.finish()
-        except StreamClosedError:
+        if not send_answer(request, answer.status, body, headers):
             self._desk.note_caller_gone(request.path, answer.status)
 
 
--- /dev/null
+++ b/src/yuccapoint/platform/http_answer.py
@@ -0,0 +1,46 @@
+"""Sends whole answers on the platform's ports."""
+
+from __future__ import annotations
+
+import http
+from typing import TYPE_CHECKING
+
+from tornado.httputil import HTTPHeaders
+from tornado.httputil import ResponseStartLine
+from tornado.iostream import StreamClosedError
+
+if TYPE_CHECKING:
+    from tornado.httputil import HTTPServerRequest
+
+
+def send_answer(
+    request: HTTPServerRequest,
+    status: int,
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+) -> bool:
+    """Answer a request; tell whether its sender was still there.
+
+    Parameters
+    ----------
+    request : HTTPServerRequest
+        The request.
+    status : int
+        Status of the answer.
+    body : bytes
+        The whole body.
+    headers : dict, optional
+        Headers besides the length.
+    """
+    if request.connection is None:
+        return False
+    phrase = http.HTTPStatus(status).phrase
+    start = ResponseStartLine("HTTP/1.1", status, phrase)
+    sent = HTTPHeaders(headers or {})
+    sent["Content-Length"] = str(len(body))
+    try:
+        request.connection.write_headers(start, sent, body)
+        request.connection.finish()
+    except StreamClosedError:
+        return False
+    return True
--- a/src/yuccapoint/platform/roles.py
+++ b/src/yuccapoint/platform/roles.py
@@ -7,12 +7,11 @@
 from typing import TYPE_CHECKING
 
 from tornado.httpserver import HTTPServer
-from tornado.httputil import HTTPHeaders
-from tornado.httputil import ResponseStartLine
 
 from yuccapoint.connection.kept_client import KeptClient
 from yuccapoint.exceptions import SettingsError
 from yuccapoint.platform.config_feed import ConfigFeed
+from yuccapoint.platform.http_answer import send_answer
 from yuccapoint.platform.node_settings import load_node_settings
 from yuccapoint.platform.node_settings import settings_path
 from yuccapoint.platform.operator_config import CONFIG_TOPIC
@@ -102,18 +101,10 @@
                 self.reload()
 
     def _serve_metrics(self, request: HTTPServerRequest) -> None:
-        if request.connection is None:
-            return
         rendered = self.metrics.render()
-        headers = HTTPHeaders(
-            {
-                "Content-Type": rendered.content_type,
-                "Content-Length": str(len(rendered.body)),
-            }
-        )
-        start = ResponseStartLine("HTTP/1.1", 200, "OK")
-        request.connection.write_headers(start, headers, rendered.body)
-        request.connection.finish()
+        headers = {"Content-Type": rendered.content_type}
+        if not send_answer(request, 200, rendered.body, headers):
+            self.logs.say("metrics", "the reader has gone")
 
 
 async def run_entry() -> None:
--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -149,7 +149,7 @@
             self._append.cancel()
         self._mailbox.close()
 
-    def _on_record(self, key: str, record: CellRecord | None) -> None:
+    def _on_record(self, record: CellRecord | None) -> None:
         if self.leader is None or record is None:
             return
         now_s = steady_s()
@@ -163,7 +163,6 @@
             self._wake.set()
         if isinstance(record, Member):
             self.leader.on_member(record)
-        del key
 
     def _on_read(self) -> None:
         now_s = steady_s()
@@ -183,13 +182,9 @@
         term = self._watch.term + 1
         self.logs.say("leader", "taking over", term=term)
         writer = CellWriter(self._store, term, self.logs)
-        record = Leadership(term, self.name, self.incarnation)
-        key = cell_records.LEADERSHIP
         try:
             async with asyncio.timeout(TAKE_OVER_TIMEOUT_S):
-                sent_at_s = await writer.append(
-                    [(key, cell_records.encode(record))]
-                )
+                sent_at_s = await writer.append([self._leadership(term, 0)])
         except (YuccapointError, TimeoutError) as error:
             self.logs.say("leader", "not taken over", error=repr(error))
             return
@@ -235,14 +230,19 @@
             return
         if self._append is not None:
             await self._append
-        record = Leadership(
-            leader.term, self.name, self.incarnation, self._renewal, True
-        )
         await writer.append(
-            [(cell_records.LEADERSHIP, cell_records.encode(record))]
+            [self._leadership(leader.term, self._renewal, resigned=True)]
         )
         self._step_down("the entry stops")
 
+    def _leadership(
+        self, term: int, renewal: int, *, resigned: bool = False
+    ) -> tuple[str, bytes | None]:
+        record = Leadership(
+            term, self.name, self.incarnation, renewal, resigned
+        )
+        return cell_records.LEADERSHIP, cell_records.encode(record)
+
     async def _run_rounds(self) -> None:
         while True:
             with contextlib.suppress(TimeoutError):
@@ -280,12 +280,7 @@
         renew = now_s - self._renewed_at_s >= lease_bounds.RENEW_EVERY_S
         if renew:
             self._renewal += 1
-            record = Leadership(
-                leader.term, self.name, self.incarnation, self._renewal
-            )
-            batch.records.append(
-                (cell_records.LEADERSHIP, cell_records.encode(record))
-            )
+            batch.records.append(self._leadership(leader.term, self._renewal))
         if now_s - self._pairs_kept_at_s > KEEP_PAIRS_EVERY_S:
             self._pairs_kept_at_s = now_s
             batch.records.extend(leader.upkeep.write_pairs())
--- a/src/yuccapoint/process/cell_tail.py
+++ b/src/yuccapoint/process/cell_tail.py
@@ -41,7 +41,7 @@
     view : CellView
         What they are applied to.
     on_record : callable
-        Called with key and record of each change.
+        Called with the record of each change.
     on_read : callable
         Called after each successful read.
     logs : Logs
@@ -58,7 +58,7 @@
         self,
         store: CellStore,
         view: CellView,
-        on_record: Callable[[str, CellRecord | None], None],
+        on_record: Callable[[CellRecord | None], None],
         on_read: Callable[[], None],
         logs: Logs,
     ) -> None:
@@ -159,7 +159,7 @@
                     )
                     continue
             if self._view.apply(stored.key, record, stored.offset):
-                self._on_record(stored.key, record)
+                self._on_record(record)
 
     def _note_failure(self, error: YuccapointError) -> None:
         if self._failing:
