Tell images apart by differences between VMs; share a service's room among starts

A dump of the guard's looks showed two faults. The estimates were off by up to 4 VM loads (the least loaded task as the reference, a prior that each change of the leader made unsure again); four runs of one image that started together were each let go at full speed, so that tails rose to 250 ms and everything was stopped for seconds.

Now: ridge regression over differences between VMs of a step, kept with its certainty over a change of the leader; the room that a service leaves is divided, least disturbing images first, and starts use up what is left; services not measured yet are expected; services gather where the same neighbours are borne; the guard steers to 0.88 of the target (was 0.75).

--- a/src/yuccapoint/cell/disturbance_watch.py
+++ b/src/yuccapoint/cell/disturbance_watch.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
+from yuccapoint.cell.neighbour_fit import NeighbourFit
+from yuccapoint.cell.neighbour_fit import PRIOR_WEIGHT
 from yuccapoint.cell.service_load import ServiceFloors
-from yuccapoint.job.interference.neighbour import Neighbour
-from yuccapoint.job.interference.pair_estimates import PairEstimates
-from yuccapoint.job.interference.pair_estimates import UNKNOWN_SLOWDOWN
 from yuccapoint.job.interference.pair_report import PairEstimate
 
 if TYPE_CHECKING:
@@ -17,40 +17,50 @@
 
 # Tasks of a step share their callers, so their loads are compared; reports
 # further apart than this, in seconds, describe different loads.
-SAME_LOAD_S = 0.9
+SAME_LOAD_S = 0.6
 # A task that uses this share of a VM's processors counts as one neighbour.
 NEIGHBOUR_SHARE = 0.125
-# A VM's report is learned from this often, in seconds; it bounds the cost.
-LEARN_EVERY_S = 0.7
-# Standard deviation of the loads of a step's tasks that run alone, as seen
-# on both small sites: tails are whole milliseconds.
-LOAD_NOISE_SD = 0.07
+# A VM's report is learned from this often, in seconds: the tail that it
+# tells is of the last half second.
+LEARN_EVERY_S = 0.5
 # Pairs that are kept for the next leader; about 40 bytes each.
 MAX_KEPT_PAIRS = 1_024
 
 
 class SeenLoad:
-    """The load of a serving task as one report showed it."""
+    """The load of a step's tasks on one VM, and the filling work there.
+
+    Attributes
+    ----------
+    load : float
+        Mean of the tasks' loads.
+    shares : dict of str to float
+        Processors that each filling image used, in neighbours.
+    at_s : float
+        When it was reported.
+    """
 
-    __slots__ = ("at_s", "load")
+    __slots__ = ("at_s", "load", "shares")
 
-    def __init__(self, load: float, at_s: float) -> None:
+    def __init__(
+        self, load: float, shares: dict[str, float], at_s: float
+    ) -> None:
         self.load = load
+        self.shares = shares
         self.at_s = at_s
 
 
 class DisturbanceWatch:
     """Compares serving tasks of a step that run on different VMs.
 
-    They serve the same callers, so the least loaded one shows the load
-    that they would all have alone; what another has above it is put down
-    to the filling work beside it.
+    They serve the same callers, so that what one has above the others is
+    put down to the filling work beside it.
     """
 
     def __init__(self) -> None:
         self._floors = ServiceFloors()
-        self._loads: dict[int, dict[str, SeenLoad]] = {}
-        self._estimates: dict[str, PairEstimates] = {}
+        self._seen: dict[int, dict[str, SeenLoad]] = {}
+        self._fits: dict[str, NeighbourFit] = {}
         self._learned_at_s: dict[str, float] = {}
 
     def on_report(self, vm: VmLedger, now_s: float) -> None:
@@ -62,87 +72,98 @@
         if vm.worker is not None:
             millicores = vm.worker.capacity.millicores
         unit = max(1.0, NEIGHBOUR_SHARE * millicores)
-        company = []
-        serving = []
+        shares: dict[str, float] = {}
+        serving: dict[int, list[TaskRun]] = {}
         for task in vm.claims.values():
             if not task.seen_running:
                 continue
             spec = task.step.spec
             if spec.filling:
-                share = task.load / unit
-                company.append(Neighbour(task.task_id, spec.image, share))
+                used = task.load / unit
+                shares[spec.image] = shares.get(spec.image, 0.0) + used
             elif spec.target_ms and task.percent >= 100:
-                serving.append(task)
-        for task in serving:
-            self._note(task, now_s)
-        for task in serving:
-            self._learn(task, company, now_s)
+                serving.setdefault(id(task.step), []).append(task)
+        for tasks in serving.values():
+            self._learn(vm.name, tasks, shares, now_s)
 
     def forget(self, step: StepRun) -> None:
         """Drop the loads of a step whose job has ended."""
-        self._loads.pop(id(step), None)
+        self._seen.pop(id(step), None)
 
     def expected(self, image: str, filling_image: str) -> float:
         """Give the load that a filling neighbour adds to a service."""
-        estimates = self._estimates.get(image)
-        if estimates is None:
-            return UNKNOWN_SLOWDOWN
-        return estimates.weight(filling_image)
+        fit = self._fits.get(image)
+        return PRIOR_WEIGHT if fit is None else fit.weight(filling_image)
+
+    def likeness(self, image: str, other: str) -> float:
+        """Tell how far two services are disturbed by the same images.
+
+        Returns
+        -------
+        float
+            1 for the same or for all the same neighbours, 0 for none in
+            common or where nothing is known.
+        """
+        if image == other:
+            return 1.0
+        one, two = self._fits.get(image), self._fits.get(other)
+        if one is None or two is None:
+            return 0.0
+        both = set(one.images).intersection(two.images)
+        pairs = [(one.weight(name), two.weight(name)) for name in both]
+        product = sum(a * b for a, b in pairs)
+        squares = sum(a * a for a, _ in pairs) * sum(b * b for _, b in pairs)
+        return product / math.sqrt(squares) if squares else 0.0
 
     def take_known(self, pairs: tuple[PairEstimate, ...]) -> None:
         """Take over what a former leader learned."""
         for pair in pairs:
-            estimates = self._estimates_of(pair.service)
-            estimates.take_prior(pair.job_class, pair.slowdown, pair.deviation)
+            fit = self._fits.setdefault(pair.service, NeighbourFit())
+            fit.take_prior(pair.job_class, pair.slowdown, pair.deviation)
 
     def all_pairs(self) -> tuple[PairEstimate, ...]:
         """Give all that is known, for the next leader."""
         found: list[PairEstimate] = []
-        for image in sorted(self._estimates):
+        for image in sorted(self._fits):
             found.extend(self.known_pairs(image))
         return tuple(found[:MAX_KEPT_PAIRS])
 
     def known_pairs(self, image: str) -> list[PairEstimate]:
         """Give all that is known of who disturbs a service."""
-        estimates = self._estimates.get(image)
-        if estimates is None:
+        fit = self._fits.get(image)
+        if fit is None:
             return []
         return [
-            PairEstimate(
-                image,
-                other,
-                estimates.weight(other),
-                estimates.deviation(other),
-                estimates.counts.get(other, 0.0),
-            )
-            for other in estimates.classes
+            PairEstimate(image, other, fit.weight(other), fit.deviation(other))
+            for other in fit.images
         ]
 
-    def _note(self, task: TaskRun, now_s: float) -> None:
-        load = self._floors.load(
-            task.step.spec.image, task.load, task.step.spec.target_ms
-        )
-        loads = self._loads.setdefault(id(task.step), {})
-        loads[task.task_id] = SeenLoad(load, now_s)
-
     def _learn(
-        self, task: TaskRun, company: list[Neighbour], now_s: float
+        self,
+        vm_name: str,
+        tasks: list[TaskRun],
+        shares: dict[str, float],
+        now_s: float,
     ) -> None:
-        loads = self._loads[id(task.step)]
-        fresh = [
-            seen.load
-            for seen in loads.values()
-            if now_s - seen.at_s < SAME_LOAD_S
+        spec = tasks[0].step.spec
+        loads = [
+            self._floors.load(spec.image, task.load, spec.target_ms)
+            for task in tasks
+        ]
+        load = sum(loads) / len(loads)
+        seen_on = self._seen.setdefault(id(tasks[0].step), {})
+        others = [
+            seen
+            for name, seen in seen_on.items()
+            if name != vm_name and now_s - seen.at_s < SAME_LOAD_S
         ]
-        if len(fresh) < 2:
+        seen_on[vm_name] = SeenLoad(load, shares, now_s)
+        if not others:
             return
-        excess = loads[task.task_id].load - min(fresh)
-        estimates = self._estimates_of(task.step.spec.image)
-        estimates.learn(company, 1.0 + excess, now_s)
-
-    def _estimates_of(self, image: str) -> PairEstimates:
-        estimates = self._estimates.get(image)
-        if estimates is None:
-            estimates = PairEstimates(LOAD_NOISE_SD)
-            self._estimates[image] = estimates
-        return estimates
+        more = dict(shares)
+        for seen in others:
+            for image, share in seen.shares.items():
+                more[image] = more.get(image, 0.0) - share / len(others)
+        excess = load - sum(seen.load for seen in others) / len(others)
+        fit = self._fits.setdefault(spec.image, NeighbourFit())
+        fit.learn(more, excess, len(others), now_s)
--- /dev/null
+++ b/src/yuccapoint/cell/neighbour_fit.py
@@ -0,0 +1,173 @@
+"""Fits what each filling image adds to the load of one service."""
+
+from __future__ import annotations
+
+import math
+
+# What an image is taken to add before it was measured: most add nothing, a
+# few up to 0.25.
+PRIOR_WEIGHT = 0.05
+PRIOR_SD = 0.07
+# Half-life of a measurement in seconds: images keep their habits for
+# minutes, while services come and go.
+HALF_LIFE_S = 90.0
+# Standard deviation of one measured difference between two VMs: tails are
+# whole milliseconds.
+NOISE_SD = 0.07
+# Larger differences have other causes, such as a VM that has turned slow.
+MAX_EXCESS = 0.5
+# Images that are told apart; the least measured is forgotten beyond.
+MAX_IMAGES = 32
+# Passes over all images when the weights are solved; they start from the
+# former solution.
+SOLVER_PASSES = 4
+
+
+class NeighbourFit:
+    """Ridge regression with weights that are never negative.
+
+    A measurement is a difference between VMs that serve the same callers,
+    so that the load of the callers drops out. Sums of squares and products
+    are kept and fade with time.
+    """
+
+    __slots__ = (
+        "_faded_at_s",
+        "_moments",
+        "_names",
+        "_products",
+        "_solved",
+        "_weights",
+    )
+
+    def __init__(self) -> None:
+        self._names: list[str] = []
+        self._products: list[list[float]] = []
+        self._moments: list[float] = []
+        self._weights: list[float] = []
+        self._faded_at_s: float | None = None
+        self._solved = True
+
+    @property
+    def images(self) -> tuple[str, ...]:
+        """The images that were measured or told of."""
+        return tuple(self._names)
+
+    def weight(self, image: str) -> float:
+        """Give the load that one neighbour of an image adds."""
+        if image not in self._names:
+            return PRIOR_WEIGHT
+        if not self._solved:
+            self._solve()
+        return self._weights[self._names.index(image)]
+
+    def deviation(self, image: str) -> float:
+        """Give the standard deviation of a weight.
+
+        Images that always run together are told apart less well than it
+        says.
+        """
+        if image not in self._names:
+            return PRIOR_SD
+        index = self._names.index(image)
+        return 1.0 / math.sqrt(self._products[index][index] + PRIOR_SD**-2)
+
+    def take_prior(self, image: str, weight: float, deviation: float) -> None:
+        """Take what a former leader knew of an image."""
+        if image in self._names:
+            return
+        index = self._add(image)
+        known = max(0.0, deviation**-2 - PRIOR_SD**-2)
+        self._products[index][index] = known
+        ridge = PRIOR_SD**-2
+        self._moments[index] = weight * (known + ridge) - PRIOR_WEIGHT * ridge
+        self._weights[index] = weight
+
+    def learn(
+        self,
+        shares: dict[str, float],
+        excess: float,
+        others: int,
+        now_s: float,
+    ) -> None:
+        """Take one measurement.
+
+        Parameters
+        ----------
+        shares : dict of str to float
+            How much more of each image runs beside the service than on the
+            other VMs, in neighbours; negative for less.
+        excess : float
+            How much higher the service's load is than on the other VMs.
+        others : int
+            How many other VMs it was compared with.
+        now_s : float
+            Steady time in seconds.
+        """
+        self._fade(now_s)
+        excess = max(-MAX_EXCESS, min(MAX_EXCESS, excess))
+        variance = NOISE_SD**2 * (1.0 + 1.0 / others)
+        present = [
+            (self._index(image), share)
+            for image, share in shares.items()
+            if share
+        ]
+        for index, share in present:
+            row = self._products[index]
+            for other, other_share in present:
+                row[other] += share * other_share / variance
+            self._moments[index] += share * excess / variance
+        self._solved = False
+
+    def _fade(self, now_s: float) -> None:
+        faded_at_s, self._faded_at_s = self._faded_at_s, now_s
+        if faded_at_s is None:
+            return
+        passed_s = now_s - faded_at_s
+        factor = 0.5 ** (passed_s / HALF_LIFE_S)
+        for index, row in enumerate(self._products):
+            self._moments[index] *= factor
+            for other in range(len(row)):
+                row[other] *= factor
+
+    def _solve(self) -> None:
+        """Minimise the squares by coordinates, from the last solution."""
+        ridge = PRIOR_SD**-2
+        weights = self._weights
+        for _ in range(SOLVER_PASSES):
+            for index, row in enumerate(self._products):
+                explained = sum(
+                    product * weight
+                    for product, weight in zip(row, weights, strict=True)
+                )
+                explained -= row[index] * weights[index]
+                left = self._moments[index] + ridge * PRIOR_WEIGHT - explained
+                weights[index] = max(0.0, left / (row[index] + ridge))
+        self._solved = True
+
+    def _index(self, image: str) -> int:
+        if image in self._names:
+            return self._names.index(image)
+        return self._add(image)
+
+    def _add(self, image: str) -> int:
+        if len(self._names) >= MAX_IMAGES:
+            self._drop_least_measured()
+        for row in self._products:
+            row.append(0.0)
+        self._names.append(image)
+        self._products.append([0.0] * len(self._names))
+        self._moments.append(0.0)
+        self._weights.append(PRIOR_WEIGHT)
+        return len(self._names) - 1
+
+    def _drop_least_measured(self) -> None:
+        index = min(
+            range(len(self._names)), key=lambda i: self._products[i][i]
+        )
+        del self._names[index]
+        del self._products[index]
+        del self._moments[index]
+        del self._weights[index]
+        for row in self._products:
+            del row[index]
--- a/src/yuccapoint/cell/pace_guard.py
+++ b/src/yuccapoint/cell/pace_guard.py
@@ -5,9 +5,9 @@
 from typing import TYPE_CHECKING
 
 from yuccapoint.cell.disturbance_watch import NEIGHBOUR_SHARE
+from yuccapoint.cell.neighbour_fit import PRIOR_SD
+from yuccapoint.cell.neighbour_fit import PRIOR_WEIGHT
 from yuccapoint.cell.service_load import ServiceFloors
-from yuccapoint.job.interference.pair_estimates import UNKNOWN_SLOWDOWN
-from yuccapoint.job.interference.pair_estimates import WEIGHT_SD
 
 if TYPE_CHECKING:
     from yuccapoint.cell.cell_messages import RunningTask
@@ -16,30 +16,38 @@
 
 # Share of the target that the guard steers to; the rest is for swings of
 # the load between two looks.
-AIM_AT = 0.75
-# Share of the target above which unsure images are slowed down at once.
+AIM_AT = 0.88
+# Share of the target above which images that may disturb are slowed down
+# at once, and by how much.
 BRAKE_FROM = 0.95
 BRAKE = 0.35
 # A pace below this many percent only delays the work.
 LEAST_PERCENT = 8
 # Most percent that a pace rises by with one look.
-RAISE_PERCENT = 25
+RAISE_PERCENT = 35
 FULL_PERCENT = 100
 UNKNOWN_PERCENT = -1
-# Load that a neighbour of unknown image is taken to add when it starts: as
-# much as those images add that disturb at all.
-UNKNOWN_AT_START = 0.15
+# Load that a service is taken to have before it was measured: more than
+# services have on the average, so that a restart harms none at its peak.
+ASSUMED_LOAD = 0.6
 # Most that a service's own load rises by until the next look.
 MAX_RISE = 0.1
 # Seconds until a change of the pace shows in the measured tail.
 SETTLE_S = 0.6
 # Looks that follow closer are of the same half second, in seconds.
 STEER_EVERY_S = 0.4
-# An image that makes up less than this share of the disturbance is spared.
-CULPRIT_SHARE = 0.15
+# Load that all tasks of an image together may add and still be harmless:
+# it shows as less than the millisecond in which tails are told.
+HARMLESS_LOAD = 0.08
+# An image that adds less than this is spared: slowing it down helps nobody.
+SPARED_LOAD = 0.03
+# How many standard deviations above its weight an image may well be: what
+# was never measured counts as one of those that disturb.
+CAUTION_SDS = 1.0
 # An image is unsure while its deviation is above this.
-UNSURE_DEVIATION = 0.12
-# After so many looks past the target all filling work is slowed down.
+UNSURE_DEVIATION = 0.04
+# After so many looks past the target all images are slowed down that are
+# not known to be harmless, and after as many again the others.
 MAX_LOOKS_PAST_TARGET = 2
 
 
@@ -86,12 +94,20 @@
 class PaceGuard:
     """Paces the images that disturb the services beside them.
 
+    Attributes
+    ----------
+    pressure : float
+        Highest tail latency at the last look, as a share of its target.
+
+    Notes
+    -----
     Answers a load in which few pairs of images disturb each other much and
     most do not: only the culprits are slowed down, and only while the
     service is busy with its own callers.
     """
 
     def __init__(self) -> None:
+        self.pressure = 0.0
         self._floors = ServiceFloors()
         self._pairs: dict[tuple[str, str], PairEstimate] = {}
         self._paces: dict[str, int] = {}
@@ -100,7 +116,7 @@
         self._looked_at_s = 0.0
         self._looks_past_target = 0
         self._first_look = True
-        self._serving: list[ServingRun] = []
+        self._room: dict[str, float] = {}
         self._own_loads: dict[tuple[str, int], float] = {}
 
     def on_look(
@@ -140,46 +156,56 @@
                 serving.append(ServingRun(task, known, self._floors))
         if now_s - self._looked_at_s >= STEER_EVERY_S:
             self._looked_at_s = now_s
-            self._serving = serving
-            self._steer(serving, filling, now_s)
+            self._steer(serving, filling, traits, now_s)
         return self._changes(filling)
 
     def on_start(
         self,
         task_id: str,
         run: int,
-        traits: TaskTraits,
+        traits: dict[str, TaskTraits],
         vm_millicores: int,
     ) -> int | None:
         """Decide on the pace of a filling run that has just started.
 
         A run starts at full speed, and the next look may be half a second
-        away.
+        away. Answers a job whose tasks start together beside a service
+        that bears only one of them.
 
         Returns
         -------
         int or None
             The percent to pace it to; None to leave it at full speed.
         """
+        own = traits[task_id]
+        self._expect_services(traits)
         unit = max(1.0, NEIGHBOUR_SHARE * vm_millicores)
-        share = traits.millicores / unit
-        percent = self._paces.get(traits.image, FULL_PERCENT)
-        for served in self._serving:
-            weight = self._weight(served.image, traits.image)
-            if (served.image, traits.image) not in self._pairs:
-                weight = UNKNOWN_AT_START
-            left = max(0.0, served.most_load - served.load)
-            if weight * share > left:
-                percent = min(percent, int(FULL_PERCENT * left / weight))
+        share = own.millicores / unit
+        percent = self._paces.get(own.image, FULL_PERCENT)
+        for service, left in self._room.items():
+            full = self._upper_weight(service, own.image) * share
+            if full > max(left, SPARED_LOAD):
+                percent = min(percent, int(FULL_PERCENT * left / full))
         if percent < LEAST_PERCENT:
             percent = 0
+        for service, left in self._room.items():
+            full = self._upper_weight(service, own.image) * share
+            added = full * percent / FULL_PERCENT
+            self._room[service] = max(0.0, left - added)
         if percent >= FULL_PERCENT:
             return None
-        if percent < self._paces.get(traits.image, FULL_PERCENT):
-            self._paces[traits.image] = percent
         self._sent[(task_id, run)] = percent
         return percent
 
+    def _expect_services(self, traits: dict[str, TaskTraits]) -> None:
+        """Count services that start here and were not measured yet."""
+        for known in traits.values():
+            if known.target_ms and known.image not in self._room:
+                most = self._floors.most_load(
+                    known.image, known.target_ms, AIM_AT
+                )
+                self._room[known.image] = max(0.0, most - ASSUMED_LOAD)
+
     def on_unpaced(self, task_id: str, run: int) -> None:
         """Note that the worker did not confirm a pace."""
         if (task_id, run) in self._sent:
@@ -192,40 +218,45 @@
 
     def _weight(self, image: str, filling_image: str) -> float:
         pair = self._pairs.get((image, filling_image))
-        return UNKNOWN_SLOWDOWN if pair is None else pair.slowdown
+        return PRIOR_WEIGHT if pair is None else pair.slowdown
 
-    def _deviation(self, image: str, filling_image: str) -> float:
+    def _upper_weight(self, image: str, filling_image: str) -> float:
+        """Give the load that a neighbour may well add."""
         pair = self._pairs.get((image, filling_image))
-        return WEIGHT_SD if pair is None else pair.deviation
+        deviation = PRIOR_SD if pair is None else pair.deviation
+        return self._weight(image, filling_image) + CAUTION_SDS * deviation
 
     def _steer(
         self,
         serving: list[ServingRun],
         filling: list[FillingRun],
+        traits: dict[str, TaskTraits],
         now_s: float,
     ) -> None:
-        wanted = dict.fromkeys((run.image for run in filling), FULL_PERCENT)
-        own_loads = {}
-        for served in serving:
-            own = self._own_load(served, filling)
-            own_loads[served.key] = own
-            rise = own - self._own_loads.get(served.key, own)
-            expected = own + min(MAX_RISE, max(0.0, rise))
-            allowed = max(0.0, served.most_load - expected)
-            self._limit(served, filling, allowed, wanted)
-        self._own_loads = own_loads
-        worst = max((served.pressure for served in serving), default=0.0)
-        if worst < 1.0:
+        self.pressure = max((run.pressure for run in serving), default=0.0)
+        if self.pressure < 1.0:
             self._looks_past_target = 0
         else:
             self._looks_past_target += 1
+        full_shares: dict[str, float] = {}
+        for run in filling:
+            before = full_shares.get(run.image, 0.0)
+            full_shares[run.image] = before + run.full_share
+        self._room = self._load_room(serving, filling)
+        self._expect_services(traits)
+        wanted = self._divide(full_shares)
         for image, percent in wanted.items():
             pace = self._paces.get(image, FULL_PERCENT)
-            if worst >= BRAKE_FROM and self._may_be_at_fault(image, serving):
+            if self._must_brake(image, full_shares[image], serving):
                 percent = min(percent, int(pace * BRAKE))
             settled_s = now_s - self._changed_at_s.get(image, 0.0)
             if percent > pace:
-                if settled_s < SETTLE_S or worst >= AIM_AT:
+                harmless = self._is_harmless(
+                    image, full_shares[image], serving
+                )
+                if settled_s < SETTLE_S:
+                    continue
+                if self.pressure >= AIM_AT and not harmless:
                     continue
                 percent = min(percent, pace + RAISE_PERCENT)
             if percent < LEAST_PERCENT:
@@ -234,49 +265,78 @@
                 self._paces[image] = percent
                 self._changed_at_s[image] = now_s
 
-    def _own_load(
-        self, served: ServingRun, filling: list[FillingRun]
-    ) -> float:
-        added = sum(
-            self._weight(served.image, run.image) * run.share
-            for run in filling
-        )
-        return max(0.0, served.load - added)
+    def _load_room(
+        self, serving: list[ServingRun], filling: list[FillingRun]
+    ) -> dict[str, float]:
+        """Give the load that filling work may add, by serving image."""
+        room: dict[str, float] = {}
+        own_loads = {}
+        for served in serving:
+            added = sum(
+                self._weight(served.image, run.image) * run.share
+                for run in filling
+            )
+            own = max(0.0, served.load - added)
+            own_loads[served.key] = own
+            rise = own - self._own_loads.get(served.key, own)
+            expected = own + min(MAX_RISE, max(0.0, rise))
+            allowed = max(0.0, served.most_load - expected)
+            room[served.image] = min(allowed, room.get(served.image, allowed))
+        self._own_loads = own_loads
+        return room
 
-    def _limit(
-        self,
-        served: ServingRun,
-        filling: list[FillingRun],
-        allowed: float,
-        wanted: dict[str, int],
-    ) -> None:
-        full: dict[str, float] = {}
-        for run in filling:
-            weight = self._weight(served.image, run.image)
-            most = weight * run.full_share
-            full[run.image] = full.get(run.image, 0.0) + most
-        total = sum(full.values())
-        if total <= allowed:
-            return
-        spared = sum(
-            part for part in full.values() if part < CULPRIT_SHARE * total
+    def _divide(self, full_shares: dict[str, float]) -> dict[str, int]:
+        """Divide the load that may be added among filling images.
+
+        Those that disturb least for the processors that they use go first,
+        so that the most work is done. What is left is for runs that start
+        until the next look.
+        """
+
+        def worst_weight(image: str) -> float:
+            weights = (self._upper_weight(s, image) for s in self._room)
+            return max(weights, default=0.0)
+
+        wanted = {}
+        for image in sorted(full_shares, key=worst_weight):
+            factor = 1.0
+            added = {
+                service: self._upper_weight(service, image)
+                * full_shares[image]
+                for service in self._room
+            }
+            for service, left in self._room.items():
+                if added[service] > max(left, SPARED_LOAD):
+                    factor = min(factor, left / added[service])
+            for service, left in self._room.items():
+                self._room[service] = max(0.0, left - added[service] * factor)
+            wanted[image] = int(FULL_PERCENT * factor)
+        return wanted
+
+    def _is_harmless(
+        self, image: str, full_share: float, serving: list[ServingRun]
+    ) -> bool:
+        """Tell whether an image surely adds next to nothing here."""
+        return all(
+            self._upper_weight(served.image, image) * full_share
+            < HARMLESS_LOAD
+            for served in serving
         )
-        factor = max(0.0, allowed - spared) / (total - spared)
-        for image, part in full.items():
-            if part < CULPRIT_SHARE * total:
-                continue
-            percent = int(FULL_PERCENT * factor)
-            wanted[image] = min(wanted[image], percent)
 
-    def _may_be_at_fault(self, image: str, serving: list[ServingRun]) -> bool:
-        if self._looks_past_target > MAX_LOOKS_PAST_TARGET:
+    def _must_brake(
+        self, image: str, full_share: float, serving: list[ServingRun]
+    ) -> bool:
+        if self._looks_past_target > 2 * MAX_LOOKS_PAST_TARGET:
             return True
-        for served in serving:
-            if served.pressure < BRAKE_FROM:
-                continue
-            if self._deviation(served.image, image) > UNSURE_DEVIATION:
-                return True
-        return False
+        late = self._looks_past_target > MAX_LOOKS_PAST_TARGET
+        pressed = [run for run in serving if run.pressure >= BRAKE_FROM]
+        if late:
+            return not self._is_harmless(image, full_share, pressed)
+        return any(self._is_unsure(run.image, image) for run in pressed)
+
+    def _is_unsure(self, image: str, filling_image: str) -> bool:
+        pair = self._pairs.get((image, filling_image))
+        return pair is None or pair.deviation > UNSURE_DEVIATION
 
     def _changes(
         self, filling: list[FillingRun]
--- a/src/yuccapoint/cell/placement_costs.py
+++ b/src/yuccapoint/cell/placement_costs.py
@@ -80,10 +80,19 @@
 
 @placement_cost("together")
 def together(task: TaskRun, room: VmRoom) -> float:
-    """Gather serving tasks, which leaves whole VMs to filling work."""
-    if not task.step.spec.target_ms or not room.capacity.millicores:
+    """Gather serving tasks that bear the same neighbours.
+
+    Answers many services on few VMs: where services mix that are disturbed
+    by different images, nothing may run beside them.
+    """
+    spec = task.step.spec
+    if not spec.target_ms or not room.capacity.millicores:
         return 0.0
-    return -room.serving_millicores / room.capacity.millicores
+    cost = 0.0
+    for image, millicores in room.serving_images.items():
+        alike = room.disturbances.likeness(spec.image, image)
+        cost += (1.0 - 2.0 * alike) * millicores / room.capacity.millicores
+    return cost
 
 
 def total_cost(task: TaskRun, room: VmRoom) -> float:
--- a/src/yuccapoint/cell/vm_keeper.py
+++ b/src/yuccapoint/cell/vm_keeper.py
@@ -198,7 +198,9 @@
         traits = self._traits.get(task_id)
         if traits is None or not traits.filling:
             return
-        percent = self._guard.on_start(task_id, run, traits, self._millicores)
+        percent = self._guard.on_start(
+            task_id, run, self._traits, self._millicores
+        )
         if percent is not None:
             self._paces.append(PaceCall(task_id, run, percent, self.term))
 
@@ -254,7 +256,12 @@
         for task_id, run, percent in changes:
             self._paces.append(PaceCall(task_id, run, percent, self.term))
             self._explain(
-                "guard", "paced", task=task_id, run=run, percent=percent
+                "guard",
+                "paced",
+                task=task_id,
+                run=run,
+                percent=percent,
+                tail_of_target_percent=int(100 * self._guard.pressure),
             )
 
     def take_report(self, now_s: float) -> VmReport:
--- a/src/yuccapoint/cell/vm_room.py
+++ b/src/yuccapoint/cell/vm_room.py
@@ -25,8 +25,8 @@
     ----------
     filling_millicores : int
         Processors that tasks want which only fill.
-    serving_millicores : int
-        Processors committed to tasks with a latency target.
+    serving_images : dict of str to int
+        Processors committed to tasks with a latency target, by image.
     demand_millicores : float
         Processors that all tasks are expected to use.
     """
@@ -41,7 +41,6 @@
         "ledger",
         "disturbances",
         "serving_images",
-        "serving_millicores",
         "step_counts",
     )
 
@@ -55,10 +54,9 @@
         self.labels = () if worker is None else worker.labels
         self.free = ledger.room
         self.filling_millicores = 0
-        self.serving_millicores = 0
         self.demand_millicores = 0.0
         self.step_counts: dict[int, int] = {}
-        self.serving_images: set[str] = set()
+        self.serving_images: dict[str, int] = {}
         self.filling_images: dict[str, float] = {}
         for task in ledger.claims.values():
             self._weigh(task.step.spec, id(task.step))
@@ -79,7 +77,7 @@
         """Give a copy to try placements on."""
         made = copy.copy(self)
         made.step_counts = dict(self.step_counts)
-        made.serving_images = set(self.serving_images)
+        made.serving_images = dict(self.serving_images)
         made.filling_images = dict(self.filling_images)
         return made
 
@@ -105,8 +103,8 @@
             self.demand_millicores += millicores
             return
         if spec.target_ms:
-            self.serving_images.add(spec.image)
-            self.serving_millicores += millicores
+            before = self.serving_images.get(spec.image, 0)
+            self.serving_images[spec.image] = before + millicores
             self.demand_millicores += SERVING_USE * millicores
             return
         self.demand_millicores += millicores
--- a/src/yuccapoint/job/interference/pair_report.py
+++ b/src/yuccapoint/job/interference/pair_report.py
@@ -10,17 +10,17 @@
 
     Attributes
     ----------
-    count : float
-        Samples behind it, fading with time.
     deviation : float
         Standard deviation of ``slowdown``.
+    count : float
+        Samples behind it, fading with time; 0 where it isn't counted.
     """
 
     service: str
     job_class: str
     slowdown: float
     deviation: float
-    count: float
+    count: float = 0.0
 
 
 class PairReport(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/features/steps/cell_colocation_steps.py
+++ b/tests/features/steps/cell_colocation_steps.py
@@ -13,6 +13,7 @@
 
 from yuccapoint.cell.cell_messages import RunningTask
 from yuccapoint.cell.cell_messages import TaskTraits
+from yuccapoint.cell.disturbance_watch import DisturbanceWatch
 from yuccapoint.cell.pace_guard import PaceGuard
 from yuccapoint.cell.progress import Phase
 from yuccapoint.cell.step_spec import StepSpec
@@ -85,7 +86,7 @@
 
 @then('a further run of "{image}" starts paced below {percent:d} percent')
 def starts_paced(context: Context, image: str, percent: int) -> None:
-    traits = TaskTraits("further", image, 1_000, 0, True)
+    traits = {"further": TaskTraits("further", image, 1_000, 0, True)}
     given_percent = context.guard.on_start("further", 1, traits, VM_MILLICORES)
     assert given_percent is not None
     assert given_percent < percent, given_percent
@@ -194,3 +195,98 @@
     phases = [task.phase for task in tasks]
     assert phases == [Phase.CLAIMED] * len(tasks), phases
     assert {task.life.vm for task in tasks} == {vm}, tasks
+
+
+@when("a service has a tail of {tail:d} ms of {target:d}")
+def serve_alone(context: Context, tail: int, target: int) -> None:
+    assert target == TARGET_MS
+    _look(context, 5.0, [])
+    _look(context, float(tail), [])
+
+
+@when(
+    "for {looks:d} looks a service has a tail of {tail:d} ms of {target:d}"
+    ' beside "{one}" and "{other}"'
+)
+def serve_long(
+    context: Context, looks: int, tail: int, target: int, one: str, other: str
+) -> None:
+    assert target == TARGET_MS
+    if context.now_s == 10.0:
+        _look(context, 5.0, [])
+    for _ in range(looks):
+        _look(context, float(tail), [one, other])
+
+
+def _start_together(context: Context, runs: int, image: str) -> None:
+    traits = {"service": TaskTraits("service", "svc", 2_000, TARGET_MS, False)}
+    for number in range(runs):
+        name = f"{image}-{number}"
+        traits[name] = TaskTraits(name, image, 1_000, 0, True)
+    context.started = []
+    for number in range(runs):
+        percent = context.guard.on_start(
+            f"{image}-{number}", 1, traits, VM_MILLICORES
+        )
+        context.started.append(100 if percent is None else percent)
+
+
+@when('{runs:d} runs of "{image}" start before the next look')
+@when('{runs:d} runs of "{image}" start before the first look')
+def start_together(context: Context, runs: int, image: str) -> None:
+    _start_together(context, runs, image)
+
+
+@then("their paces add up to at most {most:d} percent")
+def paces_add_up(context: Context, most: int) -> None:
+    assert sum(context.started) <= most, context.started
+
+
+@then("the first of them starts at {percent:d} percent")
+def first_starts(context: Context, percent: int) -> None:
+    assert context.started[0] == percent, context.started
+
+
+@when("another leader takes over what was learned")
+def take_over_pairs(context: Context) -> None:
+    context.next_watch = DisturbanceWatch()
+    context.next_watch.take_known(context.leader.disturbances.all_pairs())
+
+
+@then('it knows "{image}" as well as the former leader')
+def knows_as_well(context: Context, image: str) -> None:
+    before, after = (
+        {pair.job_class: pair for pair in watch.known_pairs("svc")}[image]
+        for watch in (context.leader.disturbances, context.next_watch)
+    )
+    assert abs(before.slowdown - after.slowdown) < 0.01, (before, after)
+    assert abs(before.deviation - after.deviation) < 0.01, (before, after)
+
+
+@given('"{one}" and "{other}" serve another image')
+def serve_other(context: Context, one: str, other: str) -> None:
+    step = StepSpec(
+        1, Size(2_000, 2**20, 0), lasting=True, image="other", target_ms=18
+    )
+    for number, name in enumerate((one, other)):
+        job_id = f"{number:015d}c"
+        add_job(context.leader, job_id, step)
+        task = context.leader.find_task(f"{job_id}.0.0.0")
+        ledger = context.leader.vms[name]
+        task.claim(ledger.life, 1)
+        ledger.claims[task.task_id] = task
+
+
+@when("a further service task comes")
+def further_service(context: Context) -> None:
+    context.job_id = "d" * 16
+    step = StepSpec(
+        1, Size(2_000, 2**20, 0), lasting=True, image="svc", target_ms=18
+    )
+    add_job(context.leader, context.job_id, step)
+    context.leader.tick(context.now_s, WALL_MS)
+
+
+@then('it is claimed on "{vm}"')
+def one_claimed_on(context: Context, vm: str) -> None:
+    claimed_on(context, vm)
