Pack services densely beside those like them; keep disturbing work away from services

Cause: beside a service filling work got a quarter of a VM (a dump of the guard's room: 0 on nearly all VMs with services, VMs without one fully used), and the planner let it add up to 0.25 of load there, where it crawled.

--- a/src/yuccapoint/cell/claim_planner.py
+++ b/src/yuccapoint/cell/claim_planner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from yuccapoint.cell.placement_costs import total_cost
@@ -28,7 +29,7 @@
 MEET_SLACK = 0.1
 # Most load that filling work may add to a service, as far as is known:
 # beyond, the guard would slow all of it down.
-MAX_DISTURBANCE = 0.25
+MAX_DISTURBANCE = 0.12
 # A job this many objectives late earns nothing and goes last.
 HOPELESS_OBJECTIVES = 3.0
 
@@ -111,7 +112,9 @@
         job = step.occurrence.job
         queue = job.submission.queue
         if step.spec.lasting:
-            return (0, 0, 0.0)
+            # Tasks that must spread find room on dense VMs only if those
+            # that may stand anywhere come after them.
+            return (0, 0, step.spec.max_per_vm or math.inf)
         objective_ms = job.objective_at_ms(step.occurrence.number)
         span_ms = queue.objective_factor * job.chain_ms + queue.objective_ms
         left_ms = step.occurrence.chain_left_ms()
--- a/src/yuccapoint/cell/placement_costs.py
+++ b/src/yuccapoint/cell/placement_costs.py
@@ -23,6 +23,9 @@
 # Weight of the disturbance of serving work against the demand on a VM: a
 # serving task past its target costs its users four times its share.
 DISTURBS_SERVING = 4.0
+# What it is worth, as a share of their processors, that services which bear
+# the same neighbours run together.
+LIKE_GAIN = 1.0
 
 
 def placement_cost(name: str) -> Callable[[PlacementCost], PlacementCost]:
@@ -80,19 +83,19 @@
 
 @placement_cost("together")
 def together(task: TaskRun, room: VmRoom) -> float:
-    """Gather serving tasks that bear the same neighbours.
+    """Pack serving tasks densely, best beside those like them.
 
-    Answers many services on few VMs: where services mix that are disturbed
-    by different images, nothing may run beside them.
+    Answers services on most VMs with much filling work waiting: beside a
+    service it gets a quarter of a VM, on a VM without one all of it.
     """
     spec = task.step.spec
     if not spec.target_ms or not room.capacity.millicores:
         return 0.0
-    cost = 0.0
+    gain = 0.0
     for image, millicores in room.serving_images.items():
         alike = room.disturbances.likeness(spec.image, image)
-        cost += (1.0 - 2.0 * alike) * millicores / room.capacity.millicores
-    return cost
+        gain += (1.0 + LIKE_GAIN * alike) * millicores
+    return -gain / room.capacity.millicores
 
 
 def total_cost(task: TaskRun, room: VmRoom) -> float:
