Soak real processes; drain entries before they stop; give up VMs whose agent knows no worker

An entry that got SIGTERM closed its listening socket at once; a connection that the kernel had taken was reset.

The worker stand-in stopped checking in after a time-out.

--- a/src/yuccapoint/cell/cell_view.py
+++ b/src/yuccapoint/cell/cell_view.py
@@ -18,20 +18,51 @@
 
 
 class JobView:
-    """A job and the states of its occurrences."""
+    """A job and the states of its occurrences.
 
-    __slots__ = ("cancelled", "occurrences", "submission")
+    Attributes
+    ----------
+    cancelled_at : int or None
+        Offset of the record that cancelled the job.
+    """
+
+    __slots__ = ("_written_at", "cancelled_at", "occurrences", "submission")
 
     def __init__(self, submission: Submission) -> None:
         self.submission = submission
-        self.cancelled = False
+        self.cancelled_at: int | None = None
         self.occurrences: dict[int, OccurrenceState] = {}
+        self._written_at = -1
+
+    @property
+    def cancelled(self) -> bool:
+        """Whether a caller cancelled the job, in time or too late."""
+        return self.cancelled_at is not None
 
     @property
     def outcome(self) -> Outcome:
-        """How the job ended, as far as it has."""
-        if self.cancelled:
-            return Outcome.CANCELLED
+        """How the job ended, as far as it has.
+
+        What ended before it was cancelled stays as it ended.
+        """
+        outcome = self._work_outcome()
+        if self.cancelled_at is None:
+            return outcome
+        if (
+            outcome is not Outcome.OPEN
+            and self._written_at < self.cancelled_at
+        ):
+            return outcome
+        return Outcome.CANCELLED
+
+    def set_occurrence(
+        self, number: int, state: OccurrenceState, offset: int
+    ) -> None:
+        """Note an occurrence's state and where it was written."""
+        self.occurrences[number] = state
+        self._written_at = max(self._written_at, offset)
+
+    def _work_outcome(self) -> Outcome:
         ended = [o.outcome for o in self.occurrences.values()]
         if Outcome.FAILED in ended:
             return Outcome.FAILED
@@ -58,7 +89,7 @@
         self.leadership: Leadership | None = None
         self.pairs: KnownPairs | None = None
         self._offsets: dict[str, int] = {}
-        self._orphans: dict[str, dict[str, CellRecord]] = {}
+        self._orphans: dict[str, dict[str, tuple[CellRecord, int]]] = {}
 
     def apply(self, key: str, record: CellRecord | None, offset: int) -> bool:
         """Apply a record unless a newer one of its key was applied.
@@ -95,7 +126,7 @@
         if isinstance(record, Submission):
             self._submit(record)
             return True
-        self._apply_to_job(key, record)
+        self._apply_to_job(key, record, offset)
         return True
 
     def retain(self, keys: set[str], before_offset: int) -> None:
@@ -145,20 +176,20 @@
             return
         self.jobs[submission.job_id] = JobView(submission)
         orphans = self._orphans.pop(submission.job_id, {})
-        for key, record in orphans.items():
-            self._apply_to_job(key, record)
+        for key, (record, offset) in orphans.items():
+            self._apply_to_job(key, record, offset)
 
-    def _apply_to_job(self, key: str, record: CellRecord) -> None:
+    def _apply_to_job(self, key: str, record: CellRecord, offset: int) -> None:
         job_id, _, occurrence = key[2:].partition(".")
         job = self.jobs.get(job_id)
         if job is None:
-            self._orphans.setdefault(job_id, {})[key] = record
+            self._orphans.setdefault(job_id, {})[key] = (record, offset)
             return
         if isinstance(record, Cancellation):
-            job.cancelled = True
+            job.cancelled_at = offset
             return
         if isinstance(record, OccurrenceState) and occurrence.isdigit():
-            job.occurrences[int(occurrence)] = record
+            job.set_occurrence(int(occurrence), record, offset)
 
     def _drop(self, key: str) -> None:
         name = key[2:]
--- a/src/yuccapoint/cell/job_desk.py
+++ b/src/yuccapoint/cell/job_desk.py
@@ -31,6 +31,10 @@
     def ready(self) -> bool:
         """Whether callers should come here."""
 
+    @property
+    def stopping(self) -> bool:
+        """Whether this process is about to end as planned."""
+
     @property
     def up_to_date(self) -> bool:
         """Whether a job that is not known here does not exist."""
@@ -49,8 +53,8 @@
     ) -> DeskVerdict:
         """Cancel a job for good."""
 
-    def state(self, route: str, job_id: str) -> str | None:
-        """Give the state of a job; None when it is not known."""
+    async def state(self, route: str, job_id: str) -> str | None:
+        """Give the state of a job; None when there is no such job."""
 
     def count_pending(self, route: str) -> int:
         """Count accepted jobs of which no task has started."""
--- a/src/yuccapoint/cell/order_writer.py
+++ b/src/yuccapoint/cell/order_writer.py
@@ -41,6 +41,8 @@
         Whether a lease may be granted.
     """
     vm.order_sequence += 1
+    # What a worker runs that its agent does not know ends with its lease.
+    grant = grant and vm.has_worker
     if grant:
         vm.grant()
     starts: list[StartOrder] = []
--- a/src/yuccapoint/cell/report_intake.py
+++ b/src/yuccapoint/cell/report_intake.py
@@ -58,6 +58,7 @@
         self, vm: VmLedger, report: VmReport, now_s: float
     ) -> None:
         worker = report.worker
+        vm.has_worker = worker is not None
         if worker is None:
             vm.looked = False
             return
--- a/src/yuccapoint/cell/vm_ledger.py
+++ b/src/yuccapoint/cell/vm_ledger.py
@@ -32,6 +32,8 @@
     ----------
     leased_until_s : float
         When all leases that anyone may have granted have run out.
+    has_worker : bool
+        Whether the agent knows a worker; without one it passes no lease on.
     noted_number : int
         Ends up to this number are in the store.
     ends_through : int
@@ -51,6 +53,7 @@
         self.called_at_s = 0.0
         self.redialed_at_s = 0.0
         self.worker: WorkerReport | None = None
+        self.has_worker = False
         self.follows = False
         self.looked = False
         self.claims: dict[str, TaskRun] = {}
--- a/src/yuccapoint/connection/kept_client.py
+++ b/src/yuccapoint/connection/kept_client.py
@@ -107,10 +107,9 @@
         stream = await self._connect(deadline_s)
         lines = [
             f"{method} {target} HTTP/1.1",
-            f"Host: {self.address}",
             f"Content-Length: {len(body)}",
         ]
-        for name, value in (headers or {}).items():
+        for name, value in {"Host": self.address, **(headers or {})}.items():
             lines.append(f"{name}: {value}")
         head = "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
         kept = False
--- a/src/yuccapoint/platform/front.py
+++ b/src/yuccapoint/platform/front.py
@@ -12,6 +12,7 @@
 
 from yuccapoint.cell.exceptions import InvalidJobError
 from yuccapoint.cell.job_desk import DeskVerdict
+from yuccapoint.exceptions import YuccapointError
 from yuccapoint.platform.exceptions import DamagedMessageError
 from yuccapoint.platform.http_answer import send_answer
 from yuccapoint.platform.job_body import decode_job
@@ -58,10 +59,18 @@
     ----------
     desk : JobDesk
         Takes jobs and knows their states.
+
+    Attributes
+    ----------
+    in_flight : int
+        Requests that are not answered yet.
+    called_at_s : float
+        Monotonic time of the last request.
     """
 
     def __init__(self, desk: JobDesk) -> None:
         self.in_flight = 0
+        self.called_at_s = 0.0
         self._desk = desk
         self._front = HTTPServer(self._on_call)
         self._ready = HTTPServer(self._on_ready_check)
@@ -88,19 +97,21 @@
         if request.path == READY_PATH:
             self._on_ready_check(request)
             return
+        self.in_flight += 1
+        self.called_at_s = time.monotonic()
         asyncio.ensure_future(self._serve(request))
 
     async def _serve(self, request: HTTPServerRequest) -> None:
-        self.in_flight += 1
         try:
-            answer = await self._answer(request)
-        except Exception as error:  # noqa: BLE001
-            # A fault of ours must not leave the caller without an answer.
-            self._desk.note_fault(request.path, repr(error))
-            answer = Answer(500)
+            try:
+                answer = await self._answer(request)
+            except Exception as error:  # noqa: BLE001
+                # A fault of ours must not leave the caller without an answer.
+                self._desk.note_fault(request.path, repr(error))
+                answer = Answer(500)
+            self._send(request, answer)
         finally:
             self.in_flight -= 1
-        self._send(request, answer)
 
     async def _answer(self, request: HTTPServerRequest) -> Answer:
         table = self._desk.table
@@ -120,7 +131,7 @@
         if request.method == "POST":
             return await self._submit(route, rest, request.body, deadline_s)
         if request.method == "GET":
-            return self._state(route, rest)
+            return await self._state(route, rest)
         if request.method == "DELETE":
             verdict = await self._desk.cancel(
                 route.rules.route, rest, deadline_s
@@ -146,13 +157,13 @@
             retry_after_s = self._desk.retry_after_s
         return Answer(_VERDICT_STATUSES[verdict], None, retry_after_s)
 
-    def _state(self, route: QueueRoute, job_id: str) -> Answer:
-        state = self._desk.state(route.rules.route, job_id)
-        if state is not None:
-            return Answer(200, {"State": state})
-        if self._desk.up_to_date:
-            return Answer(410)
-        return Answer(503, retry_after_s=1)
+    async def _state(self, route: QueueRoute, job_id: str) -> Answer:
+        try:
+            state = await self._desk.state(route.rules.route, job_id)
+        except YuccapointError as error:
+            self._desk.note_fault(job_id, str(error))
+            return Answer(503, retry_after_s=self._desk.retry_after_s)
+        return Answer(410) if state is None else Answer(200, {"State": state})
 
     def _count(self, route: QueueRoute) -> Answer:
         if not self._desk.up_to_date:
@@ -168,6 +179,8 @@
             headers["Content-Type"] = "application/json"
         if answer.retry_after_s:
             headers["Retry-After"] = str(answer.retry_after_s)
+        if self._desk.stopping:
+            headers["Connection"] = "close"
         if not send_answer(request, answer.status, body, headers):
             self._desk.note_caller_gone(request.path, answer.status)
 
--- a/src/yuccapoint/platform/roles.py
+++ b/src/yuccapoint/platform/roles.py
@@ -25,7 +25,9 @@
 
     from tornado.httputil import HTTPServerRequest
 
+    from yuccapoint.platform.front import Front
     from yuccapoint.platform.node_settings import NodeSettings
+    from yuccapoint.process.cell_entry_process import CellEntryProcess
 
 CELL_TOPIC = "cell"
 # Port of the metrics, on any path; deploy/system.toml names it too.
@@ -33,10 +35,16 @@
 # The settings file is looked at this often, in seconds; it may change
 # without a signal.
 SETTINGS_EVERY_S = 2.0
-# Longest wait in seconds for answers under way at a planned stop: well
-# below the time that the platform grants.
-DRAIN_S = 4.0
-DRAIN_TICK_S = 0.02
+# New connections still come for so many seconds after a planned stop has
+# begun: the platform asks once a second whether an entry is ready and leaves
+# it alone after two misses.
+LINGER_S = 2.6
+# A planned stop ends, in seconds from its begin, with answers still under
+# way at the latest: well below the time that the platform grants.
+MAX_STOP_S = 4.8
+# Open connections are closed once nothing came for so many seconds.
+QUIET_S = 0.3
+STOP_TICK_S = 0.02
 
 
 class Role:
@@ -135,19 +143,32 @@
         asyncio.ensure_future(role.watch_settings()),
     ]
     await role.wait_for_end(entry.failed)
-    entry.desk.stopping = True
-    front.stop_listening()
-    loop = asyncio.get_running_loop()
-    until_s = loop.time() + DRAIN_S
-    await entry.stop()
-    while front.in_flight and loop.time() < until_s:
-        await asyncio.sleep(DRAIN_TICK_S)
+    await _drain(entry, front)
+    entry.stop()
     for helper in helpers:
         helper.cancel()
     role.logs.say("entry", "stopped", cut=front.in_flight)
     role.output.stop()
 
 
+async def _drain(entry: CellEntryProcess, front: Front) -> None:
+    """Answer callers until none comes any more."""
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
+    await entry.hand_over()
+    if entry.failed.is_set():
+        # The platform starts a failed process anew.
+        front.stop_listening()
+        return
+    await asyncio.sleep(began_s + LINGER_S - loop.time())
+    front.stop_listening()
+    while loop.time() < began_s + MAX_STOP_S:
+        quiet_s = loop.time() - front.called_at_s
+        if not front.in_flight and quiet_s > QUIET_S:
+            return
+        await asyncio.sleep(STOP_TICK_S)
+
+
 async def run_agent() -> None:
     """Run an agent until a signal stops it."""
     from yuccapoint.platform.check_ins import CheckIns
--- a/src/yuccapoint/process/cell_desk.py
+++ b/src/yuccapoint/process/cell_desk.py
@@ -112,17 +112,11 @@
         self, route: str, job_id: str, deadline_s: float
     ) -> DeskVerdict:
         """Cancel a job once that is in the store."""
-        job = self._find(route, job_id)
-        if job is None:
-            try:
-                # Another entry may have accepted it a moment ago.
-                await self._tail.catch_up()
-            except YuccapointError as error:
-                self._logs.say(
-                    "job", "can't look", job=job_id, error=str(error)
-                )
-                return DeskVerdict.REFUSED
-            job = self._find(route, job_id)
+        try:
+            job = await self._find_for_sure(route, job_id)
+        except YuccapointError as error:
+            self._logs.say("job", "can't look", job=job_id, error=str(error))
+            return DeskVerdict.REFUSED
         if job is None:
             self._say("cancelled", job_id, DeskVerdict.UNKNOWN_JOB)
             return DeskVerdict.UNKNOWN_JOB
@@ -134,9 +128,15 @@
         self._say("cancelled", job_id, verdict, route=route)
         return verdict
 
-    def state(self, route: str, job_id: str) -> str | None:
-        """Give the state of a job; None when it is not known."""
-        job = self._find(route, job_id)
+    async def state(self, route: str, job_id: str) -> str | None:
+        """Give the state of a job; None when there is no such job.
+
+        Raises
+        ------
+        YuccapointError
+            The job is not known here and the store can't be asked.
+        """
+        job = await self._find_for_sure(route, job_id)
         if job is None:
             return None
         if job.outcome is not Outcome.OPEN:
@@ -161,6 +161,14 @@
         """Log an answer that its caller no longer waited for."""
         self._logs.say("front", "caller gone", path=path, status=status)
 
+    async def _find_for_sure(self, route: str, job_id: str) -> JobView | None:
+        job = self._find(route, job_id)
+        if job is None:
+            # Another entry may have accepted it a moment ago.
+            await self._tail.catch_up()
+            job = self._find(route, job_id)
+        return job
+
     def _find(self, route: str, job_id: str) -> JobView | None:
         job = self._view.find(job_id)
         if job is None or job.submission.queue.route != route:
--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -135,14 +135,22 @@
             "entry", "started", incarnation=self.incarnation, at=self.address
         )
 
-    async def stop(self) -> None:
-        """Hand the cell over and stop."""
+    async def hand_over(self) -> None:
+        """Let another entry lead; callers are still answered."""
         self._stopping = True
+        self.desk.stopping = True
         self.logs.say("entry", "stopping", leads=self.leader is not None)
-        if self.leader is not None:
-            with contextlib.suppress(YuccapointError, TimeoutError):
-                async with asyncio.timeout(RESIGN_TIMEOUT_S):
-                    await self._resign()
+        if self.leader is None:
+            return
+        try:
+            async with asyncio.timeout(RESIGN_TIMEOUT_S):
+                await self._resign()
+        except (YuccapointError, TimeoutError) as error:
+            # The others take over when they miss the renewals.
+            self.logs.say("leader", "not resigned", error=repr(error))
+
+    def stop(self) -> None:
+        """Stop all parts."""
         for task in self._tasks:
             task.cancel()
         if self._append is not None:
--- a/src/yuccapoint_standins/platform_worker.py
+++ b/src/yuccapoint_standins/platform_worker.py
@@ -8,6 +8,7 @@
 
 import msgspec
 from tornado.httpclient import AsyncHTTPClient
+from tornado.httpclient import HTTPError
 from tornado.httpclient import HTTPRequest
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders
@@ -105,7 +106,7 @@
             )
             try:
                 await self._client.fetch(request, raise_error=False)
-            except OSError:
+            except (OSError, HTTPError):
                 # The agent is being started; the next check-in finds it.
                 await asyncio.sleep(TICK_S)
             await asyncio.sleep(CHECK_IN_EVERY_S)
--- /dev/null
+++ b/tests/features/cell/silence.feature
@@ -0,0 +1,16 @@
+Feature: What is lost is noticed, what ended stays ended
+
+  Scenario: A VM whose agent knows no worker gives its tasks back
+    Given a leader with 2 VMs that work on a job of 4 tasks
+    When the agent of "vm-0" starts anew and knows no worker for 12 s
+    Then all open tasks are claimed on "vm-1"
+
+  Scenario: A job that completed before it was cancelled stays completed
+    Given a view of a job that completed at offset 5
+    When a cancellation comes at offset 7
+    Then the job is shown as "completed"
+
+  Scenario: A job that was cancelled before its end was written is cancelled
+    Given a view of a job that completed at offset 9
+    When a cancellation comes at offset 7
+    Then the job is shown as "cancelled"
--- /dev/null
+++ b/tests/features/steps/soak_steps.py
@@ -0,0 +1,106 @@
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import signal
+import sys
+import tempfile
+import time
+from typing import TYPE_CHECKING
+
+from behave import given
+from behave import then
+from behave import when
+
+sys.path.append(str(pathlib.Path(__file__).parents[2]))
+
+from soak.play import play  # noqa: E402
+from soak.world import FRONT_PORT  # noqa: E402
+from soak.world import HOST  # noqa: E402
+from soak.world import STOP_GRACE_S  # noqa: E402
+from soak.world import World  # noqa: E402
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+# The platform sends no new connections after two missed ready checks.
+ROTATION_S = 2.2
+CALL_EVERY_S = 0.004
+
+
+@given("real entries and agents behind proxies")
+def start_world(context: Context) -> None:
+    scratch = tempfile.TemporaryDirectory()
+    context.cleanups.append(scratch.cleanup)
+    context.world = World(pathlib.Path(scratch.name), 1, entries=2, vms=1)
+    context.cleanups.append(
+        lambda: context.loop.run_until_complete(context.world.close())
+    )
+    context.loop.run_until_complete(context.world.start())
+
+
+async def _call_once(world: World, entry: str) -> bool:
+    """Send a request on a new connection; tell whether it was answered."""
+    try:
+        reader, writer = await asyncio.open_connection(
+            world.ip(entry), FRONT_PORT
+        )
+    except ConnectionRefusedError:
+        return True
+    try:
+        writer.write(f"GET /q/ HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode())
+        line = await asyncio.wait_for(reader.readline(), 5)
+        return line.startswith(b"HTTP/1.1 ")
+    except OSError:
+        return False
+    finally:
+        writer.transport.abort()
+
+
+@when("an entry is stopped as planned while callers come on new connections")
+def stop_under_calls(context: Context) -> None:
+    world = context.world
+
+    async def run() -> None:
+        calls = []
+        began_s = time.monotonic()
+        stopped_s = began_s + 0.3
+        signalled = False
+        while time.monotonic() < stopped_s + ROTATION_S:
+            if not signalled and time.monotonic() > stopped_s:
+                signalled = True
+                world.signal("entry-0", signal.SIGTERM)
+            calls.append(asyncio.ensure_future(_call_once(world, "entry-0")))
+            await asyncio.sleep(CALL_EVERY_S)
+        context.answered = await asyncio.gather(*calls)
+        while world.alive("entry-0"):
+            await asyncio.sleep(0.05)
+            assert time.monotonic() < stopped_s + 30
+        context.took_s = time.monotonic() - stopped_s
+
+    context.loop.run_until_complete(run())
+
+
+@then("each caller whose connection was taken got an answer")
+def all_answered(context: Context) -> None:
+    cut = context.answered.count(False)
+    assert not cut, f"{cut} of {len(context.answered)} got no answer"
+
+
+@then("the entry ends within the time that the platform grants")
+def ends_in_time(context: Context) -> None:
+    assert context.took_s < STOP_GRACE_S, context.took_s
+
+
+@when("seed {seed:d} is played for {seconds:d} s")
+def play_seed(context: Context, seed: int, seconds: int) -> None:
+    with tempfile.TemporaryDirectory() as scratch:
+        context.verdict = context.loop.run_until_complete(
+            play(seed, pathlib.Path(scratch), seconds, entries=3, vms=3)
+        )
+
+
+@then("no promise is broken and work was done")
+def nothing_broken(context: Context) -> None:
+    assert not context.verdict.broken, context.verdict.broken
+    assert context.verdict.starts > 0
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Real processes of a cell on loopback, under faults from outside them."""
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,173 @@
+"""The registry of faults; each begins at once and ends by itself."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import signal
+from typing import TYPE_CHECKING
+
+from soak.proxy import LinkState
+
+if TYPE_CHECKING:
+    from soak.world import World
+
+Fault = Callable[["World"], Awaitable[None]]
+
+FAULTS: dict[str, Fault] = {}
+
+MAX_TROUBLE_S = 7.0
+
+
+def fault(play: Fault) -> Fault:
+    """Register a fault under its name."""
+    FAULTS[play.__name__] = play
+    return play
+
+
+def _length_s(world: World) -> float:
+    return world.rng.uniform(0.3, MAX_TROUBLE_S)
+
+
+def _anyone(world: World) -> str:
+    return world.rng.choice([*world.entries, *world.agents])
+
+
+async def _kill_and_restart(
+    world: World, names: list[str], down_s: float
+) -> None:
+    for name in names:
+        world.signal(name, signal.SIGCONT)
+        world.signal(name, signal.SIGKILL)
+    await asyncio.sleep(down_s)
+    for name in names:
+        world.spawn(name)
+
+
+@fault
+async def kill(world: World) -> None:
+    await _kill_and_restart(world, [_anyone(world)], _length_s(world))
+
+
+@fault
+async def kill_entries(world: World) -> None:
+    await _kill_and_restart(world, world.entries, _length_s(world) / 3)
+
+
+@fault
+async def power_off_all(world: World) -> None:
+    names = [*world.entries, *world.agents]
+    if world.rng.random() < 0.5:
+        for worker in world.workers:
+            worker.crash()
+    await _kill_and_restart(world, names, _length_s(world) / 3)
+    for worker in world.workers:
+        if worker.crashed:
+            worker.begin_life()
+
+
+@fault
+async def pause(world: World) -> None:
+    name = _anyone(world)
+    world.signal(name, signal.SIGSTOP)
+    await asyncio.sleep(_length_s(world))
+    world.signal(name, signal.SIGCONT)
+
+
+@fault
+async def stop_in_turn(world: World) -> None:
+    """Stop processes as planned, one after the other, and start them."""
+    for name in world.rng.sample([*world.entries, *world.agents], 3):
+        world.signal(name, signal.SIGTERM)
+        await asyncio.sleep(world.rng.uniform(0.3, 1.5))
+        world.signal(name, signal.SIGKILL)
+        await asyncio.sleep(0.1)
+        world.spawn(name)
+
+
+@fault
+async def reload(world: World) -> None:
+    for name in world.rng.sample([*world.entries, *world.agents], 2):
+        world.signal(name, signal.SIGHUP)
+        await asyncio.sleep(0.2)
+
+
+@fault
+async def store_refuses(world: World) -> None:
+    world.store.refuse = True
+    await asyncio.sleep(_length_s(world))
+    world.store.refuse = False
+
+
+@fault
+async def store_loses_answers(world: World) -> None:
+    world.store.lose_answers = True
+    await asyncio.sleep(_length_s(world))
+    world.store.lose_answers = False
+
+
+@fault
+async def store_forgets(world: World) -> None:
+    for _ in range(3):
+        world.store.forget_history("keyed.cell")
+        await asyncio.sleep(0.5)
+
+
+async def _harm_link(world: World, kind: str, state: LinkState) -> None:
+    names = [name for name in world.proxies if name.startswith(kind)]
+    proxy = world.proxies[world.rng.choice(names)]
+    proxy.delay_s = world.rng.uniform(0.05, 0.6)
+    proxy.state = state
+    await asyncio.sleep(_length_s(world))
+    proxy.state = LinkState.PASS
+    proxy.reset_all()
+
+
+@fault
+async def link_silent(world: World) -> None:
+    await _harm_link(world, "", LinkState.SILENT)
+
+
+@fault
+async def link_one_way(world: World) -> None:
+    state = world.rng.choice((LinkState.DROP_REQUESTS, LinkState.DROP_ANSWERS))
+    await _harm_link(world, "", state)
+
+
+@fault
+async def link_slow(world: World) -> None:
+    await _harm_link(world, "store", LinkState.DELAY)
+
+
+@fault
+async def links_reset(world: World) -> None:
+    for proxy in world.proxies.values():
+        if world.rng.random() < 0.5:
+            proxy.reset_all()
+
+
+@fault
+async def worker_crash(world: World) -> None:
+    worker = world.rng.choice(world.workers)
+    worker.crash()
+    await asyncio.sleep(_length_s(world))
+    worker.begin_life()
+
+
+@fault
+async def worker_drains(world: World) -> None:
+    worker = world.rng.choice(world.workers)
+    worker.draining = True
+    await asyncio.sleep(3.0)
+    worker.crash()
+    await asyncio.sleep(0.5)
+    worker.begin_life()
+
+
+@fault
+async def orders_late(world: World) -> None:
+    worker = world.rng.choice(world.workers)
+    worker.late_s = world.rng.uniform(1.0, 6.0)
+    await asyncio.sleep(_length_s(world))
+    worker.late_s = 0.0
--- /dev/null
+++ b/tests/soak/oracle.py
@@ -0,0 +1,138 @@
+"""Judges the promises from what workers and callers see."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+# A start this long after a cancellation was acknowledged breaks a promise
+# in calm times; troubles here last up to the second figure more.
+CANCEL_S = 3.0
+TROUBLE_S = 12.0
+# An accepted job is known everywhere after this time.
+VISIBLE_S = 3.0
+
+
+class SoakJob:
+    """A job as its caller knows it."""
+
+    def __init__(self, job_id: str, payload: str, steps: list[int]) -> None:
+        self.job_id = job_id
+        self.payload = payload
+        self.steps = steps
+        self.accepted_at_s: float | None = None
+        self.maybe = False
+        # Entries that said so.
+        self.completed_at: set[str] = set()
+        self.cancelled_at_s: float | None = None
+        self.cancel_tried = False
+
+    @property
+    def accepted(self) -> bool:
+        return self.accepted_at_s is not None
+
+
+class Oracle:
+    """Collects what breaks a promise."""
+
+    def __init__(self) -> None:
+        self.jobs: dict[str, SoakJob] = {}
+        self.broken: list[str] = []
+        self.starts = 0
+        self._running: dict[str, object] = {}
+        self._done: set[str] = set()
+        self._noted_done: set[str] = set()
+        self._ends: dict[tuple[int, int], tuple[str, str]] = {}
+
+    def on_start(self, body: dict[str, Any], worker: object) -> None:
+        """Judge a start at the moment that a worker begins it."""
+        task = body["Task"]
+        self.starts += 1
+        job = self.jobs.get(task.partition(".")[0])
+        if job is None:
+            self._break("UNASKED", f"{task}: nobody submitted it")
+            return
+        if body["Spec"] != job.payload:
+            self._break("UNASKED", f"{task}: started with another payload")
+        if task in self._running:
+            self._break("TWICE", f"{task} runs on two workers")
+        if task in self._noted_done:
+            self._break("TWICE", f"{task} starts after its end was noted")
+        step = int(task.split(".")[2])
+        for index in range(job.steps[step - 1] if step else 0):
+            if f"{job.job_id}.0.{step - 1}.{index}" not in self._done:
+                self._break("ORDER", f"{task} starts before step {step - 1}")
+        if job.cancelled_at_s is not None:
+            late_s = time.monotonic() - job.cancelled_at_s
+            if late_s > CANCEL_S + TROUBLE_S:
+                self._break("UNASKED", f"{task}: cancelled {late_s:.1f} s ago")
+        self._running[task] = worker
+
+    def on_end(
+        self,
+        task: str,
+        worker: object,
+        how: str,
+        end: tuple[int, int] | None = None,
+    ) -> None:
+        """Note the end of a run."""
+        if self._running.get(task) is worker:
+            del self._running[task]
+        if how == "done":
+            self._done.add(task)
+        if end is not None:
+            self._ends[id(worker), end[0]] = (task, how)
+
+    def on_crash(self, worker: object, tasks: list[str]) -> None:
+        """Note that a worker lost all that it ran and all its ends."""
+        for task in tasks:
+            self.on_end(task, worker, "crashed")
+        for key in [key for key in self._ends if key[0] == id(worker)]:
+            del self._ends[key]
+
+    def on_noted(self, worker: object, through: int) -> None:
+        """Note that the ends up to a number were taken note of."""
+        number = through
+        while (end := self._ends.pop((id(worker), number), None)) is not None:
+            if end[1] == "done":
+                self._noted_done.add(end[0])
+            number -= 1
+
+    def on_state(
+        self, job: SoakJob, entry: str, status: int, state: str
+    ) -> None:
+        """Judge what a caller was told of a job."""
+        if status == 410 and job.accepted_at_s is not None:
+            age_s = time.monotonic() - job.accepted_at_s
+            if age_s > VISIBLE_S:
+                self._break(
+                    "LOST", f"{job.job_id}, {age_s:.1f} s old, is not known"
+                )
+        # Another entry may lag behind, but none goes back.
+        lags = state in ("running", "pending")
+        before = bool(job.completed_at)
+        if lags:
+            before = entry in job.completed_at
+        if before and status == 200 and state != "completed":
+            self._break("MIXED", f"{job.job_id} was completed, now {state}")
+        if state == "completed":
+            job.completed_at.add(entry)
+            for step, tasks in enumerate(job.steps):
+                for index in range(tasks):
+                    task = f"{job.job_id}.0.{step}.{index}"
+                    if task not in self._done:
+                        self._break("MIXED", f"{task} never ended done")
+        if state == "cancelled" and not job.cancel_tried:
+            self._break("LOST", f"{job.job_id} was cancelled by nobody")
+        if state == "failed":
+            self._break("LOST", f"{job.job_id} failed without a failed run")
+
+    def judge_refusals(self) -> None:
+        """Judge jobs whose submission was refused each time."""
+        for task in [*self._running, *self._done]:
+            job = self.jobs.get(task.partition(".")[0])
+            if job is not None and not job.accepted and not job.maybe:
+                self._break("REFUSED", f"{task} runs though it was refused")
+
+    def _break(self, rule: str, what: str) -> None:
+        self.broken.append(f"{rule}: {what}")
--- /dev/null
+++ b/tests/soak/proxy.py
@@ -0,0 +1,90 @@
+"""A loopback proxy that delays, resets, cuts one way or silences."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import enum
+
+CHUNK_BYTES = 65_536
+
+
+class LinkState(enum.Enum):
+    """What the proxy does with bytes."""
+
+    PASS = "pass"
+    DELAY = "delay"
+    SILENT = "silent"
+    DROP_REQUESTS = "drop_requests"
+    DROP_ANSWERS = "drop_answers"
+
+
+class Proxy:
+    """Carries connections from one loopback address to another."""
+
+    def __init__(self, address: str, upstream: str) -> None:
+        self.address = address
+        self.state = LinkState.PASS
+        self.delay_s = 0.0
+        self._upstream = upstream
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        host, _, port = self.address.rpartition(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+
+    def reset_all(self) -> None:
+        """Abort all open connections."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        self.reset_all()
+        for task in list(self._tasks):
+            task.cancel()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        host, _, port = self._upstream.rpartition(":")
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                host, int(port)
+            )
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers.update((writer, far_writer))
+        ways = (
+            (reader, far_writer, LinkState.DROP_REQUESTS),
+            (far_reader, writer, LinkState.DROP_ANSWERS),
+        )
+        for source, target, dropping in ways:
+            task = asyncio.ensure_future(self._carry(source, target, dropping))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _carry(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        dropping: LinkState,
+    ) -> None:
+        lost = False
+        with contextlib.suppress(OSError):
+            while data := await reader.read(CHUNK_BYTES):
+                if self.state in (LinkState.SILENT, dropping):
+                    # A stream that lost bytes never carries any again.
+                    lost = True
+                if lost:
+                    continue
+                if self.state is LinkState.DELAY:
+                    await asyncio.sleep(self.delay_s)
+                writer.write(data)
+                await writer.drain()
+        self._writers.discard(writer)
+        writer.transport.abort()
--- /dev/null
+++ b/tests/soak/worker.py
@@ -0,0 +1,101 @@
+"""A worker that tells an oracle of all that it starts and ends."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import Any
+from typing import TYPE_CHECKING
+
+from yuccapoint_standins.platform_worker import PlatformWorker
+
+if TYPE_CHECKING:
+    from tornado.httputil import HTTPServerRequest
+
+    from soak.oracle import Oracle
+
+DRAIN_S = 3.0
+
+
+class SoakWorker(PlatformWorker):
+    """Crashes, drains, and carries orders out late.
+
+    Parameters
+    ----------
+    oracle : Oracle
+        Judges starts and ends.
+    app_address : str
+        Where agents are told to call it; a proxy stands there.
+    """
+
+    def __init__(
+        self,
+        oracle: Oracle,
+        worker_id: str,
+        address: str,
+        app_address: str,
+        agent_address: str,
+        run_s: float,
+    ) -> None:
+        super().__init__(worker_id, "pool", address, agent_address, run_s)
+        self._oracle = oracle
+        self._listen_address = address
+        self._app_address = app_address
+        self.crashed = False
+        self.late_s = 0.0
+
+    def start(self) -> None:
+        super().start()
+        # Check-ins name the proxy.
+        self._address = self._app_address
+
+    def crash(self) -> None:
+        """Lose everything; calls are cut until the next life."""
+        self.crashed = True
+        self._oracle.on_crash(self, list(self._running))
+        self._running.clear()
+        self._barred.clear()
+        self._ends.clear()
+
+    def begin_life(self) -> None:
+        """Start anew under the same id."""
+        self.crashed = False
+        self.draining = False
+        self._born_ms = max(self._born_ms + 1, time.time_ns() // 1_000_000)
+        self._began_s = time.monotonic()
+        self._lease_ms = self._fence = self._sequence = self._number = 0
+
+    async def _serve(self, request: HTTPServerRequest) -> None:
+        if self.crashed:
+            self._cut(request)
+            return
+        born_ms = self._born_ms
+        if self.late_s and request.path.endswith(("run-start", "run-stop")):
+            # Carried out late, and never answered.
+            await asyncio.sleep(self.late_s)
+            if not self.crashed and born_ms == self._born_ms:
+                await super()._serve(request)
+            self._cut(request)
+            return
+        await super()._serve(request)
+
+    def _cut(self, request: HTTPServerRequest) -> None:
+        connection: Any = request.connection
+        if connection is not None and not connection.stream.closed():
+            connection.stream.close()
+
+    def _start(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        known = len(self.started)
+        answer = super()._start(body)
+        if len(self.started) > known:
+            self._oracle.on_start(body, self)
+        return answer
+
+    def _end(self, task: str, how: str) -> None:
+        super()._end(task, how)
+        number, _, run, *_ = self._ends[-1]
+        self._oracle.on_end(task, self, how, (number, run))
+
+    async def _wait_for_end(self, body: dict[str, Any]) -> None:
+        self._oracle.on_noted(self, body["LastSeen"])
+        await super()._wait_for_end(body)
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,240 @@
+"""Starts a deployment of real processes behind proxies."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import signal
+import subprocess
+import sys
+import time
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from soak.oracle import Oracle
+from soak.oracle import SoakJob
+from soak.proxy import Proxy
+from soak.worker import SoakWorker
+from yuccapoint.connection.kept_client import KeptClient
+from yuccapoint.exceptions import YuccapointError
+from yuccapoint_standins.platform_store import PlatformStore
+
+if TYPE_CHECKING:
+    import pathlib
+
+FRONT_PORT, CONTROL_PORT, APP_PORT, PROXY_PORT = 8161, 8166, 8080, 8090
+STORE_PORT, PEER_PORT = 8169, 7720
+HOST = "soak.example"
+RUN_S = 0.5
+CALL_TIMEOUT_S = 3.0
+STOP_GRACE_S = 6.0
+START_TIMEOUT_S = 20.0
+
+
+def _config() -> bytes:
+    route = {
+        "Name": "q",
+        "Host": HOST,
+        "PathPrefix": "/q/",
+        "Service": "pool",
+        "MaxAttempts": 3,
+        "SloFactor": 2.0,
+        "SloMs": 1000,
+    }
+    return msgspec.json.encode({"Version": 2, "Routes": [route]})
+
+
+class World:
+    """Entries and agents as processes; store and workers in this loop.
+
+    Parameters
+    ----------
+    directory : pathlib.Path
+        Where settings and logs of the processes go.
+    seed : int
+        Decides loads and faults.
+    entries, vms : int
+        How many there are.
+    """
+
+    def __init__(
+        self, directory: pathlib.Path, seed: int, entries: int, vms: int
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.oracle = Oracle()
+        self.store = PlatformStore()
+        self.entries = [f"entry-{n}" for n in range(entries)]
+        self.agents = [f"vm-{n}" for n in range(vms)]
+        self.workers: list[SoakWorker] = []
+        self.proxies: dict[str, Proxy] = {}
+        self._directory = directory
+        # Worlds of different processes must not meet on an address.
+        pid = os.getpid()
+        self._net = f"127.{20 + pid // 250 % 200}.{pid % 250}"
+        self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._clients: dict[str, KeptClient] = {}
+        self._jobs = 0
+
+    def ip(self, name: str) -> str:
+        return f"{self._net}.{2 + [*self.entries, *self.agents].index(name)}"
+
+    async def start(self) -> None:
+        store_address = f"{self._net}.1:{STORE_PORT}"
+        self.store.listen(store_address)
+        self.store.put("keyed.op", "config", _config())
+        for name in (*self.entries, *self.agents):
+            proxy = Proxy(f"{self.ip(name)}:{PROXY_PORT}", store_address)
+            await proxy.start()
+            self.proxies[f"store of {name}"] = proxy
+            self.spawn(name)
+        for name in self.agents:
+            await self._start_worker(name)
+        for name in self.entries:
+            self._clients[name] = KeptClient(f"{self.ip(name)}:{FRONT_PORT}")
+        await self._wait_until_ready()
+
+    async def _start_worker(self, name: str) -> None:
+        ip = self.ip(name)
+        app, proxy_at = f"{ip}:{APP_PORT}", f"{ip}:{PROXY_PORT + 1}"
+        proxy = Proxy(proxy_at, app)
+        await proxy.start()
+        self.proxies[f"worker of {name}"] = proxy
+        worker = SoakWorker(
+            self.oracle,
+            f"i-{name}",
+            app,
+            proxy_at,
+            f"{ip}:{CONTROL_PORT}",
+            RUN_S,
+        )
+        worker.start()
+        self.workers.append(worker)
+
+    async def _wait_until_ready(self) -> None:
+        end_s = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < end_s:
+            answers = [
+                await self.call(name, "GET", "/yuccapoint/readyz", b"")
+                for name in self.entries
+            ]
+            if all(answer and answer.status == 200 for answer in answers):
+                return
+            await asyncio.sleep(0.1)
+        raise AssertionError("the deployment did not become ready")
+
+    def spawn(self, name: str) -> None:
+        """Start a process, if it is not running."""
+        if self.alive(name):
+            return
+        ip = self.ip(name)
+        settings = {
+            "NodeName": name,
+            "Ip": ip,
+            "Zone": "zone",
+            "Region": "region",
+            "ListenAddrs": {
+                "Front": f"{ip}:{FRONT_PORT}",
+                "Ready": f"{ip}:{FRONT_PORT}",
+                "Control": f"{ip}:{CONTROL_PORT}",
+            },
+            "PortRange": [PEER_PORT, PEER_PORT + 15],
+            "platform": {"Address": f"{ip}:{PROXY_PORT}"},
+        }
+        path = self._directory / f"{name}.json"
+        path.write_bytes(msgspec.json.encode(settings))
+        role = name.partition("-")[0].replace("vm", "agent")
+        with (self._directory / f"{name}.log").open("ab") as log:
+            self._processes[name] = subprocess.Popen(
+                [sys.executable, "-m", "yuccapoint.platform", role],
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                env={**os.environ, "YUCCAPOINT_NODE_FILE": str(path)},
+            )
+
+    def alive(self, name: str) -> bool:
+        process = self._processes.get(name)
+        return process is not None and process.poll() is None
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process that this world started."""
+        if self.alive(name):
+            self._processes[name].send_signal(number)
+
+    async def call(self, entry: str, method: str, path: str, body: bytes):
+        try:
+            return await self._clients[entry].call(
+                method,
+                path,
+                body,
+                headers={"Host": HOST},
+                timeout_s=CALL_TIMEOUT_S,
+            )
+        except YuccapointError:
+            return None
+
+    async def submit(self) -> None:
+        """Submit a random job, repeating it where the answer is unsure."""
+        self._jobs += 1
+        steps = [self.rng.randint(1, 3) for _ in range(self.rng.randint(1, 2))]
+        job = SoakJob(f"{self._jobs:016x}", f"payload {self._jobs}", steps)
+        self.oracle.jobs[job.job_id] = job
+        listed = [
+            {
+                "Count": tasks,
+                "Cpu": 500,
+                "MemMb": 64,
+                "EstimateMs": 500,
+                **({"DependsOn": [number - 1]} if number else {}),
+            }
+            for number, tasks in enumerate(steps)
+        ]
+        body = msgspec.json.encode({"Spec": job.payload, "Steps": listed})
+        for _ in range(4):
+            entry = self.rng.choice(self.entries)
+            answer = await self.call(entry, "POST", f"/q/{job.job_id}", body)
+            if answer is not None and answer.status == 200:
+                job.accepted_at_s = time.monotonic()
+                return
+            if answer is None or answer.status not in (429, 503):
+                job.maybe = True
+            await asyncio.sleep(0.5)
+
+    async def cancel(self) -> None:
+        """Cancel a random job that was accepted."""
+        accepted = [j for j in self.oracle.jobs.values() if j.accepted]
+        if not accepted:
+            return
+        job = self.rng.choice(accepted)
+        job.cancel_tried = True
+        entry = self.rng.choice(self.entries)
+        answer = await self.call(entry, "DELETE", f"/q/{job.job_id}", b"")
+        if answer is not None and answer.status == 200:
+            job.cancelled_at_s = time.monotonic()
+
+    async def look(self, job: SoakJob, entry: str) -> str:
+        """Ask for a job's state and have the answer judged."""
+        answer = await self.call(entry, "GET", f"/q/{job.job_id}", b"")
+        if answer is None or answer.status not in (200, 410):
+            return ""
+        state = ""
+        if answer.status == 200:
+            state = msgspec.json.decode(answer.body)["State"]
+        self.oracle.on_state(job, entry, answer.status, state)
+        return state
+
+    async def close(self) -> None:
+        """End all processes that this world started."""
+        for name in self._processes:
+            self.signal(name, signal.SIGCONT)
+            self.signal(name, signal.SIGKILL)
+        for process in self._processes.values():
+            process.wait(STOP_GRACE_S)
+        for client in self._clients.values():
+            client.close()
+        for worker in self.workers:
+            worker.stop()
+        for proxy in self.proxies.values():
+            proxy.close()
+        self.store.stop()
