--- a/src/yuccapoint/cell/leadership.py
+++ b/src/yuccapoint/cell/leadership.py
@@ -36,6 +36,7 @@
         self._seen_at_s = 0.0
         self._read_at_s = 0.0
         self._watching_since_s: float | None = None
+        self._fenced_term = 0
 
     def on_records_read(self, leader: Leadership | None, now_s: float) -> None:
         """Note the newest leadership after a successful read.
@@ -60,7 +61,7 @@
     def leads(self) -> bool:
         """Tell whether the store says that this entry leads."""
         seen = self._seen
-        if seen is None or seen.resigned:
+        if seen is None or seen.resigned or seen.term <= self._fenced_term:
             return False
         return (seen.entry, seen.incarnation) == (self.entry, self.incarnation)
 
@@ -77,10 +78,18 @@
             return False
         seen = self._seen
         waited_s = now_s - self._seen_at_s
-        if seen is None or seen.resigned or seen.entry == self.entry:
+        if seen is None or seen.resigned:
+            return waited_s >= self._stagger_s
+        if seen.entry == self.entry and seen.term > self._fenced_term:
+            # A former life of this entry led; it can't come back.
             return waited_s >= self._stagger_s
         return waited_s >= lease_bounds.LEADER_SILENCE_S + self._stagger_s
 
+    def on_fenced(self, term: int) -> None:
+        """Note that the store takes nothing more of a term."""
+        self._fenced_term = max(self._fenced_term, term)
+        self.authority_until_s = 0.0
+
     def on_renewed(self, sent_at_s: float) -> None:
         """Extend the right to grant after the store took a renewal."""
         until_s = sent_at_s + lease_bounds.AUTHORITY_S
--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -311,6 +311,7 @@
             sent_at_s = await writer.append(batch.records)
         except StoreFencedError as error:
             self._append = None
+            self._watch.on_fenced(leader.term)
             self._step_down(str(error))
             return
         self._append = None
--- a/tests/features/cell/colocation.feature
+++ b/tests/features/cell/colocation.feature
@@ -67,6 +67,6 @@
 
   Scenario: Services gather where the same neighbours are borne
     Given a leader with 3 VMs and a service on each
-    And "vm-0" and "vm-1" serve another image
+    And "vm-0" and "vm-1" serve another image instead
     When a further service task comes
     Then it is claimed on "vm-2"
--- a/tests/features/cell/silence.feature
+++ b/tests/features/cell/silence.feature
@@ -14,3 +14,10 @@
     Given a view of a job that completed at offset 9
     When a cancellation comes at offset 7
     Then the job is shown as "cancelled"
+
+  Scenario: A leader that was fenced does not lead again on what it saw before
+    Given an entry that leads term 3
+    When the store refuses its records for a newer term
+    Then it neither leads nor grants nor takes over at once
+    When it reads that another entry leads term 4
+    Then it neither leads nor grants nor takes over at once
--- a/tests/features/steps/cell_colocation_steps.py
+++ b/tests/features/steps/cell_colocation_steps.py
@@ -263,12 +263,13 @@
     assert abs(before.deviation - after.deviation) < 0.01, (before, after)
 
 
-@given('"{one}" and "{other}" serve another image')
+@given('"{one}" and "{other}" serve another image instead')
 def serve_other(context: Context, one: str, other: str) -> None:
     step = StepSpec(
         1, Size(2_000, 2**20, 0), lasting=True, image="other", target_ms=18
     )
     for number, name in enumerate((one, other)):
+        service_leaves(context, name)
         job_id = f"{number:015d}c"
         add_job(context.leader, job_id, step)
         task = context.leader.find_task(f"{job_id}.0.0.0")
--- a/tests/features/steps/cell_silence_steps.py
+++ b/tests/features/steps/cell_silence_steps.py
@@ -13,7 +13,9 @@
 
 from yuccapoint.cell import cell_records
 from yuccapoint.cell.cell_records import Cancellation
+from yuccapoint.cell.cell_records import Leadership
 from yuccapoint.cell.cell_view import CellView
+from yuccapoint.cell.leadership import LeadershipWatch
 from yuccapoint.cell.progress import OccurrenceState
 from yuccapoint.cell.progress import Outcome
 from yuccapoint.cell.progress import Phase
@@ -90,3 +92,30 @@
 def shown(context: Context, state: str) -> None:
     found = context.view.find(JOB_ID)
     assert found.outcome.value == state, found.outcome
+
+
+@given("an entry that leads term {term:d}")
+def leading(context: Context, term: int) -> None:
+    context.now_s = 100.0
+    context.watch = LeadershipWatch("e-0", 1, 0.0)
+    context.watch.on_records_read(Leadership(term, "e-0", 1), context.now_s)
+    context.watch.on_renewed(context.now_s)
+    assert context.watch.may_grant(context.now_s)
+
+
+@when("the store refuses its records for a newer term")
+def fenced(context: Context) -> None:
+    context.watch.on_fenced(context.watch.term)
+
+
+@when("it reads that another entry leads term {term:d}")
+def another_leads(context: Context, term: int) -> None:
+    context.now_s += 0.5
+    context.watch.on_records_read(Leadership(term, "e-1", 1), context.now_s)
+
+
+@then("it neither leads nor grants nor takes over at once")
+def leads_no_more(context: Context) -> None:
+    assert not context.watch.leads()
+    assert not context.watch.may_grant(context.now_s)
+    assert not context.watch.should_take_over(context.now_s + 0.3)
