Relay callers' records past a store that turns one entry away; explain an id from saved output

It now asks the leader, then one more entry, to append; both kinds of record may be repeated without harm.

Ruled out: becoming unready sooner (open channels stay; the ready check takes two misses in any case).

--- a/src/yuccapoint/cell/cell_messages.py
+++ b/src/yuccapoint/cell/cell_messages.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import enum
+
 import msgspec
 
 from yuccapoint.cell.progress import WorkerLife
@@ -135,4 +137,31 @@
     pairs: tuple[PairEstimate, ...]
 
 
-CellMessage = VmReport | LeaderOrders
+class RelayResult(enum.StrEnum):
+    """What became of a record that a peer was asked to append."""
+
+    APPENDED = "appended"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+class RelayRequest(msgspec.Struct, frozen=True, tag="rq", array_like=True):
+    """A caller's record that the sender can't append itself.
+
+    ``address`` and ``number`` say where and to what the answer goes.
+    """
+
+    address: str
+    number: int
+    key: str
+    value: bytes
+
+
+class RelayAnswer(msgspec.Struct, frozen=True, tag="ra", array_like=True):
+    """What became of a relayed record."""
+
+    number: int
+    result: RelayResult
+
+
+CellMessage = VmReport | LeaderOrders | RelayRequest | RelayAnswer
--- a/src/yuccapoint/cell/cell_records.py
+++ b/src/yuccapoint/cell/cell_records.py
@@ -19,6 +19,7 @@
 CANCELLATION = "c:"
 PROGRESS = "p:"
 MEMBER = "m:"
+ENTRY = "e:"
 LEADERSHIP = "leader"
 PAIRS = "pairs"
 
@@ -55,6 +56,14 @@
     incarnation: int
 
 
+class EntryMember(msgspec.Struct, frozen=True, array_like=True):
+    """An entry: where control messages reach it."""
+
+    entry: str
+    address: str
+    incarnation: int
+
+
 class Cancellation(msgspec.Struct, frozen=True, array_like=True):
     """A job that was cancelled by its submitter."""
 
@@ -71,6 +80,7 @@
 CellRecord = (
     Leadership
     | Member
+    | EntryMember
     | Cancellation
     | Submission
     | OccurrenceState
@@ -82,6 +92,7 @@
     CANCELLATION: Cancellation,
     PROGRESS: OccurrenceState,
     MEMBER: Member,
+    ENTRY: EntryMember,
 }
 _encoder = msgspec.msgpack.Encoder()
 _decoders: dict[str, msgspec.msgpack.Decoder[Any]] = {
--- a/src/yuccapoint/cell/cell_view.py
+++ b/src/yuccapoint/cell/cell_view.py
@@ -6,6 +6,7 @@
 
 from yuccapoint.cell import cell_records
 from yuccapoint.cell.cell_records import Cancellation
+from yuccapoint.cell.cell_records import EntryMember
 from yuccapoint.cell.cell_records import KnownPairs
 from yuccapoint.cell.cell_records import Leadership
 from yuccapoint.cell.cell_records import Member
@@ -86,6 +87,7 @@
     def __init__(self) -> None:
         self.jobs: dict[str, JobView] = {}
         self.members: dict[str, Member] = {}
+        self.entries: dict[str, EntryMember] = {}
         self.leadership: Leadership | None = None
         self.pairs: KnownPairs | None = None
         self._offsets: dict[str, int] = {}
@@ -120,6 +122,9 @@
         if isinstance(record, Member):
             self.members[record.vm] = record
             return True
+        if isinstance(record, EntryMember):
+            self.entries[record.entry] = record
+            return True
         if isinstance(record, KnownPairs):
             self.pairs = record
             return True
@@ -158,6 +163,17 @@
                 count += 1
         return count
 
+    def peers_of(self, entry: str) -> list[str]:
+        """Give the addresses of the other entries.
+
+        The leader stands first, as it reached the store a moment ago, then
+        those that started last.
+        """
+        leader = "" if self.leadership is None else self.leadership.entry
+        others = [e for e in self.entries.values() if e.entry != entry]
+        others.sort(key=lambda e: (e.entry != leader, -e.incarnation))
+        return [other.address for other in others]
+
     def _lead(self, record: Leadership) -> None:
         # Two entries may write the same term; the first one holds it.
         held = self.leadership
@@ -186,7 +202,8 @@
             self._orphans.setdefault(job_id, {})[key] = (record, offset)
             return
         if isinstance(record, Cancellation):
-            job.cancelled_at = offset
+            if job.cancelled_at is None:
+                job.cancelled_at = offset
             return
         if isinstance(record, OccurrenceState) and occurrence.isdigit():
             job.set_occurrence(int(occurrence), record, offset)
@@ -196,6 +213,9 @@
         if key.startswith(cell_records.MEMBER):
             self.members.pop(name, None)
             return
+        if key.startswith(cell_records.ENTRY):
+            self.entries.pop(name, None)
+            return
         if key.startswith(cell_records.SUBMISSION):
             self.jobs.pop(name, None)
             self._orphans.pop(name, None)
--- a/src/yuccapoint/console/commands/explain.py
+++ b/src/yuccapoint/console/commands/explain.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import datetime
+import pathlib  # noqa: TC003
 from typing import Annotated
+from typing import Any
 
 import msgspec
 import typer
@@ -13,6 +16,8 @@
 from yuccapoint.console.options import Entry
 from yuccapoint.console.options import Json
 from yuccapoint.console.options import Token
+from yuccapoint.console.saved_logs import read_story
+from yuccapoint.process.logs import as_text
 from yuccapoint.process.operator_messages import DecisionView
 from yuccapoint.process.operator_messages import Explanation
 from yuccapoint.process.operator_messages import RequestExplanation
@@ -28,11 +33,22 @@
     request: Annotated[
         bool, typer.Option("--request", help="The id is a request's.")
     ] = False,
+    logs: Annotated[
+        list[pathlib.Path] | None,
+        typer.Option(
+            "--logs",
+            help="Saved output of a process; give one for each. No entry is "
+            "asked then.",
+        ),
+    ] = None,
     json: Json = False,
     entry: Entry = DEFAULT_ENTRY,
     token: Token = "",
 ) -> None:
     """Say why a job or request went where it is, or why a job waits."""
+    if logs:
+        _explain_saved(read_story(logs, name), json=json)
+        return
     if request:
         _explain_request(EntryClient(entry, token), name, json=json)
         return
@@ -47,6 +63,20 @@
     _show(found.decisions)
 
 
+def _explain_saved(story: list[dict[str, Any]], *, json: bool) -> None:
+    if json:
+        typer.echo(msgspec.json.encode(story).decode())
+        return
+    if not story:
+        typer.echo("no line tells of it")
+        raise typer.Exit(exit_codes.REFUSED)
+    for message in story:
+        at = datetime.datetime.fromtimestamp(
+            message.get("timestamp", 0.0), datetime.UTC
+        )
+        typer.echo(f"{at:%H:%M:%S.%f} {as_text(message)}")
+
+
 def _explain_request(client: EntryClient, name: str, *, json: bool) -> None:
     path = f"/v1/requests/{name}"
     found = client.call("GET", path, RequestExplanation)
--- a/src/yuccapoint/console/exceptions.py
+++ b/src/yuccapoint/console/exceptions.py
@@ -11,3 +11,7 @@
 
 class RefusedError(CommandError):
     """The entry refused what was asked."""
+
+
+class SavedLogError(CommandError):
+    """Saved log lines can't be read."""
--- /dev/null
+++ b/src/yuccapoint/console/saved_logs.py
@@ -0,0 +1,70 @@
+"""Joins saved log lines of many processes into the story of one id."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from yuccapoint.console.exceptions import SavedLogError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+    import pathlib
+
+_decoder = msgspec.json.Decoder(dict[str, Any])
+
+
+def read_story(
+    paths: Iterable[pathlib.Path], name: str
+) -> list[dict[str, Any]]:
+    """Give all lines that tell of an id, in the order of their times.
+
+    Parameters
+    ----------
+    paths : iterable of pathlib.Path
+        Saved output of processes. Text before a line's JSON is skipped, and
+        so are lines of other programs.
+    name : str
+        Id of a job, or of a task ``JOB.OCCURRENCE.STEP.INDEX``.
+
+    Raises
+    ------
+    SavedLogError
+        A file can't be read.
+    """
+    found: dict[bytes, dict[str, Any]] = {}
+    for path in paths:
+        for line in _lines_with(path, name.encode()):
+            try:
+                message = _decoder.decode(line)
+            except msgspec.DecodeError:
+                continue
+            if _tells_of(message, name):
+                # One process's output may be given twice.
+                found.setdefault(line, message)
+    return sorted(found.values(), key=lambda m: m.get("timestamp", 0.0))
+
+
+def _lines_with(path: pathlib.Path, needle: bytes) -> Iterator[bytes]:
+    try:
+        with path.open("rb") as lines:
+            for line in lines:
+                start = line.find(b"{")
+                if start >= 0 and needle in line:
+                    yield line[start:].strip()
+    except OSError as error:
+        raise SavedLogError(f"can't read {path}: {error}") from None
+
+
+def _tells_of(message: dict[str, Any], name: str) -> bool:
+    for value in message.values():
+        if not isinstance(value, str):
+            continue
+        # Keys of records begin with their kind: "s:JOB".
+        told = value.partition(":")[2] if value[1:2] == ":" else value
+        if told == name or told.startswith(f"{name}."):
+            return True
+    return False
--- /dev/null
+++ b/src/yuccapoint/process/append_relay.py
@@ -0,0 +1,151 @@
+"""Appends callers' records by way of entries that reach the store."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from typing import TYPE_CHECKING
+
+from yuccapoint.cell import cell_records
+from yuccapoint.cell.cell_messages import RelayAnswer
+from yuccapoint.cell.cell_messages import RelayRequest
+from yuccapoint.cell.cell_messages import RelayResult
+from yuccapoint.cell.exceptions import DamagedRecordError
+from yuccapoint.connection.cell_store import StoreAnswerLostError
+from yuccapoint.connection.cell_store import StoreRefusedError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from yuccapoint.connection.cell_store import CellStore
+    from yuccapoint.connection.mailbox import Mailbox
+    from yuccapoint.process.logs import Logs
+
+# A peer's append takes a few milliseconds and the slow link 16; a peer that
+# answers later than this, in seconds, is frozen or gone.
+ANSWER_TIMEOUT_S = 0.6
+# A peer gives its own attempt up before its answer would come too late, in
+# seconds.
+PEER_APPEND_TIMEOUT_S = 0.45
+# Entries that are asked for one record.
+MAX_PEERS_ASKED = 2
+# Only what callers ask for is relayed; both kinds may be repeated.
+RELAYED = (cell_records.SUBMISSION, cell_records.CANCELLATION)
+
+
+class AppendRelay:
+    """Asks peers to append, and appends for peers.
+
+    Answers a store that turns some entries away and serves the others.
+
+    Parameters
+    ----------
+    store : CellStore
+        Where records of peers are appended.
+    mailbox : Mailbox
+        Carries requests and answers.
+    give_peers : callable
+        Gives the addresses of other entries, the best first.
+    logs : Logs
+        Where decisions are said.
+    """
+
+    def __init__(
+        self,
+        store: CellStore,
+        mailbox: Mailbox,
+        give_peers: Callable[[], list[str]],
+        logs: Logs,
+    ) -> None:
+        self._store = store
+        self._mailbox = mailbox
+        self._give_peers = give_peers
+        self._logs = logs
+        self._numbers = itertools.count(1)
+        self._waiting: dict[int, asyncio.Future[RelayResult]] = {}
+        self._serving: set[asyncio.Task[None]] = set()
+
+    async def append(
+        self, key: str, value: bytes, timeout_s: float
+    ) -> RelayResult:
+        """Have a peer append a record that may be repeated without harm.
+
+        Returns
+        -------
+        RelayResult
+            ``UNKNOWN`` unless each peer that was asked refused.
+        """
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + timeout_s
+        worst = RelayResult.REFUSED
+        for address in self._give_peers()[:MAX_PEERS_ASKED]:
+            left_s = min(ANSWER_TIMEOUT_S, until_s - loop.time())
+            if left_s <= 0:
+                break
+            result = await self._ask(address, key, value, left_s)
+            self._logs.say(
+                "store", "relayed", key=key, peer=address, result=result.value
+            )
+            if result is RelayResult.APPENDED:
+                return result
+            if result is RelayResult.UNKNOWN:
+                worst = result
+        return worst
+
+    async def _ask(
+        self, address: str, key: str, value: bytes, timeout_s: float
+    ) -> RelayResult:
+        number = next(self._numbers)
+        answered = asyncio.get_running_loop().create_future()
+        self._waiting[number] = answered
+        request = RelayRequest(self._mailbox.address, number, key, value)
+        self._mailbox.send(address, request)
+        try:
+            async with asyncio.timeout(timeout_s):
+                result: RelayResult = await answered
+                return result
+        except TimeoutError:
+            # The connection may have fallen silent.
+            self._mailbox.redial(address)
+            return RelayResult.UNKNOWN
+        finally:
+            del self._waiting[number]
+
+    def on_answer(self, answer: RelayAnswer) -> None:
+        """Take a peer's answer; a late one finds no waiter."""
+        answered = self._waiting.get(answer.number)
+        if answered is not None and not answered.done():
+            answered.set_result(answer.result)
+
+    def on_request(self, request: RelayRequest) -> None:
+        """Append for a peer."""
+        task = asyncio.ensure_future(self._serve(request))
+        self._serving.add(task)
+        task.add_done_callback(self._serving.discard)
+
+    async def _serve(self, request: RelayRequest) -> None:
+        result = RelayResult.REFUSED
+        try:
+            cell_records.decode(request.key, request.value)
+            if request.key.startswith(RELAYED):
+                await self._store.append(
+                    [(request.key, request.value)],
+                    timeout_s=PEER_APPEND_TIMEOUT_S,
+                )
+                result = RelayResult.APPENDED
+        except StoreAnswerLostError as error:
+            result = RelayResult.UNKNOWN
+            self._note(request, str(error))
+        except (StoreRefusedError, DamagedRecordError) as error:
+            self._note(request, str(error))
+        answer = RelayAnswer(request.number, result)
+        self._mailbox.send(request.address, answer)
+
+    def _note(self, request: RelayRequest, why: str) -> None:
+        self._logs.say(
+            "store",
+            "not appended for a peer",
+            key=request.key,
+            peer=request.address,
+            why=why,
+        )
--- a/src/yuccapoint/process/cell_desk.py
+++ b/src/yuccapoint/process/cell_desk.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from yuccapoint.cell import cell_records
+from yuccapoint.cell.cell_messages import RelayResult
 from yuccapoint.cell.cell_records import Cancellation
 from yuccapoint.cell.job_desk import DeskVerdict
 from yuccapoint.cell.progress import Outcome
@@ -20,6 +21,7 @@
     from yuccapoint.cell.cell_view import JobView
     from yuccapoint.cell.submission import Submission
     from yuccapoint.connection.cell_store import CellStore
+    from yuccapoint.process.append_relay import AppendRelay
     from yuccapoint.process.cell_tail import CellTail
     from yuccapoint.process.logs import Logs
     from yuccapoint.process.metrics import Metrics
@@ -28,6 +30,9 @@
 # Pause before an append is repeated, in seconds; the partition takes 2 ms
 # an append, so a refusal for its rate is over soon.
 RETRY_S = 0.05
+# A store that has not answered by then, in seconds, is slow or out of reach;
+# the slowest seen alive took 0.4.
+APPEND_TIMEOUT_S = 1.0
 # Appends that the store refused in a row before a caller is refused.
 MAX_REFUSALS = 3
 # An append is not begun with less time left than it usually takes, seconds.
@@ -48,6 +53,8 @@
         Keeps the view up to date.
     store : CellStore
         Where accepted jobs are kept.
+    relay : AppendRelay
+        The way to the store when it turns this entry away.
     logs : Logs
         Where decisions are said.
     metrics : Metrics
@@ -59,6 +66,7 @@
         view: CellView,
         tail: CellTail,
         store: CellStore,
+        relay: AppendRelay,
         logs: Logs,
         metrics: Metrics,
     ) -> None:
@@ -68,6 +76,7 @@
         self._view = view
         self._tail = tail
         self._store = store
+        self._relay = relay
         self._logs = logs
         self._metrics = metrics
 
@@ -181,12 +190,15 @@
         """Append a record that may be repeated without harm."""
         refusals = 0
         unanswered = False
+        relayed = False
         while True:
             left_s = deadline_s - time.monotonic()
             if left_s < MIN_APPEND_S:
                 break
             try:
-                await self._store.append([(key, value)], timeout_s=left_s)
+                await self._store.append(
+                    [(key, value)], timeout_s=min(left_s, APPEND_TIMEOUT_S)
+                )
             except StoreRefusedError as error:
                 refusals += 1
                 last_error = str(error)
@@ -196,6 +208,13 @@
             else:
                 return DeskVerdict.ACCEPTED
             self._logs.say("store", "append failed", key=key, error=last_error)
+            if not relayed:
+                relayed = True
+                left_s = deadline_s - time.monotonic()
+                result = await self._relay.append(key, value, left_s)
+                if result is RelayResult.APPENDED:
+                    return DeskVerdict.ACCEPTED
+                unanswered = unanswered or result is RelayResult.UNKNOWN
             if refusals >= MAX_REFUSALS and not unanswered:
                 break
             await asyncio.sleep(RETRY_S)
--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -15,8 +15,11 @@
 from yuccapoint.cell.advice_book import step_id
 from yuccapoint.cell.cell_leader import CellLeader
 from yuccapoint.cell.cell_messages import CellMessage
+from yuccapoint.cell.cell_messages import RelayAnswer
+from yuccapoint.cell.cell_messages import RelayRequest
 from yuccapoint.cell.cell_messages import VmReport
 from yuccapoint.cell.cell_records import Cancellation
+from yuccapoint.cell.cell_records import EntryMember
 from yuccapoint.cell.cell_records import Leadership
 from yuccapoint.cell.cell_records import Member
 from yuccapoint.cell.cell_view import CellView
@@ -25,6 +28,7 @@
 from yuccapoint.connection.cell_store import StoreFencedError
 from yuccapoint.connection.mailbox import Mailbox
 from yuccapoint.exceptions import YuccapointError
+from yuccapoint.process.append_relay import AppendRelay
 from yuccapoint.process.cell_desk import CellDesk
 from yuccapoint.process.cell_tail import CellTail
 from yuccapoint.process.cell_writer import CellWriter
@@ -52,6 +56,8 @@
 KEEP_PAIRS_EVERY_S = 5.0
 # Pause in seconds while the adviser has nothing to be asked.
 ADVICE_PAUSE_S = 0.1
+# Pause before a refused registration is repeated, in seconds.
+REGISTER_RETRY_S = 0.5
 # Rate of attempts to take the cell over, in seconds.
 TAKE_OVER_EVERY_S = 0.5
 
@@ -113,8 +119,13 @@
             store, self.view, self._on_record, self._on_read, logs
         )
         self.tail.pause_s = READ_PAUSE_S
-        self.desk = CellDesk(self.view, self.tail, store, logs, metrics)
         self._mailbox = Mailbox(address, self._on_message, CellMessage)
+        self._relay = AppendRelay(
+            store, self._mailbox, lambda: self.view.peers_of(name), logs
+        )
+        self.desk = CellDesk(
+            self.view, self.tail, store, self._relay, logs, metrics
+        )
         self._writer: CellWriter | None = None
         self._append: asyncio.Task[None] | None = None
         self._renewed_at_s = 0.0
@@ -129,7 +140,13 @@
     def start(self) -> None:
         """Follow the store and receive control messages."""
         self._mailbox.open()
-        for job in (self.tail.run(), self._run_rounds(), self._run_advice()):
+        jobs = (
+            self.tail.run(),
+            self._register(),
+            self._run_rounds(),
+            self._run_advice(),
+        )
+        for job in jobs:
             self._tasks.append(watched(job, self.logs, self.failed))
         self.logs.say(
             "entry", "started", incarnation=self.incarnation, at=self.address
@@ -343,7 +360,27 @@
             leader.questions.on_advice(step, lives, tickets, now_s)
             self._wake.set()
 
+    async def _register(self) -> None:
+        """Tell the other entries where this one is reached."""
+        key = cell_records.ENTRY + self.name
+        record = EntryMember(self.name, self.address, self.incarnation)
+        while True:
+            try:
+                await self._store.append([(key, cell_records.encode(record))])
+            except YuccapointError as error:
+                self.logs.say("store", "not registered", error=str(error))
+                await asyncio.sleep(REGISTER_RETRY_S)
+                continue
+            self.logs.say("store", "registered", entry=self.name)
+            return
+
     def _on_message(self, message: CellMessage) -> None:
+        if isinstance(message, RelayRequest):
+            self._relay.on_request(message)
+            return
+        if isinstance(message, RelayAnswer):
+            self._relay.on_answer(message)
+            return
         if self.leader is None or not isinstance(message, VmReport):
             return
         self.leader.on_report(message, steady_s())
--- a/tests/features/console/commands.feature
+++ b/tests/features/console/commands.feature
@@ -15,6 +15,7 @@
       | nothing                                  | 2    | No such command     |
       | bench nothing                            | 1    | there is no bench   |
       | check /nowhere.ini                       | 1    | nowhere.ini         |
+      | explain aa --logs /nowhere.log           | 1    | nowhere.log         |
       | entry /nowhere.ini                       | 1    | nowhere.ini         |
       | demo --deployment nowhere                | 2    | nowhere             |
       | bench capacity --deployment nowhere      | 1    | nowhere             |
@@ -56,3 +57,18 @@
       | control  |
       | operator |
       | caller   |
+
+  Scenario: Saved output of all processes tells what became of a job
+    Given saved output of an entry and two agents that ran a job
+    When the command line explains the job from the saved output
+    Then the command's output tells in order
+      | line                              |
+      | entry-0 job: submitted            |
+      | entry-0 place: claimed            |
+      | vm-1 worker: start done           |
+      | entry-0 run: given up             |
+      | vm-0 worker: start done           |
+      | entry-0 job: occurrence completed |
+    And the command's output does not have "0000000000000bbb"
+    When the command line explains "0000000000000ccc" from the saved output
+    Then the command ends with 1 and its output has "no line tells of it"
--- a/tests/features/platform/path.feature
+++ b/tests/features/platform/path.feature
@@ -38,6 +38,18 @@
     And a caller submits a job of 1 steps with 1 tasks each
     Then the answer is 503 with a time to come back, within 1 s
 
+  Scenario: An entry that the store turns away accepts by way of another
+    When the store turns away what callers send to the first entry
+    And a caller submits a job of 1 steps with 2 tasks each
+    Then the answer is 200
+    And the job is "completed" within 8 s at each entry
+
+  Scenario: A peer that never answers leaves it open what became of a job
+    When the store turns away what callers send to the first entry
+    And the other entry falls silent
+    And a caller submits a job of 1 steps with 1 tasks each
+    Then the answer is 504
+
   Scenario: A lost answer of the store is never called a refusal
     When the answers of the store get lost
     And a caller submits a job of 1 steps with 1 tasks each
--- a/tests/features/steps/platform_path_steps.py
+++ b/tests/features/steps/platform_path_steps.py
@@ -10,6 +10,7 @@
 from behave import when
 import msgspec
 
+from yuccapoint.connection.cell_store import StoreRefusedError
 from yuccapoint.connection.kept_client import KeptClient
 from yuccapoint.platform.check_ins import CheckIns
 from yuccapoint.platform.config_feed import ConfigFeed
@@ -268,6 +269,31 @@
     context.deployment.store.refuse = True
 
 
+class TurnedAway:
+    """A store that refuses one entry."""
+
+    async def append(self, records, **options) -> int:
+        del records, options
+        raise StoreRefusedError("turned away")
+
+
+@when("the store turns away what callers send to the first entry")
+def turn_away(context: Context) -> None:
+    entries = context.deployment.entries
+
+    async def wait_for_peers() -> None:
+        view = entries[0].view
+        assert await until(lambda: view.peers_of(entries[0].name), 5)
+
+    run(context, wait_for_peers())
+    entries[0].desk._store = TurnedAway()
+
+
+@when("the other entry falls silent")
+def fall_silent(context: Context) -> None:
+    context.deployment.entries[1]._mailbox._task.cancel()
+
+
 @when("the answers of the store get lost")
 def lose(context: Context) -> None:
     context.deployment.store.lose_answers = True
