--- a/src/yuccapoint/cell/cell_leader.py
+++ b/src/yuccapoint/cell/cell_leader.py
@@ -13,6 +13,7 @@
 from yuccapoint.cell.disturbance_watch import DisturbanceWatch
 from yuccapoint.cell.job_run import JobRun
 from yuccapoint.cell.order_writer import write_orders
+from yuccapoint.cell.preemption import find_preempted
 from yuccapoint.cell.progress import Outcome
 from yuccapoint.cell.progress import Phase
 from yuccapoint.cell.report_intake import ReportIntake
@@ -210,6 +211,10 @@
                 max_per_vm=task.step.spec.max_per_vm,
                 waited_ms=int(waited_s * 1000),
             )
+        for task in find_preempted(
+            planner, self.vms.values(), self.disturbances, now_s
+        ):
+            self.stop(task, "late work makes room", now_s)
 
     def planner(self, now_s: float, wall_ms: int) -> ClaimPlanner:
         """Give a planner for this moment."""
--- a/src/yuccapoint/cell/claim_planner.py
+++ b/src/yuccapoint/cell/claim_planner.py
@@ -49,6 +49,11 @@
         Steady time in seconds.
     wall_ms : int
         Wall-clock time in milliseconds.
+
+    Attributes
+    ----------
+    unplaced : list of StepRun
+        Steps of jobs still in time that found no room for a task.
     """
 
     def __init__(
@@ -62,6 +67,7 @@
         self._advice = advice
         self._now_s = now_s
         self._wall_ms = wall_ms
+        self.unplaced: list[StepRun] = []
         self._rooms: dict[str, list[VmRoom]] = {}
         for vm in vms:
             if vm.worker is not None and vm.is_open(now_s):
@@ -109,22 +115,41 @@
         jobs that can still meet their objective, the least work left
         first, then late ones, then those whose callers gain nothing more.
         """
-        job = step.occurrence.job
-        queue = job.submission.queue
+        queue = step.occurrence.job.submission.queue
         if step.spec.lasting:
             # Tasks that must spread find room on dense VMs only if those
             # that may stand anywhere come after them.
             return (0, 0, step.spec.max_per_vm or math.inf)
+        work_left = step.occurrence.work_left()
+        return (self.lateness(step), queue.priority, work_left)
+
+    def lateness(self, step: StepRun) -> int:
+        """Tell what a step's callers still gain.
+
+        Returns
+        -------
+        int
+            0 when the job can meet its objective, 1 when it will be late,
+            2 when its callers gain nothing more.
+        """
+        if step.spec.lasting:
+            return 0
+        job = step.occurrence.job
+        queue = job.submission.queue
         objective_ms = job.objective_at_ms(step.occurrence.number)
         span_ms = queue.objective_factor * job.chain_ms + queue.objective_ms
-        left_ms = step.occurrence.chain_left_ms()
-        end_ms = self._wall_ms + left_ms
-        lateness = 0
-        if end_ms > objective_ms + MEET_SLACK * span_ms:
-            lateness = 1
+        end_ms = self._wall_ms + step.occurrence.chain_left_ms()
         if end_ms > objective_ms + (HOPELESS_OBJECTIVES - 1) * span_ms:
-            lateness = 2
-        return (lateness, queue.priority, step.occurrence.work_left())
+            return 2
+        return int(end_ms > objective_ms + MEET_SLACK * span_ms)
+
+    def would_take(self, step: StepRun, room: VmRoom) -> bool:
+        """Tell whether a VM with this room would get a task of a step."""
+        pool = step.occurrence.job.submission.queue.pool
+        worker = room.ledger.worker
+        if worker is None or worker.pool != pool:
+            return False
+        return room.suits(step.spec) and not _is_crowded(step.spec, room)
 
     def _place_tasks(
         self, step: StepRun, rooms: list[VmRoom]
@@ -141,6 +166,8 @@
             room = self._choose(task, rooms, overbook=first)
             if room is None:
                 # The other tasks of the step are as large as this one.
+                if not self.lateness(step):
+                    self.unplaced.append(step)
                 break
             room.take(step.spec, id(step))
             chosen.append((task, room.ledger))
--- /dev/null
+++ b/src/yuccapoint/cell/preemption.py
@@ -0,0 +1,100 @@
+"""Stops late filling work where work that is still in time waits."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from yuccapoint.cell.vm_room import VmRoom
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from yuccapoint.cell.claim_planner import ClaimPlanner
+    from yuccapoint.cell.disturbance_watch import DisturbanceWatch
+    from yuccapoint.cell.job_run import TaskRun
+    from yuccapoint.cell.vm_ledger import VmLedger
+
+# A run keeps its place for so many seconds: several checkpoints long.
+LEAST_RUN_S = 1.5
+# Runs that are stopped in a round; the next round follows in a moment.
+MAX_STOPPED = 4
+
+
+def find_preempted(
+    planner: ClaimPlanner,
+    vms: Iterable[VmLedger],
+    disturbances: DisturbanceWatch,
+    now_s: float,
+) -> list[TaskRun]:
+    """Choose late runs whose room goes to jobs that are still in time.
+
+    Answers a burst after which late jobs hold all room: whatever comes
+    then would be late as well. Only runs that keep their progress are
+    stopped, and one of each job goes on.
+
+    Parameters
+    ----------
+    planner : ClaimPlanner
+        Has just planned; knows what found no room.
+    vms : iterable of VmLedger
+        All VMs.
+    disturbances : DisturbanceWatch
+        What is known of images that disturb each other.
+    now_s : float
+        Steady time in seconds.
+    """
+    waiting = [step for step in planner.unplaced if step.spec.filling]
+    if not waiting:
+        return []
+    open_vms = [vm for vm in vms if vm.worker is not None]
+    left = MAX_STOPPED
+    running: dict[int, int] = {}
+    for vm in open_vms:
+        for task in vm.claims.values():
+            if task.stopping:
+                left -= 1
+            elif task.seen_running:
+                occurrence = id(task.step.occurrence)
+                running[occurrence] = running.get(occurrence, 0) + 1
+    chosen: list[TaskRun] = []
+    for vm in open_vms:
+        room = VmRoom(vm, disturbances)
+        # Room for one waiting task may need more than one run to go.
+        going: list[TaskRun] = []
+        for task in _late_runs(planner, vm, now_s):
+            occurrence = id(task.step.occurrence)
+            if running.get(occurrence, 0) < 2:
+                continue
+            if len(chosen) + len(going) >= left:
+                return chosen
+            running[occurrence] -= 1
+            going.append(task)
+            room.give_back(task.step.spec, id(task.step))
+            for step in waiting:
+                if planner.would_take(step, room):
+                    room.take(step.spec, id(step))
+                    chosen.extend(going)
+                    going = []
+                    break
+    return chosen
+
+
+def _late_runs(
+    planner: ClaimPlanner, vm: VmLedger, now_s: float
+) -> list[TaskRun]:
+    """Give a VM's runs that may be stopped, the latest jobs' first."""
+    late = [
+        task
+        for task in vm.claims.values()
+        if _may_stop(task, now_s) and planner.lateness(task.step)
+    ]
+    return sorted(late, key=lambda task: -planner.lateness(task.step))
+
+
+def _may_stop(task: TaskRun, now_s: float) -> bool:
+    spec = task.step.spec
+    if not spec.filling or not spec.saves_progress or spec.gang:
+        return False
+    if task.stopping or not task.seen_running:
+        return False
+    return now_s - task.started_at_s > LEAST_RUN_S
--- a/src/yuccapoint/cell/vm_room.py
+++ b/src/yuccapoint/cell/vm_room.py
@@ -92,11 +92,17 @@
         self.free -= spec.committed
         self._weigh(spec, step_key)
 
-    def _weigh(self, spec: StepSpec, step_key: int) -> None:
-        self.step_counts[step_key] = self.step_counts.get(step_key, 0) + 1
-        millicores = spec.size.millicores
+    def give_back(self, spec: StepSpec, step_key: int) -> None:
+        """Let a task go."""
+        self.free += spec.committed
+        self._weigh(spec, step_key, -1)
+
+    def _weigh(self, spec: StepSpec, step_key: int, sign: int = 1) -> None:
+        count = self.step_counts.get(step_key, 0) + sign
+        self.step_counts[step_key] = count
+        millicores = sign * spec.size.millicores
         if spec.filling:
-            share = self.share_of(spec)
+            share = sign * self.share_of(spec)
             before = self.filling_images.get(spec.image, 0.0)
             self.filling_images[spec.image] = before + share
             self.filling_millicores += millicores
--- a/tests/features/cell/waiting.feature
+++ b/tests/features/cell/waiting.feature
@@ -54,3 +54,19 @@
     When a gang of 12 tasks of 1 processor comes
     And the leader plans
     Then 12 tasks are claimed with the same run
+
+  Scenario: Late filling work makes room for a job that is still in time
+    Given a leader with 1 VMs of 8 processors
+    When a job of 8 filling tasks runs until it is late
+    And a job of 3 filling tasks comes
+    And the leader plans
+    Then some runs of the late job are stopped and one at least goes on
+    When the leader plans
+    Then no more runs are stopped than before
+
+  Scenario: Late filling work that would lose its progress goes on
+    Given a leader with 1 VMs of 8 processors
+    When a job of 8 filling tasks that save nothing runs until late
+    And a job of 3 filling tasks comes
+    And the leader plans
+    Then no run of the late job is stopped
--- a/tests/features/steps/cell_waiting_steps.py
+++ b/tests/features/steps/cell_waiting_steps.py
@@ -12,6 +12,7 @@
 from cell_leader_steps import WALL_MS
 
 from yuccapoint.cell.cell_messages import RefusedRun
+from yuccapoint.cell.cell_messages import RunningTask
 from yuccapoint.cell.cell_view import JobView
 from yuccapoint.cell.queue_rules import QueueRules
 from yuccapoint.cell.step_spec import StepSpec
@@ -188,3 +189,80 @@
 @then("the leader has forgotten the job")
 def forgotten(context: Context) -> None:
     assert context.job_id not in context.leader.jobs
+
+
+def _filling(context: Context, name: str, tasks: int, saves: bool) -> None:
+    step = StepSpec(
+        tasks,
+        ONE,
+        4_000,
+        filling=True,
+        saves_progress=saves,
+        image="fill",
+    )
+    add_job(
+        context.leader,
+        _job_id(name),
+        step,
+        objective_ms=1_000,
+        objective_factor=2.0,
+    )
+
+
+def _run_until_late(context: Context, tasks: int, saves: bool) -> None:
+    leader = context.leader
+    _filling(context, "1a", tasks, saves)
+    leader.tick(context.now_s, WALL_MS)
+    leader.commit(leader.take_batch())
+    leader.take_orders(context.now_s, may_grant=True)
+    context.wall_ms = WALL_MS + 8_000
+    for sequence in range(17):
+        context.now_s += 0.5
+        running = tuple(
+            RunningTask(task.task_id, task.run, "saved", 20, 500.0)
+            for task in leader.vms["vm-0"].claims.values()
+        )
+        message = report("vm-0", 40 + sequence, running=running)
+        hear(leader, message, context.now_s)
+
+
+@when("a job of {tasks:d} filling tasks runs until it is late")
+def saving_late_job(context: Context, tasks: int) -> None:
+    _run_until_late(context, tasks, True)
+
+
+@when("a job of {tasks:d} filling tasks that save nothing runs until late")
+def forgetting_late_job(context: Context, tasks: int) -> None:
+    _run_until_late(context, tasks, False)
+
+
+@when("a job of {tasks:d} filling tasks comes")
+def fresh_job(context: Context, tasks: int) -> None:
+    _filling(context, "2b", tasks, True)
+    fresh = context.leader.jobs[_job_id("2b")].submission
+    fields = {f: getattr(fresh, f) for f in Submission.__struct_fields__}
+    fields["accepted_at_ms"] = context.wall_ms
+    context.leader.jobs[_job_id("2b")].submission = Submission(**fields)
+    context.leader.tick(context.now_s, context.wall_ms)
+
+
+def _stopped(context: Context) -> list[str]:
+    tasks = context.leader.jobs[_job_id("1a")].occurrences[0].tasks
+    return [task.task_id for task in tasks if task.stopping]
+
+
+@then("some runs of the late job are stopped and one at least goes on")
+def some_stopped(context: Context) -> None:
+    context.stopped = _stopped(context)
+    tasks = context.leader.jobs[_job_id("1a")].occurrences[0].tasks
+    assert 0 < len(context.stopped) < len(tasks), context.stopped
+
+
+@then("no more runs are stopped than before")
+def not_more(context: Context) -> None:
+    assert _stopped(context) == context.stopped, _stopped(context)
+
+
+@then("no run of the late job is stopped")
+def none_stopped(context: Context) -> None:
+    assert not _stopped(context), _stopped(context)
