--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,9 @@
 DEPLOYMENT ?= caribfert
 SEED ?= 1
 EXAMPLES ?= 200
+SEEDS ?= 1
 
-.PHONY: demo test lint fuzz binary clean
+.PHONY: demo test lint fuzz soak binary clean
 
 $(STAMP): requirements/lock.txt pyproject.toml
 	python3 -m venv $(VENV)
@@ -28,6 +29,9 @@
 fuzz: $(STAMP)
 	$(BIN)/python tests/fuzz.py --seed $(SEED) --examples $(EXAMPLES)
 
+soak: $(STAMP)
+	$(BIN)/python tests/soak.py --first $(SEED) --seeds $(SEEDS)
+
 binary: $(STAMP)
 	$(BIN)/python tests/build_binary.py
 
--- a/src/yuccapoint/cell/cell_leader.py
+++ b/src/yuccapoint/cell/cell_leader.py
@@ -18,6 +18,8 @@
 from yuccapoint.cell.progress import Phase
 from yuccapoint.cell.report_intake import ReportIntake
 from yuccapoint.cell.run_ends import RunEnds
+from yuccapoint.cell.run_stops import find_leaving
+from yuccapoint.cell.run_stops import find_stuck
 from yuccapoint.cell.store_upkeep import StoreUpkeep
 from yuccapoint.cell.throttle_moves import find_moves
 from yuccapoint.cell.vm_ledger import VmLedger
@@ -33,9 +35,6 @@
     from yuccapoint.cell.job_run import TaskRun
     from yuccapoint.cell.progress import WorkerLife
 
-# A run that doesn't move for so many seconds hangs: at one percent a step,
-# a run a tenth as fast as declared still moves more often.
-STUCK_AFTER_S = 2.5
 # Progress of running tasks is written this often, in seconds, together with
 # a renewal: what all machines lose at once is at most so much work.
 KEEP_PROGRESS_EVERY_S = 1.0
@@ -168,9 +167,13 @@
                 )
                 vm.worker = None
                 vm.looked = False
-            self._stop_stuck(vm, now_s)
+            for task in find_stuck(vm, now_s):
+                self.stop(task, "the run hangs", now_s)
+                task.failed_on.add(vm.name)
+                vm.blame(task.step.occurrence.job.submission.job_id, now_s)
             if vm.worker is not None and vm.worker.draining:
-                self._evacuate(vm, now_s)
+                for task in find_leaving(vm, now_s):
+                    self.stop(task, "the VM drains", now_s)
         for task in find_moves(self.vms.values(), self.disturbances, now_s):
             self.stop(task, "the run is slowed down here", now_s)
         self._ready_schedules(wall_ms)
@@ -250,34 +253,6 @@
                 job.occurrence(next_number)
                 next_number += 1
 
-    def _stop_stuck(self, vm: VmLedger, now_s: float) -> None:
-        if not vm.claims or now_s - vm.heard_at_s > lease_bounds.FRESH_S:
-            return
-        for task in list(vm.claims.values()):
-            spec = task.step.spec
-            if spec.lasting or spec.filling or spec.gang or task.stopping:
-                continue
-            if not task.seen_running:
-                continue
-            if now_s - task.progressed_at_s < STUCK_AFTER_S:
-                continue
-            self.stop(task, "the run hangs", now_s)
-            task.failed_on.add(vm.name)
-            vm.blame(task.step.occurrence.job.submission.job_id, now_s)
-
-    def _evacuate(self, vm: VmLedger, now_s: float) -> None:
-        for task in list(vm.claims.values()):
-            if task.stopping or not task.seen_running:
-                continue
-            spec = task.step.spec
-            left_s = vm.drain_until_s - now_s
-            need_s = task.step.estimate_ms * (100 - task.percent) / 100_000
-            if not spec.lasting and need_s < left_s:
-                continue
-            if not spec.lasting and not spec.saves_progress:
-                continue
-            self.stop(task, "the VM drains", now_s)
-
     def stop(self, task: TaskRun, why: str, now_s: float) -> None:
         """Stop a run; its end releases the task."""
         if task.stopping:
--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -14,6 +14,9 @@
 
 sys.path.append(str(pathlib.Path(__file__).parents[2]))
 
+from soak.oracle import Oracle  # noqa: E402
+from soak.oracle import SoakJob  # noqa: E402
+from soak.oracle import VISIBLE_S  # noqa: E402
 from soak.play import play  # noqa: E402
 from soak.world import FRONT_PORT  # noqa: E402
 from soak.world import HOST  # noqa: E402
@@ -96,7 +99,7 @@
 def play_seed(context: Context, seed: int, seconds: int) -> None:
     with tempfile.TemporaryDirectory() as scratch:
         context.verdict = context.loop.run_until_complete(
-            play(seed, pathlib.Path(scratch), seconds, entries=3, vms=3)
+            play(seed, pathlib.Path(scratch), seconds, entries=3, vms=4)
         )
 
 
@@ -104,3 +107,43 @@
 def nothing_broken(context: Context) -> None:
     assert not context.verdict.broken, context.verdict.broken
     assert context.verdict.starts > 0
+
+
+@given("a soak's job of two steps with one task each that was {how}")
+def soak_job(context: Context, how: str) -> None:
+    context.oracle = Oracle()
+    context.soak_job = SoakJob("a" * 16, "payload", [1, 1])
+    context.oracle.jobs["a" * 16] = context.soak_job
+    if how == "accepted":
+        accepted_at_s = time.monotonic() - VISIBLE_S - 1
+        context.soak_job.accepted_at_s = accepted_at_s
+
+
+@when('workers and callers see "{events}"')
+def see(context: Context, events: str) -> None:
+    workers = {"a": object(), "b": object()}
+    oracle, job = context.oracle, context.soak_job
+    for event in events.split(", "):
+        what, detail, *rest = event.split()
+        if what == "shown":
+            status = 410 if detail == "unknown" else 200
+            state = "" if detail == "unknown" else detail
+            oracle.on_state(job, "entry", status, state)
+            continue
+        step = detail.partition(".")[0]
+        owner = job.job_id if step != "9" else "b" * 16
+        task = f"{owner}.0.{step}.0"
+        worker = workers[rest[1]]
+        if what == "done":
+            oracle.on_end(task, worker, "done", (1, 1))
+            oracle.on_noted(worker, 1)
+            continue
+        payload = "another" if "payload" in rest else "payload"
+        oracle.on_start({"Task": task, "Run": 1, "Spec": payload}, worker)
+    oracle.judge_refusals()
+
+
+@then('the soak says "{rule}" is broken')
+def says_broken(context: Context, rule: str) -> None:
+    rules = {line.partition(":")[0] for line in context.oracle.broken}
+    assert rule in rules, context.oracle.broken
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -10,6 +10,13 @@
 
 from soak.play import play
 
+REGRESSIONS = pathlib.Path(__file__).parent / "soak" / "regressions.txt"
+
+
+def _regressions() -> list[int]:
+    lines = REGRESSIONS.read_text("utf-8").splitlines()
+    return [int(line.split()[0]) for line in lines if line[0].isdigit()]
+
 
 def main() -> int:
     """Play the seeds one after the other and say what was seen."""
@@ -22,9 +29,15 @@
     parser.add_argument("--entries", type=int, default=3)
     parser.add_argument("--vms", type=int, default=4)
     parser.add_argument("--keep", type=pathlib.Path, help="folder for logs")
+    parser.add_argument(
+        "--regressions", action="store_true", help="seeds that once failed"
+    )
     given = parser.parse_args()
+    seeds = list(range(given.first, given.first + given.seeds))
+    if given.regressions:
+        seeds = _regressions()
     red = 0
-    for seed in range(given.first, given.first + given.seeds):
+    for seed in seeds:
         with tempfile.TemporaryDirectory() as scratch:
             directory = pathlib.Path(scratch)
             if given.keep is not None:
@@ -41,7 +54,7 @@
         )
         for broken in verdict.broken:
             print(f"  {broken}", flush=True)
-    print(f"{given.seeds} seeds, {red} red")
+    print(f"{len(seeds)} seeds, {red} red")
     return 1 if red else 0
 
 
