Take no second copy of a submission for a new job

The leader had forgotten the job and had not read its end back, so that it took it in anew from its view, with the last run claimed, and ran it again. Late appends of the store (lost answers) could do the same without a relay.

Ruled out: a change of the leader (one term throughout).

--- a/src/yuccapoint/cell/cell_view.py
+++ b/src/yuccapoint/cell/cell_view.py
@@ -129,8 +129,7 @@
             self.pairs = record
             return True
         if isinstance(record, Submission):
-            self._submit(record)
-            return True
+            return self._submit(record)
         self._apply_to_job(key, record, offset)
         return True
 
@@ -186,14 +185,16 @@
                 return
         self.leadership = record
 
-    def _submit(self, submission: Submission) -> None:
-        # A repeat of the same id stays the job that came first.
+    def _submit(self, submission: Submission) -> bool:
+        # A repeat of the same id stays the job that came first, also for a
+        # leader that has ended it and not read its end back yet.
         if submission.job_id in self.jobs:
-            return
+            return False
         self.jobs[submission.job_id] = JobView(submission)
         orphans = self._orphans.pop(submission.job_id, {})
         for key, (record, offset) in orphans.items():
             self._apply_to_job(key, record, offset)
+        return True
 
     def _apply_to_job(self, key: str, record: CellRecord, offset: int) -> None:
         job_id, _, occurrence = key[2:].partition(".")
--- a/tests/features/cell/silence.feature
+++ b/tests/features/cell/silence.feature
@@ -32,3 +32,8 @@
     Given a leader with 2 VMs and a stopped gang of 2 tasks
     When the gang is claimed again
     Then both members carry the same checkpoint
+
+  Scenario: A second copy of a submission is no news
+    Given a view of a job that completed at offset 5
+    When its submission comes again at offset 8
+    Then the copy is no news, and the job is shown as "completed"
--- a/tests/features/steps/cell_silence_steps.py
+++ b/tests/features/steps/cell_silence_steps.py
@@ -194,3 +194,16 @@
     assert all(task.phase is Phase.CLAIMED for task in tasks)
     assert len({task.checkpoint for task in tasks}) == 1, tasks
     assert tasks[0].checkpoint, "progress was lost"
+
+
+@when("its submission comes again at offset {offset:d}")
+def submitted_again(context: Context, offset: int) -> None:
+    job = context.view.find(JOB_ID).submission
+    key = cell_records.SUBMISSION + JOB_ID
+    context.news = context.view.apply(key, job, offset)
+
+
+@then('the copy is no news, and the job is shown as "{state}"')
+def no_news(context: Context, state: str) -> None:
+    assert not context.news, "a leader would take the job in again"
+    shown(context, state)
