Merge the guard's two divisions of room and two checks of movable runs; log a failed look once

Found on reading the change again: - on_start and _divide of the pace guard worked out what fits and took it from the room each for itself: _fitting_part and _use_room do both. - Preemption and moves of slowed work asked the same of a run: TaskRun.may_move. - PairEstimates had a noise that only the replaced estimates of cells set. - A state that could not be looked up counted as a fault of the process; the desk now says "can't look", as it does for a cancellation.

Answers and decisions stay as they are.

--- a/src/yuccapoint/cell/job_run.py
+++ b/src/yuccapoint/cell/job_run.py
@@ -95,6 +95,14 @@
         self.progressed_at_s = 0.0
         self.load = 0.0
 
+    @property
+    def may_move(self) -> bool:
+        """Whether the run fills and loses next to nothing by a stop."""
+        spec = self.step.spec
+        if not spec.filling or not spec.saves_progress or spec.gang:
+            return False
+        return self.seen_running and not self.stopping
+
     def claim(self, life: WorkerLife, run: int) -> None:
         """Claim the next run for a worker."""
         self._reset_run()
--- a/src/yuccapoint/cell/pace_guard.py
+++ b/src/yuccapoint/cell/pace_guard.py
@@ -181,17 +181,11 @@
         self._expect_services(traits)
         unit = max(1.0, NEIGHBOUR_SHARE * vm_millicores)
         share = own.millicores / unit
-        percent = self._paces.get(own.image, FULL_PERCENT)
-        for service, left in self._room.items():
-            full = self._upper_weight(service, own.image) * share
-            if full > max(left, SPARED_LOAD):
-                percent = min(percent, int(FULL_PERCENT * left / full))
+        fitting = int(FULL_PERCENT * self._fitting_part(own.image, share))
+        percent = min(self._paces.get(own.image, FULL_PERCENT), fitting)
         if percent < LEAST_PERCENT:
             percent = 0
-        for service, left in self._room.items():
-            full = self._upper_weight(service, own.image) * share
-            added = full * percent / FULL_PERCENT
-            self._room[service] = max(0.0, left - added)
+        self._use_room(own.image, share * percent / FULL_PERCENT)
         if percent >= FULL_PERCENT:
             return None
         self._sent[(task_id, run)] = percent
@@ -299,20 +293,26 @@
 
         wanted = {}
         for image in sorted(full_shares, key=worst_weight):
-            factor = 1.0
-            added = {
-                service: self._upper_weight(service, image)
-                * full_shares[image]
-                for service in self._room
-            }
-            for service, left in self._room.items():
-                if added[service] > max(left, SPARED_LOAD):
-                    factor = min(factor, left / added[service])
-            for service, left in self._room.items():
-                self._room[service] = max(0.0, left - added[service] * factor)
-            wanted[image] = int(FULL_PERCENT * factor)
+            part = self._fitting_part(image, full_shares[image])
+            self._use_room(image, full_shares[image] * part)
+            wanted[image] = int(FULL_PERCENT * part)
         return wanted
 
+    def _fitting_part(self, image: str, share: float) -> float:
+        """Give the part of a share that all services here still bear."""
+        part = 1.0
+        for service, left in self._room.items():
+            added = self._upper_weight(service, image) * share
+            if added > max(left, SPARED_LOAD):
+                part = min(part, left / added)
+        return part
+
+    def _use_room(self, image: str, share: float) -> None:
+        """Take what a share of an image adds from the room of services."""
+        for service, left in self._room.items():
+            added = self._upper_weight(service, image) * share
+            self._room[service] = max(0.0, left - added)
+
     def _is_harmless(
         self, image: str, full_share: float, serving: list[ServingRun]
     ) -> bool:
--- a/src/yuccapoint/cell/preemption.py
+++ b/src/yuccapoint/cell/preemption.py
@@ -83,18 +83,10 @@
     planner: ClaimPlanner, vm: VmLedger, now_s: float
 ) -> list[TaskRun]:
     """Give a VM's runs that may be stopped, the latest jobs' first."""
-    late = [
-        task
-        for task in vm.claims.values()
-        if _may_stop(task, now_s) and planner.lateness(task.step)
-    ]
+    late = []
+    for task in vm.claims.values():
+        if not task.may_move or now_s - task.started_at_s <= LEAST_RUN_S:
+            continue
+        if planner.lateness(task.step):
+            late.append(task)
     return sorted(late, key=lambda task: -planner.lateness(task.step))
-
-
-def _may_stop(task: TaskRun, now_s: float) -> bool:
-    spec = task.step.spec
-    if not spec.filling or not spec.saves_progress or spec.gang:
-        return False
-    if task.stopping or not task.seen_running:
-        return False
-    return now_s - task.started_at_s > LEAST_RUN_S
--- a/src/yuccapoint/cell/throttle_moves.py
+++ b/src/yuccapoint/cell/throttle_moves.py
@@ -64,10 +64,7 @@
 
 
 def _is_slowed(task: TaskRun, now_s: float) -> bool:
-    spec = task.step.spec
-    if not spec.filling or not spec.saves_progress or spec.gang:
-        return False
-    if task.stopping or not task.seen_running or not task.slowed_since_s:
+    if not task.may_move or not task.slowed_since_s:
         return False
     left_s = task.step.estimate_ms / 1000 * (100 - task.percent) / 100
     slowed_s = now_s - task.slowed_since_s
--- a/src/yuccapoint/job/interference/pair_estimates.py
+++ b/src/yuccapoint/job/interference/pair_estimates.py
@@ -32,19 +32,13 @@
     wander, so that old samples fade and uncertainty grows where nothing
     is measured; none falls below 0.
 
-    Parameters
-    ----------
-    noise_sd : float
-        Standard deviation of a measurement.
-
     Attributes
     ----------
     counts : dict of str to float
         Samples by class, weighed by share and fading.
     """
 
-    def __init__(self, noise_sd: float = NOISE_SD) -> None:
-        self._noise_sd = noise_sd
+    def __init__(self) -> None:
         self.counts: dict[str, float] = {}
         self._names: list[str] = [BASELINE]
         self._weights: list[float] = [0.0]
@@ -150,7 +144,7 @@
 
     def _correct(self, features: list[float], measured: float) -> None:
         gains = [_dot(row, features) for row in self._covariance]
-        spread = _dot(gains, features) + self._noise_sd**2
+        spread = _dot(gains, features) + NOISE_SD**2
         surprise = measured - _dot(self._weights, features)
         most = OUTLIER_SDS * math.sqrt(spread)
         surprise = max(-most, min(most, surprise))
--- a/src/yuccapoint/platform/front.py
+++ b/src/yuccapoint/platform/front.py
@@ -160,8 +160,8 @@
     async def _state(self, route: QueueRoute, job_id: str) -> Answer:
         try:
             state = await self._desk.state(route.rules.route, job_id)
-        except YuccapointError as error:
-            self._desk.note_fault(job_id, str(error))
+        except YuccapointError:
+            # The desk has said why.
             return Answer(503, retry_after_s=self._desk.retry_after_s)
         return Answer(410) if state is None else Answer(200, {"State": state})
 
--- a/src/yuccapoint/process/cell_desk.py
+++ b/src/yuccapoint/process/cell_desk.py
@@ -123,8 +123,7 @@
         """Cancel a job once that is in the store."""
         try:
             job = await self._find_for_sure(route, job_id)
-        except YuccapointError as error:
-            self._logs.say("job", "can't look", job=job_id, error=str(error))
+        except YuccapointError:
             return DeskVerdict.REFUSED
         if job is None:
             self._say("cancelled", job_id, DeskVerdict.UNKNOWN_JOB)
@@ -173,8 +172,14 @@
     async def _find_for_sure(self, route: str, job_id: str) -> JobView | None:
         job = self._find(route, job_id)
         if job is None:
-            # Another entry may have accepted it a moment ago.
-            await self._tail.catch_up()
+            try:
+                # Another entry may have accepted it a moment ago.
+                await self._tail.catch_up()
+            except YuccapointError as error:
+                self._logs.say(
+                    "job", "can't look", job=job_id, error=str(error)
+                )
+                raise
             job = self._find(route, job_id)
         return job
 
