Space an agent's polls while an end is not stored

Cause: a worker answers the long poll at once while it lists an end that was not acknowledged. The agent then polled again at once, hundreds of times a second, for as long as the leader or the store was away.

Two of the three new scenarios fail on the code before; the third pins that an acknowledgement is followed by a poll at once.

--- a/src/yuccapoint/cell/run_registry.py
+++ b/src/yuccapoint/cell/run_registry.py
@@ -86,13 +86,19 @@
             for tracked in self._runs.values()
         )
 
-    def discard_acked_ends(self, number: int) -> None:
-        """Drop ends that are stored."""
+    @property
+    def has_unacked_ends(self) -> bool:
+        """Whether the worker lists an end that is not known to be stored."""
+        return bool(self._ends)
+
+    def discard_acked_ends(self, number: int) -> bool:
+        """Drop ends that are stored; return whether the number is new."""
         if number <= self.acked_end_number:
-            return
+            return False
         self.acked_end_number = number
         for known in [known for known in self._ends if known <= number]:
             del self._ends[known]
+        return True
 
     def discard_unawaited(
         self, ordered: set[RunKey], awaited: set[RunKey]
--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -9,6 +9,7 @@
 from yuccapoint.cell.cell_messages import VmReport
 from yuccapoint.cell.cell_messages import WorkerReport
 from yuccapoint.cell.pace_controller import PaceController
+from yuccapoint.cell.poll_pacer import PollPacer
 from yuccapoint.cell.run_registry import RunRegistry
 from yuccapoint.cell.worker_events import CallResult
 from yuccapoint.cell.worker_events import PaceCall
@@ -70,6 +71,7 @@
         self._failed_status_requests = 0
         self._drain_until_s = 0.0
         self._leave_announced = False
+        self._poll_pacer = PollPacer()
         self._pace_controller = PaceController()
         self._pace_calls: list[PaceCall] = []
 
@@ -131,6 +133,7 @@
         self.registry.begin_instance(same_id=same_id)
         self._failed_status_requests = 0
         self._leave_announced = False
+        self._poll_pacer.reset()
         self.lease.reset_clock()
 
     def on_orders(self, orders: LeaderOrders, now_s: float) -> None:
@@ -163,7 +166,8 @@
         self._apply_orders(orders, now_s)
 
     def _apply_orders(self, orders: LeaderOrders, now_s: float) -> None:
-        self.registry.discard_acked_ends(orders.acked_end_number)
+        if self.registry.discard_acked_ends(orders.acked_end_number):
+            self._poll_pacer.reset()
         self._traits = {traits.task_id: traits for traits in orders.traits}
         self._pace_controller.update_estimates(orders.pairs)
         ordered = {(start.task_id, start.run) for start in orders.starts}
@@ -228,6 +232,10 @@
             self.term, self.registry.acked_end_number, lease_until_ms, wait_ms
         )
 
+    def poll_delay_s(self, now_s: float) -> float:
+        """Return the time in seconds until the worker is to be polled."""
+        return self._poll_pacer.delay_s(now_s)
+
     def on_status_failed(self) -> None:
         """Count a status request that was not answered."""
         self._failed_status_requests += 1
@@ -239,10 +247,14 @@
         """Apply the status that the worker returned."""
         current = self.check_in
         if current is None or status.born_ms != current.instance.born_ms:
+            self._poll_pacer.on_answer(sent_at_s, at_once=True)
             return
         self._failed_status_requests = 0
         self.lease.record_clock(status.clock_ms, now_s)
         self.registry.on_status(status, sent_at_s)
+        self._poll_pacer.on_answer(
+            sent_at_s, at_once=self.registry.has_unacked_ends
+        )
         self._update_paces(now_s)
 
     @property
--- a/src/yuccapoint/process/cell_agent_process.py
+++ b/src/yuccapoint/process/cell_agent_process.py
@@ -34,8 +34,10 @@
     from yuccapoint.process.process_logger import ProcessLogger
 
 TICK_S = 0.05
-# Pause after a failed poll, and while there is no leader, in seconds.
+# Pause after a failed poll, in seconds.
 POLL_RETRY_S = 0.1
+# Longest wait for a leader or a check-in before the next look, in seconds.
+NO_LEADER_WAIT_S = 1.0
 # Events within this time are combined into one report, in seconds.
 REPORT_COALESCE_S = 0.008
 # Pause between checks of the registration in the store, and after a failed
@@ -237,17 +239,25 @@
 
     async def _run_polls(self) -> None:
         while True:
+            delay_s = self.vm_agent.poll_delay_s(steady_s())
+            if delay_s > 0:
+                await self._wait_for_poll_request(delay_s)
+                continue
             request = self.vm_agent.next_status_request()
             if request is None or self._worker is None:
-                self._poll_requested.clear()
-                with contextlib.suppress(TimeoutError):
-                    async with asyncio.timeout(1.0):
-                        await self._poll_requested.wait()
+                await self._wait_for_poll_request(NO_LEADER_WAIT_S)
                 continue
             if not await self._poll_once(self._worker, request):
                 await asyncio.sleep(POLL_RETRY_S)
             self._wake.set()
 
+    async def _wait_for_poll_request(self, timeout_s: float) -> None:
+        """Wait for a check-in or orders, which may make a poll due."""
+        self._poll_requested.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self._poll_requested.wait()
+
     async def _poll_once(
         self, worker: CellWorkerPort, request: StatusRequest
     ) -> bool:
--- /dev/null
+++ b/tests/features/steps/agent_poll_steps.py
@@ -0,0 +1,174 @@
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from behave import given
+from behave import then
+from behave import when
+from platform_path_steps import free_address
+
+from yuccapoint.cell.cell_messages import EndedRun
+from yuccapoint.cell.cell_messages import LeaderOrders
+from yuccapoint.cell.occurrence_state import WorkerInstance
+from yuccapoint.cell.worker_events import CallResult
+from yuccapoint.cell.worker_events import CheckIn
+from yuccapoint.cell.worker_events import WorkerStatus
+from yuccapoint.job.size import Size
+from yuccapoint.process.cell_agent_process import CellAgentProcess
+from yuccapoint.process.metrics import Metrics
+from yuccapoint.process.process_logger import ProcessLogger
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+    from yuccapoint.cell.worker_events import StatusRequest
+    from yuccapoint.cell.worker_events import WorkerCall
+
+VM = "vm-0"
+INSTANCE = WorkerInstance(VM, "i-0", 1)
+END = EndedRun(1, "e" * 16 + ".0.0.0", 1, "done", "")
+
+
+class QuickWorker:
+    """Answers at once while it lists an end, and else after its wait."""
+
+    def __init__(self) -> None:
+        self.born_ms = 1
+        self.polled_at_s: list[float] = []
+
+    async def call(
+        self, call: WorkerCall, worker_id: str
+    ) -> tuple[CallResult, str]:
+        del call, worker_id
+        return CallResult.DONE, ""
+
+    async def fetch_status(
+        self, request: StatusRequest, worker_id: str
+    ) -> WorkerStatus:
+        del worker_id
+        self.polled_at_s.append(asyncio.get_running_loop().time())
+        await asyncio.sleep(0.001)
+        ends = (END,) if request.last_seen < END.number else ()
+        if not ends:
+            await asyncio.sleep(request.wait_ms / 1000)
+        return WorkerStatus(
+            clock_ms=1_000, born_ms=self.born_ms, running=(), ends=ends
+        )
+
+    def close(self) -> None:
+        """Close nothing."""
+
+
+class IdleStore:
+    """Accepts the agent's registration."""
+
+    async def append(self, records, **fields) -> int:
+        del records, fields
+        return 0
+
+
+def _orders(sequence: int, acked: int) -> LeaderOrders:
+    return LeaderOrders(
+        vm=VM,
+        term=1,
+        leader="e-0",
+        address="",
+        sequence=sequence,
+        answers=0,
+        agent_incarnation=0,
+        lease_ms=0,
+        instance=INSTANCE,
+        acked_end_number=acked,
+        starts=(),
+        awaited=(),
+        stops=(),
+        traits=(),
+        pairs=(),
+    )
+
+
+@given("an agent whose worker lists an end")
+def agent(context: Context) -> None:
+    context.worker = QuickWorker()
+    context.sequence = 0
+
+    async def start() -> None:
+        address = free_address()
+        context.agent = CellAgentProcess(
+            VM,
+            address,
+            IdleStore(),
+            lambda _: context.worker,
+            ProcessLogger(VM),
+            Metrics(),
+        )
+        context.agent.start()
+        context.agent.on_check_in(
+            CheckIn(
+                instance=INSTANCE,
+                pool="pool",
+                address="worker",
+                capacity=Size(8_000, 2**35, 0),
+                labels=(),
+                draining=False,
+                remaining_ms=0,
+                clock_ms=1_000,
+                sequence=1,
+            )
+        )
+
+    context.loop.run_until_complete(start())
+
+
+def _send_orders(context: Context, acked: int) -> None:
+    context.sequence += 1
+    context.agent._on_message(_orders(context.sequence, acked))
+
+
+def _play(context: Context, seconds: int) -> None:
+    """Deliver orders that acknowledge nothing, as a leader's probes do."""
+
+    async def play() -> None:
+        for _ in range(seconds * 10):
+            _send_orders(context, 0)
+            await asyncio.sleep(0.1)
+
+    context.loop.run_until_complete(play())
+
+
+@when("no leader acknowledges the end for {seconds:d} s")
+def unacknowledged(context: Context, seconds: int) -> None:
+    _play(context, seconds)
+
+
+@when(
+    "the worker answers as an instance that has not checked in"
+    " for {seconds:d} s"
+)
+def restarted(context: Context, seconds: int) -> None:
+    context.worker.born_ms = 2
+    _play(context, seconds)
+
+
+@when("the leader acknowledges the end")
+def acknowledged(context: Context) -> None:
+    async def play() -> None:
+        context.worker.polled_at_s.clear()
+        context.acked_at_s = asyncio.get_running_loop().time()
+        _send_orders(context, END.number)
+        await asyncio.sleep(0.3)
+
+    context.loop.run_until_complete(play())
+
+
+@then("the worker was polled between {least:d} and {most:d} times")
+def polled(context: Context, least: int, most: int) -> None:
+    count = len(context.worker.polled_at_s)
+    assert least <= count <= most, count
+
+
+@then("the worker is polled within {bound_ms:d} ms")
+def polled_soon(context: Context, bound_ms: int) -> None:
+    delay_s = context.worker.polled_at_s[0] - context.acked_at_s
+    assert delay_s * 1000 <= bound_ms, delay_s
