Rate each VM once a step, and plan when a report allows it

Cause: for each task of a step the planner rated all VMs, built all candidates in rounds without waiting tasks, scanned all VMs for moves in each round, and started a round for each lease renewal.

Rounds now follow 10 ms after another (20 before) unless they take longer than that themselves; checks of all VMs run ten times a second.

--- a/src/yuccapoint/cell/cell_leader.py
+++ b/src/yuccapoint/cell/cell_leader.py
@@ -38,6 +38,9 @@
 # Interval at which checkpoints of running tasks are written, together with
 # a leadership renewal. It bounds the work lost when all machines fail.
 CHECKPOINT_WRITE_INTERVAL_S = 1.0
+# Interval at which all VMs are checked for expired leases, stalled runs and
+# runs to move. Placements follow within a round, these may wait.
+VM_CHECK_INTERVAL_S = 0.1
 # Scheduled occurrences are created this long before they are due.
 SCHEDULE_LEAD_MS = 1_000
 
@@ -72,6 +75,7 @@
         self.interference = InterferenceModel()
         self._took_over_at_s = now_s
         self._checkpoints_written_at_s = now_s
+        self._vms_checked_at_s = 0.0
         self._dirty: dict[str, OccurrenceRun] = {}
         self._uncommitted_claims: list[tuple[TaskRun, int]] = []
         self._end_handler = RunEndHandler(self)
@@ -146,21 +150,45 @@
         vm = self._ensure_vm(member.vm, member.address)
         vm.address = member.address
 
-    def on_report(self, report: VmReport, now_s: float) -> None:
-        """Apply an agent's report of its VM."""
+    def on_report(self, report: VmReport, now_s: float) -> bool:
+        """Apply an agent's report of its VM.
+
+        Returns
+        -------
+        bool
+            Whether a decision may follow; a report that only renews the
+            VM's lease may wait for the next regular round.
+        """
         vm = self._ensure_vm(report.vm, report.address)
         if not vm.accepts(report):
-            return
+            return False
+        was_open = vm.is_open(now_s)
         vm.address = report.address
         vm.heard_at_s = now_s
         vm.orders_due = True
         vm.follows_leader = report.term == self.term
         if report.term > self.term:
-            return
+            return False
         self._report_handler.apply(vm, report, now_s)
+        if report.ends or report.refused:
+            return True
+        return vm.is_open(now_s) and not was_open
 
     def tick(self, now_s: float, wall_ms: int) -> None:
         """Release expired VMs, stop runs that stall or move, and claim."""
+        if now_s - self._vms_checked_at_s >= VM_CHECK_INTERVAL_S:
+            self._vms_checked_at_s = now_s
+            self._check_vms(now_s)
+        self._add_due_occurrences(wall_ms)
+        self._plan(now_s, wall_ms)
+        if (
+            now_s - self._checkpoints_written_at_s
+            >= CHECKPOINT_WRITE_INTERVAL_S
+        ):
+            self._checkpoints_written_at_s = now_s
+            self._mark_new_checkpoints()
+
+    def _check_vms(self, now_s: float) -> None:
         for vm in self.vms.values():
             if vm.claims and now_s > vm.leased_until_s:
                 self._report_handler.release_claims(
@@ -181,14 +209,6 @@
             self.vms.values(), self.interference, now_s
         ):
             self.stop(task, "the run is throttled on this VM", now_s)
-        self._add_due_occurrences(wall_ms)
-        self._plan(now_s, wall_ms)
-        if (
-            now_s - self._checkpoints_written_at_s
-            >= CHECKPOINT_WRITE_INTERVAL_S
-        ):
-            self._checkpoints_written_at_s = now_s
-            self._mark_new_checkpoints()
 
     def _plan(self, now_s: float, wall_ms: int) -> None:
         planner = self.planner(now_s, wall_ms)
--- a/src/yuccapoint/cell/claim_planner.py
+++ b/src/yuccapoint/cell/claim_planner.py
@@ -8,6 +8,7 @@
 from yuccapoint.cell.occurrence_state import Outcome
 from yuccapoint.cell.occurrence_state import Phase
 from yuccapoint.cell.placement_costs import total_cost
+from yuccapoint.cell.step_ranking import StepRanking
 from yuccapoint.cell.vm_candidate import VmCandidate
 
 if TYPE_CHECKING:
@@ -65,21 +66,22 @@
         now_s: float,
         wall_ms: int,
     ) -> None:
+        self._vms = vms
         self._ticket_cache = ticket_cache
+        self._interference = interference
         self._now_s = now_s
         self._wall_ms = wall_ms
         self.unplaced: list[StepRun] = []
-        self._candidates: dict[str, list[VmCandidate]] = {}
-        for vm in vms:
-            if vm.worker is not None and vm.is_open(now_s):
-                candidates = self._candidates.setdefault(vm.worker.pool, [])
-                candidates.append(VmCandidate(vm, interference))
 
     def plan(self, jobs: Iterable[JobRun]) -> list[tuple[TaskRun, VmLedger]]:
         """Choose tasks and their VMs, the most urgent first."""
         chosen: list[tuple[TaskRun, VmLedger]] = []
-        for step in sorted(self.ready_steps(jobs), key=self._urgency):
-            candidates = self._candidates.get(
+        steps = sorted(self.ready_steps(jobs), key=self._urgency)
+        if not steps:
+            return chosen
+        candidates_by_pool = self._open_candidates()
+        for step in steps:
+            candidates = candidates_by_pool.get(
                 step.occurrence.job.submission.queue.pool
             )
             if not candidates:
@@ -90,6 +92,16 @@
             chosen.extend(self._place_tasks(step, candidates))
         return chosen
 
+    def _open_candidates(self) -> dict[str, list[VmCandidate]]:
+        """Return the VMs that accept work, by pool."""
+        candidates: dict[str, list[VmCandidate]] = {}
+        for vm in self._vms:
+            if vm.worker is None or not vm.is_open(self._now_s):
+                continue
+            in_pool = candidates.setdefault(vm.worker.pool, [])
+            in_pool.append(VmCandidate(vm, self._interference))
+        return candidates
+
     def ready_steps(self, jobs: Iterable[JobRun]) -> Iterable[StepRun]:
         """Yield all steps with tasks that wait for a VM."""
         for job in jobs:
@@ -166,17 +178,26 @@
         idle = all(
             task.phase is not Phase.CLAIMED for task in step.occurrence.tasks
         )
+        ranking: StepRanking | None = None
         for task in step.tasks:
             if not self._is_waiting(task):
                 continue
-            first = idle and not chosen
-            candidate = self._choose(task, candidates, overcommit=first)
+            if idle and not chosen:
+                candidate = self._choose(task, candidates, overcommit=True)
+            elif task.failed_on:
+                candidate = self._choose(task, candidates)
+            else:
+                if ranking is None:
+                    ranking = StepRanking(self._cost, task, candidates)
+                candidate = ranking.best()
             if candidate is None:
                 # The step's other tasks have the same size.
                 if not self.lateness(step):
                     self.unplaced.append(step)
                 break
             candidate.place(step.spec, id(step))
+            if ranking is not None:
+                ranking.update(candidate)
             chosen.append((task, candidate.ledger))
         return chosen
 
@@ -224,34 +245,44 @@
         *,
         overcommit: bool = False,
     ) -> VmCandidate | None:
-        spec = task.step.spec
         best: VmCandidate | None = None
-        best_cost = float("inf")
+        best_cost = math.inf
         for candidate in candidates:
-            if not candidate.can_run(spec):
-                continue
-            count = candidate.step_counts.get(id(task.step), 0)
-            if spec.max_per_vm and count >= spec.max_per_vm:
-                continue
-            if (
-                spec.best_effort
-                and not overcommit
-                and _would_overload(spec, candidate)
-            ):
-                continue
-            on_probation = candidate.ledger.is_on_probation(self._now_s)
-            if on_probation and (candidate.step_counts or spec.long_running):
-                continue
-            instance = candidate.ledger.instance
-            if instance is None:
-                continue
-            if not self._ticket_cache.allows(task.step, instance, self._now_s):
-                continue
-            cost = total_cost(task, candidate)
-            if cost < best_cost:
+            cost = self._cost(task, candidate, overcommit=overcommit)
+            if cost is not None and cost < best_cost:
                 best, best_cost = candidate, cost
         return best
 
+    def _cost(
+        self,
+        task: TaskRun,
+        candidate: VmCandidate,
+        *,
+        overcommit: bool = False,
+    ) -> float | None:
+        """Return the cost of placing a task on a VM; None if it can't."""
+        spec = task.step.spec
+        if not candidate.can_run(spec):
+            return None
+        count = candidate.step_counts.get(id(task.step), 0)
+        if spec.max_per_vm and count >= spec.max_per_vm:
+            return None
+        if (
+            spec.best_effort
+            and not overcommit
+            and _would_overload(spec, candidate)
+        ):
+            return None
+        on_probation = candidate.ledger.is_on_probation(self._now_s)
+        if on_probation and (candidate.step_counts or spec.long_running):
+            return None
+        instance = candidate.ledger.instance
+        if instance is None:
+            return None
+        if not self._ticket_cache.allows(task.step, instance, self._now_s):
+            return None
+        return total_cost(task, candidate)
+
 
 def _would_overload(spec: StepSpec, candidate: VmCandidate) -> bool:
     """Return whether one more best-effort task would slow others down."""
--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -48,8 +48,11 @@
 LEADER_READ_PAUSE_S = 0.03
 READ_PAUSE_S = 0.15
 # Bounds of the time between two scheduling rounds, in seconds.
-MIN_ROUND_S = 0.02
+MIN_ROUND_S = 0.01
 MAX_ROUND_S = 0.1
+# The pause after a round is at least this multiple of the round's duration,
+# so that rounds of a large cell leave time for reports and callers.
+ROUND_PAUSE_RATIO = 1.0
 # Interval at which measured interference between images is stored, in
 # seconds; a new leader learns the missing part in about the same time.
 WRITE_PAIRS_EVERY_S = 5.0
@@ -289,11 +292,15 @@
             self._wake.clear()
             if self._stopping:
                 return
+            pause_s = MIN_ROUND_S
             if self.leader is not None:
+                started_at_s = steady_s()
                 self._run_round(self.leader)
+                spent_s = steady_s() - started_at_s
+                pause_s = max(pause_s, ROUND_PAUSE_RATIO * spent_s)
             elif self._leader_election.should_take_over(steady_s()):
                 await self._take_over()
-            await asyncio.sleep(MIN_ROUND_S)
+            await asyncio.sleep(pause_s)
 
     def _run_round(self, leader: CellLeader) -> None:
         now_s = steady_s()
@@ -403,5 +410,5 @@
             return
         if self.leader is None or not isinstance(message, VmReport):
             return
-        self.leader.on_report(message, steady_s())
-        self._wake.set()
+        if self.leader.on_report(message, steady_s()):
+            self._wake.set()
--- a/tests/features/cell/queueing.feature
+++ b/tests/features/cell/queueing.feature
@@ -70,3 +70,18 @@
     And a job of 3 best-effort tasks is submitted
     And the leader plans
     Then no run of the late job is stopped
+
+  Scenario: A wide step on many VMs is placed with few ratings
+    # Load: bursts of steps of 39 tasks on 160 VMs.
+    Given a leader with 160 VMs of 8 processors
+    When 6 jobs of 39 tasks are submitted and planned while ratings are counted
+    Then 234 tasks are claimed as a search of all VMs for each task does
+    And each step took at most two ratings of 160 VMs and one a task
+
+  Scenario: Only reports that allow a decision start a scheduling round
+    # Load: the lease renewals of hundreds of agents.
+    Given a leader with 1 VMs of 8 processors
+    When a large job "bb" and a small job "cc" are submitted that can be on time
+    And the leader plans
+    Then a report that only renews the lease allows no decision
+    And a report with an end allows one
--- a/tests/features/steps/cell_queueing_steps.py
+++ b/tests/features/steps/cell_queueing_steps.py
@@ -11,9 +11,11 @@
 from cell_leader_steps import report
 from cell_leader_steps import WALL_MS
 
+from yuccapoint.cell.cell_messages import EndedRun
 from yuccapoint.cell.cell_messages import RefusedRun
 from yuccapoint.cell.cell_messages import RunningTask
 from yuccapoint.cell.cell_view import JobView
+from yuccapoint.cell.claim_planner import ClaimPlanner
 from yuccapoint.cell.queue_rules import QueueRules
 from yuccapoint.cell.step_spec import StepSpec
 from yuccapoint.cell.submission import Submission
@@ -24,6 +26,8 @@
 if TYPE_CHECKING:
     from behave.runner import Context
 
+    from yuccapoint.cell.cell_leader import CellLeader
+
 ONE = Size(1_000, 2**20, 0)
 
 
@@ -277,3 +281,78 @@
 @then("no run of the late job is stopped")
 def none_stopped(context: Context) -> None:
     assert not _stopped(context), _stopped(context)
+
+
+class CountedPlanner(ClaimPlanner):
+    """Counts the ratings of VMs."""
+
+    ratings = 0
+
+    def _cost(self, task, candidate, *, overcommit=False):
+        CountedPlanner.ratings += 1
+        return super()._cost(task, candidate, overcommit=overcommit)
+
+
+def _wide_jobs(leader: CellLeader, jobs: int, tasks: int) -> None:
+    for number in range(jobs):
+        step = StepSpec(tasks, ONE, 1_000, max_per_vm=number % 3)
+        add_job(leader, _job_id(f"{number:x}d"), step)
+
+
+def _planned(leader: CellLeader, planner: type[ClaimPlanner]) -> list:
+    planned = planner(
+        leader.vms.values(),
+        leader.ticket_cache,
+        leader.interference,
+        10.0,
+        WALL_MS,
+    ).plan(leader.jobs.values())
+    return [(task.task_id, vm.name) for task, vm in planned]
+
+
+@when(
+    "{jobs:d} jobs of {tasks:d} tasks are submitted and planned"
+    " while ratings are counted"
+)
+def count_ratings(context: Context, jobs: int, tasks: int) -> None:
+    context.steps, context.tasks = jobs, tasks
+    _wide_jobs(context.leader, jobs, tasks)
+    CountedPlanner.ratings = 0
+    context.planned = _planned(context.leader, CountedPlanner)
+
+
+@then("{count:d} tasks are claimed as a search of all VMs for each task does")
+def same_as_search(context: Context, count: int) -> None:
+    assert len(context.planned) == count, len(context.planned)
+    searched = make_leader(len(context.leader.vms))
+    _wide_jobs(searched, context.steps, context.tasks)
+    for job in searched.jobs.values():
+        for task in job.occurrences[0].tasks:
+            # A task that failed is placed by a search.
+            task.failed_on.add("vm-gone")
+    assert _planned(searched, ClaimPlanner) == context.planned
+
+
+@then("each step took at most two ratings of {vms:d} VMs and one a task")
+def few_ratings(context: Context, vms: int) -> None:
+    # The first task of an idle job is placed by a search of its own.
+    bound = context.steps * (2 * vms + context.tasks)
+    assert CountedPlanner.ratings <= bound, CountedPlanner.ratings
+
+
+@then("a report that only renews the lease allows no decision")
+def renewal_only(context: Context) -> None:
+    running = tuple(
+        RunningTask(task_id, run, "", 0, 0.0)
+        for task_id, run, _ in _claims(context)
+    )
+    message = report("vm-0", 20, running=running)
+    assert not context.leader.on_report(message, context.now_s)
+
+
+@then("a report with an end allows one")
+def end_reported(context: Context) -> None:
+    task_id, run, _ = _claims(context)[0]
+    ended = EndedRun(1, task_id, run, "done", "")
+    message = report("vm-0", 21, ends=(ended,))
+    assert context.leader.on_report(message, context.now_s)
