Move slow best-effort runs, and raise known paces at once

Cause: a step ends with its last run. Runs moved only after 3.5 s below a fifth of their speed.

Now a run moves when another VM lets it end 1.5 s sooner, a step's paces return at once where the estimate is certain, and best-effort work takes idle VMs before it takes room beside services.

--- a/src/yuccapoint/cell/claim_planner.py
+++ b/src/yuccapoint/cell/claim_planner.py
@@ -22,15 +22,9 @@
     from yuccapoint.cell.ticket_cache import TicketCache
     from yuccapoint.cell.vm_ledger import VmLedger
 
-# Ratio by which the demand of best-effort tasks may exceed the idle
-# processors. Their demand fluctuates; a higher ratio slows all of them down.
-BEST_EFFORT_OVERCOMMIT = 1.1
 # A job counts as late when its expected end is past its objective by more
 # than this share of the objective's span, as run time estimates are rough.
 LATE_TOLERANCE = 0.1
-# Upper bound of the estimated load that best-effort work adds to a service;
-# above it the pace controller would throttle all of that work.
-MAX_ADDED_LOAD = 0.12
 # A job expected to take this many times the span of its objective is worth
 # nothing to its caller and is scheduled last.
 EXPIRED_AFTER_OBJECTIVES = 3.0
@@ -166,8 +160,8 @@
         worker = candidate.ledger.worker
         if worker is None or worker.pool != pool:
             return False
-        return candidate.can_run(step.spec) and not _would_overload(
-            step.spec, candidate
+        return candidate.can_run(step.spec) and not candidate.would_overload(
+            step.spec
         )
 
     def _place_tasks(
@@ -184,7 +178,7 @@
                 continue
             if idle and not chosen:
                 candidate = self._choose(task, candidates, overcommit=True)
-            elif task.failed_on:
+            elif task.failed_on or task.left_vm:
                 candidate = self._choose(task, candidates)
             else:
                 if ranking is None:
@@ -270,7 +264,7 @@
         if (
             spec.best_effort
             and not overcommit
-            and _would_overload(spec, candidate)
+            and candidate.would_overload(spec)
         ):
             return None
         on_probation = candidate.ledger.is_on_probation(self._now_s)
@@ -282,18 +276,3 @@
         if not self._ticket_cache.allows(task.step, instance, self._now_s):
             return None
         return total_cost(task, candidate)
-
-
-def _would_overload(spec: StepSpec, candidate: VmCandidate) -> bool:
-    """Return whether one more best-effort task would slow others down."""
-    if not candidate.best_effort_millicores:
-        return False
-    idle = candidate.capacity.millicores * BEST_EFFORT_OVERCOMMIT
-    if spec.size.millicores > idle - candidate.demand_millicores:
-        return True
-    share = candidate.neighbour_units(spec)
-    for image in candidate.serving_images:
-        added = share * candidate.interference.expected_load(image, spec.image)
-        if candidate.added_load(image) + added > MAX_ADDED_LOAD:
-            return True
-    return False
--- a/src/yuccapoint/cell/job_run.py
+++ b/src/yuccapoint/cell/job_run.py
@@ -39,6 +39,12 @@
         Why the run is being stopped; empty when it is not.
     failed_on : set of str
         VMs on which the task failed.
+    left_vm : str
+        VM that the task was last moved off, as it was too slow there.
+    moves : int
+        Number of such moves.
+    speed : float
+        Mean share of its processors, 0 to 1, that the run used of late.
     """
 
     __slots__ = (
@@ -48,7 +54,9 @@
         "failures",
         "index",
         "instance",
+        "left_vm",
         "load",
+        "moves",
         "not_before_s",
         "ordered_at_s",
         "percent",
@@ -56,12 +64,12 @@
         "progressed_at_s",
         "run",
         "seen_running",
+        "speed",
         "started_at_s",
         "step",
         "stopping",
         "stored_checkpoint",
         "task_id",
-        "throttled_since_s",
         "waiting_since_s",
     )
 
@@ -80,6 +88,8 @@
         self.checkpoint = ""
         self.stored_checkpoint = ""
         self.failed_on: set[str] = set()
+        self.left_vm = ""
+        self.moves = 0
         self.not_before_s = 0.0
         self.waiting_since_s = 0.0
         self._reset_run()
@@ -88,7 +98,7 @@
         self.durable = False
         self.ordered_at_s = 0.0
         self.seen_running = False
-        self.throttled_since_s = 0.0
+        self.speed = 1.0
         self.stopping = ""
         self.started_at_s = 0.0
         self.percent = 0
--- a/src/yuccapoint/cell/pace_controller.py
+++ b/src/yuccapoint/cell/pace_controller.py
@@ -23,7 +23,8 @@
 THROTTLE_FACTOR = 0.35
 # A lower pace only delays the work, so that it is set to 0 instead.
 MIN_PACE_PERCENT = 8
-# Largest increase of a pace in one control step.
+# Largest increase of a pace in one control step, for images of uncertain
+# interference.
 MAX_PACE_RAISE_PERCENT = 35
 FULL_PERCENT = 100
 UNKNOWN_PACE_PERCENT = -1
@@ -32,8 +33,9 @@
 ASSUMED_LOAD = 0.6
 # Largest expected rise of a service's own load until the next poll.
 MAX_LOAD_RISE = 0.1
-# Time until a pace change shows in the measured tail latency.
-SETTLING_TIME_S = 0.6
+# Time until a pace change shows in the measured tail latency, which is less
+# than the interval between two polls.
+SETTLING_TIME_S = 0.45
 # Polls that follow sooner measure the same half second.
 CONTROL_INTERVAL_S = 0.4
 # Load that all tasks of an image may add and still count as negligible: its
@@ -263,7 +265,10 @@
                     and not negligible
                 ):
                     continue
-                percent = min(percent, pace + MAX_PACE_RAISE_PERCENT)
+                # Runs wait for each step of a slow rise, and the estimate
+                # of a known image already tells what the service can bear.
+                if any(self._is_uncertain(s.image, image) for s in serving):
+                    percent = min(percent, pace + MAX_PACE_RAISE_PERCENT)
             if percent < MIN_PACE_PERCENT:
                 percent = 0
             if percent != pace:
--- a/src/yuccapoint/cell/placement_costs.py
+++ b/src/yuccapoint/cell/placement_costs.py
@@ -20,9 +20,14 @@
 REMOTE_DATA_COST = 0.5
 # A VM on which the task failed before is the last resort.
 FAILED_VM_COST = 10.0
+# A VM that a task was moved off is worse than any that is not full.
+LEFT_VM_COST = 1.0
 # Weight of interference with serving tasks against the demand on a VM: a
 # serving task past its target costs its users four times its share.
 INTERFERENCE_WEIGHT = 4.0
+# Idle processors are worth the same to best-effort work however many there
+# are, while the services beside it may slow it down at any time.
+BEST_EFFORT_DEMAND_EXPONENT = 3
 # Gain, as a share of their processors, of placing services together that
 # tolerate the same neighbours.
 SIMILARITY_WEIGHT = 1.0
@@ -51,6 +56,12 @@
     return FAILED_VM_COST if candidate.ledger.name in task.failed_on else 0.0
 
 
+@placement_cost("left")
+def left_vm_cost(task: TaskRun, candidate: VmCandidate) -> float:
+    """Keep a moved task off the VM that was too slow for it."""
+    return LEFT_VM_COST if candidate.ledger.name == task.left_vm else 0.0
+
+
 @placement_cost("demand")
 def demand_cost(task: TaskRun, candidate: VmCandidate) -> float:
     """Spread the demand, so that all VMs have processors for a burst."""
@@ -59,7 +70,10 @@
     # Serving tasks are packed, which leaves whole VMs to best-effort work.
     if task.step.spec.target_ms:
         return 0.0
-    return candidate.demand_millicores / candidate.capacity.millicores
+    demand = candidate.demand_millicores / candidate.capacity.millicores
+    if task.step.spec.best_effort:
+        return demand**BEST_EFFORT_DEMAND_EXPONENT
+    return demand
 
 
 @placement_cost("company")
--- a/src/yuccapoint/cell/report_handler.py
+++ b/src/yuccapoint/cell/report_handler.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from yuccapoint.cell.throttled_moves import track_throttling
+from yuccapoint.cell.throttled_moves import track_speed
 from yuccapoint.job.size import Size
 
 if TYPE_CHECKING:
@@ -136,4 +136,4 @@
             task.percent = running.percent
             task.progressed_at_s = now_s
         task.load = running.load
-        track_throttling(task, now_s)
+        track_speed(task)
--- a/src/yuccapoint/cell/throttled_moves.py
+++ b/src/yuccapoint/cell/throttled_moves.py
@@ -1,10 +1,9 @@
-"""Moves best-effort work off VMs on which it is throttled for long."""
+"""Moves best-effort runs to VMs on which they end sooner."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from yuccapoint.cell.placement_costs import total_cost
 from yuccapoint.cell.vm_candidate import VmCandidate
 
 if TYPE_CHECKING:
@@ -14,26 +13,31 @@
     from yuccapoint.cell.job_run import TaskRun
     from yuccapoint.cell.vm_ledger import VmLedger
 
-# A run that uses less than this share of its processors is throttled.
-THROTTLED_CPU_SHARE = 0.2
-# A run is moved after being throttled for this time, which is longer than
-# a peak of a service's load usually lasts.
-MAX_THROTTLED_S = 3.5
+# A run is not moved before this time, in which its speed is measured. It
+# doubles with each move of the task.
+MIN_RUN_TIME_S = 1.5
 # Interval between moves from a VM, so that the effect of one shows first.
-MOVE_INTERVAL_S = 2.5
-# Cost difference in shares of a VM that justifies a move.
-MIN_MOVE_GAIN = 0.5
-# Run time that a move costs; runs with less remaining work stay.
+MOVE_INTERVAL_S = 0.5
+# Limit of the runs being moved at a time.
+MAX_MOVES_AT_ONCE = 6
+# Time that a move costs: the stop, two appends to the store, the start and
+# the restore of the checkpoint.
 MOVE_COST_S = 1.0
+# Time that a move has to gain, as speeds are rough and change.
+MIN_GAIN_S = 1.5
+# A run of this speed is not worth a move.
+MAX_SPEED_MOVED = 0.7
+# Speed that a run is expected to have at least in the long term.
+MIN_SPEED = 0.1
 
 
 def find_throttled_moves(
     vms: Iterable[VmLedger], interference: InterferenceModel, now_s: float
 ) -> list[TaskRun]:
-    """Choose throttled runs that another VM suits better.
+    """Choose slow runs that end sooner on another VM.
 
-    An image may interfere with the services of one VM so much that it
-    hardly runs there, but not with those of another VM.
+    A step ends with its last task. One run that is throttled beside a busy
+    service delays all of a wide step, while other VMs have room.
 
     Parameters
     ----------
@@ -45,61 +49,78 @@
         Steady time in seconds.
     """
     open_vms = [vm for vm in vms if vm.is_open(now_s)]
-    moves = []
-    candidates: dict[str, VmCandidate] | None = None
+    budget = MAX_MOVES_AT_ONCE
+    slow: list[tuple[float, TaskRun, VmLedger]] = []
     for vm in open_vms:
+        for task in vm.claims.values():
+            if task.stopping:
+                budget -= 1
+            elif _is_slow(task, now_s):
+                slow.append((-_time_left_s(task, task.speed), task, vm))
+    if not slow or budget <= 0:
+        return []
+    slow.sort(key=lambda entry: entry[0])
+    candidates = [VmCandidate(vm, interference) for vm in open_vms]
+    moves: list[TaskRun] = []
+    for _, task, vm in slow:
+        if len(moves) >= budget:
+            break
         if now_s - vm.moved_at_s < MOVE_INTERVAL_S:
             continue
-        throttled = [t for t in vm.claims.values() if _is_throttled(t, now_s)]
-        if not throttled:
+        if not _place_elsewhere(task, vm, candidates):
             continue
-        if candidates is None:
-            candidates = {
-                v.name: VmCandidate(v, interference) for v in open_vms
-            }
-        for task in throttled:
-            if _has_better_vm(
-                task, candidates[vm.name], list(candidates.values())
-            ):
-                vm.moved_at_s = now_s
-                moves.append(task)
-                break
+        vm.moved_at_s = now_s
+        task.moves += 1
+        task.left_vm = vm.name
+        moves.append(task)
     return moves
 
 
-def _is_throttled(task: TaskRun, now_s: float) -> bool:
-    if not task.is_movable or not task.throttled_since_s:
+def track_speed(task: TaskRun) -> None:
+    """Update the speed of a best-effort run from its latest report."""
+    spec = task.step.spec
+    if not spec.best_effort or not spec.size.millicores:
+        return
+    used = min(1.0, task.load / spec.size.millicores)
+    task.speed += (used - task.speed) / 2
+
+
+def _is_slow(task: TaskRun, now_s: float) -> bool:
+    if not task.is_movable or task.speed > MAX_SPEED_MOVED:
         return False
-    remaining_s = task.step.estimate_ms / 1000 * (100 - task.percent) / 100
-    throttled_s = now_s - task.throttled_since_s
-    return throttled_s > MAX_THROTTLED_S and remaining_s > MOVE_COST_S
+    min_run_time_s = MIN_RUN_TIME_S * 2**task.moves
+    return now_s - task.started_at_s > min_run_time_s
 
 
-def track_throttling(task: TaskRun, now_s: float) -> None:
-    """Record since when a best-effort run is throttled."""
-    spec = task.step.spec
-    if not spec.best_effort:
-        return
-    if task.load >= THROTTLED_CPU_SHARE * spec.size.millicores:
-        task.throttled_since_s = 0.0
-    elif not task.throttled_since_s:
-        task.throttled_since_s = now_s
+def _time_left_s(task: TaskRun, speed: float) -> float:
+    work_s = task.step.estimate_ms * (100 - task.percent) / 100_000
+    return work_s / max(MIN_SPEED, speed)
 
 
-def _has_better_vm(
-    task: TaskRun, current: VmCandidate, candidates: list[VmCandidate]
+def _place_elsewhere(
+    task: TaskRun, vm: VmLedger, candidates: list[VmCandidate]
 ) -> bool:
+    """Reserve room on a VM where the run ends sooner, if there is one."""
     spec = task.step.spec
-    cost_here = total_cost(task, current)
-    worker = current.ledger.worker
-    pool = None if worker is None else worker.pool
+    key = id(task.step)
+    here_s = _time_left_s(task, task.speed)
+    best: VmCandidate | None = None
+    best_s = here_s - MIN_GAIN_S
     for candidate in candidates:
-        other = candidate.ledger.worker
-        if candidate is current or other is None or other.pool != pool:
+        worker = candidate.ledger.worker
+        if candidate.ledger is vm or worker is None or vm.worker is None:
+            continue
+        if worker.pool != vm.worker.pool or not candidate.can_run(spec):
             continue
-        if not candidate.can_run(spec):
+        count = candidate.step_counts.get(key, 0)
+        if spec.max_per_vm and count >= spec.max_per_vm:
             continue
-        if total_cost(task, candidate) + MIN_MOVE_GAIN < cost_here:
-            candidate.place(spec, id(task.step))
-            return True
-    return False
+        if candidate.would_overload(spec):
+            continue
+        there_s = MOVE_COST_S + _time_left_s(task, candidate.expected_speed)
+        if there_s < best_s:
+            best, best_s = candidate, there_s
+    if best is None:
+        return False
+    best.place(spec, key)
+    return True
--- a/src/yuccapoint/cell/vm_candidate.py
+++ b/src/yuccapoint/cell/vm_candidate.py
@@ -10,12 +10,24 @@
 
 if TYPE_CHECKING:
     from yuccapoint.cell.interference_model import InterferenceModel
+    from yuccapoint.cell.job_run import TaskRun
     from yuccapoint.cell.step_spec import StepSpec
     from yuccapoint.cell.vm_ledger import VmLedger
 
 # Share of its processors that a serving task is expected to use; the rest
 # is available to best-effort tasks.
 SERVING_CPU_USE_SHARE = 0.5
+# Ratio by which the demand of best-effort tasks may exceed the idle
+# processors. Their demand fluctuates; a higher ratio slows all of them down.
+BEST_EFFORT_OVERCOMMIT = 1.1
+# Upper bound of the estimated load that best-effort work adds to a service;
+# above it the pace controller would throttle all of that work.
+MAX_ADDED_LOAD = 0.12
+# Tail latency of a service, as a share of its target, at which best-effort
+# work beside it is stopped, and range below in which it is slowed down.
+STOPPING_PRESSURE = 0.92
+SLOWING_PRESSURE_RANGE = 0.3
+FULL_PERCENT = 100
 
 
 class VmCandidate:
@@ -29,6 +41,8 @@
         Processors committed to tasks with a latency target, by image.
     demand_millicores : float
         Processors that all tasks are expected to use.
+    expected_speed : float
+        Speed, 0 to 1, of a best-effort run that starts now.
     """
 
     __slots__ = (
@@ -36,6 +50,7 @@
         "best_effort_millicores",
         "capacity",
         "demand_millicores",
+        "expected_speed",
         "free",
         "interference",
         "labels",
@@ -58,8 +73,10 @@
         self.step_counts: dict[int, int] = {}
         self.serving_images: dict[str, int] = {}
         self.best_effort_images: dict[str, float] = {}
+        self.expected_speed = 1.0
         for task in ledger.claims.values():
             self._adjust(task.step.spec, id(task.step))
+            self._limit_speed(task)
 
     def neighbour_units(self, spec: StepSpec) -> float:
         """Return a task's processors in units of one neighbour."""
@@ -87,6 +104,20 @@
             return False
         return spec.committed.fits(self.free)
 
+    def would_overload(self, spec: StepSpec) -> bool:
+        """Return whether a best-effort task more would slow others down."""
+        if not self.best_effort_millicores:
+            return False
+        idle = self.capacity.millicores * BEST_EFFORT_OVERCOMMIT
+        if spec.size.millicores > idle - self.demand_millicores:
+            return True
+        share = self.neighbour_units(spec)
+        for image in self.serving_images:
+            added = share * self.interference.expected_load(image, spec.image)
+            if self.added_load(image) + added > MAX_ADDED_LOAD:
+                return True
+        return False
+
     def place(self, spec: StepSpec, step_key: int) -> None:
         """Add a task."""
         self.free -= spec.committed
@@ -97,6 +128,18 @@
         self.free += spec.committed
         self._adjust(spec, step_key, -1)
 
+    def _limit_speed(self, task: TaskRun) -> None:
+        """Take the speed of runs and the load of services into account."""
+        spec = task.step.spec
+        if spec.best_effort:
+            self.expected_speed = min(self.expected_speed, task.speed)
+            return
+        if not spec.target_ms or task.percent < FULL_PERCENT:
+            return
+        spare = STOPPING_PRESSURE - task.load / spec.target_ms
+        bearable = max(0.0, spare / SLOWING_PRESSURE_RANGE)
+        self.expected_speed = min(self.expected_speed, bearable)
+
     def _adjust(self, spec: StepSpec, step_key: int, sign: int = 1) -> None:
         count = self.step_counts.get(step_key, 0) + sign
         self.step_counts[step_key] = count
--- a/tests/features/cell/colocation.feature
+++ b/tests/features/cell/colocation.feature
@@ -70,3 +70,45 @@
     And "vm-0" and "vm-1" serve another image instead
     When another service task is submitted
     Then it is claimed on "vm-2"
+
+  Scenario: A known image regains its pace as soon as the service is idle
+    # Load: a service's load peaks for seconds; wide steps wait for each run.
+    Given a pace controller with estimates "heavy" 0.30 and "light" 0.01
+    When for 8 polls a service has a tail latency of 40 ms of 18 beside "heavy" and "light"
+    Then "heavy" is throttled below 10 percent
+    When for 1 polls a service has a tail latency of 5 ms of 18 beside "heavy" and "light"
+    Then "heavy" is not throttled
+
+  Scenario: An image without an estimate regains its pace in steps
+    Given a pace controller with estimates "light" 0.01 and "light" 0.01
+    When for 8 polls a service has a tail latency of 40 ms of 18 beside "unknown" and "light"
+    Then "unknown" is throttled below 10 percent
+    When for 1 polls a service has a tail latency of 5 ms of 18 beside "unknown" and "light"
+    Then "unknown" is throttled below 40 percent
+
+  Scenario: A slow run moves to a VM where it ends sooner
+    # Load: one of a step's runs is throttled beside a busy service, and the
+    # whole step waits for it.
+    Given a leader with 2 VMs and a step of 2 best-effort runs of 8 s on "vm-0"
+    When for 3 s its first run uses 10 percent of its processors
+    Then only its first run is stopped
+    When the stopped run has ended
+    Then its first run is claimed on "vm-1"
+
+  Scenario: A slow run that is nearly done stays
+    Given a leader with 2 VMs and a step of 2 best-effort runs of 8 s on "vm-0"
+    When for 3 s its first run uses 10 percent of its processors at 98 percent
+    Then no run of the step is stopped
+
+  Scenario: A slow run stays when the other VM is as busy
+    Given a leader with 2 VMs and a step of 2 best-effort runs of 8 s on "vm-0"
+    And a service on "vm-1" with a tail latency of 18 ms of 18
+    When for 3 s its first run uses 10 percent of its processors
+    Then no run of the step is stopped
+
+  Scenario: A run that moved stays longer before it moves again
+    Given a leader with 2 VMs and a step of 2 best-effort runs of 8 s on "vm-0"
+    When for 3 s its first run uses 10 percent of its processors
+    And the stopped run has ended
+    And for 3 s its first run uses 10 percent of its processors
+    Then no run of the step is stopped
