--- a/src/yuccapoint/cell/claim_planner.py
+++ b/src/yuccapoint/cell/claim_planner.py
@@ -18,7 +18,6 @@
     from yuccapoint.cell.job_run import JobRun
     from yuccapoint.cell.job_run import StepRun
     from yuccapoint.cell.job_run import TaskRun
-    from yuccapoint.cell.step_spec import StepSpec
     from yuccapoint.cell.ticket_cache import TicketCache
     from yuccapoint.cell.vm_ledger import VmLedger
 
