--- a/src/yuccapoint/cell/throttled_moves.py
+++ b/src/yuccapoint/cell/throttled_moves.py
@@ -88,7 +88,7 @@
 def _is_slow(task: TaskRun, now_s: float) -> bool:
     if not task.is_movable or task.speed > MAX_SPEED_MOVED:
         return False
-    min_run_time_s = MIN_RUN_TIME_S * 2**task.moves
+    min_run_time_s = MIN_RUN_TIME_S * (1 << task.moves)
     return now_s - task.started_at_s > min_run_time_s
 
 
