Keep processes up through malformed responses and failed decisions

Faults, each shown by a scenario that failed first: - a malformed 409 of a worker raised in the agent's call, so that the run kept a pending call and neither started nor ended; - a malformed status line or chunk size raised past the client's own errors, which ended the config feed silently and restarted the other components; - a value that is not base64 failed the read of the whole page, a truncated last record was taken as complete; - an exception in a scheduling round, or a job with inconsistent state, ended the leader's process and then that of each next leader; - a worker that drained was in use again when its agent restarted and got a check-in from before the notice; - reads of an expired offset were repeated without a pause, a caller's record was appended each 50 ms until its deadline, and agents registered at a fixed rate while the store refused them.

--- a/src/yuccapoint/cell/cell_leader.py
+++ b/src/yuccapoint/cell/cell_leader.py
@@ -90,7 +90,24 @@
         if view.pairs is not None:
             self.interference.load_estimates(view.pairs.pairs)
         for job in view.jobs.values():
-            self.on_job(job, now_s)
+            self.try_add_job(job, now_s)
+
+    def try_add_job(self, view: JobView, now_s: float) -> None:
+        """Add a job, or skip it if its stored state is inconsistent.
+
+        One such job would otherwise fail every leader that loads it.
+        """
+        try:
+            self.on_job(view, now_s)
+        except (AttributeError, LookupError, TypeError, ValueError) as error:
+            job_id = view.submission.job_id
+            self.jobs.pop(job_id, None)
+            self.explain(
+                "job",
+                "stored state is inconsistent; job skipped",
+                job=job_id,
+                error=repr(error),
+            )
 
     def on_job(self, view: JobView, now_s: float) -> None:
         """Add a job with its stored state."""
--- a/src/yuccapoint/cell/report_handler.py
+++ b/src/yuccapoint/cell/report_handler.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from yuccapoint.cell.throttled_moves import track_speed
 from yuccapoint.job.size import Size
 
@@ -11,6 +13,7 @@
     from yuccapoint.cell.cell_leader import CellLeader
     from yuccapoint.cell.cell_messages import RunningTask
     from yuccapoint.cell.cell_messages import VmReport
+    from yuccapoint.cell.cell_messages import WorkerReport
     from yuccapoint.cell.job_run import TaskRun
     from yuccapoint.cell.occurrence_state import WorkerInstance
     from yuccapoint.cell.run_end_handler import RunEndHandler
@@ -63,6 +66,9 @@
             vm.runs_listed = False
             return
         previous = vm.worker
+        if _has_drained_before(previous, worker):
+            # A restarted agent may get a check-in from before the notice.
+            worker = msgspec.structs.replace(worker, draining=True)
         vm.worker = worker
         vm.runs_listed = report.runs_listed
         if previous is None or previous.instance != worker.instance:
@@ -137,3 +143,12 @@
             task.progressed_at_s = now_s
         task.load = running.load
         track_speed(task)
+
+
+def _has_drained_before(
+    previous: WorkerReport | None, worker: WorkerReport
+) -> bool:
+    """Return whether an instance that began to drain is reported ready."""
+    if previous is None or previous.instance != worker.instance:
+        return False
+    return previous.draining and not worker.draining
--- a/src/yuccapoint/connection/http_client.py
+++ b/src/yuccapoint/connection/http_client.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPInputError
 from tornado.httputil import parse_response_start_line
 from tornado.iostream import StreamClosedError
 from tornado.tcpclient import TCPClient
@@ -116,7 +117,13 @@
             left_s = max(0.001, deadline_s - time.monotonic())
             async with asyncio.timeout(left_s):
                 response, reusable = await self._exchange(stream, head + body)
-        except (StreamClosedError, OSError, TimeoutError, ValueError) as error:
+        except (
+            HTTPInputError,
+            OSError,
+            StreamClosedError,
+            TimeoutError,
+            ValueError,
+        ) as error:
             raise ResponseLostError(
                 f"no response from {self.address}: {error!r}"
             ) from None
@@ -184,6 +191,8 @@
     while True:
         line = await stream.read_until(b"\r\n", MAX_HEAD_BYTES)
         size = int(line.split(b";")[0], 16)
+        if size < 0:
+            raise ValueError(f"negative chunk size {size}")
         total += size
         if total > MAX_BODY_BYTES:
             raise ValueError(f"response body exceeds {MAX_BODY_BYTES} bytes")
--- a/src/yuccapoint/platform/config_feed.py
+++ b/src/yuccapoint/platform/config_feed.py
@@ -55,8 +55,12 @@
         while True:
             try:
                 await self._read_once()
-            except StoreRecordsExpiredError:
+            except StoreRecordsExpiredError as error:
+                self._logger.log(
+                    "config", "history truncated; reloading", error=str(error)
+                )
                 self._next_offset = None
+                await asyncio.sleep(RETRY_DELAY_S)
                 continue
             except YuccapointError as error:
                 if not self._failing:
--- a/src/yuccapoint/platform/roles.py
+++ b/src/yuccapoint/platform/roles.py
@@ -19,6 +19,7 @@
 from yuccapoint.process.log_output import LogOutput
 from yuccapoint.process.metrics import Metrics
 from yuccapoint.process.process_logger import ProcessLogger
+from yuccapoint.process.supervised_task import supervise
 
 if TYPE_CHECKING:
     import pathlib
@@ -151,8 +152,8 @@
         runtime.logger,
     )
     background_tasks = [
-        asyncio.ensure_future(feed.run()),
-        asyncio.ensure_future(runtime.watch_settings()),
+        supervise(job, runtime.logger, entry.failed)
+        for job in (feed.run(), runtime.watch_settings())
     ]
     await runtime.wait_for_stop(entry.failed)
     await _drain(entry, job_api)
@@ -206,7 +207,7 @@
     )
     check_in_server.listen(settings.listen_addrs.control)
     agent.start()
-    watch = asyncio.ensure_future(runtime.watch_settings())
+    watch = supervise(runtime.watch_settings(), runtime.logger, agent.failed)
     await runtime.wait_for_stop(agent.failed)
     await agent.stop()
     watch.cancel()
--- a/src/yuccapoint/platform/store_partition.py
+++ b/src/yuccapoint/platform/store_partition.py
@@ -144,7 +144,7 @@
             if next_offset is None:
                 next_offset = page.end_offset
             for item in page.items:
-                value = base64.b64decode(item.value)
+                value = _decode_value(item.value)
                 records.append(StoredRecord(item.offset, item.key, value))
             if not page.has_more or not page.items:
                 return records, next_offset
@@ -197,6 +197,9 @@
         (size,) = RECORD_LENGTH.unpack_from(data, position)
         position += RECORD_LENGTH.size
         content = data[position : position + size]
+        if len(content) < size:
+            # The response was cut off; the record is read again.
+            break
         position += size
         records.append(_decode_record(content, offset))
         offset += 1
@@ -210,6 +213,14 @@
     return StoredRecord(offset, key, value or None)
 
 
+def _decode_value(text: str) -> bytes:
+    """Return a value; empty if it is damaged, which its reader rejects."""
+    try:
+        return base64.b64decode(text)
+    except ValueError:
+        return b""
+
+
 def _decode_json(body: bytes, kind: type[DecodedT]) -> DecodedT:
     try:
         return msgspec.json.decode(body, type=kind)
--- a/src/yuccapoint/platform/worker_client.py
+++ b/src/yuccapoint/platform/worker_client.py
@@ -93,7 +93,7 @@
         if response.status == STATUS_OTHER_INSTANCE:
             return CallResult.OTHER_INSTANCE, ""
         if response.status == STATUS_CONFLICT:
-            return CallResult.REFUSED, _decode(response, _CallResponse).reason
+            return _refusal(response)
         return CallResult.REFUSED, f"status {response.status}"
 
     async def fetch_status(
@@ -171,6 +171,14 @@
     return "/yuccapoint/pace", body
 
 
+def _refusal(response: HttpResponse) -> tuple[CallResult, str]:
+    try:
+        return CallResult.REFUSED, _decode(response, _CallResponse).reason
+    except MalformedMessageError as error:
+        # Without the reason it is not known whether a run goes on.
+        return CallResult.UNANSWERED, str(error)
+
+
 def _headers(worker_id: str) -> dict[str, str]:
     return {"Content-Type": "application/json", INSTANCE_HEADER: worker_id}
 
--- a/src/yuccapoint/process/cell_agent_process.py
+++ b/src/yuccapoint/process/cell_agent_process.py
@@ -8,6 +8,8 @@
 from typing import Protocol
 from typing import TYPE_CHECKING
 
+import xxhash
+
 from yuccapoint.cell import cell_records
 from yuccapoint.cell import lease_bounds
 from yuccapoint.cell.cell_messages import CellMessage
@@ -40,9 +42,11 @@
 NO_LEADER_WAIT_S = 1.0
 # Events within this time are combined into one report, in seconds.
 REPORT_COALESCE_S = 0.008
-# Pause between checks of the registration in the store, and after a failed
-# one, in seconds.
+# Pause between checks of the registration in the store, in seconds.
 REGISTER_EVERY_S = 3.0
+# Pause after a failed registration in seconds, doubled up to the interval of
+# the checks. Each agent takes 0.5 to 1.5 times the pause, so that the agents
+# of a large cell don't return to the store together.
 REGISTER_RETRY_S = 0.3
 
 
@@ -283,6 +287,8 @@
         records = [
             (cell_records.MEMBER + self._vm, cell_records.encode(record))
         ]
+        stagger = 0.5 + xxhash.xxh32_intdigest(self._vm.encode()) / 2**32
+        retry_s = REGISTER_RETRY_S
         while True:
             if not self.vm_agent.needs_registration(steady_s()):
                 await asyncio.sleep(REGISTER_EVERY_S)
@@ -293,8 +299,10 @@
                 self.logger.log(
                     "store", "registration failed, retrying", error=str(error)
                 )
-                await asyncio.sleep(REGISTER_RETRY_S)
+                await asyncio.sleep(stagger * retry_s)
+                retry_s = min(2 * retry_s, REGISTER_EVERY_S)
                 continue
+            retry_s = REGISTER_RETRY_S
             self.logger.log("store", "registered", vm=self._vm)
             await asyncio.sleep(REGISTER_EVERY_S)
 
--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import time
+import traceback
 from typing import Protocol
 from typing import TYPE_CHECKING
 
@@ -188,7 +189,7 @@
         if isinstance(record, Submission):
             view = self.view.find(record.job_id)
             if view is not None:
-                self.leader.on_job(view, now_s)
+                self.leader.try_add_job(view, now_s)
                 self._wake.set()
         if isinstance(record, Cancellation):
             self.leader.on_cancel(record.job_id, now_s)
@@ -295,13 +296,31 @@
             pause_s = MIN_ROUND_S
             if self.leader is not None:
                 started_at_s = steady_s()
-                self._run_round(self.leader)
+                self._try_round(self.leader)
                 spent_s = steady_s() - started_at_s
                 pause_s = max(pause_s, ROUND_PAUSE_RATIO * spent_s)
             elif self._leader_election.should_take_over(steady_s()):
                 await self._take_over()
             await asyncio.sleep(pause_s)
 
+    def _try_round(self, leader: CellLeader) -> None:
+        """Run a round; after an unexpected error, load the state anew.
+
+        Callers are still answered. Without renewals another entry leads if
+        the error persists.
+        """
+        try:
+            self._run_round(leader)
+        except Exception:  # noqa: BLE001
+            self.metrics.count("failed_rounds")
+            self.logger.log(
+                "leader",
+                "scheduling round failed; reloading the stored state",
+                term=leader.term,
+                error=traceback.format_exc(),
+            )
+            self._step_down("a scheduling round failed")
+
     def _run_round(self, leader: CellLeader) -> None:
         now_s = steady_s()
         leader.tick(now_s, wall_ms())
--- a/src/yuccapoint/process/cell_job_gateway.py
+++ b/src/yuccapoint/process/cell_job_gateway.py
@@ -27,9 +27,10 @@
     from yuccapoint.process.process_logger import ProcessLogger
     from yuccapoint.version.queue_table import QueueTable
 
-# Pause before an append is retried, in seconds; the partition needs 2 ms per
-# append, so throttling ends soon.
+# Pause before an append is retried, in seconds, doubled up to the maximum;
+# the partition needs 2 ms per append, so throttling ends soon.
 APPEND_RETRY_S = 0.05
+MAX_APPEND_RETRY_S = 0.4
 # Timeout of an append in seconds; the slowest answer of a working store took
 # 0.4 s, so a later one means an overloaded or unreachable store.
 APPEND_TIMEOUT_S = 1.0
@@ -203,6 +204,7 @@
         refusals = 0
         unanswered = False
         relayed = False
+        retry_s = APPEND_RETRY_S
         while True:
             left_s = deadline_s - time.monotonic()
             if left_s < MIN_APPEND_TIME_S:
@@ -231,7 +233,8 @@
                 unanswered = unanswered or result is RelayResult.UNKNOWN
             if refusals >= MAX_REFUSED_APPENDS and not unanswered:
                 break
-            await asyncio.sleep(APPEND_RETRY_S)
+            await asyncio.sleep(retry_s)
+            retry_s = min(retry_s * 2, MAX_APPEND_RETRY_S)
         if unanswered:
             return GatewayResult.MAY_BE_ACCEPTED
         return GatewayResult.REFUSED
--- a/src/yuccapoint/process/cell_tail.py
+++ b/src/yuccapoint/process/cell_tail.py
@@ -89,6 +89,8 @@
                     "store", "history truncated, reloading", error=str(error)
                 )
                 self._next_offset = None
+                await asyncio.sleep(retry_s)
+                retry_s = min(retry_s * 2, MAX_RETRY_S)
                 continue
             except YuccapointError as error:
                 self._log_failure(error)
--- /dev/null
+++ b/tests/features/platform/malformed.feature
@@ -0,0 +1,36 @@
+Feature: Malformed responses affect one call, not the process
+
+  Scenario Outline: A malformed HTTP response counts as a lost response
+    Given a peer that answers "<response>"
+    When it is called
+    Then the call fails as "may-have-run"
+
+    Examples:
+      | response                                              |
+      | NONSENSE\r\n\r\n                                      |
+      | HTTP/1.1 200 OK\r\nno colon\r\n\r\n                   |
+      | HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n          |
+      | HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort     |
+      | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n-5\r\n |
+      | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nxy\r\n |
+
+  Scenario: A malformed refusal of the worker leaves the start unanswered
+    # The run would otherwise keep a pending call and never start or end.
+    Given a peer that answers "HTTP/1.1 409 Conflict\r\nContent-Length: 4\r\n\r\n[1,2"
+    When it is ordered to start a run as a worker
+    Then the result of the start is "unanswered"
+
+  Scenario: A value that is not base64 affects one record
+    Given a store whose newest records are "a:YQ==" and "b:Yg=" and "c:Yw=="
+    When its newest records are read
+    Then the records "a:a" and "b:" and "c:c" are returned
+
+  Scenario: A truncated last record is not taken as complete
+    Given a store whose read returns a record and the first half of another
+    When it is read from offset 7
+    Then one record is returned and the next offset is 8
+
+  Scenario: The config is followed past a malformed record
+    Given a store whose newest records are "config:Yg=" and "b:Yg=="
+    When the operator's topic is followed for 1 s
+    Then the store was read again and the feed is running
--- /dev/null
+++ b/tests/features/steps/malformed_steps.py
@@ -0,0 +1,161 @@
+from __future__ import annotations
+
+import asyncio
+import struct
+from typing import TYPE_CHECKING
+
+from behave import given
+from behave import then
+from behave import when
+import msgspec
+from platform_path_steps import run
+
+from yuccapoint.cell.cell_messages import StartOrder
+from yuccapoint.cell.worker_events import StartCall
+from yuccapoint.connection.http_client import HttpClient
+from yuccapoint.exceptions import YuccapointError
+from yuccapoint.platform.config_feed import ConfigFeed
+from yuccapoint.platform.store_partition import StorePartition
+from yuccapoint.platform.worker_client import WorkerClient
+from yuccapoint.process.process_logger import ProcessLogger
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+
+def _serve(context: Context, response: bytes) -> None:
+    """Answer each request on a loopback port with the same bytes."""
+    context.requests = 0
+
+    async def answer(reader, writer) -> None:
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+        except asyncio.IncompleteReadError:
+            writer.close()
+            return
+        context.requests += 1
+        writer.write(response)
+        await writer.drain()
+        writer.close()
+
+    async def start() -> None:
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        context.address = f"127.0.0.1:{port}"
+        context.cleanups.append(server.close)
+
+    run(context, start())
+
+
+def _http(body: bytes) -> bytes:
+    head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+@given('a peer that answers "{response}"')
+def peer(context: Context, response: str) -> None:
+    _serve(context, response.encode().decode("unicode_escape").encode())
+
+
+@given("a store whose newest records are {records}")
+def store_with_records(context: Context, records: str) -> None:
+    items = []
+    for offset, text in enumerate(records.split(" and ")):
+        key, _, value = text.strip('"').partition(":")
+        items.append({"Key": key, "Value": value, "Offset": offset})
+    page = {"items": items, "HasMore": False, "EndOffset": len(items)}
+    _serve(context, _http(msgspec.json.encode(page)))
+
+
+@given("a store whose read returns a record and the first half of another")
+def store_with_half(context: Context) -> None:
+    record = struct.pack(">I", 4) + b"\x01kab"
+    body = struct.pack(">QQ", 9, 0) + record + record[:6]
+    _serve(context, _http(body))
+
+
+def _partition(context: Context) -> StorePartition:
+    return StorePartition(HttpClient(context.address), "op", 0)
+
+
+@when("it is called")
+def called(context: Context) -> None:
+    async def call() -> None:
+        client = HttpClient(context.address)
+        try:
+            await client.call("GET", "/", timeout_s=0.5)
+        except YuccapointError as error:
+            context.error = error
+
+    run(context, call())
+
+
+@when("it is ordered to start a run as a worker")
+def start_run(context: Context) -> None:
+    order = StartOrder("e" * 16 + ".0.0.0", 1, "payload", "")
+
+    async def start() -> None:
+        worker = WorkerClient(context.address)
+        context.result, _ = await worker.call(StartCall(order, 1, 1), "i-0")
+
+    run(context, start())
+
+
+@when("its newest records are read")
+def read_newest(context: Context) -> None:
+    async def read() -> None:
+        context.records, _ = await _partition(context).read_newest()
+
+    run(context, read())
+
+
+@when("it is read from offset {offset:d}")
+def read_from(context: Context, offset: int) -> None:
+    async def read() -> None:
+        partition = _partition(context)
+        context.records, context.next_offset = await partition.read(offset, 0)
+
+    run(context, read())
+
+
+@when("the operator's topic is followed for {seconds:d} s")
+def follow(context: Context, seconds: int) -> None:
+    async def play() -> None:
+        feed = ConfigFeed(
+            _partition(context), lambda _: None, ProcessLogger("entry")
+        )
+        context.feed_task = asyncio.ensure_future(feed.run())
+        await asyncio.sleep(seconds)
+
+    run(context, play())
+
+
+@then('the call fails as "{verdict}"')
+def fails_as(context: Context, verdict: str) -> None:
+    assert context.error.verdict.value == verdict, context.error.verdict
+
+
+@then('the result of the start is "{result}"')
+def result_is(context: Context, result: str) -> None:
+    assert context.result.value == result, context.result
+
+
+@then("the records {records} are returned")
+def records_are(context: Context, records: str) -> None:
+    expected = [
+        tuple(text.strip('"').split(":")) for text in records.split(" and ")
+    ]
+    seen = [(r.key, (r.value or b"").decode()) for r in context.records]
+    assert seen == expected, seen
+
+
+@then("one record is returned and the next offset is {offset:d}")
+def one_record(context: Context, offset: int) -> None:
+    assert len(context.records) == 1, context.records
+    assert context.next_offset == offset, context.next_offset
+
+
+@then("the store was read again and the feed is running")
+def feed_runs(context: Context) -> None:
+    assert not context.feed_task.done(), context.feed_task
+    assert context.requests >= 2, context.requests
