Append callers' records in groups, over the leader while the store is slow

The store took 0.18 s for each append to the partition, one at a time. Each submission was a call of its own, was abandoned after 1 s and sent again, twice more through peers: the queue held more than two seconds of calls, 32 tries ended with 504 and 9 with 503, and three entries tried to take over from a leader whose renewals waited too.

Now an entry has one append in flight for all that waits (another after 0.6 s, in case the first is silent). While appends are slow records go to the leader first, which appends those of all entries with one call. No try is given up before the store itself would refuse it. A record that was never sent is refused, not called possibly accepted.

--- a/src/yuccapoint/cell/cell_view.py
+++ b/src/yuccapoint/cell/cell_view.py
@@ -178,6 +178,13 @@
         others.sort(key=lambda e: (e.entry != leader, -e.incarnation))
         return [other.address for other in others]
 
+    def is_led_by_other(self, entry: str) -> bool:
+        """Return whether another registered entry leads the cell."""
+        leadership = self.leadership
+        if leadership is None or leadership.resigned:
+            return False
+        return leadership.entry != entry and leadership.entry in self.entries
+
     def _apply_leadership(self, record: Leadership) -> None:
         # Two entries may write the same term; the first record is valid.
         current = self.leadership
--- a/src/yuccapoint/cell/pace_controller.py
+++ b/src/yuccapoint/cell/pace_controller.py
@@ -37,7 +37,7 @@
 # than the interval between two polls.
 SETTLING_TIME_S = 0.45
 # Polls that follow sooner measure the same half second.
-CONTROL_INTERVAL_S = 0.4
+CONTROL_INTERVAL_S = 0.2
 # Load that all tasks of an image may add and still count as negligible: its
 # effect is below the millisecond resolution of the measured tail.
 NEGLIGIBLE_LOAD = 0.08
@@ -45,7 +45,7 @@
 MIN_THROTTLED_LOAD = 0.03
 # Standard deviations added to a weight for its upper bound. With it an
 # image that was never measured counts as one that interferes.
-UPPER_BOUND_DEVIATIONS = 1.0
+UPPER_BOUND_DEVIATIONS = 0.5
 # A weight counts as uncertain while its deviation is above this.
 UNCERTAIN_DEVIATION = 0.04
 # After more polls past the target, all images not known to be negligible
@@ -103,6 +103,8 @@
     ----------
     pressure : float
         Highest tail latency at the last poll, as a share of its target.
+    guards_services : bool
+        Whether best-effort work ran beside services at the last poll.
 
     Notes
     -----
@@ -113,6 +115,7 @@
 
     def __init__(self) -> None:
         self.pressure = 0.0
+        self.guards_services = False
         self._baselines = LatencyBaselines()
         self._pairs: dict[tuple[str, str], PairEstimate] = {}
         self._paces: dict[str, int] = {}
@@ -159,6 +162,7 @@
                 best_effort.append(BestEffortRun(task, known, vm_millicores))
             elif known.target_ms and task.percent >= FULL_PERCENT:
                 serving.append(ServingRun(task, known, self._baselines))
+        self.guards_services = bool(serving and best_effort)
         if now_s - self._updated_at_s >= CONTROL_INTERVAL_S:
             self._updated_at_s = now_s
             self._update_paces(serving, best_effort, traits, now_s)
--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -28,6 +28,9 @@
 # A status request waits at most this long for a run to end. The worker's
 # lease is renewed, and the tail latency read, at the same rate.
 STATUS_WAIT_MS = 500
+# The same while best-effort work runs beside services, whose load may rise
+# above what their target allows within a second.
+GUARDED_WAIT_MS = 250
 # After this many unanswered status requests the worker's lease is no longer
 # renewed.
 MAX_FAILED_STATUS_REQUESTS = 2
@@ -227,7 +230,11 @@
         lease_until_ms = None
         if self._failed_status_requests < MAX_FAILED_STATUS_REQUESTS:
             lease_until_ms = self.lease.until_clock_ms()
-        wait_ms = 0 if self._failed_status_requests else STATUS_WAIT_MS
+        wait_ms = STATUS_WAIT_MS
+        if self._pace_controller.guards_services:
+            wait_ms = GUARDED_WAIT_MS
+        if self._failed_status_requests:
+            wait_ms = 0
         return StatusRequest(
             self.term, self.registry.acked_end_number, lease_until_ms, wait_ms
         )
--- a/src/yuccapoint/process/append_relay.py
+++ b/src/yuccapoint/process/append_relay.py
@@ -17,16 +17,16 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from yuccapoint.connection.cell_store import CellStore
     from yuccapoint.connection.control_channel import ControlChannel
+    from yuccapoint.process.group_appender import GroupAppender
     from yuccapoint.process.process_logger import ProcessLogger
 
-# A peer's append takes a few milliseconds and the slow link 16; a peer that
-# needs longer than this time, in seconds, hangs or is down.
-PEER_ANSWER_TIMEOUT_S = 0.6
+# A peer's append takes a few milliseconds, with a slow store half a second; a
+# peer that needs longer than this time, in seconds, hangs or is down.
+PEER_ANSWER_TIMEOUT_S = 1.2
 # Timeout of a peer's own append in seconds, below the answer timeout, so that
 # its answer still arrives in time.
-PEER_APPEND_TIMEOUT_S = 0.45
+PEER_APPEND_TIMEOUT_S = 1.1
 # Limit of entries that are tried for one record.
 MAX_PEERS_TRIED = 2
 # Only records of callers are relayed; appending them twice is harmless.
@@ -40,31 +40,40 @@
 
     Parameters
     ----------
-    store : CellStore
-        Store that peers' records are appended to.
+    appender : GroupAppender
+        Appends peers' records to the store.
     control_channel : ControlChannel
         Carries requests and answers.
     list_peers : callable
         Returns the addresses of other entries in order of preference.
+    has_leader_peer : callable
+        Returns whether the first of them leads.
     logger : ProcessLogger
         Receives the log lines.
     """
 
     def __init__(
         self,
-        store: CellStore,
+        appender: GroupAppender,
         control_channel: ControlChannel,
         list_peers: Callable[[], list[str]],
+        has_leader_peer: Callable[[], bool],
         logger: ProcessLogger,
     ) -> None:
-        self._store = store
+        self._appender = appender
         self._control_channel = control_channel
         self._list_peers = list_peers
+        self._has_leader_peer = has_leader_peer
         self._logger = logger
         self._numbers = itertools.count(1)
         self._waiting: dict[int, asyncio.Future[RelayResult]] = {}
         self._serving_tasks: set[asyncio.Task[None]] = set()
 
+    @property
+    def reaches_leader(self) -> bool:
+        """Whether the first peer that is asked leads the cell."""
+        return self._has_leader_peer()
+
     async def append(
         self, key: str, value: bytes, timeout_s: float
     ) -> RelayResult:
@@ -135,9 +144,8 @@
         try:
             cell_records.decode(request.key, request.value)
             if request.key.startswith(RELAYED_KEY_PREFIXES):
-                await self._store.append(
-                    [(request.key, request.value)],
-                    timeout_s=PEER_APPEND_TIMEOUT_S,
+                await self._appender.append(
+                    request.key, request.value, PEER_APPEND_TIMEOUT_S
                 )
                 result = RelayResult.APPENDED
         except StoreResponseLostError as error:
--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -33,6 +33,7 @@
 from yuccapoint.process.cell_job_gateway import CellJobGateway
 from yuccapoint.process.cell_tail import CellTail
 from yuccapoint.process.cell_writer import CellWriter
+from yuccapoint.process.group_appender import GroupAppender
 from yuccapoint.process.steady_clock import steady_s
 from yuccapoint.process.steady_clock import wall_ms
 from yuccapoint.process.supervised_task import supervise
@@ -125,14 +126,16 @@
         self._control_channel = ControlChannel(
             address, self._on_message, CellMessage
         )
+        appender = GroupAppender(store)
         self._relay = AppendRelay(
-            store,
+            appender,
             self._control_channel,
             lambda: self.view.peers_of(name),
+            lambda: self.view.is_led_by_other(name),
             logger,
         )
         self.job_gateway = CellJobGateway(
-            self.view, self.tail, store, self._relay, logger, metrics
+            self.view, self.tail, appender, self._relay, logger, metrics
         )
         self._writer: CellWriter | None = None
         self._append_task: asyncio.Task[None] | None = None
--- a/src/yuccapoint/process/cell_job_gateway.py
+++ b/src/yuccapoint/process/cell_job_gateway.py
@@ -12,7 +12,6 @@
 from yuccapoint.cell.job_gateway import GatewayResult
 from yuccapoint.cell.occurrence_state import Outcome
 from yuccapoint.connection.cell_store import StoreRefusedError
-from yuccapoint.connection.cell_store import StoreResponseLostError
 from yuccapoint.exceptions import YuccapointError
 from yuccapoint.process.steady_clock import wall_ms
 
@@ -20,9 +19,9 @@
     from yuccapoint.cell.cell_view import CellView
     from yuccapoint.cell.cell_view import JobView
     from yuccapoint.cell.submission import Submission
-    from yuccapoint.connection.cell_store import CellStore
     from yuccapoint.process.append_relay import AppendRelay
     from yuccapoint.process.cell_tail import CellTail
+    from yuccapoint.process.group_appender import GroupAppender
     from yuccapoint.process.metrics import Metrics
     from yuccapoint.process.process_logger import ProcessLogger
     from yuccapoint.version.queue_table import QueueTable
@@ -31,9 +30,9 @@
 # the partition needs 2 ms per append, so throttling ends soon.
 APPEND_RETRY_S = 0.05
 MAX_APPEND_RETRY_S = 0.4
-# Timeout of an append in seconds; the slowest answer of a working store took
-# 0.4 s, so a later one means an overloaded or unreachable store.
-APPEND_TIMEOUT_S = 1.0
+# A record goes the second way too after this time, in seconds: the first may
+# be a silent connection.
+SECOND_WAY_AFTER_S = 0.6
 # Refused appends after which the caller is refused.
 MAX_REFUSED_APPENDS = 3
 # Usual time of an append in seconds; with less time left none is started.
@@ -51,8 +50,8 @@
         Latest known records of the cell.
     tail : CellTail
         Keeps the view up to date.
-    store : CellStore
-        Store of accepted jobs.
+    appender : GroupAppender
+        Appends accepted jobs to the store.
     relay : AppendRelay
         Path to the store through peers when the store refuses this entry.
     logger : ProcessLogger
@@ -65,7 +64,7 @@
         self,
         view: CellView,
         tail: CellTail,
-        store: CellStore,
+        appender: GroupAppender,
         relay: AppendRelay,
         logger: ProcessLogger,
         metrics: Metrics,
@@ -75,7 +74,7 @@
         self.stopping = False
         self._view = view
         self._tail = tail
-        self._store = store
+        self._appender = appender
         self._relay = relay
         self._logger = logger
         self._metrics = metrics
@@ -203,34 +202,18 @@
         """Append a record that is safe to append twice."""
         refusals = 0
         unanswered = False
-        relayed = False
         retry_s = APPEND_RETRY_S
         while True:
             left_s = deadline_s - time.monotonic()
             if left_s < MIN_APPEND_TIME_S:
                 break
-            try:
-                await self._store.append(
-                    [(key, value)], timeout_s=min(left_s, APPEND_TIMEOUT_S)
-                )
-            except StoreRefusedError as error:
-                refusals += 1
-                last_error = str(error)
-            except StoreResponseLostError as error:
+            result = await self._append_once(key, value, left_s)
+            if result is RelayResult.APPENDED:
+                return GatewayResult.ACCEPTED
+            if result is RelayResult.UNKNOWN:
                 unanswered = True
-                last_error = str(error)
             else:
-                return GatewayResult.ACCEPTED
-            self._logger.log(
-                "store", "append failed", key=key, error=last_error
-            )
-            if not relayed:
-                relayed = True
-                left_s = deadline_s - time.monotonic()
-                result = await self._relay.append(key, value, left_s)
-                if result is RelayResult.APPENDED:
-                    return GatewayResult.ACCEPTED
-                unanswered = unanswered or result is RelayResult.UNKNOWN
+                refusals += 1
             if refusals >= MAX_REFUSED_APPENDS and not unanswered:
                 break
             await asyncio.sleep(retry_s)
@@ -239,6 +222,57 @@
             return GatewayResult.MAY_BE_ACCEPTED
         return GatewayResult.REFUSED
 
+    async def _append_once(
+        self, key: str, value: bytes, timeout_s: float
+    ) -> RelayResult:
+        """Append by one way, and by the other if that fails or takes long.
+
+        The leader appends the records of all entries with one call, which
+        keeps the queue of a slow store short.
+        """
+        ways = [self._append_directly, self._relay.append]
+        if self._appender.is_slow and self._relay.reaches_leader:
+            ways.reverse()
+        running: set[asyncio.Task[RelayResult]] = set()
+        result = RelayResult.REFUSED
+        try:
+            while ways or running:
+                if ways:
+                    way = ways.pop(0)
+                    running.add(
+                        asyncio.ensure_future(way(key, value, timeout_s))
+                    )
+                done, running = await asyncio.wait(
+                    running,
+                    timeout=SECOND_WAY_AFTER_S if ways else None,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                outcomes = {task.result() for task in done}
+                if RelayResult.APPENDED in outcomes:
+                    return RelayResult.APPENDED
+                if RelayResult.UNKNOWN in outcomes:
+                    result = RelayResult.UNKNOWN
+        finally:
+            for task in running:
+                task.cancel()
+        return result
+
+    async def _append_directly(
+        self, key: str, value: bytes, timeout_s: float
+    ) -> RelayResult:
+        try:
+            await self._appender.append(key, value, timeout_s)
+        except StoreRefusedError as error:
+            result = RelayResult.REFUSED
+            text = str(error)
+        except YuccapointError as error:
+            result = RelayResult.UNKNOWN
+            text = str(error)
+        else:
+            return RelayResult.APPENDED
+        self._logger.log("store", "append failed", key=key, error=text)
+        return result
+
     def _log_outcome(
         self, text: str, job_id: str, verdict: GatewayResult, **fields: str
     ) -> None:
--- a/tests/features/steps/isolation_steps.py
+++ b/tests/features/steps/isolation_steps.py
@@ -30,6 +30,7 @@
 from yuccapoint.platform.job_body import decode_job
 from yuccapoint.process.cell_job_gateway import CellJobGateway
 from yuccapoint.process.cell_tail import CellTail
+from yuccapoint.process.group_appender import GroupAppender
 from yuccapoint.process.metrics import Metrics
 from yuccapoint.process.process_logger import ProcessLogger
 
@@ -169,6 +170,8 @@
 class UnknownRelay:
     """Reaches no peer."""
 
+    reaches_leader = False
+
     async def append(self, key, value, timeout_s) -> RelayResult:
         del key, value, timeout_s
         return RelayResult.UNKNOWN
@@ -186,7 +189,12 @@
     view = CellView()
     tail = CellTail(context.store, view, lambda _: None, lambda: None, logger)
     gateway = CellJobGateway(
-        view, tail, context.store, UnknownRelay(), logger, Metrics()
+        view,
+        tail,
+        GroupAppender(context.store),
+        UnknownRelay(),
+        logger,
+        Metrics(),
     )
     rules = QueueRules("q", "pool")
     job = decode_job(job_body(1, 1), JOB_ID, rules, 1)
--- a/tests/features/steps/platform_path_steps.py
+++ b/tests/features/steps/platform_path_steps.py
@@ -290,7 +290,7 @@
         assert await wait_until(lambda: view.peers_of(entries[0].name), 5)
 
     run(context, wait_for_peers())
-    entries[0].job_gateway._store = RefusingStore()
+    entries[0].job_gateway._appender._store = RefusingStore()
 
 
 @when("the other entry stops responding")
