Refuse submissions at once while the store is away

Now, with reads failing and an append unanswered for 1 s or failed, a record is refused without being sent, but for one in 0.5 s, which shows when the store is back. What was not sent is truthfully not accepted.

--- a/src/yuccapoint/process/cell_job_gateway.py
+++ b/src/yuccapoint/process/cell_job_gateway.py
@@ -37,6 +37,12 @@
 MAX_REFUSED_APPENDS = 3
 # Usual time of an append in seconds; with less time left none is started.
 MIN_APPEND_TIME_S = 0.05
+# An append without a result for this time, in seconds, shows that the store
+# is away if it can't be read either.
+STALLED_AFTER_S = 1.0
+# While the store is away, one record is tried in each of these intervals, in
+# seconds, and all others are refused at once.
+PROBE_INTERVAL_S = 0.5
 # Retry-After of a refused caller in seconds; the store is retried by then.
 RETRY_AFTER_S = 1
 
@@ -72,6 +78,9 @@
         self.table: QueueTable | None = None
         self.retry_after_s = RETRY_AFTER_S
         self.stopping = False
+        self._last_append_failed = False
+        self._waiting_since_s: dict[str, float] = {}
+        self._next_probe_at_s = 0.0
         self._view = view
         self._tail = tail
         self._appender = appender
@@ -198,6 +207,37 @@
 
     async def _append(
         self, key: str, value: bytes, deadline_s: float
+    ) -> GatewayResult:
+        """Append a record, or refuse it at once while the store is away."""
+        if self._refuses_at_once():
+            self._logger.log(
+                "store", "append refused, the store is away", key=key
+            )
+            return GatewayResult.REFUSED
+        self._waiting_since_s[key] = time.monotonic()
+        try:
+            result = await self._append_until(key, value, deadline_s)
+        finally:
+            self._waiting_since_s.pop(key, None)
+        self._last_append_failed = result is not GatewayResult.ACCEPTED
+        return result
+
+    def _refuses_at_once(self) -> bool:
+        """Return whether a record would wait for a store that is away."""
+        if self._tail.up_to_date:
+            return False
+        now_s = time.monotonic()
+        oldest_s = next(iter(self._waiting_since_s.values()), now_s)
+        stalled = now_s - oldest_s > STALLED_AFTER_S
+        if not stalled and not self._last_append_failed:
+            return False
+        if now_s < self._next_probe_at_s:
+            return True
+        self._next_probe_at_s = now_s + PROBE_INTERVAL_S
+        return False
+
+    async def _append_until(
+        self, key: str, value: bytes, deadline_s: float
     ) -> GatewayResult:
         """Append a record that is safe to append twice."""
         refusals = 0
--- a/tests/features/process/slow_store.feature
+++ b/tests/features/process/slow_store.feature
@@ -31,3 +31,19 @@
     And a leader that appends relayed records
     When 5 records are appended in 100 ms
     Then none was relayed to the leader
+
+  Scenario: While the store is away submissions are refused at once
+    # Load: callers waited for their whole deadline and could not return.
+    Given a store that answers no append in time
+    And reads of the store have failed for 3 s
+    When 20 records are appended in 4000 ms with 3 s left
+    Then at least 10 are refused within 50 ms
+    And an outcome is "refused" only if its record was never sent
+
+  Scenario: Submissions are accepted as soon as the store is back
+    Given a store that never answers the first append
+    And reads of the store have failed for 3 s
+    When 10 records are appended in 4000 ms with 3 s left
+    And reads of the store succeed again
+    And 3 records are appended in 100 ms
+    Then the last is accepted within 100 ms
--- a/tests/features/steps/slow_store_steps.py
+++ b/tests/features/steps/slow_store_steps.py
@@ -21,6 +21,7 @@
 from yuccapoint.process.group_appender import GroupAppender
 from yuccapoint.process.metrics import Metrics
 from yuccapoint.process.process_logger import ProcessLogger
+from yuccapoint.process.steady_clock import steady_s
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -66,6 +67,8 @@
     context.store = store
     context.relay = Relay()
     context.outcomes = {}
+    context.last_read_at_s = steady_s()
+    context.gateway = None
 
 
 @given("a store that takes {milliseconds:d} ms for an append, one at a time")
@@ -90,11 +93,24 @@
     context.relay.reaches_leader = True
 
 
-def _append(context: Context, count: int, milliseconds: int, left_s: float):
+@given("reads of the store have failed for {seconds:d} s")
+def reads_failed(context: Context, seconds: int) -> None:
+    context.last_read_at_s = steady_s() - seconds
+
+
+@when("reads of the store succeed again")
+def reads_succeed(context: Context) -> None:
+    context.tail.last_read_at_s = steady_s()
+
+
+def _gateway(context: Context) -> CellJobGateway:
     logger = ProcessLogger("entry")
     view = CellView()
     tail = CellTail(context.store, view, lambda _: None, lambda: None, logger)
-    gateway = CellJobGateway(
+    tail.loaded = True
+    tail.last_read_at_s = context.last_read_at_s
+    context.tail = tail
+    return CellJobGateway(
         view,
         tail,
         GroupAppender(context.store),
@@ -102,10 +118,18 @@
         logger,
         Metrics(),
     )
+
+
+def _append(
+    context: Context, count: int, milliseconds: int, left_s: float
+) -> None:
+    context.gateway = gateway = context.gateway or _gateway(context)
+    first = len(context.outcomes)
     rules = QueueRules("q", "pool")
 
-    async def submit(number: int) -> None:
-        await asyncio.sleep(number * milliseconds / 1_000 / count)
+    async def submit(index: int) -> None:
+        number = first + index
+        await asyncio.sleep(index * milliseconds / 1_000 / count)
         job = decode_job(job_body(1, 1), f"{number:016x}", rules, 1)
         began_s = time.monotonic()
         result = await gateway.submit(job, began_s + left_s)
@@ -143,6 +167,16 @@
     assert len(context.store.sent) <= most, len(context.store.sent)
 
 
+@then("at least {least:d} are refused within {milliseconds:d} ms")
+def refused_at_once(context: Context, least: int, milliseconds: int) -> None:
+    refused = [
+        took_s
+        for result, took_s in context.outcomes.values()
+        if result == "refused" and took_s * 1_000 <= milliseconds
+    ]
+    assert len(refused) >= least, context.outcomes
+
+
 @then("the last is accepted within {milliseconds:d} ms")
 def last_accepted(context: Context, milliseconds: int) -> None:
     result, took_s = context.outcomes[max(context.outcomes)]
