--- a/src/yuccapoint/platform/store_partition.py
+++ b/src/yuccapoint/platform/store_partition.py
@@ -198,7 +198,9 @@
         position += RECORD_LENGTH.size
         content = data[position : position + size]
         if len(content) < size:
-            # The response was cut off; the record is read again.
+            if not records:
+                raise MalformedMessageError("read response is cut off")
+            # The record is read again.
             break
         position += size
         records.append(_decode_record(content, offset))
--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -307,10 +307,10 @@
             await asyncio.sleep(pause_s)
 
     def _try_round(self, leader: CellLeader) -> None:
-        """Run a round; after an unexpected error, load the state anew.
+        """Run a round, and leave the term after an unexpected error.
 
-        Callers are still answered. Without renewals another entry leads if
-        the error persists.
+        The process lives and answers callers. The leader of the next term,
+        which may be this entry, loads the stored state anew.
         """
         try:
             self._run_round(leader)
@@ -318,10 +318,11 @@
             self.metrics.count("failed_rounds")
             self.logger.log(
                 "leader",
-                "scheduling round failed; reloading the stored state",
+                "scheduling round failed; leaving the term",
                 term=leader.term,
                 error=traceback.format_exc(),
             )
+            self._leader_election.on_fenced(leader.term)
             self._step_down("a scheduling round failed")
 
     def _run_round(self, leader: CellLeader) -> None:
--- a/tests/features/platform/malformed.feature
+++ b/tests/features/platform/malformed.feature
@@ -30,6 +30,12 @@
     When it is read from offset 7
     Then one record is returned and the next offset is 8
 
+  Scenario: A response that is cut off in its first record is an error
+    # Without one it would be read again at once.
+    Given a store whose read returns the first half of a record
+    When it is read from offset 7
+    Then the read fails as cut off
+
   Scenario: The config is followed past a malformed record
     Given a store whose newest records are "config:Yg=" and "b:Yg=="
     When the operator's topic is followed for 1 s
--- a/tests/features/steps/malformed_steps.py
+++ b/tests/features/steps/malformed_steps.py
@@ -15,6 +15,7 @@
 from yuccapoint.connection.http_client import HttpClient
 from yuccapoint.exceptions import YuccapointError
 from yuccapoint.platform.config_feed import ConfigFeed
+from yuccapoint.platform.exceptions import MalformedMessageError
 from yuccapoint.platform.store_partition import StorePartition
 from yuccapoint.platform.worker_client import WorkerClient
 from yuccapoint.process.process_logger import ProcessLogger
@@ -74,6 +75,12 @@
     _serve(context, _http(body))
 
 
+@given("a store whose read returns the first half of a record")
+def store_with_only_half(context: Context) -> None:
+    record = struct.pack(">I", 4) + b"\x01kab"
+    _serve(context, _http(struct.pack(">QQ", 9, 0) + record[:6]))
+
+
 def _partition(context: Context) -> StorePartition:
     return StorePartition(HttpClient(context.address), "op", 0)
 
@@ -113,7 +120,12 @@
 def read_from(context: Context, offset: int) -> None:
     async def read() -> None:
         partition = _partition(context)
-        context.records, context.next_offset = await partition.read(offset, 0)
+        try:
+            records, next_offset = await partition.read(offset, 0)
+        except MalformedMessageError as error:
+            context.error = error
+            return
+        context.records, context.next_offset = records, next_offset
 
     run(context, read())
 
@@ -155,6 +167,11 @@
     assert context.next_offset == offset, context.next_offset
 
 
+@then("the read fails as cut off")
+def read_fails(context: Context) -> None:
+    assert "cut off" in str(context.error), context.error
+
+
 @then("the store was read again and the feed is running")
 def feed_runs(context: Context) -> None:
     assert not context.feed_task.done(), context.feed_task
