--- a/src/yuccapoint/cell/cell_leader.py
+++ b/src/yuccapoint/cell/cell_leader.py
@@ -17,11 +17,9 @@
 from yuccapoint.cell.preemption import find_preemptions
 from yuccapoint.cell.report_handler import ReportHandler
 from yuccapoint.cell.run_end_handler import RunEndHandler
-from yuccapoint.cell.run_stops import find_evacuations
-from yuccapoint.cell.run_stops import find_stalled
 from yuccapoint.cell.store_maintenance import StoreMaintenance
-from yuccapoint.cell.throttled_moves import find_throttled_moves
 from yuccapoint.cell.ticket_cache import TicketCache
+from yuccapoint.cell.vm_checks import VmChecks
 from yuccapoint.cell.vm_ledger import VmLedger
 from yuccapoint.job.actions import Explain
 
@@ -38,9 +36,6 @@
 # Interval at which checkpoints of running tasks are written, together with
 # a leadership renewal. It bounds the work lost when all machines fail.
 CHECKPOINT_WRITE_INTERVAL_S = 1.0
-# Interval at which all VMs are checked for expired leases, stalled runs and
-# runs to move. Placements follow within a round, these may wait.
-VM_CHECK_INTERVAL_S = 0.1
 # Scheduled occurrences are created this long before they are due.
 SCHEDULE_LEAD_MS = 1_000
 
@@ -75,11 +70,11 @@
         self.interference = InterferenceModel()
         self._took_over_at_s = now_s
         self._checkpoints_written_at_s = now_s
-        self._vms_checked_at_s = 0.0
         self._dirty: dict[str, OccurrenceRun] = {}
         self._uncommitted_claims: list[tuple[TaskRun, int]] = []
         self._end_handler = RunEndHandler(self)
         self._report_handler = ReportHandler(self, self._end_handler)
+        self._vm_checks = VmChecks(self, self._report_handler)
         self.maintenance = StoreMaintenance(self)
         self.adviser_queries = AdviserQueries(self)
 
@@ -114,7 +109,7 @@
         submission = view.submission
         if submission.job_id in self.jobs:
             return
-        if view.outcome is not Outcome.OPEN and not _has_claims(view):
+        if view.outcome is not Outcome.OPEN and not view.has_claims:
             return
         job = JobRun(submission)
         self.jobs[submission.job_id] = job
@@ -193,9 +188,7 @@
 
     def tick(self, now_s: float, wall_ms: int) -> None:
         """Release expired VMs, stop runs that stall or move, and claim."""
-        if now_s - self._vms_checked_at_s >= VM_CHECK_INTERVAL_S:
-            self._vms_checked_at_s = now_s
-            self._check_vms(now_s)
+        self._vm_checks.run(now_s)
         self._add_due_occurrences(wall_ms)
         self._plan(now_s, wall_ms)
         if (
@@ -205,28 +198,6 @@
             self._checkpoints_written_at_s = now_s
             self._mark_new_checkpoints()
 
-    def _check_vms(self, now_s: float) -> None:
-        for vm in self.vms.values():
-            if vm.claims and now_s > vm.leased_until_s:
-                self._report_handler.release_claims(
-                    vm, "the VM's lease expired", now_s
-                )
-                vm.worker = None
-                vm.runs_listed = False
-            for task in find_stalled(vm, now_s):
-                self.stop(task, "the run makes no progress", now_s)
-                task.failed_on.add(vm.name)
-                vm.record_failure(
-                    task.step.occurrence.job.submission.job_id, now_s
-                )
-            if vm.worker is not None and vm.worker.draining:
-                for task in find_evacuations(vm, now_s):
-                    self.stop(task, "the VM is draining", now_s)
-        for task in find_throttled_moves(
-            self.vms.values(), self.interference, now_s
-        ):
-            self.stop(task, "the run is throttled on this VM", now_s)
-
     def _plan(self, now_s: float, wall_ms: int) -> None:
         planner = self.planner(now_s, wall_ms)
         chosen = planner.plan(self.jobs.values())
@@ -421,11 +392,3 @@
         self._ensure_vm(instance.vm, "").claims[task.task_id] = task
         if task.step.occurrence.outcome is not Outcome.OPEN:
             task.stopping = task.step.occurrence.outcome.value
-
-
-def _has_claims(view: JobView) -> bool:
-    for occurrence in view.occurrences.values():
-        for step in occurrence.steps:
-            if any(task.phase is Phase.CLAIMED for task in step):
-                return True
-    return False
--- a/src/yuccapoint/cell/cell_view.py
+++ b/src/yuccapoint/cell/cell_view.py
@@ -12,6 +12,7 @@
 from yuccapoint.cell.cell_records import StoredPairs
 from yuccapoint.cell.occurrence_state import OccurrenceState
 from yuccapoint.cell.occurrence_state import Outcome
+from yuccapoint.cell.occurrence_state import Phase
 from yuccapoint.cell.submission import Submission
 
 if TYPE_CHECKING:
@@ -85,6 +86,15 @@
                     return True
         return False
 
+    @property
+    def has_claims(self) -> bool:
+        """Whether a task is claimed."""
+        for occurrence in self.occurrences.values():
+            for step in occurrence.steps:
+                if any(task.phase is Phase.CLAIMED for task in step):
+                    return True
+        return False
+
 
 class CellView:
     """Applies records in any order; the newest of each key is valid."""
--- /dev/null
+++ b/src/yuccapoint/cell/vm_checks.py
@@ -0,0 +1,70 @@
+"""Regular checks of all VMs of a cell."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from yuccapoint.cell.run_stops import find_evacuations
+from yuccapoint.cell.run_stops import find_stalled
+from yuccapoint.cell.throttled_moves import find_throttled_moves
+
+if TYPE_CHECKING:
+    from yuccapoint.cell.cell_leader import CellLeader
+    from yuccapoint.cell.report_handler import ReportHandler
+    from yuccapoint.cell.vm_ledger import VmLedger
+
+# Placements follow within a round; these checks may wait, as they visit all
+# VMs.
+CHECK_INTERVAL_S = 0.1
+
+
+class VmChecks:
+    """Finds expired leases, and runs to stop or to move.
+
+    Parameters
+    ----------
+    leader : CellLeader
+        Leader whose VMs are checked.
+    report_handler : ReportHandler
+        Releases the tasks of VMs whose lease has expired.
+    """
+
+    __slots__ = ("_checked_at_s", "_leader", "_report_handler")
+
+    def __init__(
+        self, leader: CellLeader, report_handler: ReportHandler
+    ) -> None:
+        self._leader = leader
+        self._report_handler = report_handler
+        self._checked_at_s = 0.0
+
+    def run(self, now_s: float) -> None:
+        """Check all VMs if the interval has passed."""
+        if now_s - self._checked_at_s < CHECK_INTERVAL_S:
+            return
+        self._checked_at_s = now_s
+        vms = self._leader.vms
+        for vm in vms.values():
+            self._check(vm, now_s)
+        for task in find_throttled_moves(
+            vms.values(), self._leader.interference, now_s
+        ):
+            self._leader.stop(task, "the run is throttled on this VM", now_s)
+
+    def _check(self, vm: VmLedger, now_s: float) -> None:
+        leader = self._leader
+        if vm.claims and now_s > vm.leased_until_s:
+            self._report_handler.release_claims(
+                vm, "the VM's lease expired", now_s
+            )
+            vm.worker = None
+            vm.runs_listed = False
+        for task in find_stalled(vm, now_s):
+            leader.stop(task, "the run makes no progress", now_s)
+            task.failed_on.add(vm.name)
+            job_id = task.step.occurrence.job.submission.job_id
+            vm.record_failure(job_id, now_s)
+        if vm.worker is None or not vm.worker.draining:
+            return
+        for task in find_evacuations(vm, now_s):
+            leader.stop(task, "the VM is draining", now_s)
--- a/src/yuccapoint/platform/roles.py
+++ b/src/yuccapoint/platform/roles.py
@@ -141,7 +141,7 @@
         runtime.metrics,
     )
     if settings.advisor:
-        entry.adviser = AdviserClient(settings.advisor)
+        entry.use_adviser(AdviserClient(settings.advisor))
     job_api = JobApi(entry.job_gateway)
     listen = settings.listen_addrs
     job_api.listen(listen.front, listen.ready)
--- a/src/yuccapoint/platform/store_partition.py
+++ b/src/yuccapoint/platform/store_partition.py
@@ -190,7 +190,7 @@
 ) -> tuple[list[StoredRecord], int]:
     if len(data) < READ_HEADER.size:
         raise MalformedMessageError("read response is shorter than its header")
-    records = []
+    records: list[StoredRecord] = []
     offset = from_offset
     position = READ_HEADER.size
     while position + RECORD_LENGTH.size <= len(data):
--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -6,7 +6,6 @@
 import contextlib
 import time
 import traceback
-from typing import Protocol
 from typing import TYPE_CHECKING
 
 import xxhash
@@ -25,14 +24,15 @@
 from yuccapoint.cell.cell_view import CellView
 from yuccapoint.cell.leader_election import LeaderElection
 from yuccapoint.cell.submission import Submission
-from yuccapoint.cell.ticket_cache import step_id
 from yuccapoint.connection.cell_store import StoreFencedError
 from yuccapoint.connection.control_channel import ControlChannel
 from yuccapoint.exceptions import YuccapointError
+from yuccapoint.process.adviser_loop import AdviserLoop
 from yuccapoint.process.append_relay import AppendRelay
 from yuccapoint.process.cell_job_gateway import CellJobGateway
 from yuccapoint.process.cell_tail import CellTail
 from yuccapoint.process.cell_writer import CellWriter
+from yuccapoint.process.entry_registration import register_entry
 from yuccapoint.process.group_appender import GroupAppender
 from yuccapoint.process.steady_clock import steady_s
 from yuccapoint.process.steady_clock import wall_ms
@@ -42,6 +42,7 @@
     from yuccapoint.cell.cell_records import CellRecord
     from yuccapoint.cell.commit_batch import CommitBatch
     from yuccapoint.connection.cell_store import CellStore
+    from yuccapoint.process.adviser_loop import AdviserPort
     from yuccapoint.process.metrics import Metrics
     from yuccapoint.process.process_logger import ProcessLogger
 
@@ -58,10 +59,6 @@
 # Interval at which measured interference between images is stored, in
 # seconds; a new leader learns the missing part in about the same time.
 WRITE_PAIRS_EVERY_S = 5.0
-# Pause while there is no query for the adviser, in seconds.
-ADVICE_PAUSE_S = 0.1
-# Pause before a failed registration is retried, in seconds.
-REGISTER_RETRY_S = 0.5
 # Minimum time between two takeover attempts, in seconds.
 TAKEOVER_RETRY_S = 0.5
 
@@ -71,13 +68,6 @@
 TAKEOVER_TIMEOUT_S = 1.5
 
 
-class AdviserPort(Protocol):
-    """Client interface of the service that permits workers for steps."""
-
-    async def ask(self, step: str, worker_ids: list[str]) -> dict[str, str]:
-        """Return a ticket for the id of each worker that may run a step."""
-
-
 class CellEntryProcess:
     """Connects job service, leader and store of one cell.
 
@@ -94,8 +84,6 @@
 
     Attributes
     ----------
-    adviser : AdviserPort or None
-        Queried for steps of queues that have an adviser.
     failed : asyncio.Event
         Set when a component failed; the process has to be restarted.
     """
@@ -115,7 +103,6 @@
         self.metrics = metrics
         self.view = CellView()
         self.leader: CellLeader | None = None
-        self.adviser: AdviserPort | None = None
         self._store = store
         stagger = xxhash.xxh32_intdigest(name.encode()) / 2**32
         self._leader_election = LeaderElection(name, self.incarnation, stagger)
@@ -144,18 +131,29 @@
         self._pairs_written_at_s = 0.0
         self._takeover_tried_at_s = 0.0
         self._wake = asyncio.Event()
+        self._adviser_loop = AdviserLoop(
+            lambda: self.leader, self._wake.set, logger
+        )
         self._tasks: list[asyncio.Task[None]] = []
         self._stopping = False
         self.failed = asyncio.Event()
 
+    def use_adviser(self, adviser: AdviserPort) -> None:
+        """Query an adviser for steps of queues that have one."""
+        self._adviser_loop.adviser = adviser
+
     def start(self) -> None:
         """Start to read the store and to receive control messages."""
         self._control_channel.open()
         jobs = (
             self.tail.run(),
-            self._register(),
+            register_entry(
+                store=self._store,
+                member=EntryMember(self.name, self.address, self.incarnation),
+                logger=self.logger,
+            ),
             self._run_rounds(),
-            self._run_adviser_queries(),
+            self._adviser_loop.run(),
         )
         for job in jobs:
             self._tasks.append(supervise(job, self.logger, self.failed))
@@ -383,47 +381,6 @@
             leader.commit(batch)
         self._wake.set()
 
-    async def _run_adviser_queries(self) -> None:
-        while True:
-            leader, adviser = self.leader, self.adviser
-            query = None
-            now_s = steady_s()
-            if leader is not None and adviser is not None:
-                query = leader.adviser_queries.next_query(now_s, wall_ms())
-            if leader is None or adviser is None or query is None:
-                await asyncio.sleep(ADVICE_PAUSE_S)
-                continue
-            step, instances = query
-            tickets = None
-            try:
-                tickets = await adviser.ask(
-                    step_id(step),
-                    [instance.worker_id for instance in instances],
-                )
-            except YuccapointError as error:
-                self.logger.log(
-                    "place", "adviser query failed", error=str(error)
-                )
-                await asyncio.sleep(ADVICE_PAUSE_S)
-            leader.adviser_queries.on_advice(step, instances, tickets, now_s)
-            self._wake.set()
-
-    async def _register(self) -> None:
-        """Store this entry's address for the other entries."""
-        key = cell_records.ENTRY + self.name
-        record = EntryMember(self.name, self.address, self.incarnation)
-        while True:
-            try:
-                await self._store.append([(key, cell_records.encode(record))])
-            except YuccapointError as error:
-                self.logger.log(
-                    "store", "registration failed, retrying", error=str(error)
-                )
-                await asyncio.sleep(REGISTER_RETRY_S)
-                continue
-            self.logger.log("store", "registered", entry=self.name)
-            return
-
     def _on_message(self, message: CellMessage) -> None:
         if isinstance(message, RelayRequest):
             self._relay.on_request(message)
