Refuse starts at once while the worker does not answer

The start stayed unanswered until the lease had expired.

The agent now refuses such a start without calling the worker, and the leader leaves the VM out for half a second after a refusal. Both scenarios failed first. Ruled out: giving up what runs there sooner, as a worker that refuses connections may be cut off and run on.

--- a/src/yuccapoint/cell/cell_messages.py
+++ b/src/yuccapoint/cell/cell_messages.py
@@ -14,6 +14,10 @@
 from yuccapoint.job.interference.pair_report import PairEstimate
 from yuccapoint.job.size import Size
 
+# Reasons of an agent for refusing a start.
+REASON_DRAINING = "draining"
+REASON_UNREACHABLE = "unreachable"
+
 
 class RunningTask(msgspec.Struct, frozen=True, array_like=True):
     """A run on the worker.
--- a/src/yuccapoint/cell/run_end_handler.py
+++ b/src/yuccapoint/cell/run_end_handler.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from yuccapoint.cell.cell_messages import REASON_UNREACHABLE
 from yuccapoint.cell.occurrence_state import Outcome
 from yuccapoint.cell.occurrence_state import Phase
 
@@ -17,8 +18,8 @@
 # Delay before a failed task is retried. It keeps a worker that fails every
 # task at once from using up all attempts in a moment.
 RETRY_DELAY_S = 0.1
-# A VM that refused a run for lack of room gets no work for this time; the
-# next report corrects its ledger.
+# A VM that refused a run for lack of room, or as its worker does not answer,
+# gets no work for this time; the next report corrects its ledger.
 NO_ROOM_PAUSE_S = 0.5
 
 
@@ -106,7 +107,7 @@
             run=refused.run,
             vm=vm.name,
         )
-        if refused.reason == "room":
+        if refused.reason in ("room", REASON_UNREACHABLE):
             vm.full_until_s = now_s + NO_ROOM_PAUSE_S
         if refused.reason == "ticket":
             self._leader.ticket_cache.discard_step(task.step)
--- a/src/yuccapoint/cell/run_registry.py
+++ b/src/yuccapoint/cell/run_registry.py
@@ -122,9 +122,19 @@
                 self.has_updates = True
 
     def order_start(
-        self, start: StartOrder, now_s: float, *, draining: bool
+        self, start: StartOrder, now_s: float, *, refusal: str = ""
     ) -> None:
-        """Register an order to start a run."""
+        """Register an order to start a run.
+
+        Parameters
+        ----------
+        start : StartOrder
+            Run to start.
+        now_s : float
+            Steady time in seconds.
+        refusal : str
+            Why no new run may start at present; empty if one may.
+        """
         key = (start.task_id, start.run)
         if key in self._runs:
             # A refusal is reported again until the leader acknowledges it.
@@ -144,8 +154,8 @@
             return
         # A call of a former agent may still be executed.
         tracked.unanswered = now_s < self._started_at_s + MAX_CALL_DELAY_S
-        if draining:
-            tracked.refuse("draining")
+        if refusal:
+            tracked.refuse(refusal)
             self.has_updates = True
 
     def order_stop(self, task_id: str, run: int) -> None:
--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 
 from yuccapoint.cell import lease_bounds
+from yuccapoint.cell.cell_messages import REASON_DRAINING
+from yuccapoint.cell.cell_messages import REASON_UNREACHABLE
 from yuccapoint.cell.cell_messages import TaskTraits
 from yuccapoint.cell.cell_messages import VmReport
 from yuccapoint.cell.cell_messages import WorkerReport
@@ -176,10 +178,20 @@
         ordered = {(start.task_id, start.run) for start in orders.starts}
         self.registry.discard_unawaited(ordered, set(orders.awaited))
         for start in orders.starts:
-            self.registry.order_start(start, now_s, draining=self._is_draining)
+            self.registry.order_start(start, now_s, refusal=self._refusal)
         for task_id, run in orders.stops:
             self.registry.order_stop(task_id, run)
 
+    @property
+    def _refusal(self) -> str:
+        """Why the worker gets no new run; empty if it does."""
+        if self._is_draining:
+            return REASON_DRAINING
+        if self._failed_status_requests >= MAX_FAILED_STATUS_REQUESTS:
+            # A start would stay unanswered until the lease has expired.
+            return REASON_UNREACHABLE
+        return ""
+
     @property
     def _is_draining(self) -> bool:
         draining = self.check_in is not None and self.check_in.draining
--- a/tests/features/cell/recovery.feature
+++ b/tests/features/cell/recovery.feature
@@ -37,3 +37,18 @@
     Given a view of a job that completed at offset 5
     When its submission is read again at offset 8
     Then the copy is ignored, and the job is shown as "completed"
+
+  Scenario: A start is refused at once while the worker does not answer
+    # Load: a worker crashes without notice; starts sent to it stayed
+    # unanswered until its lease had expired.
+    Given an agent whose worker has not answered 2 polls
+    When the leader orders a start
+    Then the start is reported as refused and the worker was not called
+    When the worker answers a poll
+    And the leader orders the next run
+    Then the worker is called
+
+  Scenario: A VM whose worker does not answer gets no work for a while
+    Given a leader with 2 VMs that work on a job of 4 tasks
+    When "vm-0" refuses its starts as its worker does not answer
+    Then all open tasks are claimed on "vm-1"
