Call no repeat of a submission refused while an earlier copy may be appended

Found in reading: a caller that got 504 and submitted again at the same entry could get 503, not accepted and never runs, while the first copy's append was still unanswered at the store. The entry now remembers such records and answers 504 again. The scenario fails without the mend. A repeat at another entry can't be known there.

--- a/src/yuccapoint/process/cell_job_gateway.py
+++ b/src/yuccapoint/process/cell_job_gateway.py
@@ -43,6 +43,8 @@
 # While the store is away, one record is tried in each of these intervals, in
 # seconds, and all others are refused at once.
 PROBE_INTERVAL_S = 0.5
+# Limit of the records that are remembered as possibly appended.
+MAX_UNKNOWN_KEYS = 10_000
 # Retry-After of a refused caller in seconds; the store is retried by then.
 RETRY_AFTER_S = 1
 
@@ -81,6 +83,8 @@
         self._last_append_failed = False
         self._waiting_since_s: dict[str, float] = {}
         self._next_probe_at_s = 0.0
+        # An ordered set: the oldest key is forgotten first.
+        self._unknown_keys: dict[str, None] = {}
         self._view = view
         self._tail = tail
         self._appender = appender
@@ -213,13 +217,30 @@
             self._logger.log(
                 "store", "append refused, the store is away", key=key
             )
-            return GatewayResult.REFUSED
+            return self._truthful(key, GatewayResult.REFUSED)
         self._waiting_since_s[key] = time.monotonic()
         try:
             result = await self._append_until(key, value, deadline_s)
         finally:
             self._waiting_since_s.pop(key, None)
         self._last_append_failed = result is not GatewayResult.ACCEPTED
+        return self._truthful(key, result)
+
+    def _truthful(self, key: str, result: GatewayResult) -> GatewayResult:
+        """Return a result that also holds for earlier copies of a record.
+
+        A refusal says that the record never takes effect, but an earlier
+        copy without an answer may still be appended.
+        """
+        if result is GatewayResult.ACCEPTED:
+            self._unknown_keys.pop(key, None)
+            return result
+        if result is GatewayResult.MAY_BE_ACCEPTED:
+            self._unknown_keys[key] = None
+            if len(self._unknown_keys) > MAX_UNKNOWN_KEYS:
+                del self._unknown_keys[next(iter(self._unknown_keys))]
+        if key in self._unknown_keys:
+            return GatewayResult.MAY_BE_ACCEPTED
         return result
 
     def _refuses_at_once(self) -> bool:
--- a/tests/features/process/slow_store.feature
+++ b/tests/features/process/slow_store.feature
@@ -47,3 +47,11 @@
     And reads of the store succeed again
     And 3 records are appended in 100 ms
     Then the last is accepted within 100 ms
+
+  Scenario: A repeat of a submission of unknown fate is not called refused
+    # The first copy may still be appended; a refusal says that it never runs.
+    Given a store that answers no append in time
+    And reads of the store have failed for 3 s
+    When 8 records are appended in 2000 ms with 1 s left
+    And the first record is submitted again
+    Then the first outcome is "may-be-accepted"
--- a/tests/features/steps/slow_store_steps.py
+++ b/tests/features/steps/slow_store_steps.py
@@ -157,6 +157,28 @@
     _append(context, count, milliseconds, float(seconds))
 
 
+@when("the first record is submitted again")
+def submit_again(context: Context) -> None:
+    rules = QueueRules("q", "pool")
+    job = decode_job(job_body(1, 1), f"{0:016x}", rules, 1)
+    assert context.outcomes[0][0] == "may-be-accepted", context.outcomes
+
+    # While it probes the store, others are refused at once.
+    probe = decode_job(job_body(1, 1), f"{99:016x}", rules, 1)
+
+    async def submit() -> None:
+        began_s = time.monotonic()
+        probing = asyncio.ensure_future(
+            context.gateway.submit(probe, began_s + 0.3)
+        )
+        await asyncio.sleep(0.02)
+        result = await context.gateway.submit(job, began_s + 1.0)
+        context.outcomes[0] = (result.value, time.monotonic() - began_s)
+        await probing
+
+    run(context, submit())
+
+
 @then(
     "all are accepted within {milliseconds:d} ms with at most {most:d} appends"
 )
