Log what tells the hypotheses of the incident apart

Agents now log a run that the worker lists and they did not start, a run that is neither running nor ended, whether a new instance has its predecessor's id, and which ends an unanswered poll acknowledged. A leader that ignores the end of an abandoned run logs which run of the task is the newest and its phase.

--- a/src/yuccapoint/cell/run_end_handler.py
+++ b/src/yuccapoint/cell/run_end_handler.py
@@ -52,14 +52,7 @@
                 vm, ended, now_s
             ):
                 return
-            self._leader.explain(
-                "run",
-                "ignored the end of an abandoned run",
-                task=ended.task_id,
-                run=ended.run,
-                how=ended.how,
-                vm=vm.name,
-            )
+            self._explain_ignored(vm, ended)
             return
         del vm.claims[ended.task_id]
         self._leader.explain(
@@ -77,6 +70,20 @@
             return
         self._requeue(task, ended.checkpoint, now_s)
 
+    def _explain_ignored(self, vm: VmLedger, ended: EndedRun) -> None:
+        task = self._leader.find_task(ended.task_id)
+        self._leader.explain(
+            "run",
+            "ignored the end of an abandoned run",
+            task=ended.task_id,
+            run=ended.run,
+            how=ended.how,
+            vm=vm.name,
+            # A run of a task that is not done is started again.
+            newest_run=0 if task is None else task.run,
+            phase="ended" if task is None else task.phase.name.lower(),
+        )
+
     def _finish_abandoned(
         self, vm: VmLedger, ended: EndedRun, now_s: float
     ) -> bool:
--- a/src/yuccapoint/cell/run_registry.py
+++ b/src/yuccapoint/cell/run_registry.py
@@ -13,6 +13,8 @@
 from yuccapoint.cell.worker_events import StopCall
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from yuccapoint.cell.cell_messages import EndedRun
     from yuccapoint.cell.cell_messages import StartOrder
     from yuccapoint.cell.worker_events import WorkerStatus
@@ -37,6 +39,8 @@
     started_at_s : float
         Start time of this agent; calls of its predecessor may still be
         executed after it.
+    explain : callable
+        Logs a decision: its part, text and fields.
 
     Attributes
     ----------
@@ -48,12 +52,15 @@
         Ends up to this number are stored and need no report.
     """
 
-    def __init__(self, started_at_s: float) -> None:
+    def __init__(
+        self, started_at_s: float, explain: Callable[..., None]
+    ) -> None:
         self.has_updates = False
         self.runs_listed = False
         self.acked_end_number = 0
         self.running: tuple[RunningTask, ...] = ()
         self._started_at_s = started_at_s
+        self._explain = explain
         self._runs: dict[RunKey, TrackedRun] = {}
         self._ends: dict[int, EndedRun] = {}
 
@@ -250,6 +257,7 @@
 
     def on_status(self, status: WorkerStatus, sent_at_s: float) -> None:
         """Apply the runs and ends that the worker listed."""
+        self._explain_unordered(status)
         self.running = status.running
         ended = set()
         for end in status.ends:
@@ -270,6 +278,21 @@
             self.runs_listed = True
             self.has_updates = True
 
+    def _explain_unordered(self, status: WorkerStatus) -> None:
+        """Log the newly listed runs that this agent did not start."""
+        listed = {(task.task_id, task.run) for task in self.running}
+        for task in status.running:
+            key = (task.task_id, task.run)
+            if key in listed or key in self._runs:
+                continue
+            self._explain(
+                "run",
+                "the worker runs what this agent did not start",
+                task=task.task_id,
+                run=task.run,
+                first_listing=int(not self.runs_listed),
+            )
+
     def _mark_running(self, tracked: TrackedRun) -> None:
         tracked.listed = True
         if tracked.stage is RunStage.STARTING:
@@ -285,6 +308,12 @@
         ):
             # Neither running nor ended: its end was acknowledged before.
             del self._runs[key]
+            self._explain(
+                "run",
+                "neither running nor ended; its end was acknowledged before",
+                task=tracked.task_id,
+                run=tracked.run,
+            )
             return
         acked = 0 < tracked.stop_acked_at_s < sent_at_s
         if tracked.stage is RunStage.STOPPING and acked:
--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -67,8 +67,8 @@
         self.leader_heard_at_s = 0.0
         self.check_in: CheckIn | None = None
         self.lease = WorkerLease(now_s)
-        self.registry = RunRegistry(now_s)
         self.explanations: list[Explain] = []
+        self.registry = RunRegistry(now_s, self._explain)
         self._order_sequence = 0
         self._report_sequence = 0
         self._reported_at_s: dict[int, float] = {}
@@ -125,17 +125,18 @@
 
     def _begin_instance(self, check_in: CheckIn) -> None:
         previous = self.check_in
+        same_id = (
+            previous is not None
+            and previous.instance.worker_id == check_in.instance.worker_id
+        )
+        self.registry.begin_instance(same_id=same_id)
         self._explain(
             "worker",
             "a new instance started",
             worker=check_in.instance.worker_id,
             born_ms=check_in.instance.born_ms,
+            same_id=int(same_id),
         )
-        same_id = (
-            previous is not None
-            and previous.instance.worker_id == check_in.instance.worker_id
-        )
-        self.registry.begin_instance(same_id=same_id)
         self._failed_status_requests = 0
         self._leave_announced = False
         self._poll_pacer.reset()
--- a/src/yuccapoint/process/cell_agent_process.py
+++ b/src/yuccapoint/process/cell_agent_process.py
@@ -276,7 +276,10 @@
         except YuccapointError as error:
             self.vm_agent.on_status_failed()
             self.logger.log(
-                "worker", "poll failed, retrying", error=str(error)
+                "worker",
+                "poll failed, retrying",
+                last_seen=request.last_seen,
+                error=str(error),
             )
             return False
         self.vm_agent.on_status(status, sent_at_s, steady_s())
