--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -256,15 +256,31 @@
         """Return the time in seconds until the worker is to be polled."""
         return self._poll_pacer.delay_s(now_s)
 
-    def on_status_failed(self) -> None:
+    def on_status_failed(self, request: StatusRequest, now_s: float) -> None:
         """Count a status request that was not answered."""
+        del request, now_s
         self._failed_status_requests += 1
         self.registry.has_updates = True
 
     def on_status(
-        self, status: WorkerStatus, sent_at_s: float, now_s: float
+        self,
+        request: StatusRequest,
+        status: WorkerStatus,
+        sent_at_s: float,
+        now_s: float,
     ) -> None:
-        """Apply the status that the worker returned."""
+        """Apply the worker's answer to a status request.
+
+        Parameters
+        ----------
+        request : StatusRequest
+            The request that was answered.
+        status : WorkerStatus
+            The answer.
+        sent_at_s, now_s : float
+            When the request was sent, and steady time in seconds.
+        """
+        del request
         current = self.check_in
         if current is None or status.born_ms != current.instance.born_ms:
             self._poll_pacer.on_answer(sent_at_s, at_once=True)
--- a/src/yuccapoint/process/cell_agent_process.py
+++ b/src/yuccapoint/process/cell_agent_process.py
@@ -274,7 +274,7 @@
                 request, check_in.instance.worker_id
             )
         except YuccapointError as error:
-            self.vm_agent.on_status_failed()
+            self.vm_agent.on_status_failed(request, steady_s())
             self.logger.log(
                 "worker",
                 "poll failed, retrying",
@@ -282,7 +282,7 @@
                 error=str(error),
             )
             return False
-        self.vm_agent.on_status(status, sent_at_s, steady_s())
+        self.vm_agent.on_status(request, status, sent_at_s, steady_s())
         return True
 
     async def _register(self) -> None:
--- a/tests/cell_world/agent_model.py
+++ b/tests/cell_world/agent_model.py
@@ -71,9 +71,9 @@
         if self.worker.alive:
             status = self.worker.status(request, now_s)
         if status is None or self._rng.random() < self.late_share / 2:
-            self.vm_agent.on_status_failed()
+            self.vm_agent.on_status_failed(request, now_s)
             return
-        self.vm_agent.on_status(status, now_s, now_s)
+        self.vm_agent.on_status(request, status, now_s, now_s)
 
     def _call(self, call: WorkerCall, now_s: float) -> tuple[CallResult, str]:
         if not self.worker.alive:
--- a/tests/features/steps/unreachable_worker_steps.py
+++ b/tests/features/steps/unreachable_worker_steps.py
@@ -32,7 +32,8 @@
 
 def _answer(context: Context) -> None:
     status = WorkerStatus(clock_ms=1_000, born_ms=1, running=(), ends=())
-    context.vm_agent.on_status(status, context.now_s, context.now_s)
+    request = context.vm_agent.next_status_request()
+    context.vm_agent.on_status(request, status, context.now_s, context.now_s)
 
 
 def _order(context: Context, run: int) -> None:
@@ -84,7 +85,8 @@
     _order(context, 0)
     _answer(context)
     for _ in range(polls):
-        context.vm_agent.on_status_failed()
+        request = context.vm_agent.next_status_request()
+        context.vm_agent.on_status_failed(request, context.now_s)
 
 
 @when("the leader orders a start")
@@ -146,7 +148,8 @@
     status = WorkerStatus(
         clock_ms=2_000, born_ms=1, running=tuple(running), ends=()
     )
-    agent.on_status(status, context.now_s, context.now_s)
+    request = agent.next_status_request()
+    agent.on_status(request, status, context.now_s, context.now_s)
 
 
 @when("the worker lists a service")
