--- a/tests/cell_world/agent_model.py
+++ b/tests/cell_world/agent_model.py
@@ -8,6 +8,7 @@
 from yuccapoint.cell.vm_agent import VmAgent
 from yuccapoint.cell.worker_events import CallResult
 from yuccapoint.cell.worker_events import StartCall
+from yuccapoint.cell.worker_events import StatusRequest
 from yuccapoint.cell.worker_events import StopCall
 
 if TYPE_CHECKING:
@@ -29,7 +30,7 @@
         self.late_share = 0.0
         self.frozen_until_s = 0.0
         self._rng = rng
-        self._late_calls: list[tuple[float, WorkerCall, int]] = []
+        self._late_calls: list[tuple[float, WorkerCall | StatusRequest]] = []
         self._incarnation = 0
         self.restart(now_s)
 
@@ -39,19 +40,22 @@
             self.worker.vm, self.worker.vm, self._incarnation, now_s
         )
         self._checked_in_at_s = -9.0
+        self._checked_in_born = 0
         self._polled_at_s = 0.0
         self._reported_at_s = 0.0
 
     def step(self, now_s: float):
         """Make due calls and polls; return a report when one is due."""
-        self._execute_late_calls(now_s)
         if now_s < self.frozen_until_s:
+            self._execute_late_calls(now_s)
             return None
-        if self.worker.alive and now_s - self._checked_in_at_s > 1.0:
+        if self.worker.alive and self._is_check_in_due(now_s):
             self._checked_in_at_s = now_s
+            self._checked_in_born = self.worker.instance.born_ms
             self.vm_agent.on_check_in(self.worker.check_in(now_s), now_s)
         for call in self.vm_agent.next_calls(now_s):
             self._deliver_result(call, *self._call(call, now_s), now_s)
+        self._execute_late_calls(now_s)
         if now_s - self._polled_at_s >= POLL_INTERVAL_S:
             self._polled_at_s = now_s
             self._poll(now_s)
@@ -63,12 +67,20 @@
         self._reported_at_s = now_s
         return self.vm_agent.build_report(now_s)
 
+    def _is_check_in_due(self, now_s: float) -> bool:
+        """Return whether an interval has passed or the worker is new."""
+        if self.worker.instance.born_ms != self._checked_in_born:
+            return True
+        return now_s - self._checked_in_at_s > 1.0
+
     def _poll(self, now_s: float) -> None:
         request = self.vm_agent.next_status_request()
         if request is None:
             return
         status = None
-        if self.worker.alive:
+        if self._rng.random() < self.late_share / 2:
+            self._send_late(request, now_s)
+        elif self.worker.alive:
             status = self.worker.status(request, now_s)
         if status is None or self._rng.random() < self.late_share / 2:
             self.vm_agent.on_status_failed(request, now_s)
@@ -79,18 +91,28 @@
         if not self.worker.alive:
             return CallResult.UNANSWERED, ""
         if self._rng.random() < self.late_share:
-            at_s = now_s + self._rng.uniform(0.5, 12.0)
-            self._late_calls.append((at_s, call, self.worker.instance.born_ms))
+            self._send_late(call, now_s)
             return CallResult.UNANSWERED, ""
         return self.worker.call(call, now_s)
 
+    def _send_late(
+        self, call: WorkerCall | StatusRequest, now_s: float
+    ) -> None:
+        at_s = now_s + self._rng.uniform(0.5, 12.0)
+        self._late_calls.append((at_s, call))
+
     def _execute_late_calls(self, now_s: float) -> None:
+        """Execute calls on whichever instance has the worker's id now."""
         for item in list(self._late_calls):
-            at_s, call, born_ms = item
+            at_s, call = item
             if now_s < at_s:
                 continue
             self._late_calls.remove(item)
-            if self.worker.alive and self.worker.instance.born_ms == born_ms:
+            if not self.worker.alive:
+                continue
+            if isinstance(call, StatusRequest):
+                self.worker.status(call, now_s)
+            else:
                 self.worker.call(call, now_s)
 
     def _deliver_result(
--- a/tests/features/cell/disruptions.feature
+++ b/tests/features/cell/disruptions.feature
@@ -20,6 +20,7 @@
       | 1-3   | late_orders                  |
       | 1-3   | drain                        |
       | 1-3   | power_off_all                |
+      | 1-12  | worker_crash and late_orders |
       | 1-12  | all                          |
 
   Scenario Outline: The checks detect a seeded fault
--- /dev/null
+++ b/tests/features/cell/restarted_worker.feature
@@ -0,0 +1,68 @@
+Feature: Calls meant for a worker's former instance
+
+  Scenario: A late copy of a start does not run an ended task again
+    # Load: the first call of a start stays unanswered, the second one starts
+    # the run, and the worker restarts under its id before the first arrives.
+    Given an agent whose worker carries out a start on the second call
+    When the run ends as done and the end is acknowledged
+    And the worker restarts under its id after 4 s
+    Then the run is stopped there before the worker is reported
+
+  Scenario: A late copy of a start is blocked at each further instance
+    Given an agent whose worker carries out a start on the second call
+    When the run ends as done and the end is acknowledged
+    And the worker restarts under its id after 2 s
+    And the worker restarts under its id after 2 s
+    Then the run is stopped there before the worker is reported
+
+  Scenario: A start is not blocked once its late copies are no longer possible
+    Given an agent whose worker carries out a start on the second call
+    When the run ends as done and the end is acknowledged
+    And the worker restarts under its id after 14 s
+    Then the worker is reported and no run is stopped there
+
+  Scenario: A late acknowledgement does not hide an end of a new instance
+    # The new instance numbers its ends from 1 again and would forget those up
+    # to the acknowledged one, which the agent has not seen.
+    Given an agent whose worker lists an end as done
+    When the leader acknowledges it and the poll that says so is unanswered
+    And the worker restarts under its id after 4 s
+    Then the worker is not reported
+    When 10 s pass at the agent
+    Then the worker is reported and no run is stopped there
+
+  Scenario: Polls acknowledge an end until one is answered, and not again
+    Given an agent whose worker lists an end as done
+    When the leader acknowledges it
+    Then the next poll acknowledges end 1 and is answered at once
+    When the worker answers that poll
+    Then the next poll acknowledges end 0 and waits for an end
+
+  Scenario: Polls acknowledge nothing while the worker does not answer
+    Given an agent whose worker lists an end as done
+    When a poll is unanswered
+    And the leader acknowledges it
+    Then the next poll acknowledges end 0 and is answered at once
+
+  Scenario: Runs on a former instance are stopped first if the agent restarted
+    # The restarted agent does not know which calls of its predecessor are
+    # unanswered.
+    Given a leader with 2 VMs that work on a job of 4 tasks
+    When the worker and the agent of "vm-0" restart, the worker under its id
+    Then the tasks on "vm-0" are not claimed elsewhere and are to be stopped
+    When the agent of "vm-0" reports that their starts are blocked
+    Then all its tasks are claimed with a higher run
+
+  Scenario: Runs on a former instance are claimed at once if the agent lives
+    Given a leader with 2 VMs that work on a job of 4 tasks
+    When the worker of "vm-0" restarts under its id
+    Then all its tasks are claimed with a higher run
+
+  Scenario: An order from before the report of an expired lease starts nothing
+    # The leader has released the claim when it arrives, and may have claimed
+    # the task elsewhere.
+    Given an agent whose worker has been silent until its lease expired
+    When it reports so, the worker answers again and an older order arrives
+    Then the worker is not called
+    When the leader answers the report with an order of the next run
+    Then the worker is called
--- a/tests/features/steps/cell_world_steps.py
+++ b/tests/features/steps/cell_world_steps.py
@@ -63,7 +63,9 @@
 
 @when('jobs are submitted for {seconds:d} s with disruptions "{disruptions}"')
 def run_disrupted(context: Context, seconds: int, disruptions: str) -> None:
-    chosen = DISRUPTIONS if disruptions == "all" else (disruptions,)
+    chosen = DISRUPTIONS
+    if disruptions != "all":
+        chosen = tuple(disruptions.split(" and "))
     for _, world in context.worlds:
         world.run(3.0)
         world.run(seconds, chosen)
--- /dev/null
+++ b/tests/features/steps/restarted_worker_steps.py
@@ -0,0 +1,324 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from behave import given
+from behave import then
+from behave import when
+from cell_leader_steps import deliver_report
+from cell_leader_steps import report
+from cell_leader_steps import WALL_MS
+import msgspec
+
+from yuccapoint.cell.cell_messages import EndedRun
+from yuccapoint.cell.cell_messages import LeaderOrders
+from yuccapoint.cell.cell_messages import RefusedRun
+from yuccapoint.cell.cell_messages import RunningTask
+from yuccapoint.cell.cell_messages import StartOrder
+from yuccapoint.cell.lease_bounds import VM_LEASE_S
+from yuccapoint.cell.occurrence_state import Phase
+from yuccapoint.cell.occurrence_state import WorkerInstance
+from yuccapoint.cell.vm_agent import VmAgent
+from yuccapoint.cell.worker_events import CallResult
+from yuccapoint.cell.worker_events import CheckIn
+from yuccapoint.cell.worker_events import StartCall
+from yuccapoint.cell.worker_events import StopCall
+from yuccapoint.cell.worker_events import WorkerStatus
+from yuccapoint.job.size import Size
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+VM = "vm-0"
+WORKER_ID = "i-0"
+TASK_ID = "e" * 16 + ".0.0.0"
+FIRST_RUN = (TASK_ID, 1)
+
+
+def _check_in(context: Context) -> None:
+    context.sequence += 1
+    context.vm_agent.on_check_in(
+        CheckIn(
+            instance=WorkerInstance(VM, WORKER_ID, context.born_ms),
+            pool="pool",
+            address="worker",
+            capacity=Size(8_000, 2**35, 0),
+            labels=(),
+            draining=False,
+            remaining_ms=0,
+            clock_ms=int(1000 * context.now_s),
+            sequence=context.sequence,
+        ),
+        context.now_s,
+    )
+
+
+def _answer(
+    context: Context,
+    running: tuple[RunningTask, ...] = (),
+    ends: tuple[EndedRun, ...] = (),
+) -> None:
+    request = context.vm_agent.next_status_request()
+    context.now_s += 0.01
+    status = WorkerStatus(
+        clock_ms=int(1000 * context.now_s),
+        born_ms=context.born_ms,
+        running=running,
+        ends=ends,
+    )
+    context.vm_agent.on_status(
+        request, status, context.now_s - 0.01, context.now_s
+    )
+
+
+def _orders(
+    context: Context,
+    run: int = 0,
+    acked: int = 0,
+    answers: int | None = None,
+) -> LeaderOrders:
+    if answers is None:
+        answers = context.vm_agent.build_report(context.now_s).sequence
+    context.order_sequence += 1
+    starts = (StartOrder(TASK_ID, run, "payload", ""),) if run else ()
+    return LeaderOrders(
+        vm=VM,
+        term=1,
+        leader="e-0",
+        address="e-0",
+        sequence=context.order_sequence,
+        answers=answers,
+        agent_incarnation=1,
+        lease_ms=int(VM_LEASE_S * 1000),
+        instance=WorkerInstance(VM, WORKER_ID, context.born_ms),
+        acked_end_number=acked,
+        starts=starts,
+        awaited=tuple((start.task_id, start.run) for start in starts),
+        stops=(),
+        traits=(),
+        pairs=(),
+    )
+
+
+def _deliver(context: Context, **orders) -> None:
+    context.vm_agent.on_orders(_orders(context, **orders), context.now_s)
+
+
+def _make_agent(context: Context) -> None:
+    # Past the time in which calls of a former agent may be executed.
+    context.now_s = 100.0
+    context.born_ms = 1
+    context.sequence = 0
+    context.order_sequence = 0
+    context.vm_agent = VmAgent(VM, VM, 1, 0.0)
+    _check_in(context)
+    _deliver(context)
+    _answer(context)
+
+
+def _calls(context: Context, kind: type) -> list:
+    calls = context.vm_agent.next_calls(context.now_s)
+    return [call for call in calls if isinstance(call, kind)]
+
+
+def _run_start(context: Context, result: CallResult) -> None:
+    [call] = _calls(context, StartCall)
+    context.vm_agent.on_start_result(call, result, "", context.now_s)
+    context.now_s += 0.3
+
+
+@given("an agent whose worker carries out a start on the second call")
+def started_on_second_call(context: Context) -> None:
+    _make_agent(context)
+    _deliver(context, run=1)
+    _run_start(context, CallResult.UNANSWERED)
+    _run_start(context, CallResult.DONE)
+    _answer(context, running=(RunningTask(*FIRST_RUN, "", 0, 0.0),))
+
+
+@given("an agent whose worker lists an end as done")
+def lists_end(context: Context) -> None:
+    _make_agent(context)
+    _deliver(context, run=1)
+    _run_start(context, CallResult.DONE)
+    _answer(context, ends=(EndedRun(1, *FIRST_RUN, "done", ""),))
+
+
+@when("the run ends as done and the end is acknowledged")
+def ends_and_acknowledged(context: Context) -> None:
+    _answer(context, ends=(EndedRun(1, *FIRST_RUN, "done", ""),))
+    _deliver(context, acked=1)
+    _answer(context)
+
+
+@when("the worker restarts under its id after {seconds:d} s")
+def restart_worker(context: Context, seconds: int) -> None:
+    context.now_s += seconds
+    context.born_ms += 1
+    context.sequence = 0
+    _check_in(context)
+
+
+@when("{seconds:d} s pass at the agent")
+def wait_at_agent(context: Context, seconds: int) -> None:
+    context.now_s += seconds
+
+
+@when("the leader acknowledges it")
+def acknowledge(context: Context) -> None:
+    _deliver(context, acked=1)
+
+
+@when("the leader acknowledges it and the poll that says so is unanswered")
+def acknowledge_unanswered(context: Context) -> None:
+    _deliver(context, acked=1)
+    request = context.vm_agent.next_status_request()
+    assert request.last_seen == 1, request.last_seen
+    context.vm_agent.on_status_failed(request, context.now_s)
+
+
+@when("a poll is unanswered")
+def poll_unanswered(context: Context) -> None:
+    request = context.vm_agent.next_status_request()
+    context.vm_agent.on_status_failed(request, context.now_s)
+
+
+@when("the worker answers that poll")
+def answer_poll(context: Context) -> None:
+    status = WorkerStatus(
+        clock_ms=int(1000 * context.now_s), born_ms=1, running=(), ends=()
+    )
+    context.now_s += 0.01
+    context.vm_agent.on_status(
+        context.poll, status, context.now_s - 0.01, context.now_s
+    )
+
+
+@then("the next poll acknowledges end {number:d} and is answered at once")
+def poll_at_once(context: Context, number: int) -> None:
+    context.poll = context.vm_agent.next_status_request()
+    assert context.poll.last_seen == number, context.poll.last_seen
+    assert context.poll.wait_ms == 0, context.poll.wait_ms
+
+
+@then("the next poll acknowledges end {number:d} and waits for an end")
+def poll_waits_for_end(context: Context, number: int) -> None:
+    context.poll = context.vm_agent.next_status_request()
+    assert context.poll.last_seen == number, context.poll.last_seen
+    assert context.poll.wait_ms > 0
+
+
+@then("the run is stopped there before the worker is reported")
+def stopped_first(context: Context) -> None:
+    message = context.vm_agent.build_report(context.now_s)
+    assert message.worker is None, message.worker
+    calls = _calls(context, StopCall)
+    assert [(call.task_id, call.run) for call in calls] == [FIRST_RUN], calls
+    context.vm_agent.on_stop_result(calls[0], CallResult.DONE, context.now_s)
+    message = context.vm_agent.build_report(context.now_s)
+    assert message.worker.instance.born_ms == context.born_ms
+
+
+@then("the worker is not reported")
+def not_reported(context: Context) -> None:
+    assert context.vm_agent.build_report(context.now_s).worker is None
+
+
+@then("the worker is reported and no run is stopped there")
+def reported(context: Context) -> None:
+    message = context.vm_agent.build_report(context.now_s)
+    assert message.worker is not None
+    assert message.worker.instance.born_ms == context.born_ms
+    assert not _calls(context, StopCall)
+
+
+@given("an agent whose worker has been silent until its lease expired")
+def silent_worker(context: Context) -> None:
+    _make_agent(context)
+    for _ in range(2):
+        request = context.vm_agent.next_status_request()
+        context.vm_agent.on_status_failed(request, context.now_s)
+    context.now_s += VM_LEASE_S + 0.2
+    context.older_report = context.vm_agent.build_report(context.now_s)
+    assert not context.older_report.worker.lease_expired
+    context.now_s += 0.4
+
+
+@when("it reports so, the worker answers again and an older order arrives")
+def older_order(context: Context) -> None:
+    message = context.vm_agent.build_report(context.now_s)
+    assert message.worker.lease_expired
+    _check_in(context)
+    _answer(context)
+    _deliver(context, run=1, answers=context.older_report.sequence)
+
+
+@when("the leader answers the report with an order of the next run")
+def newer_order(context: Context) -> None:
+    _deliver(context, run=2)
+
+
+@then("the worker is not called")
+def not_called(context: Context) -> None:
+    assert not _calls(context, StartCall)
+
+
+def _restarted(
+    context: Context, vm: str, incarnation: int, refused: tuple = ()
+):
+    message = report(vm, 40 + incarnation, refused=refused)
+    instance = WorkerInstance(vm, f"i-{vm}", 2)
+    worker = msgspec.structs.replace(message.worker, instance=instance)
+    return msgspec.structs.replace(
+        message, worker=worker, incarnation=incarnation
+    )
+
+
+def _work_on(context: Context, message) -> None:
+    deliver_report(context.leader, message, context.now_s)
+    context.leader.tick(context.now_s, WALL_MS)
+    context.leader.commit(context.leader.collect_batch())
+
+
+@when('the worker of "{vm}" restarts under its id')
+def restart_reported(context: Context, vm: str) -> None:
+    context.lost = list(context.leader.vms[vm].claims.values())
+    _work_on(context, _restarted(context, vm, 1))
+
+
+@when('the worker and the agent of "{vm}" restart, the worker under its id')
+def restart_both(context: Context, vm: str) -> None:
+    context.lost = list(context.leader.vms[vm].claims.values())
+    assert context.lost
+    context.message = _restarted(context, vm, 2)
+    context.leader.on_report(context.message, context.now_s)
+    context.leader.tick(context.now_s, WALL_MS)
+    context.leader.commit(context.leader.collect_batch())
+
+
+@then('the tasks on "{vm}" are not claimed elsewhere and are to be stopped')
+def to_be_stopped(context: Context, vm: str) -> None:
+    ledger = context.leader.vms[vm]
+    runs = {(task.task_id, task.run) for task in context.lost}
+    assert all(task.instance.vm == vm for task in context.lost)
+    orders = context.leader.collect_orders(context.now_s, may_grant=True)
+    [stops] = [set(sent.stops) for to, sent in orders if to is ledger]
+    assert stops == runs, (stops, runs)
+
+
+@when('the agent of "{vm}" reports that their starts are blocked')
+def blocked(context: Context, vm: str) -> None:
+    refused = tuple(
+        RefusedRun(task.task_id, task.run, "stopped") for task in context.lost
+    )
+    message = _restarted(context, vm, 2, refused)
+    message = msgspec.structs.replace(message, sequence=99)
+    _work_on(context, message)
+
+
+@then("all its tasks are claimed with a higher run")
+def claimed_again(context: Context) -> None:
+    for task in context.lost:
+        assert task.phase is Phase.CLAIMED, task.phase
+        assert task.run == 2, task.run
+        assert task.instance.born_ms == 2 or task.instance.vm != VM
--- a/tests/run.py
+++ b/tests/run.py
@@ -42,7 +42,7 @@
             if scenario.status == Status.passed:
                 passed += 1
                 continue
-            failed.append(scenario.name)
+            failed.append(scenario.name.strip())
     known = known_red()
     for name in failed:
         label = "known red" if name in known else "failed"
