Block late copies of a start at a restarted worker, also of ended runs

Callers saw a run started again after it had ended as done and the end had been acknowledged (TWICE), and its job shown as completed meanwhile (MIXED).

Cause: an agent repeats a start that was not answered. It forgot the unanswered call when the run ended, or when the worker restarted once more. A worker that returns under its id takes the first call, up to 12 s late, for its own.

An unanswered start is now kept with the time until which it may be executed, whatever becomes of its run and of the worker's instance. A new instance with the same id gets a stop of each one, and is reported to the leader only once these are confirmed.

--- a/src/yuccapoint/cell/run_registry.py
+++ b/src/yuccapoint/cell/run_registry.py
@@ -62,28 +62,53 @@
         self._started_at_s = started_at_s
         self._explain = explain
         self._runs: dict[RunKey, TrackedRun] = {}
+        # Until when an unanswered start may still be executed, by its run. It
+        # outlives the run and the instance of the worker.
+        self._late_starts_until_s: dict[RunKey, float] = {}
         self._ends: dict[int, EndedRun] = {}
 
-    def begin_instance(self, *, same_id: bool) -> None:
+    def begin_instance(self, now_s: float, *, same_id: bool) -> int:
         """Drop all runs, as a new instance of the worker has started.
 
         Parameters
         ----------
+        now_s : float
+            Steady time in seconds.
         same_id : bool
             Whether the new instance has the id of its predecessor. Starts
             meant for the predecessor may then reach it and are blocked.
+
+        Returns
+        -------
+        int
+            Number of starts that are blocked.
         """
-        blocks = {}
         for key, tracked in self._runs.items():
-            if same_id and tracked.may_reach_new_instance:
-                blocks[key] = TrackedRun(*key, RunStage.STOPPING)
-                blocks[key].blocks_former_start = True
-        self._runs = blocks
+            if tracked.may_reach_new_instance:
+                self._note_late_start(key, now_s)
+        if not same_id:
+            self._late_starts_until_s = {}
+        self._runs = {}
+        for key, until_s in self._late_starts_until_s.items():
+            if now_s > until_s:
+                continue
+            block = TrackedRun(*key, RunStage.STOPPING)
+            block.blocks_former_start = True
+            self._runs[key] = block
         self._ends = {}
         self.running = ()
         self.runs_listed = False
         self.acked_end_number = 0
         self.has_updates = True
+        return len(self._runs)
+
+    def _note_late_start(self, key: RunKey, now_s: float) -> None:
+        self._late_starts_until_s[key] = now_s + MAX_CALL_DELAY_S
+
+    def _discard_past_late_starts(self, now_s: float) -> None:
+        for key, until_s in list(self._late_starts_until_s.items()):
+            if now_s > until_s:
+                del self._late_starts_until_s[key]
 
     @property
     def has_unconfirmed_blocks(self) -> bool:
@@ -217,7 +242,11 @@
         self, call: StartCall, result: CallResult, reason: str, now_s: float
     ) -> bool:
         """Apply the result of a start; return whether the run started."""
-        tracked = self._runs.get((call.order.task_id, call.order.run))
+        key = (call.order.task_id, call.order.run)
+        if result is CallResult.UNANSWERED:
+            self._discard_past_late_starts(now_s)
+            self._note_late_start(key, now_s)
+        tracked = self._runs.get(key)
         if tracked is None or tracked.order is not call.order:
             return False
         tracked.call_pending = False
--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -97,7 +97,7 @@
             if same and check_in.sequence <= previous.sequence:
                 return False
             if not same:
-                self._begin_instance(check_in)
+                self._begin_instance(check_in, now_s)
         if check_in.draining and not (previous and previous.draining):
             self._explain(
                 "worker", "drains", remaining_ms=check_in.remaining_ms
@@ -123,19 +123,20 @@
         self.registry.has_updates = True
         self._explain("worker", "leaves", worker=worker_id)
 
-    def _begin_instance(self, check_in: CheckIn) -> None:
+    def _begin_instance(self, check_in: CheckIn, now_s: float) -> None:
         previous = self.check_in
         same_id = (
             previous is not None
             and previous.instance.worker_id == check_in.instance.worker_id
         )
-        self.registry.begin_instance(same_id=same_id)
+        blocked = self.registry.begin_instance(now_s, same_id=same_id)
         self._explain(
             "worker",
             "a new instance started",
             worker=check_in.instance.worker_id,
             born_ms=check_in.instance.born_ms,
             same_id=int(same_id),
+            blocked_starts=blocked,
         )
         self._failed_status_requests = 0
         self._leave_announced = False
