Acknowledge ends once, and never to a worker's next instance

Callers saw a run started again after it had ended as done and the end had been acknowledged (TWICE).

Cause: every poll carried the number of the last stored end. A poll that was not answered may be executed seconds later. A worker that had returned under its id by then numbered its ends from 1 again and forgot those up to that number, which the agent had not seen: the run was neither running nor ended, the leader ordered it again, the worker refused it as old, and the task got a new run.

An end is now acknowledged until one poll that says so is answered, with polls that the worker answers at once, and not while polls fail. If such a poll stays unanswered, a new instance with the same id gets no work until it can no longer be executed.

Blocks are sent again each 50 ms now until one is confirmed; what arrives before any of them can't be prevented by the agent.

--- a/src/yuccapoint/cell/run_registry.py
+++ b/src/yuccapoint/cell/run_registry.py
@@ -22,6 +22,9 @@
 
 # Delay before an unanswered call is repeated.
 CALL_RETRY_S = 0.2
+# A stop that blocks a late start is sent again after this time, also while it
+# is unanswered: the start may be executed at any moment until one arrives.
+BLOCK_REPEAT_S = 0.05
 # An unanswered start is abandoned by the agent after this time.
 START_TIMEOUT_S = 2.0
 # Longest time after which the platform's workers still execute a call that
@@ -50,6 +53,9 @@
         Whether this instance of the worker has listed its runs.
     acked_end_number : int
         Ends up to this number are stored and need no report.
+    forgotten_end_number : int
+        Ends up to this number are forgotten by the worker, as it answered a
+        poll that acknowledged them.
     """
 
     def __init__(
@@ -58,6 +64,7 @@
         self.has_updates = False
         self.runs_listed = False
         self.acked_end_number = 0
+        self.forgotten_end_number = 0
         self.running: tuple[RunningTask, ...] = ()
         self._started_at_s = started_at_s
         self._explain = explain
@@ -65,6 +72,10 @@
         # Until when an unanswered start may still be executed, by its run. It
         # outlives the run and the instance of the worker.
         self._late_starts_until_s: dict[RunKey, float] = {}
+        # Until when an unanswered acknowledgement may still be executed.
+        self._late_ack_until_s = 0.0
+        # The same for acknowledgements meant for the former instance.
+        self._former_acks_until_s = 0.0
         self._ends: dict[int, EndedRun] = {}
 
     def begin_instance(self, now_s: float, *, same_id: bool) -> int:
@@ -88,6 +99,7 @@
                 self._note_late_start(key, now_s)
         if not same_id:
             self._late_starts_until_s = {}
+            self._late_ack_until_s = 0.0
         self._runs = {}
         for key, until_s in self._late_starts_until_s.items():
             if now_s > until_s:
@@ -99,6 +111,8 @@
         self.running = ()
         self.runs_listed = False
         self.acked_end_number = 0
+        self.forgotten_end_number = 0
+        self._former_acks_until_s = self._late_ack_until_s
         self.has_updates = True
         return len(self._runs)
 
@@ -110,14 +124,35 @@
             if now_s > until_s:
                 del self._late_starts_until_s[key]
 
-    @property
-    def has_unconfirmed_blocks(self) -> bool:
-        """Whether a start meant for the former instance may still run."""
+    def may_get_former_calls(self, now_s: float) -> bool:
+        """Return whether a call meant for the former instance may harm.
+
+        A start may run a task that is claimed elsewhere by now, and an
+        acknowledgement may make the worker forget ends that it has not
+        listed, as each instance numbers its ends from 1.
+        """
+        if now_s <= self._former_acks_until_s:
+            return True
         return any(
             tracked.blocks_former_start and not tracked.stop_acked_at_s
             for tracked in self._runs.values()
         )
 
+    @property
+    def unforgotten_ack(self) -> int:
+        """Number up to which the worker can forget ends; 0 if it has."""
+        if self.acked_end_number <= self.forgotten_end_number:
+            return 0
+        return self.acked_end_number
+
+    def on_ack_answered(self, number: int) -> None:
+        """Note that the worker has forgotten the ends up to a number."""
+        self.forgotten_end_number = max(self.forgotten_end_number, number)
+
+    def on_ack_unanswered(self, now_s: float) -> None:
+        """Note that an acknowledgement may still be executed."""
+        self._late_ack_until_s = now_s + MAX_CALL_DELAY_S
+
     @property
     def has_unacked_ends(self) -> bool:
         """Whether the worker lists an end that is not known to be stored."""
@@ -214,12 +249,16 @@
         """Return the starts and stops to send now."""
         calls = []
         for tracked in self._runs.values():
-            if tracked.call_pending or now_s < tracked.next_call_at_s:
+            if now_s < tracked.next_call_at_s:
+                continue
+            if tracked.call_pending and not tracked.blocks_former_start:
                 continue
             call = self._next_call(tracked, term, lease, now_s)
             if call is None:
                 continue
             tracked.call_pending = True
+            if tracked.blocks_former_start:
+                tracked.next_call_at_s = now_s + BLOCK_REPEAT_S
             calls.append(call)
         return calls
 
@@ -280,9 +319,10 @@
         if tracked.stage is not RunStage.STOPPING:
             return
         if result is CallResult.DONE:
-            tracked.stop_acked_at_s = now_s
+            tracked.stop_acked_at_s = tracked.stop_acked_at_s or now_s
             return
-        tracked.next_call_at_s = now_s + CALL_RETRY_S
+        if not tracked.blocks_former_start:
+            tracked.next_call_at_s = now_s + CALL_RETRY_S
 
     def on_status(self, status: WorkerStatus, sent_at_s: float) -> None:
         """Apply the runs and ends that the worker listed."""
--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -247,11 +247,14 @@
         wait_ms = STATUS_WAIT_MS
         if self._pace_controller.guards_services:
             wait_ms = GUARDED_WAIT_MS
-        if self._failed_status_requests:
+        last_seen = 0
+        if not self._failed_status_requests:
+            last_seen = self.registry.unforgotten_ack
+        if last_seen or self._failed_status_requests:
+            # An acknowledgement that stays unanswered may reach the worker's
+            # next instance, so that its answer is not delayed.
             wait_ms = 0
-        return StatusRequest(
-            self.term, self.registry.acked_end_number, lease_until_ms, wait_ms
-        )
+        return StatusRequest(self.term, last_seen, lease_until_ms, wait_ms)
 
     def poll_delay_s(self, now_s: float) -> float:
         """Return the time in seconds until the worker is to be polled."""
@@ -259,7 +262,8 @@
 
     def on_status_failed(self, request: StatusRequest, now_s: float) -> None:
         """Count a status request that was not answered."""
-        del request, now_s
+        if request.last_seen:
+            self.registry.on_ack_unanswered(now_s)
         self._failed_status_requests += 1
         self.registry.has_updates = True
 
@@ -281,7 +285,7 @@
         sent_at_s, now_s : float
             When the request was sent, and steady time in seconds.
         """
-        del request
+        self.registry.on_ack_answered(request.last_seen)
         current = self.check_in
         if current is None or status.born_ms != current.instance.born_ms:
             self._poll_pacer.on_answer(sent_at_s, at_once=True)
@@ -341,8 +345,7 @@
         check_in = self.check_in
         if check_in is None:
             return None
-        if self.registry.has_unconfirmed_blocks:
-            # A start meant for the former instance may reach this one.
+        if self.registry.may_get_former_calls(now_s):
             return None
         return WorkerReport(
             instance=check_in.instance,
