Block starts at a restarted worker whose agent restarted too

Callers could see two runs of a task at the same time (TWICE): the leader claimed a task elsewhere as soon as its worker had restarted, while an unanswered start of the former agent could still reach the new instance, which has its predecessor's id. Only the former agent knew of that call.

The leader now keeps such a claim, moved to the new instance and to be stopped, until the restarted agent reports the run as ended or as never to start. A leader that takes over does the same, as it can't know whether the agent restarted. If the agent lives, its own blocks suffice and the tasks are claimed at once, as before. The scenario 'Runs on a former instance are stopped first if the agent restarted' failed before.

--- a/src/yuccapoint/cell/cell_leader.py
+++ b/src/yuccapoint/cell/cell_leader.py
@@ -282,6 +282,23 @@
         vm.orders_due = True
         self.explain("run", "stopping", task=task.task_id, why=why)
 
+    def block_start(self, task: TaskRun, instance: WorkerInstance) -> None:
+        """Stop a claimed run on the instance that its start may reach late.
+
+        The task is released when the agent reports that the run ended or
+        will never start there.
+        """
+        task.move_claim(instance, "the worker restarted")
+        self.mark_dirty(task.step.occurrence)
+        self.vms[instance.vm].orders_due = True
+        self.explain(
+            "run",
+            "blocking its start at the worker's new instance",
+            task=task.task_id,
+            run=task.run,
+            vm=instance.vm,
+        )
+
     def mark_dirty(self, occurrence: OccurrenceRun) -> None:
         """Schedule an occurrence to be written with the next batch."""
         job_id = occurrence.job.submission.job_id
--- a/src/yuccapoint/cell/job_run.py
+++ b/src/yuccapoint/cell/job_run.py
@@ -120,6 +120,15 @@
         self.instance = instance
         self.run = run
 
+    def move_claim(self, instance: WorkerInstance, why: str) -> None:
+        """Move the claim to a later instance of its worker, to be stopped."""
+        why = self.stopping or why
+        self._reset_run()
+        self.instance = instance
+        self.stopping = why
+        self.durable = True
+        self.ordered_at_s = -1.0
+
     def release(self, checkpoint: str, now_s: float) -> None:
         """Return the task to the queue after a run that did not finish."""
         self.phase = Phase.WAITING
--- a/src/yuccapoint/cell/report_handler.py
+++ b/src/yuccapoint/cell/report_handler.py
@@ -71,11 +71,15 @@
             worker = msgspec.structs.replace(worker, draining=True)
         vm.worker = worker
         vm.runs_listed = report.runs_listed
+        agent_restarted = vm.worker_reported_by != report.incarnation
+        vm.worker_reported_by = report.incarnation
         if previous is None or previous.instance != worker.instance:
             vm.applied_end_number = 0
             vm.acked_end_number = 0
             vm.unclaimed_runs.clear()
-            self._release_older_instances(vm, worker.instance, now_s)
+            self._release_older_instances(
+                vm, worker.instance, now_s, agent_restarted=agent_restarted
+            )
             self._leader.explain(
                 "vm",
                 "a worker registered",
@@ -92,13 +96,24 @@
             self.release_claims(vm, "the worker's lease expired", now_s)
 
     def _release_older_instances(
-        self, vm: VmLedger, instance: WorkerInstance, now_s: float
+        self,
+        vm: VmLedger,
+        instance: WorkerInstance,
+        now_s: float,
+        *,
+        agent_restarted: bool,
     ) -> None:
         for task in list(vm.claims.values()):
             if task.instance is None or task.instance == instance:
                 continue
             if task.instance.born_ms > instance.born_ms:
                 continue
+            same_id = task.instance.worker_id == instance.worker_id
+            if agent_restarted and same_id and task.ordered_at_s:
+                # Only the former agent knew which starts are unanswered and
+                # may still reach the new instance.
+                self._leader.block_start(task, instance)
+                continue
             self._end_handler.abandon(vm, task, "the worker restarted", now_s)
 
     def _apply_running(
--- a/src/yuccapoint/cell/vm_ledger.py
+++ b/src/yuccapoint/cell/vm_ledger.py
@@ -35,6 +35,8 @@
     has_worker : bool
         Whether the agent knows a worker; without one it can't pass on a
         lease.
+    worker_reported_by : int
+        Incarnation of the agent that reported the worker last.
     acked_end_number : int
         Run ends up to this number are stored.
     applied_end_number : int
@@ -55,6 +57,7 @@
         self.reconnected_at_s = 0.0
         self.worker: WorkerReport | None = None
         self.has_worker = False
+        self.worker_reported_by = 0
         self.follows_leader = False
         self.runs_listed = False
         self.claims: dict[str, TaskRun] = {}
--- a/tests/features/steps/restarted_worker_steps.py
+++ b/tests/features/steps/restarted_worker_steps.py
@@ -290,6 +290,8 @@
 def restart_both(context: Context, vm: str) -> None:
     context.lost = list(context.leader.vms[vm].claims.values())
     assert context.lost
+    starts = context.leader.collect_orders(context.now_s, may_grant=True)
+    assert any(orders.starts for _, orders in starts)
     context.message = _restarted(context, vm, 2)
     context.leader.on_report(context.message, context.now_s)
     context.leader.tick(context.now_s, WALL_MS)
