Ignore starts ordered before the lease was reported as expired

Callers could see two runs of a task at the same time (TWICE), or one started after its successor had ended.

An agent reports that its silent worker's lease has expired, and the leader releases the claims and places the tasks elsewhere. An order that was on its way then reached the agent after the worker had come back, and its start was carried out: the VM's lease was valid again, and nothing tied the order to the report. Starts count now only in orders that answer the report of the expiry or a later one. The scenario 'An order from before the report of an expired lease starts nothing' failed before.

--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -23,6 +23,7 @@
 
 if TYPE_CHECKING:
     from yuccapoint.cell.cell_messages import LeaderOrders
+    from yuccapoint.cell.cell_messages import StartOrder
     from yuccapoint.cell.worker_events import CheckIn
     from yuccapoint.cell.worker_events import WorkerCall
     from yuccapoint.cell.worker_events import WorkerStatus
@@ -71,6 +72,9 @@
         self.registry = RunRegistry(now_s, self._explain)
         self._order_sequence = 0
         self._report_sequence = 0
+        # The newest report of an expired lease, on which the leader releases
+        # all claims of the VM.
+        self._expiry_report_sequence = 0
         self._reported_at_s: dict[int, float] = {}
         self._traits: dict[str, TaskTraits] = {}
         self._failed_status_requests = 0
@@ -179,11 +183,28 @@
         self._pace_controller.update_estimates(orders.pairs)
         ordered = {(start.task_id, start.run) for start in orders.starts}
         self.registry.discard_unawaited(ordered, set(orders.awaited))
-        for start in orders.starts:
+        for start in self._valid_starts(orders):
             self.registry.order_start(start, now_s, refusal=self._refusal)
         for task_id, run in orders.stops:
             self.registry.order_stop(task_id, run)
 
+    def _valid_starts(self, orders: LeaderOrders) -> tuple[StartOrder, ...]:
+        """Return the starts, unless their claims may have been released."""
+        expiry_report = self._expiry_report_sequence
+        if not orders.starts or not expiry_report:
+            return orders.starts
+        answered = orders.agent_incarnation == self.incarnation
+        if answered and orders.answers >= expiry_report:
+            return orders.starts
+        self._explain(
+            "run",
+            "ignored starts ordered before the lease was reported as expired",
+            starts=len(orders.starts),
+            answers=orders.answers,
+            expiry_report=expiry_report,
+        )
+        return ()
+
     @property
     def _refusal(self) -> str:
         """Why the worker gets no new run; empty if it does."""
@@ -327,13 +348,16 @@
         self._reported_at_s[self._report_sequence] = now_s
         if len(self._reported_at_s) > MAX_UNANSWERED_REPORTS:
             del self._reported_at_s[next(iter(self._reported_at_s))]
+        worker = self._worker_report(now_s)
+        if worker is not None and worker.lease_expired:
+            self._expiry_report_sequence = self._report_sequence
         return VmReport(
             vm=self.vm,
             address=self.address,
             incarnation=self.incarnation,
             sequence=self._report_sequence,
             term=self.term,
-            worker=self._worker_report(now_s),
+            worker=worker,
             runs_listed=self.registry.runs_listed,
             running=self.registry.report_running(),
             ends=self.registry.report_ends(),
