Count a job as pending until a worker has begun one of its tasks

A claim counted as a begun job, although its start can stay unanswered until a lease has expired, and the task then waits again with a run number above 0.

The leader now records that a worker listed a run, with the progress that it writes once a second, and views count by that. Records of jobs that have not begun keep the form of earlier builds, which ignore the added last field.

--- a/src/yuccapoint/cell/cell_leader.py
+++ b/src/yuccapoint/cell/cell_leader.py
@@ -35,7 +35,7 @@
 
 # Interval at which checkpoints of running tasks are written, together with
 # a leadership renewal. It bounds the work lost when all machines fail.
-CHECKPOINT_WRITE_INTERVAL_S = 1.0
+PROGRESS_WRITE_INTERVAL_S = 1.0
 # Scheduled occurrences are created this long before they are due.
 SCHEDULE_LEAD_MS = 1_000
 
@@ -69,7 +69,7 @@
         self.ticket_cache = TicketCache()
         self.interference = InterferenceModel()
         self._took_over_at_s = now_s
-        self._checkpoints_written_at_s = now_s
+        self._progress_written_at_s = now_s
         self._dirty: dict[str, OccurrenceRun] = {}
         self._uncommitted_claims: list[tuple[TaskRun, int]] = []
         self._end_handler = RunEndHandler(self)
@@ -191,12 +191,9 @@
         self._vm_checks.run(now_s)
         self._add_due_occurrences(wall_ms)
         self._plan(now_s, wall_ms)
-        if (
-            now_s - self._checkpoints_written_at_s
-            >= CHECKPOINT_WRITE_INTERVAL_S
-        ):
-            self._checkpoints_written_at_s = now_s
-            self._mark_new_checkpoints()
+        if now_s - self._progress_written_at_s >= PROGRESS_WRITE_INTERVAL_S:
+            self._progress_written_at_s = now_s
+            self._mark_new_progress()
 
     def _plan(self, now_s: float, wall_ms: int) -> None:
         planner = self.planner(now_s, wall_ms)
@@ -245,16 +242,19 @@
             wall_ms,
         )
 
-    def _mark_new_checkpoints(self) -> None:
-        """Mark occurrences whose checkpoints are newer than the stored ones.
+    def _mark_new_progress(self) -> None:
+        """Mark occurrences that have progressed further than is stored.
 
         Guards against a loss of all machines at once, after which each run
-        would otherwise restart from the checkpoint of its last claim.
+        would otherwise restart from the checkpoint of its last claim. The
+        other entries learn from it which jobs have begun.
         """
         for vm in self.vms.values():
             for task in vm.claims.values():
-                if task.checkpoint != task.stored_checkpoint:
-                    self.mark_dirty(task.step.occurrence)
+                occurrence = task.step.occurrence
+                begun = occurrence.begun and not occurrence.stored_begun
+                if begun or task.checkpoint != task.stored_checkpoint:
+                    self.mark_dirty(occurrence)
 
     def _add_due_occurrences(self, wall_ms: int) -> None:
         for job in self.jobs.values():
--- a/src/yuccapoint/cell/cell_records.py
+++ b/src/yuccapoint/cell/cell_records.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from yuccapoint.cell.exceptions import DamagedRecordError
+from yuccapoint.cell.occurrence_state import BegunOccurrenceState
 from yuccapoint.cell.occurrence_state import OccurrenceState
 from yuccapoint.cell.submission import Submission
 from yuccapoint.job.interference.pair_report import PairEstimate
@@ -91,7 +92,7 @@
 _TYPES: dict[str, type[Any]] = {
     SUBMISSION: Submission,
     CANCELLATION: Cancellation,
-    PROGRESS: OccurrenceState,
+    PROGRESS: BegunOccurrenceState,
     MEMBER: Member,
     ENTRY: EntryMember,
 }
@@ -128,4 +129,6 @@
         record: CellRecord = decoder.decode(value)
     except msgspec.DecodeError as error:
         raise DamagedRecordError(f"record {key!r}: {error}") from None
+    if isinstance(record, BegunOccurrenceState) and not record.begun:
+        return OccurrenceState(record.outcome, record.instances, record.steps)
     return record
--- a/src/yuccapoint/cell/cell_view.py
+++ b/src/yuccapoint/cell/cell_view.py
@@ -10,6 +10,7 @@
 from yuccapoint.cell.cell_records import Leadership
 from yuccapoint.cell.cell_records import Member
 from yuccapoint.cell.cell_records import StoredPairs
+from yuccapoint.cell.occurrence_state import BegunOccurrenceState
 from yuccapoint.cell.occurrence_state import OccurrenceState
 from yuccapoint.cell.occurrence_state import Outcome
 from yuccapoint.cell.occurrence_state import Phase
@@ -79,10 +80,14 @@
 
     @property
     def has_started(self) -> bool:
-        """Whether a task was ever claimed."""
+        """Whether a worker has begun a task; a claim may not get so far."""
         for occurrence in self.occurrences.values():
+            if isinstance(occurrence, BegunOccurrenceState):
+                return True
             for step in occurrence.steps:
-                if any(task.run for task in step):
+                if any(
+                    task.phase is Phase.DONE or task.failures for task in step
+                ):
                     return True
         return False
 
--- a/src/yuccapoint/cell/job_run.py
+++ b/src/yuccapoint/cell/job_run.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from yuccapoint.cell.occurrence_state import BegunOccurrenceState
 from yuccapoint.cell.occurrence_state import OccurrenceState
 from yuccapoint.cell.occurrence_state import Outcome
 from yuccapoint.cell.occurrence_state import Phase
@@ -188,12 +189,21 @@
 class OccurrenceRun:
     """One execution of all steps of a job."""
 
-    __slots__ = ("job", "number", "outcome", "steps")
+    __slots__ = (
+        "begun",
+        "job",
+        "number",
+        "outcome",
+        "steps",
+        "stored_begun",
+    )
 
     def __init__(self, job: JobRun, number: int) -> None:
         self.job = job
         self.number = number
         self.outcome = Outcome.OPEN
+        self.begun = False
+        self.stored_begun = False
         self.steps = [
             StepRun(self, step_number, spec)
             for step_number, spec in enumerate(job.submission.steps)
@@ -235,6 +245,8 @@
     def load(self, state: OccurrenceState) -> None:
         """Restore the stored state."""
         self.outcome = state.outcome
+        self.begun = isinstance(state, BegunOccurrenceState)
+        self.stored_begun = self.begun
         for step, states in zip(self.steps, state.steps, strict=False):
             for task, stored in zip(step.tasks, states, strict=False):
                 task.run = stored.run
@@ -273,6 +285,11 @@
                     )
                 )
             steps.append(states)
+        self.stored_begun = self.begun
+        if self.begun:
+            return BegunOccurrenceState(
+                self.outcome, instances, steps, begun=True
+            )
         return OccurrenceState(self.outcome, instances, steps)
 
 
--- a/src/yuccapoint/cell/occurrence_state.py
+++ b/src/yuccapoint/cell/occurrence_state.py
@@ -62,3 +62,12 @@
     outcome: Outcome
     instances: list[WorkerInstance]
     steps: list[list[TaskState]]
+
+
+class BegunOccurrenceState(OccurrenceState, array_like=True):
+    """State of an occurrence of which a worker has listed a run.
+
+    Earlier builds read it without its last field, and write none.
+    """
+
+    begun: bool = False
--- a/src/yuccapoint/cell/run_end_handler.py
+++ b/src/yuccapoint/cell/run_end_handler.py
@@ -55,6 +55,7 @@
             self._explain_ignored(vm, ended)
             return
         del vm.claims[ended.task_id]
+        task.step.occurrence.begun = True
         self._leader.explain(
             "run",
             f"ended {ended.how}",
