Keep a refusal until the leader answers a report of it

Callers could see two runs of a task at the same time (TWICE), the older one with no claim.

Cause: an agent dropped the refusal of a start (no room, no ticket, unhealthy or draining worker, failed polls) as soon as an order without that start arrived. The leader repeats an unanswered start only each 0.25 s, so that an order without it may have been sent before the leader read the refusal. A repeat that was on its way too then started the run, whose claim the leader released on reading the refusal.

A refusal is now dropped by orders that answer a report of it. The leader has released the claim when it sends these, so that no later order contains the start; earlier ones are ignored by their sequence number. A report without the worker or its runs does not count, as the leader ignores its refusals. If the refusal is lost, the next report repeats it.

--- a/src/yuccapoint/cell/run_registry.py
+++ b/src/yuccapoint/cell/run_registry.py
@@ -168,17 +168,20 @@
         return True
 
     def discard_unawaited(
-        self, ordered: set[RunKey], awaited: set[RunKey]
+        self, awaited: set[RunKey], answered_report: int
     ) -> None:
         """Drop acknowledged refusals, and starts that were abandoned.
 
         Parameters
         ----------
-        ordered, awaited : set
-            Runs that the leader orders now, and all that it waits for.
+        awaited : set
+            Runs that the leader waits for.
+        answered_report : int
+            Sequence number of this agent's last report that the leader had
+            applied; 0 if it had applied none.
         """
         for key, tracked in list(self._runs.items()):
-            if tracked.stage is RunStage.REFUSED and key not in ordered:
+            if tracked.is_refusal_known(answered_report):
                 del self._runs[key]
             starting = (
                 tracked.stage is RunStage.STARTING and not tracked.call_pending
@@ -404,13 +407,28 @@
         """Return the ends that are not acknowledged as stored."""
         return tuple(self._ends[number] for number in sorted(self._ends))
 
-    def report_refused(self) -> tuple[RefusedRun, ...]:
-        """Return the runs that did not start and never will."""
-        return tuple(
-            RefusedRun(tracked.task_id, tracked.run, tracked.reason)
-            for tracked in self._runs.values()
-            if tracked.stage is RunStage.REFUSED
-        )
+    def report_refused(
+        self, report_sequence: int, *, applied: bool
+    ) -> tuple[RefusedRun, ...]:
+        """Return the runs that did not start and never will.
+
+        Parameters
+        ----------
+        report_sequence : int
+            Sequence number of the report.
+        applied : bool
+            Whether a leader that gets the report applies its runs.
+        """
+        refused = []
+        for tracked in self._runs.values():
+            if tracked.stage is not RunStage.REFUSED:
+                continue
+            if applied and not tracked.refusal_report:
+                tracked.refusal_report = report_sequence
+            refused.append(
+                RefusedRun(tracked.task_id, tracked.run, tracked.reason)
+            )
+        return tuple(refused)
 
     def report_pending(self) -> tuple[RunKey, ...]:
         """Return the runs whose start is pending."""
--- a/src/yuccapoint/cell/tracked_run.py
+++ b/src/yuccapoint/cell/tracked_run.py
@@ -31,6 +31,9 @@
         Whether it blocks a start meant for the worker's former instance.
     stop_acked_at_s : float
         When the worker confirmed the stop; 0 until then.
+    refusal_report : int
+        Sequence number of the first report that told the leader of the
+        refusal; 0 until then.
     """
 
     __slots__ = (
@@ -41,6 +44,7 @@
         "next_call_at_s",
         "order",
         "reason",
+        "refusal_report",
         "run",
         "stage",
         "started_at_s",
@@ -69,6 +73,7 @@
         self.first_call_at_s = 0.0
         self.started_at_s = 0.0
         self.stop_acked_at_s = 0.0
+        self.refusal_report = 0
 
     @property
     def may_reach_new_instance(self) -> bool:
@@ -81,6 +86,12 @@
             return True
         return self.stage is RunStage.RUNNING and not self.listed
 
+    def is_refusal_known(self, answered_report: int) -> bool:
+        """Return whether a leader that answers a report has the refusal."""
+        if self.stage is not RunStage.REFUSED or not self.refusal_report:
+            return False
+        return answered_report >= self.refusal_report
+
     def refuse(self, reason: str) -> None:
         """Mark the run as refused and ensure that it never starts.
 
--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -181,20 +181,26 @@
             self._poll_pacer.reset()
         self._traits = {traits.task_id: traits for traits in orders.traits}
         self._pace_controller.update_estimates(orders.pairs)
-        ordered = {(start.task_id, start.run) for start in orders.starts}
-        self.registry.discard_unawaited(ordered, set(orders.awaited))
+        self.registry.discard_unawaited(
+            set(orders.awaited), self._answered_report(orders)
+        )
         for start in self._valid_starts(orders):
             self.registry.order_start(start, now_s, refusal=self._refusal)
         for task_id, run in orders.stops:
             self.registry.order_stop(task_id, run)
 
+    def _answered_report(self, orders: LeaderOrders) -> int:
+        """Return which report of this agent the orders answer; 0 if none."""
+        if orders.agent_incarnation != self.incarnation:
+            return 0
+        return orders.answers
+
     def _valid_starts(self, orders: LeaderOrders) -> tuple[StartOrder, ...]:
         """Return the starts, unless their claims may have been released."""
         expiry_report = self._expiry_report_sequence
         if not orders.starts or not expiry_report:
             return orders.starts
-        answered = orders.agent_incarnation == self.incarnation
-        if answered and orders.answers >= expiry_report:
+        if self._answered_report(orders) >= expiry_report:
             return orders.starts
         self._explain(
             "run",
@@ -361,7 +367,10 @@
             runs_listed=self.registry.runs_listed,
             running=self.registry.report_running(),
             ends=self.registry.report_ends(),
-            refused=self.registry.report_refused(),
+            refused=self.registry.report_refused(
+                self._report_sequence,
+                applied=worker is not None and self.registry.runs_listed,
+            ),
             pending=self.registry.report_pending(),
         )
 
--- a/tests/features/steps/restarted_worker_steps.py
+++ b/tests/features/steps/restarted_worker_steps.py
@@ -35,7 +35,7 @@
 FIRST_RUN = (TASK_ID, 1)
 
 
-def _check_in(context: Context) -> None:
+def check_in(context: Context) -> None:
     context.sequence += 1
     context.vm_agent.on_check_in(
         CheckIn(
@@ -53,7 +53,7 @@
     )
 
 
-def _answer(
+def answer(
     context: Context,
     running: tuple[RunningTask, ...] = (),
     ends: tuple[EndedRun, ...] = (),
@@ -100,55 +100,55 @@
     )
 
 
-def _deliver(context: Context, **orders) -> None:
+def deliver(context: Context, **orders) -> None:
     context.vm_agent.on_orders(_orders(context, **orders), context.now_s)
 
 
-def _make_agent(context: Context) -> None:
+def make_agent(context: Context) -> None:
     # Past the time in which calls of a former agent may be executed.
     context.now_s = 100.0
     context.born_ms = 1
     context.sequence = 0
     context.order_sequence = 0
     context.vm_agent = VmAgent(VM, VM, 1, 0.0)
-    _check_in(context)
-    _deliver(context)
-    _answer(context)
+    check_in(context)
+    deliver(context)
+    answer(context)
 
 
-def _calls(context: Context, kind: type) -> list:
+def calls(context: Context, kind: type) -> list:
     calls = context.vm_agent.next_calls(context.now_s)
     return [call for call in calls if isinstance(call, kind)]
 
 
 def _run_start(context: Context, result: CallResult) -> None:
-    [call] = _calls(context, StartCall)
+    [call] = calls(context, StartCall)
     context.vm_agent.on_start_result(call, result, "", context.now_s)
     context.now_s += 0.3
 
 
 @given("an agent whose worker carries out a start on the second call")
 def started_on_second_call(context: Context) -> None:
-    _make_agent(context)
-    _deliver(context, run=1)
+    make_agent(context)
+    deliver(context, run=1)
     _run_start(context, CallResult.UNANSWERED)
     _run_start(context, CallResult.DONE)
-    _answer(context, running=(RunningTask(*FIRST_RUN, "", 0, 0.0),))
+    answer(context, running=(RunningTask(*FIRST_RUN, "", 0, 0.0),))
 
 
 @given("an agent whose worker lists an end as done")
 def lists_end(context: Context) -> None:
-    _make_agent(context)
-    _deliver(context, run=1)
+    make_agent(context)
+    deliver(context, run=1)
     _run_start(context, CallResult.DONE)
-    _answer(context, ends=(EndedRun(1, *FIRST_RUN, "done", ""),))
+    answer(context, ends=(EndedRun(1, *FIRST_RUN, "done", ""),))
 
 
 @when("the run ends as done and the end is acknowledged")
 def ends_and_acknowledged(context: Context) -> None:
-    _answer(context, ends=(EndedRun(1, *FIRST_RUN, "done", ""),))
-    _deliver(context, acked=1)
-    _answer(context)
+    answer(context, ends=(EndedRun(1, *FIRST_RUN, "done", ""),))
+    deliver(context, acked=1)
+    answer(context)
 
 
 @when("the worker restarts under its id after {seconds:d} s")
@@ -156,7 +156,7 @@
     context.now_s += seconds
     context.born_ms += 1
     context.sequence = 0
-    _check_in(context)
+    check_in(context)
 
 
 @when("{seconds:d} s pass at the agent")
@@ -166,12 +166,12 @@
 
 @when("the leader acknowledges it")
 def acknowledge(context: Context) -> None:
-    _deliver(context, acked=1)
+    deliver(context, acked=1)
 
 
 @when("the leader acknowledges it and the poll that says so is unanswered")
 def acknowledge_unanswered(context: Context) -> None:
-    _deliver(context, acked=1)
+    deliver(context, acked=1)
     request = context.vm_agent.next_status_request()
     assert request.last_seen == 1, request.last_seen
     context.vm_agent.on_status_failed(request, context.now_s)
@@ -212,9 +212,9 @@
 def stopped_first(context: Context) -> None:
     message = context.vm_agent.build_report(context.now_s)
     assert message.worker is None, message.worker
-    calls = _calls(context, StopCall)
-    assert [(call.task_id, call.run) for call in calls] == [FIRST_RUN], calls
-    context.vm_agent.on_stop_result(calls[0], CallResult.DONE, context.now_s)
+    stops = calls(context, StopCall)
+    assert [(call.task_id, call.run) for call in stops] == [FIRST_RUN], stops
+    context.vm_agent.on_stop_result(stops[0], CallResult.DONE, context.now_s)
     message = context.vm_agent.build_report(context.now_s)
     assert message.worker.instance.born_ms == context.born_ms
 
@@ -229,12 +229,12 @@
     message = context.vm_agent.build_report(context.now_s)
     assert message.worker is not None
     assert message.worker.instance.born_ms == context.born_ms
-    assert not _calls(context, StopCall)
+    assert not calls(context, StopCall)
 
 
 @given("an agent whose worker has been silent until its lease expired")
 def silent_worker(context: Context) -> None:
-    _make_agent(context)
+    make_agent(context)
     for _ in range(2):
         request = context.vm_agent.next_status_request()
         context.vm_agent.on_status_failed(request, context.now_s)
@@ -248,19 +248,19 @@
 def older_order(context: Context) -> None:
     message = context.vm_agent.build_report(context.now_s)
     assert message.worker.lease_expired
-    _check_in(context)
-    _answer(context)
-    _deliver(context, run=1, answers=context.older_report.sequence)
+    check_in(context)
+    answer(context)
+    deliver(context, run=1, answers=context.older_report.sequence)
 
 
 @when("the leader answers the report with an order of the next run")
 def newer_order(context: Context) -> None:
-    _deliver(context, run=2)
+    deliver(context, run=2)
 
 
 @then("the worker is not called")
 def not_called(context: Context) -> None:
-    assert not _calls(context, StartCall)
+    assert not calls(context, StartCall)
 
 
 def _restarted(
