Count acknowledgements in flight when a new instance checks in

Callers could see a run started again after it had ended as done and the end had been acknowledged (TWICE), and a worker list ends that are never acknowledged.

Cause: keeps a new instance from work while an unanswered acknowledgement of its predecessor may be executed, but counts a poll as unanswered only when it fails, 0.6 s after it was sent. A worker that restarted and checked in before that was reported at once. If such a poll was answered, its number counted for the new instance, so that the agent never acknowledged as many of its ends and polled without a pause, as the worker answers at once.

Polls in flight now count as unanswered when an instance begins, and a request names the instance it is meant for: its answer counts as an acknowledgement only there.

--- a/src/yuccapoint/cell/run_registry.py
+++ b/src/yuccapoint/cell/run_registry.py
@@ -72,6 +72,8 @@
         # Until when an unanswered start may still be executed, by its run. It
         # outlives the run and the instance of the worker.
         self._late_starts_until_s: dict[RunKey, float] = {}
+        # Polls with an acknowledgement that are neither answered nor failed.
+        self._pending_acks = 0
         # Until when an unanswered acknowledgement may still be executed.
         self._late_ack_until_s = 0.0
         # The same for acknowledgements meant for the former instance.
@@ -97,6 +99,8 @@
         for key, tracked in self._runs.items():
             if tracked.may_reach_new_instance:
                 self._note_late_start(key, now_s)
+        if self._pending_acks:
+            self._late_ack_until_s = now_s + MAX_CALL_DELAY_S
         if not same_id:
             self._late_starts_until_s = {}
             self._late_ack_until_s = 0.0
@@ -145,12 +149,25 @@
             return 0
         return self.acked_end_number
 
+    def on_ack_sent(self) -> None:
+        """Note that an acknowledgement is sent."""
+        self._pending_acks += 1
+
     def on_ack_answered(self, number: int) -> None:
-        """Note that the worker has forgotten the ends up to a number."""
+        """Note an answered acknowledgement.
+
+        Parameters
+        ----------
+        number : int
+            Ends up to this number are forgotten by the present instance; 0
+            if the acknowledgement was meant for another one.
+        """
+        self._pending_acks -= 1
         self.forgotten_end_number = max(self.forgotten_end_number, number)
 
     def on_ack_unanswered(self, now_s: float) -> None:
         """Note that an acknowledgement may still be executed."""
+        self._pending_acks -= 1
         self._late_ack_until_s = now_s + MAX_CALL_DELAY_S
 
     @property
--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -281,7 +281,15 @@
             # An acknowledgement that stays unanswered may reach the worker's
             # next instance, so that its answer is not delayed.
             wait_ms = 0
-        return StatusRequest(self.term, last_seen, lease_until_ms, wait_ms)
+        if last_seen:
+            self.registry.on_ack_sent()
+        return StatusRequest(
+            self.check_in.instance,
+            self.term,
+            last_seen,
+            lease_until_ms,
+            wait_ms,
+        )
 
     def poll_delay_s(self, now_s: float) -> float:
         """Return the time in seconds until the worker is to be polled."""
@@ -312,8 +320,10 @@
         sent_at_s, now_s : float
             When the request was sent, and steady time in seconds.
         """
-        self.registry.on_ack_answered(request.last_seen)
         current = self.check_in
+        if request.last_seen:
+            same = current is not None and request.instance == current.instance
+            self.registry.on_ack_answered(request.last_seen if same else 0)
         if current is None or status.born_ms != current.instance.born_ms:
             self._poll_pacer.on_answer(sent_at_s, at_once=True)
             return
--- a/src/yuccapoint/cell/worker_events.py
+++ b/src/yuccapoint/cell/worker_events.py
@@ -82,17 +82,32 @@
 
 
 class StatusRequest:
-    """A request for the worker's status, which also renews its lease."""
+    """A request for the worker's status, which also renews its lease.
 
-    __slots__ = ("last_seen", "lease_until_clock_ms", "term", "wait_ms")
+    Attributes
+    ----------
+    instance : WorkerInstance
+        Instance of the worker that the request is meant for; a later one
+        with the same id answers it too.
+    """
+
+    __slots__ = (
+        "instance",
+        "last_seen",
+        "lease_until_clock_ms",
+        "term",
+        "wait_ms",
+    )
 
     def __init__(
         self,
+        instance: WorkerInstance,
         term: int,
         last_seen: int,
         lease_until_clock_ms: int | None,
         wait_ms: int,
     ) -> None:
+        self.instance = instance
         self.term = term
         self.last_seen = last_seen
         self.lease_until_clock_ms = lease_until_clock_ms
