--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -181,20 +181,26 @@
             self._poll_pacer.reset()
         self._traits = {traits.task_id: traits for traits in orders.traits}
         self._pace_controller.update_estimates(orders.pairs)
-        ordered = {(start.task_id, start.run) for start in orders.starts}
-        self.registry.discard_unawaited(ordered, set(orders.awaited))
+        self.registry.discard_unawaited(
+            set(orders.awaited), self._answered_report(orders)
+        )
         for start in self._valid_starts(orders):
             self.registry.order_start(start, now_s, refusal=self._refusal)
         for task_id, run in orders.stops:
             self.registry.order_stop(task_id, run)
 
+    def _answered_report(self, orders: LeaderOrders) -> int:
+        """Return which report of this agent the orders answer; 0 if none."""
+        if orders.agent_incarnation != self.incarnation:
+            return 0
+        return orders.answers
+
     def _valid_starts(self, orders: LeaderOrders) -> tuple[StartOrder, ...]:
         """Return the starts, unless their claims may have been released."""
         expiry_report = self._expiry_report_sequence
         if not orders.starts or not expiry_report:
             return orders.starts
-        answered = orders.agent_incarnation == self.incarnation
-        if answered and orders.answers >= expiry_report:
+        if self._answered_report(orders) >= expiry_report:
             return orders.starts
         self._explain(
             "run",
@@ -275,7 +281,15 @@
             # An acknowledgement that stays unanswered may reach the worker's
             # next instance, so that its answer is not delayed.
             wait_ms = 0
-        return StatusRequest(self.term, last_seen, lease_until_ms, wait_ms)
+        if last_seen:
+            self.registry.on_ack_sent()
+        return StatusRequest(
+            self.check_in.instance,
+            self.term,
+            last_seen,
+            lease_until_ms,
+            wait_ms,
+        )
 
     def poll_delay_s(self, now_s: float) -> float:
         """Return the time in seconds until the worker is to be polled."""
@@ -306,8 +320,10 @@
         sent_at_s, now_s : float
             When the request was sent, and steady time in seconds.
         """
-        self.registry.on_ack_answered(request.last_seen)
         current = self.check_in
+        if request.last_seen:
+            same = current is not None and request.instance == current.instance
+            self.registry.on_ack_answered(request.last_seen if same else 0)
         if current is None or status.born_ms != current.instance.born_ms:
             self._poll_pacer.on_answer(sent_at_s, at_once=True)
             return
@@ -361,7 +377,10 @@
             runs_listed=self.registry.runs_listed,
             running=self.registry.report_running(),
             ends=self.registry.report_ends(),
-            refused=self.registry.report_refused(),
+            refused=self.registry.report_refused(
+                self._report_sequence,
+                applied=worker is not None and self.registry.runs_listed,
+            ),
             pending=self.registry.report_pending(),
         )
 
