Run the occurrences that no former leader had claimed

Callers could see a scheduled job that never completed, and one due time of it that never ran, after the cell's leadership had changed.

A new leader created the next occurrence by the count of those that it had loaded. An occurrence is stored when a task of it is first claimed, and a full cell claims the least late ones first, so that the loaded numbers may have gaps: with 0 to 5, 8 and 9 stored it went on at number 8, and 6 and 7 never existed. It now goes on at the lowest number that is missing.

The new scenario in schedule.feature fails without the change with "ASSERT FAILED: [0, 1, 2, 3, 4, 5, 8, 9]" and passes with it.

--- a/src/yuccapoint/cell/cell_leader.py
+++ b/src/yuccapoint/cell/cell_leader.py
@@ -261,13 +261,13 @@
             submission = job.submission
             if not submission.repeats or job.cancelled:
                 continue
-            next_number = len(job.occurrences)
+            next_number = job.next_occurrence
             while next_number < submission.repeats:
                 due_ms = submission.due_at_ms(next_number)
                 if due_ms > wall_ms + SCHEDULE_LEAD_MS:
                     break
                 job.occurrence(next_number)
-                next_number += 1
+                next_number = job.next_occurrence
 
     def stop(self, task: TaskRun, why: str, now_s: float) -> None:
         """Stop a run; the task is released when the run ends."""
--- a/src/yuccapoint/cell/job_run.py
+++ b/src/yuccapoint/cell/job_run.py
@@ -270,13 +270,31 @@
 class JobRun:
     """A job that the cell's leader schedules."""
 
-    __slots__ = ("cancelled", "critical_path_ms", "occurrences", "submission")
+    __slots__ = (
+        "_next_occurrence",
+        "cancelled",
+        "critical_path_ms",
+        "occurrences",
+        "submission",
+    )
 
     def __init__(self, submission: Submission) -> None:
         self.submission = submission
         self.cancelled = False
         self.occurrences: dict[int, OccurrenceRun] = {}
         self.critical_path_ms = _critical_path_of(submission)
+        self._next_occurrence = 0
+
+    @property
+    def next_occurrence(self) -> int:
+        """The lowest number without an occurrence.
+
+        A loaded job may lack the state of earlier ones than it has, as an
+        occurrence is stored when a task of it is first claimed.
+        """
+        while self._next_occurrence in self.occurrences:
+            self._next_occurrence += 1
+        return self._next_occurrence
 
     def occurrence(self, number: int) -> OccurrenceRun:
         """Return an occurrence, created on first use."""
--- a/tests/features/cell/schedule.feature
+++ b/tests/features/cell/schedule.feature
@@ -25,3 +25,14 @@
     And the leader plans 20 s later
     Then no task is claimed
     And the leader has dropped the job
+
+  Scenario: A new leader runs an occurrence that none before had claimed
+    # The 8 processors go to the last occurrence, which is the least late,
+    # and to the first 7, so that the state of two others is not stored.
+    Given a leader with 1 VMs of 8 processors
+    When a job is submitted that is due in 1 s, 10 times, each 1 s
+    And the leader plans 11 s later
+    Then 8 tasks are claimed in all
+    When a new leader loads the stored schedule
+    And the leader plans 12 s later
+    Then the job has all its 10 occurrences
--- a/tests/features/steps/cell_queueing_steps.py
+++ b/tests/features/steps/cell_queueing_steps.py
@@ -11,9 +11,12 @@
 from cell_leader_steps import report
 from cell_leader_steps import WALL_MS
 
+from yuccapoint.cell import cell_records
+from yuccapoint.cell.cell_leader import CellLeader
 from yuccapoint.cell.cell_messages import EndedRun
 from yuccapoint.cell.cell_messages import RefusedRun
 from yuccapoint.cell.cell_messages import RunningTask
+from yuccapoint.cell.cell_view import CellView
 from yuccapoint.cell.cell_view import JobView
 from yuccapoint.cell.claim_planner import ClaimPlanner
 from yuccapoint.cell.queue_rules import QueueRules
@@ -26,8 +29,6 @@
 if TYPE_CHECKING:
     from behave.runner import Context
 
-    from yuccapoint.cell.cell_leader import CellLeader
-
 ONE = Size(1_000, 2**20, 0)
 
 
@@ -180,6 +181,8 @@
         first_due_ms=WALL_MS + due * 1000,
         interval_ms=gap * 1000,
     )
+    context.view = CellView()
+    context.view.apply(cell_records.SUBMISSION + job.job_id, job, 0)
     context.leader.on_job(JobView(job), 10.0)
 
 
@@ -193,7 +196,29 @@
 def plan_later(context: Context, seconds: int) -> None:
     # Only the wall clock of the schedule advances.
     context.leader.tick(context.now_s, WALL_MS + seconds * 1000)
-    context.leader.commit(context.leader.collect_batch())
+    batch = context.leader.collect_batch()
+    for offset, (key, value) in enumerate(batch.records, seconds):
+        assert value is not None
+        record = cell_records.decode(key, value)
+        context.view.apply(key, record, offset)
+    context.leader.commit(batch)
+
+
+@when("a new leader loads the stored schedule")
+def load_schedule(context: Context) -> None:
+    context.leader = CellLeader("e-1", "e-1", 2, context.now_s)
+    context.leader.load(context.view, context.now_s)
+
+
+@then("{count:d} tasks are claimed in all")
+def claimed_in_all(context: Context, count: int) -> None:
+    assert len(_claims(context)) == count, _claims(context)
+
+
+@then("the job has all its {count:d} occurrences")
+def has_occurrences(context: Context, count: int) -> None:
+    found = sorted(context.leader.jobs[context.job_id].occurrences)
+    assert found == list(range(count)), found
 
 
 @then("the leader has dropped the job")
