Simulate the entries' real processes, and disruptions of store and links

The simulated cell had an entry of its own whose appends took no time and always got an answer, so that it could show no fault of the writer, the relay, the reads or the hand-over. It now runs CellEntryProcess, with its writer, tail, gateway and relay, on one event loop an entry. The loop runs on the simulated time, and isn't run while the entry is frozen: its timers, answers and messages are then due at once when it wakes.

Reads and pages of the newest records are bounded, and the history may be trimmed below a reader.

New disruptions: worker_freeze, entry_stop (resigns), entry_reload, store_lost, store_slow and link_slow. Cut entries and a store that is down are refused or silent, and an entry may lose only the answers.

New checks: no view shows a job as completed before all its tasks have ended done, and none of them starts afterwards (MIXED); no end done is taken note of after a later start (TWICE); no task of a job starts whose submission was refused (REFUSED). Two seeded faults show that MIXED and REFUSED are detected. The check of MIXED visits the views each 0.1 s. Callers repeat a submission without an answer at any entry.

--- /dev/null
+++ b/tests/cell_world/channel_model.py
@@ -0,0 +1,37 @@
+"""Simulated control channel of an entry."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+class ChannelModel:
+    """Stands in for ``ControlChannel``; messages go by way of the world."""
+
+    def __init__(
+        self,
+        send: Callable[[str, str, Any], None],
+        address: str,
+        deliver: Callable[[Any], None],
+        message_type: Any,
+    ) -> None:
+        del message_type
+        self.address = address
+        self.deliver = deliver
+        self._send = send
+
+    def open(self) -> None:
+        """Do nothing, as the world delivers messages at any time."""
+
+    def close(self) -> None:
+        """Do nothing, as the world drops the messages to dead entries."""
+
+    def reconnect(self, address: str) -> None:
+        """Do nothing, as the world's links never need it."""
+
+    def send(self, address: str, message: Any) -> None:
+        self._send(self.address, address, message)
--- a/tests/cell_world/entry_model.py
+++ b/tests/cell_world/entry_model.py
@@ -1,146 +1,149 @@
-"""Simulated entry: its decisions connected to a store model."""
+"""Simulated entry: its process on an event loop of its own."""
 
 from __future__ import annotations
 
+import functools
+from typing import Any
 from typing import TYPE_CHECKING
+from unittest import mock
 
-from yuccapoint.cell import cell_records
-from yuccapoint.cell import lease_bounds
-from yuccapoint.cell.cell_leader import CellLeader
-from yuccapoint.cell.cell_records import Cancellation
-from yuccapoint.cell.cell_records import Leadership
-from yuccapoint.cell.cell_records import Member
-from yuccapoint.cell.cell_view import CellView
-from yuccapoint.cell.leader_election import LeaderElection
-from yuccapoint.cell.submission import Submission
+from cell_world.channel_model import ChannelModel
+from cell_world.log_model import LogModel
+from cell_world.simulated_loop import SimulatedLoop
+from cell_world.store_client_model import StoreClientModel
+from yuccapoint.process import cell_entry_process
+from yuccapoint.process.cell_entry_process import CellEntryProcess
+from yuccapoint.process.metrics import Metrics
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Coroutine
+    import random
+
+    from cell_world.simulated_clock import SimulatedClock
     from cell_world.store_model import StoreModel
+    from yuccapoint.cell.cell_leader import CellLeader
+    from yuccapoint.cell.cell_view import CellView
+    from yuccapoint.cell.job_gateway import GatewayResult
+    from yuccapoint.cell.submission import Submission
 
-READ_EVERY_S = 0.1
+# Messages that wait for a frozen process.
+MAX_WAITING_MESSAGES = 4_096
+CALLER_DEADLINE_S = 2.0
 
 
 class EntryModel:
-    """Reads the store, takes over the leadership and leads."""
-
-    def __init__(self, name: str, store: StoreModel, stagger: float) -> None:
+    """Runs an entry's process, which may be killed, frozen and cut off.
+
+    Attributes
+    ----------
+    log : LogModel
+        The last log lines of its processes.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        store: StoreModel,
+        clock: SimulatedClock,
+        rng: random.Random,
+        world: Any,
+    ) -> None:
         self.name = name
-        self.cut = False
-        self.alive = True
+        self.alive = False
         self.frozen_until_s = 0.0
-        self._store = store
-        self._stagger = stagger
-        self._incarnation = 0
+        self.store_client = StoreClientModel(store, clock, world.after)
+        self.log = LogModel(clock)
+        self._clock = clock
+        self._rng = rng
+        self._send = world.send
+        self._was_frozen = False
+        self._inbox: list[Any] = []
         self.restart()
 
     def restart(self) -> None:
-        self._incarnation += 1
+        """Start a new process."""
         self.alive = True
-        self.view = CellView()
-        self.leader: CellLeader | None = None
-        self._watch = LeaderElection(
-            self.name, self._incarnation, self._stagger
-        )
-        self._offset = 0
-        self._sequence = 0
-        self._renewed_at_s = 0.0
-        self._renewal = 0
-        self._read_at_s = -9.0
-
-    def step(self, now_s: float) -> list:
-        """Return the orders to send as pairs of VM and message."""
-        if not self.alive or now_s < self.frozen_until_s:
-            return []
-        if now_s - self._read_at_s >= READ_EVERY_S:
-            self._read(now_s)
-        if self.leader is None:
-            if self._watch.should_take_over(now_s):
-                self._take_over(now_s)
-            return []
-        self.leader.tick(now_s, int(now_s * 1000))
-        self._commit(now_s)
-        if self.leader is None:
-            return []
-        may_grant = self._watch.may_grant(now_s)
-        orders = self.leader.collect_orders(now_s, may_grant=may_grant)
-        self.leader.explanations.clear()
-        return [(vm.name, message) for vm, message in orders]
-
-    def on_report(self, report, now_s: float) -> None:
-        if self.leader is not None and now_s >= self.frozen_until_s:
-            self.leader.on_report(report, now_s)
-
-    def append(self, key: str, record) -> bool:
-        """Append a caller's record by way of this entry."""
-        if not self.alive or self.cut:
-            return False
-        value = cell_records.encode(record)
-        return self._store.append([(key, value)]) == "done"
-
-    def _read(self, now_s: float) -> None:
-        if self.cut or self._store.down:
-            return
-        self._read_at_s = now_s
-        for key, value in self._store.records[self._offset :]:
-            offset = self._offset
-            self._offset += 1
-            record = cell_records.decode(key, value)
-            if self.view.apply(key, record, offset):
-                self._on_record(record, now_s)
-        self._watch.on_records_read(self.view.leadership, now_s)
-        if self._watch.leads() and self.leader is None:
-            leader = CellLeader(self.name, self.name, self._watch.term, now_s)
-            leader.load(self.view, now_s)
-            self.leader = leader
-        if not self._watch.leads():
-            self.leader = None
-
-    def _on_record(self, record, now_s: float) -> None:
-        if self.leader is None:
+        self.stopping = False
+        self._inbox = []
+        self.loop = SimulatedLoop(self._clock)
+        channel = functools.partial(ChannelModel, self._send)
+        with mock.patch.object(cell_entry_process, "ControlChannel", channel):
+            self.process = CellEntryProcess(
+                self.name, self.name, self.store_client, self.log, Metrics()
+            )
+        self.loop.call_soon(self.process.start)
+
+    def kill(self) -> None:
+        """End the process without notice."""
+        self.alive = False
+
+    def stop(self) -> None:
+        """Ask the process to stop; it hands over its leadership."""
+        self.stopping = True
+        self._start(self.process.hand_over)
+
+    @property
+    def view(self) -> CellView:
+        return self.process.view
+
+    @property
+    def leader(self) -> CellLeader | None:
+        return self.process.leader
+
+    def step(self, now_s: float) -> None:
+        """Run what is due unless the process is dead or frozen."""
+        if not self.alive:
             return
-        if isinstance(record, Submission):
-            self.leader.on_job(self.view.jobs[record.job_id], now_s)
-        if isinstance(record, Cancellation):
-            self.leader.on_cancel(record.job_id, now_s)
-        if isinstance(record, Member):
-            self.leader.on_member(record)
-
-    def _take_over(self, now_s: float) -> None:
-        term = self._watch.term + 1
-        record = Leadership(term, self.name, self._incarnation)
-        self._sequence = 1
-        if self._append([(cell_records.LEADERSHIP, record)], term) == "done":
-            self._watch.on_renewed(now_s)
-            self._renewed_at_s = now_s
-
-    def _commit(self, now_s: float) -> None:
-        leader = self.leader
-        assert leader is not None
-        if self.cut or self._store.down:
+        if now_s < self.frozen_until_s:
+            self._was_frozen = True
             return
-        batch = leader.collect_batch()
-        if now_s - self._renewed_at_s >= lease_bounds.RENEW_INTERVAL_S:
-            self._renewal += 1
-            self._renewed_at_s = now_s
-            record = Leadership(
-                leader.term, self.name, self._incarnation, self._renewal
-            )
-            batch.records.append(
-                (cell_records.LEADERSHIP, cell_records.encode(record))
-            )
-        if batch.records:
-            self._sequence += 1
-            result = self._store.append(
-                batch.records, leader.term, self._sequence
-            )
-            if result != "done":
-                self.leader = None
-                return
-            self._watch.on_renewed(now_s)
-        leader.commit(batch)
-
-    def _append(self, records, term: int) -> str:
-        if self.cut:
-            return "refused"
-        encoded = [(k, cell_records.encode(r)) for k, r in records]
-        return self._store.append(encoded, term, self._sequence)
+        if self._was_frozen and self._rng.random() < 0.5:
+            # Timers and answers may be handled before the messages.
+            self.loop.run_due()
+        self._was_frozen = False
+        messages, self._inbox = self._inbox, []
+        for message in messages:
+            self.loop.call_soon(self.process._control_channel.deliver, message)
+        self.loop.run_due()
+
+    def find_failures(self) -> list[str]:
+        """Return the faults of the process so far."""
+        failures = list(self.loop.errors)
+        if self.process.failed.is_set():
+            failures.append("a component failed")
+        return failures
+
+    def on_message(self, message: Any) -> None:
+        """Receive a message, which a frozen process handles later."""
+        if self.alive and len(self._inbox) < MAX_WAITING_MESSAGES:
+            self._inbox.append(message)
+
+    def submit(
+        self, job: Submission, answer: Callable[[GatewayResult], None]
+    ) -> None:
+        """Submit a job as a caller does."""
+        deadline_s = self._clock.now_s + CALLER_DEADLINE_S
+        gateway = self.process.job_gateway
+        self._start(lambda: gateway.submit(job, deadline_s), answer)
+
+    def cancel(
+        self, job: Submission, answer: Callable[[GatewayResult], None]
+    ) -> None:
+        """Cancel a job as a caller does."""
+        deadline_s = self._clock.now_s + CALLER_DEADLINE_S
+        gateway = self.process.job_gateway
+        route, job_id = job.queue.route, job.job_id
+        self._start(lambda: gateway.cancel(route, job_id, deadline_s), answer)
+
+    def _start(
+        self,
+        call: Callable[[], Coroutine[Any, Any, Any]],
+        answer: Callable[[Any], None] | None = None,
+    ) -> None:
+        def begin() -> None:
+            task = self.loop.create_task(call())
+            if answer is not None:
+                task.add_done_callback(lambda done: answer(done.result()))
+
+        self.loop.call_soon(begin)
--- a/tests/cell_world/oracle.py
+++ b/tests/cell_world/oracle.py
@@ -4,8 +4,11 @@
 
 from typing import TYPE_CHECKING
 
+from yuccapoint.cell.occurrence_state import Outcome
+
 if TYPE_CHECKING:
     from cell_world.worker_model import WorkerModel
+    from yuccapoint.cell.cell_view import CellView
     from yuccapoint.cell.submission import Submission
 
 
@@ -21,6 +24,13 @@
         self.done: set[str] = set()
         self.acked_done: set[str] = set()
         self.acked_failures: dict[str, int] = {}
+        self.accepted: set[str] = set()
+        self.refused: set[str] = set()
+        self.shown_completed: set[str] = set()
+        self._runs_started: dict[str, int] = {}
+        # Ends done that are not taken note of, with the number of starts of
+        # the task before each.
+        self._open_ends: dict[tuple[str, int, int], tuple[str, int]] = {}
 
     def spec_of(self, task_id: str):
         job_id, _, step, _ = task_id.split(".")
@@ -32,6 +42,8 @@
         self.starts += 1
         job_id, occurrence, step, _ = task_id.split(".")
         job = self.jobs.get(job_id)
+        before = self._runs_started.get(task_id, 0)
+        self._runs_started[task_id] = before + 1
         if job is None or job.payload != payload:
             self.record_violation("UNASKED", task_id, "no job has this task")
             return
@@ -43,6 +55,14 @@
                 )
         if task_id in self.acked_done:
             self.record_violation("TWICE", task_id, "is already done")
+        if job_id in self.shown_completed:
+            self.record_violation(
+                "MIXED", task_id, "starts after its job is shown completed"
+            )
+        if job_id in self.refused:
+            self.record_violation(
+                "REFUSED", task_id, "all attempts to submit it were refused"
+            )
         for earlier in spec.depends_on:
             for index in range(job.steps[earlier].tasks):
                 needed = f"{job_id}.{occurrence}.{earlier}.{index}"
@@ -80,6 +100,72 @@
                 "UNASKED", task_id, "was cancelled long before"
             )
 
+    def on_job_refused(self, job_id: str) -> None:
+        """Record a job of which all attempts to submit it were refused."""
+        self.refused.add(job_id)
+        for task_id in self.tasks_of(job_id):
+            if task_id in self._runs_started:
+                self.record_violation(
+                    "REFUSED", task_id, "started, its job was refused"
+                )
+
+    def note_ends(self) -> None:
+        """Check the ends done that were taken note of since the last call.
+
+        A start between such an end and its note breaks the rule as well,
+        unless the worker's lease expired meanwhile.
+        """
+        listed = {}
+        for worker in self.workers:
+            if not worker.alive:
+                continue
+            for end in worker._ends:
+                if end.how != "done" or self.spec_of(end.task_id).long_running:
+                    continue
+                key = (worker.vm, worker.instance.born_ms, end.number)
+                starts = self._runs_started[end.task_id]
+                listed[key] = self._open_ends.get(key, (end.task_id, starts))
+        for worker in self.workers:
+            if not worker.alive:
+                continue
+            for key, (task_id, starts) in self._open_ends.items():
+                if key in listed or key[:2] != (
+                    worker.vm,
+                    worker.instance.born_ms,
+                ):
+                    continue
+                if key[2] <= worker._discarded_through:
+                    continue
+                if self._runs_started[task_id] > starts:
+                    self.record_violation(
+                        "TWICE", task_id, f"ended done {key} before a start"
+                    )
+        self._open_ends = listed
+
+    def check_view(self, view: CellView) -> None:
+        """Check that the jobs shown as completed have ended so."""
+        for job_id, seen in view.jobs.items():
+            if job_id in self.shown_completed:
+                continue
+            if seen.outcome is not Outcome.COMPLETED:
+                continue
+            self.shown_completed.add(job_id)
+            for task_id in self.tasks_of(job_id):
+                if task_id not in self.done:
+                    self.record_violation(
+                        "MIXED", task_id, "isn't done, its job is completed"
+                    )
+
+    def tasks_of(self, job_id: str) -> list[str]:
+        """Return the ids of all tasks of all occurrences."""
+        job = self.jobs[job_id]
+        return [
+            f"{job_id}.{occurrence}.{number}.{index}"
+            for occurrence in range(job.occurrences)
+            for number, step in enumerate(job.steps)
+            for index in range(step.tasks)
+        ]
+
     def on_end_acked(self, task_id: str, how: str) -> None:
         """Record an end that the leader acknowledged."""
         # A long-running task is restarted after any end.
--- /dev/null
+++ b/tests/cell_world/store_client_model.py
@@ -0,0 +1,150 @@
+"""An entry's calls to the simulated store."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from yuccapoint.connection.cell_store import StoredRecord
+from yuccapoint.connection.cell_store import StoreFencedError
+from yuccapoint.connection.cell_store import StoreRecordsExpiredError
+from yuccapoint.connection.cell_store import StoreRefusedError
+from yuccapoint.connection.cell_store import StoreResponseLostError
+from yuccapoint.connection.cell_store import StoreSequenceError
+from yuccapoint.platform.store_partition import RESPONSE_TIMEOUT_S
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cell_world.simulated_clock import SimulatedClock
+    from cell_world.store_model import StoreModel
+
+
+class StoreClientModel:
+    """Implements ``CellStore`` on the store model.
+
+    Attributes
+    ----------
+    cut : str
+        ``refuse`` while the entry can't connect, ``silent`` while its calls
+        get lost, ``answers`` while only their answers do.
+    """
+
+    def __init__(
+        self,
+        store: StoreModel,
+        clock: SimulatedClock,
+        after: Callable[[float, object], None],
+    ) -> None:
+        self.cut = ""
+        self._store = store
+        self._clock = clock
+        self._after = after
+
+    async def append(
+        self,
+        records: list[tuple[str, bytes | None]],
+        *,
+        writer: str = "",
+        epoch: int = 0,
+        sequence: int = 0,
+        timeout_s: float = 0.0,
+    ) -> int:
+        """Append records; see ``CellStore.append``."""
+        assert bool(writer) == bool(epoch)
+        sent = list(records)
+        result, number = await self._call(
+            lambda: self._store.append(sent, epoch, sequence),
+            timeout_s or RESPONSE_TIMEOUT_S,
+            may_lose=True,
+        )
+        if result == "fenced":
+            raise StoreFencedError("append is fenced")
+        if result == "sequence":
+            raise StoreSequenceError(number)
+        return number
+
+    async def read(
+        self, from_offset: int, wait_ms: int
+    ) -> tuple[list[StoredRecord], int]:
+        """Read from an offset on; see ``CellStore.read``."""
+        future = asyncio.get_running_loop().create_future()
+        until_s = self._clock.now_s + wait_ms / 1000
+        self._send(
+            lambda: self._store.read(
+                from_offset, until_s, self._answer_to(future)
+            ),
+            lambda answer: (
+                None if answer is None else self._answer_to(future)(answer)
+            ),
+        )
+        answer = await self._result(
+            future, RESPONSE_TIMEOUT_S + wait_ms / 1000
+        )
+        if answer == "expired":
+            raise StoreRecordsExpiredError("the records have expired")
+        first, records = answer
+        stored = [
+            StoredRecord(first + n, key, value)
+            for n, (key, value) in enumerate(records)
+        ]
+        return stored, first + len(stored)
+
+    async def read_newest(self) -> tuple[list[StoredRecord], int]:
+        """Read each key's newest record; see ``CellStore.read_newest``."""
+        records: list[StoredRecord] = []
+        next_offset: int | None = None
+        after = ""
+        while True:
+            page, has_more, end = await self._call(
+                lambda after=after: self._store.newest(after),
+                RESPONSE_TIMEOUT_S,
+            )
+            if next_offset is None:
+                next_offset = end
+            records.extend(StoredRecord(*item) for item in page)
+            if not has_more:
+                return records, next_offset
+            after = records[-1].key
+
+    async def _call(
+        self,
+        execute: Callable[[], object],
+        timeout_s: float,
+        *,
+        may_lose: bool = False,
+    ):
+        future = asyncio.get_running_loop().create_future()
+        self._send(execute, self._answer_to(future), may_lose=may_lose)
+        return await self._result(future, timeout_s)
+
+    def _send(
+        self,
+        execute: Callable[[], object],
+        answer: Callable[[object], None],
+        *,
+        may_lose: bool = False,
+    ) -> None:
+        if self.cut == "refuse":
+            raise StoreRefusedError("can't connect to the store")
+        if self.cut != "silent":
+            self._store.receive(execute, answer, may_lose=may_lose)
+
+    def _answer_to(self, future: asyncio.Future) -> Callable[[object], None]:
+        def deliver(answer: object) -> None:
+            if not self.cut and not future.done():
+                future.set_result(answer)
+
+        return lambda answer: self._after(
+            self._store.travel_s(), lambda: deliver(answer)
+        )
+
+    async def _result(self, future: asyncio.Future, timeout_s: float):
+        try:
+            async with asyncio.timeout(timeout_s):
+                answer = await future
+        except TimeoutError:
+            raise StoreResponseLostError("no answer from the store") from None
+        if answer == "refused":
+            raise StoreRefusedError("the store refused the call")
+        return answer
--- a/tests/cell_world/world.py
+++ b/tests/cell_world/world.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 import random
+from typing import Any
 
 from cell_world.agent_model import AgentModel
 from cell_world.entry_model import EntryModel
 from cell_world.oracle import Oracle
+from cell_world.simulated_clock import SimulatedClock
 from cell_world.store_model import StoreModel
 from cell_world.worker_model import WorkerModel
 from yuccapoint.cell import cell_records
-from yuccapoint.cell.cell_records import Cancellation
 from yuccapoint.cell.cell_records import Member
+from yuccapoint.cell.job_gateway import GatewayResult
 from yuccapoint.cell.occurrence_state import Outcome
 from yuccapoint.cell.queue_rules import QueueRules
 from yuccapoint.cell.step_spec import StepSpec
@@ -19,6 +21,8 @@
 from yuccapoint.job.size import Size
 
 STEP_S = 0.02
+# The entries' views are checked every this many steps.
+VIEW_CHECK_STEPS = 5
 # More long-running jobs would leave no room for the other jobs.
 MAX_LONG_RUNNING_JOBS = 4
 DISRUPTIONS = (
@@ -30,10 +34,20 @@
     "link_cut",
     "store_down",
     "worker_crash",
+    "worker_freeze",
     "late_orders",
     "drain",
     "power_off_all",
+    "entry_stop",
+    "entry_reload",
+    "store_lost",
+    "store_slow",
+    "link_slow",
 )
+# A caller whose job got no answer submits it again, at any entry, after this
+# time in seconds, up to this many times in all.
+ATTEMPT_TIMEOUT_S = 2.5
+MAX_ATTEMPTS = 4
 
 
 class World:
@@ -49,8 +63,10 @@
 
     def __init__(self, seed: int, vms: int = 4, entries: int = 3) -> None:
         self.rng = random.Random(seed)
-        self.now_s = 100.0
-        self.store = StoreModel()
+        self.clock = SimulatedClock(100.0)
+        self._messages: list[tuple[float, str, str, object]] = []
+        self._events: list[tuple[float, Any]] = []
+        self.store = StoreModel(self.rng, self.after)
         self.oracle = Oracle()
         self.workers = [
             WorkerModel(f"vm-{n}", self.oracle, self.rng, self.now_s)
@@ -61,18 +77,23 @@
             worker.vm: AgentModel(worker, self.rng, self.now_s)
             for worker in self.workers
         }
-        self.entries = [
-            EntryModel(f"e-{n}", self.store, n / entries)
-            for n in range(entries)
-        ]
+        with self.clock.installed():
+            self.entries = [
+                EntryModel(f"e-{n}", self.store, self.clock, self.rng, self)
+                for n in range(entries)
+            ]
         self.cut_links: set[tuple[str, str]] = set()
+        self.slow_links: dict[tuple[str, str], float] = {}
         self.loss = 0.0
-        self._messages: list[tuple[float, str, str, object]] = []
-        self._events: list[tuple[float, object]] = []
+        self._steps = 0
         self._jobs = 0
         self._long_running_jobs = 0
         self._register()
 
+    @property
+    def now_s(self) -> float:
+        return self.clock.now_s
+
     def _register(self) -> None:
         for vm in self.agents:
             member = Member(vm, vm, 1)
@@ -93,8 +114,12 @@
 
     def step(self) -> None:
         """Advance the time by one tick."""
-        self.now_s += STEP_S
-        now_s = self.now_s
+        self.clock.now_s += STEP_S
+        self._steps += 1
+        with self.clock.installed():
+            self._step(self.now_s)
+
+    def _step(self, now_s: float) -> None:
         for event in list(self._events):
             if event[0] <= now_s:
                 self._events.remove(event)
@@ -103,20 +128,27 @@
             if message[0] <= now_s:
                 self._messages.remove(message)
                 self._deliver(*message[1:])
+        self.store.step(now_s)
         for worker in self.workers:
             worker.step(now_s)
+        self.oracle.note_ends()
         for vm, agent in self.agents.items():
             report = agent.step(now_s)
             if report is not None:
-                self._send(vm, agent.vm_agent.leader_address, report)
+                self.send(vm, agent.vm_agent.leader_address, report)
         for entry in self.entries:
-            for vm, orders in entry.step(now_s):
-                self._send(entry.name, vm, orders)
+            entry.step(now_s)
+            for failure in entry.find_failures():
+                self.oracle.record_violation("FAULT", entry.name, failure)
+            if entry.alive and self._steps % VIEW_CHECK_STEPS == 0:
+                self.oracle.check_view(entry.view)
 
-    def _send(self, sender: str, receiver: str, message: object) -> None:
+    def send(self, sender: str, receiver: str, message: object) -> None:
+        """Send a message; a slow link keeps the order of its messages."""
         if self.rng.random() < self.loss:
             return
         at_s = self.now_s + self.rng.uniform(0.002, 0.03)
+        at_s += self.slow_links.get((sender, receiver), 0.0)
         self._messages.append((at_s, sender, receiver, message))
 
     def _deliver(self, sender: str, receiver: str, message) -> None:
@@ -126,10 +158,14 @@
         if agent is not None:
             if self.now_s >= agent.frozen_until_s:
                 agent.vm_agent.on_orders(message, self.now_s)
+            elif self.rng.random() < 0.5:
+                # It waits in a buffer for the process to go on.
+                at_s = agent.frozen_until_s + 0.001
+                self._messages.append((at_s, sender, receiver, message))
             return
         for entry in self.entries:
-            if entry.name == receiver and entry.alive:
-                entry.on_report(message, self.now_s)
+            if entry.name == receiver:
+                entry.on_message(message)
 
     def submit(self, **changes) -> str | None:
         """Submit a random job at a random entry."""
@@ -166,25 +202,44 @@
             payload="poison" if poison else f"payload {job_id}",
             steps=changes.get("steps", tuple(steps)),
         )
-        entry = self.rng.choice(self.entries)
         self.oracle.jobs[job_id] = job
-        if not entry.append(cell_records.SUBMISSION + job_id, job):
-            del self.oracle.jobs[job_id]
-            return None
+        self._submit_to_any(job, 1)
         return job_id
 
+    def _submit_to_any(self, job: Submission, attempt: int) -> None:
+        """Submit a job, and again if there is no answer."""
+        answers: list[GatewayResult] = []
+        entry = self.rng.choice(self.entries)
+        if entry.alive:
+            entry.submit(job, answers.append)
+
+        def judge() -> None:
+            result = answers[0] if answers else GatewayResult.MAY_BE_ACCEPTED
+            if result is GatewayResult.ACCEPTED:
+                self.oracle.accepted.add(job.job_id)
+            elif result is GatewayResult.REFUSED:
+                if attempt == 1:
+                    self.oracle.on_job_refused(job.job_id)
+            elif attempt < MAX_ATTEMPTS:
+                self._submit_to_any(job, attempt + 1)
+
+        self.after(ATTEMPT_TIMEOUT_S, judge)
+
     def cancel_one(self) -> None:
         """Cancel a random job."""
         alive = list(self.oracle.jobs)
         if not alive:
             return
-        job_id = self.rng.choice(alive)
-        record = Cancellation(job_id, 0)
+        job = self.oracle.jobs[self.rng.choice(alive)]
         entry = self.rng.choice(self.entries)
-        if entry.append(cell_records.CANCELLATION + job_id, record):
-            self.oracle.cancelled_at_s.setdefault(job_id, self.now_s)
+        if entry.alive:
+            entry.cancel(job, lambda result: self._note_cancel(job, result))
+
+    def _note_cancel(self, job: Submission, result: GatewayResult) -> None:
+        if result is GatewayResult.ACCEPTED:
+            self.oracle.cancelled_at_s.setdefault(job.job_id, self.now_s)
 
-    def after(self, seconds: float, act) -> None:
+    def after(self, seconds: float, act: Any) -> None:
         """Schedule a call."""
         self._events.append((self.now_s + seconds, act))
 
@@ -203,18 +258,37 @@
 
     def _entry_kill(self) -> None:
         entry = self.rng.choice(self.entries)
-        entry.alive = False
+        entry.kill()
         self.after(self.rng.uniform(0.3, 6.0), entry.restart)
 
+    def _entry_stop(self) -> None:
+        entry = self.rng.choice(self.entries)
+        if not entry.alive or entry.stopping:
+            return
+        entry.stop()
+        stopped_s = self.rng.uniform(0.5, 3.0)
+        self.after(stopped_s, entry.kill)
+        self.after(stopped_s + 0.5, entry.restart)
+
+    def _entry_reload(self) -> None:
+        """Delete the history that entries have not read yet."""
+        self.store.muted = True
+        self.after(self.rng.uniform(0.5, 1.5), self._trim)
+
+    def _trim(self) -> None:
+        self.store.trim()
+        self.store.muted = False
+
     def _entry_freeze(self) -> None:
         entry = self.rng.choice(self.entries)
         entry.frozen_until_s = self.now_s + self.rng.uniform(0.5, 9.0)
 
     def _entry_cut(self) -> None:
         entry = self.rng.choice(self.entries)
-        entry.cut = True
+        client = entry.store_client
+        client.cut = self.rng.choice(("refuse", "silent", "answers"))
         self.after(
-            self.rng.uniform(1.0, 9.0), lambda: setattr(entry, "cut", False)
+            self.rng.uniform(1.0, 9.0), lambda: setattr(client, "cut", "")
         )
 
     def _link_cut(self) -> None:
@@ -229,11 +303,52 @@
             lambda: self.cut_links.difference_update(links),
         )
 
+    def _link_slow(self) -> None:
+        """Delay all messages of one machine, both ways or one way."""
+        vms = [*self.agents]
+        entries = [entry.name for entry in self.entries]
+        if self.rng.random() < 0.5:
+            vms = [self.rng.choice(vms)]
+        else:
+            entries = [self.rng.choice(entries)]
+        ways = self.rng.choice(("up", "down", "both"))
+        delay_s = self.rng.uniform(0.3, 4.0)
+        links = []
+        for vm in vms:
+            for entry in entries:
+                if ways != "down":
+                    links.append((vm, entry))
+                if ways != "up":
+                    links.append((entry, vm))
+        for link in links:
+            self.slow_links[link] = delay_s
+        self.after(
+            self.rng.uniform(2.0, 12.0), lambda: self._restore_links(links)
+        )
+
+    def _restore_links(self, links: list[tuple[str, str]]) -> None:
+        for link in links:
+            self.slow_links.pop(link, None)
+
     def _store_down(self) -> None:
-        self.store.down = True
+        self.store.down = self.rng.choice(("refuse", "silent"))
         self.after(
             self.rng.uniform(0.5, 9.0),
-            lambda: setattr(self.store, "down", False),
+            lambda: setattr(self.store, "down", ""),
+        )
+
+    def _store_lost(self) -> None:
+        self.store.lost_share = self.rng.choice((0.3, 0.3, 0.8))
+        self.after(
+            self.rng.uniform(2.0, 9.0),
+            lambda: setattr(self.store, "lost_share", 0.0),
+        )
+
+    def _store_slow(self) -> None:
+        self.store.travel_factor = self.rng.choice((10.0, 30.0, 60.0))
+        self.after(
+            self.rng.uniform(1.0, 9.0),
+            lambda: setattr(self.store, "travel_factor", 1.0),
         )
 
     def _worker_crash(self) -> None:
@@ -244,6 +359,20 @@
             lambda: worker.begin_instance(self.now_s),
         )
 
+    def _worker_freeze(self) -> None:
+        worker = self.rng.choice(self.workers)
+        if not worker.alive:
+            return
+        worker.alive = False
+        running = worker.running
+
+        def thaw() -> None:
+            # A crash has replaced the runs.
+            if worker.running is running:
+                worker.alive = True
+
+        self.after(self.rng.uniform(0.5, 9.0), thaw)
+
     def _late_orders(self) -> None:
         for agent in self.agents.values():
             agent.late_share = 0.3
@@ -261,7 +390,7 @@
 
     def _power_off_all(self) -> None:
         for entry in self.entries:
-            entry.alive = False
+            entry.kill()
             self.after(self.rng.uniform(0.5, 2.0), entry.restart)
         back_s = self.now_s + self.rng.uniform(0.5, 2.0)
         for agent in self.agents.values():
@@ -278,6 +407,8 @@
         view = self.entries[0].view
         for job_id, job in self.oracle.jobs.items():
             seen = view.find(job_id)
+            if seen is None and job_id not in self.oracle.accepted:
+                continue
             if seen is None:
                 left.append(f"{job_id} is unknown")
                 continue
--- a/tests/features/cell/disruptions.feature
+++ b/tests/features/cell/disruptions.feature
@@ -20,6 +20,12 @@
       | 1-3   | late_orders                  |
       | 1-3   | drain                        |
       | 1-3   | power_off_all                |
+      | 1-3   | worker_freeze                |
+      | 1-3   | entry_stop                   |
+      | 1-3   | entry_reload                 |
+      | 1-3   | store_lost                   |
+      | 1-3   | store_slow                   |
+      | 1-3   | link_slow                    |
       | 1-12  | all                          |
 
   Scenario Outline: The checks detect a seeded fault
@@ -35,3 +41,5 @@
       | attempts are not counted    | BUDGET |
       | room is not counted         | LIMIT |
       | labels are not looked at    | ROUTE |
+      | jobs complete too early     | MIXED |
+      | unanswered jobs are refused | REFUSED |
--- a/tests/features/steps/cell_world_steps.py
+++ b/tests/features/steps/cell_world_steps.py
@@ -14,9 +14,12 @@
 from cell_world.world import DISRUPTIONS  # noqa: E402
 from cell_world.world import World  # noqa: E402
 from yuccapoint.cell import lease_bounds  # noqa: E402
+from yuccapoint.cell.job_gateway import GatewayResult  # noqa: E402
 from yuccapoint.cell.job_run import OccurrenceRun  # noqa: E402
+from yuccapoint.cell.job_run import StepRun  # noqa: E402
 from yuccapoint.cell.job_run import TaskRun  # noqa: E402
 from yuccapoint.cell.vm_candidate import VmCandidate  # noqa: E402
+from yuccapoint.process.cell_job_gateway import CellJobGateway  # noqa: E402
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -26,6 +29,13 @@
     del self, value
 
 
+def _refuse_unanswered(self, key, result):
+    del self, key
+    if result is GatewayResult.MAY_BE_ACCEPTED:
+        return GatewayResult.REFUSED
+    return result
+
+
 SEEDED_FAULTS = {
     "leases of lost VMs ignored": lambda: mock.patch.object(
         lease_bounds, "granted_until_s", lambda at_s: at_s + 1.0
@@ -42,6 +52,12 @@
     "labels are not looked at": lambda: mock.patch.object(
         VmCandidate, "labels", property(lambda self: ("r1",), _no_failures)
     ),
+    "jobs complete too early": lambda: mock.patch.object(
+        StepRun, "finished", property(lambda self: self.done > 0)
+    ),
+    "unanswered jobs are refused": lambda: mock.patch.object(
+        CellJobGateway, "_truthful", _refuse_unanswered
+    ),
 }
 
 
