Start each leadership with a writer of its own term

A cell could be without a leader for two seconds more after a hand-over, with nothing started meanwhile.

Two entries that try the same term send the same epoch and sequence, and the store answers the second as a repeat of the first. The loser kept the writer of that term. If its next takeover was stored and its answer lost, it led with the old writer, its first batch was fenced, and it stepped down and waited for the leader's timeout. A leadership now always begins with a writer of the term that was read, which goes on after the takeover's sequence.

Found by reading. The new scenario in recovery.feature runs two simulated entries through the race and a lost answer; without the change it fails, the entry logs "stepping down" and takes over again; with it, it passes.

--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -225,20 +225,16 @@
         except (YuccapointError, TimeoutError) as error:
             self.logger.log("leader", "takeover failed", error=repr(error))
             return
-        self._writer = writer
         self._leader_election.on_renewed(sent_at_s)
         # The next read shows whether this entry was first with the term.
 
     def _start_leading(self, now_s: float) -> None:
-        if self._writer is None:
-            # The takeover was stored and its answer was lost.
-            self._writer = CellWriter(
-                self._store, self._leader_election.term, self.logger
-            )
-            self._writer.skip_first_sequence()
-        leader = CellLeader(
-            self.name, self.address, self._leader_election.term, now_s
-        )
+        term = self._leader_election.term
+        # An answered takeover does not show whose record was first with its
+        # term, and a stored one may be unanswered.
+        self._writer = CellWriter(self._store, term, self.logger)
+        self._writer.skip_takeover()
+        leader = CellLeader(self.name, self.address, term, now_s)
         leader.load(self.view, now_s)
         self.leader = leader
         self.tail.read_pause_s = LEADER_READ_PAUSE_S
--- a/src/yuccapoint/process/cell_writer.py
+++ b/src/yuccapoint/process/cell_writer.py
@@ -43,8 +43,8 @@
         self._logger = logger
         self._sequence = 0
 
-    def skip_first_sequence(self) -> None:
-        """Skip the sequence of an append whose answer was lost."""
+    def skip_takeover(self) -> None:
+        """Skip the sequence of the append that took over the term."""
         self._sequence = 1
 
     async def append(self, records: list[tuple[str, bytes | None]]) -> float:
--- a/tests/features/cell/recovery.feature
+++ b/tests/features/cell/recovery.feature
@@ -52,3 +52,9 @@
     Given a leader with 2 VMs that work on a job of 4 tasks
     When "vm-0" refuses its starts as its worker does not answer
     Then all open tasks are claimed on "vm-1"
+
+  Scenario: An entry that lost the race for a term can lead a later one
+    Given 2 entries of which both tried to lead the first term
+    When the leader ends, and the other's takeover is stored but unanswered
+    And the store answers again for 3 s
+    Then the other entry has led without interruption
--- a/tests/features/steps/cell_world_steps.py
+++ b/tests/features/steps/cell_world_steps.py
@@ -24,6 +24,8 @@
 if TYPE_CHECKING:
     from behave.runner import Context
 
+    from cell_world.entry_model import EntryModel
+
 
 def _no_failures(self, value):
     del self, value
@@ -118,3 +120,53 @@
             world.run(0.2)
         left = world.unfinished()
         assert not left, (seed, left[:5])
+
+
+def _log_texts(entry: EntryModel) -> list[str]:
+    return [text for _, _, text, _ in entry.log.lines]
+
+
+@given("{entries:d} entries of which both tried to lead the first term")
+def race(context: Context, entries: int) -> None:
+    context.world = World(1, 1, entries)
+    # Each attempt is on its way when the other begins.
+    context.world.store.travel_factor = 20.0
+    context.world.run(4.0)
+    context.world.store.travel_factor = 1.0
+    context.world.run(1.0)
+    leaders = [e for e in context.world.entries if e.leader is not None]
+    assert len(leaders) == 1, leaders
+    for entry in context.world.entries:
+        assert "attempting takeover" in _log_texts(entry), entry.name
+
+
+@when("the leader ends, and the other's takeover is stored but unanswered")
+def lose_takeover(context: Context) -> None:
+    world = context.world
+    for entry in world.entries:
+        if entry.leader is None:
+            context.other = entry
+        else:
+            entry.kill()
+    world.store.lost_share = 1.0
+    for _ in range(100):
+        world.run(0.1)
+        if context.other.leader is not None:
+            break
+    assert context.other.leader is not None
+    # The attempt is given up, and the first batch is sent.
+    world.run(2.0)
+
+
+@when("the store answers again for {seconds:d} s")
+def store_answers(context: Context, seconds: int) -> None:
+    context.world.store.lost_share = 0.0
+    context.world.run(seconds)
+
+
+@then("the other entry has led without interruption")
+def led_on(context: Context) -> None:
+    texts = _log_texts(context.other)
+    assert context.other.leader is not None, texts
+    assert texts.count("leadership acquired") == 1, texts
+    assert "stepping down" not in texts, texts
