Grant no lease with orders that name no worker instance

After a store outage a task could run twice at the same time (TWICE).

While the leader's appends were unanswered it could not grant leases. A claim that was stored at last had its start ordered without a lease, so that the agent kept the start pending. Then the VM's lease expired: the leader abandoned the run, claimed the next one elsewhere and forgot the VM's worker until its next report. Once it could grant again, it answered the last report with a lease and no instance. An agent applies only the lease of such orders, as they concern no instance that it knows, and made the abandoned start.

The leader now grants no lease until the agent has reported the worker again.

--- a/src/yuccapoint/cell/order_builder.py
+++ b/src/yuccapoint/cell/order_builder.py
@@ -41,8 +41,10 @@
         Whether a lease may be granted.
     """
     vm.order_sequence += 1
-    # Runs of a worker that its agent does not know end with their lease.
-    grant = grant and vm.has_worker
+    # Runs of a worker that its agent does not know end with their lease. An
+    # agent ignores all but the lease of orders that name no instance, so that
+    # it could make starts that were abandoned when the last lease expired.
+    grant = grant and vm.has_worker and vm.worker is not None
     if grant:
         vm.grant()
     starts: list[StartOrder] = []
