--- a/src/yuccapoint/cell/run_registry.py
+++ b/src/yuccapoint/cell/run_registry.py
@@ -208,6 +208,12 @@
                 tracked.refuse("given up")
                 self.has_updates = True
 
+    def refuse_unsent_starts(self, reason: str) -> None:
+        """Refuse the starts that are not on their way to the worker."""
+        for tracked in self._runs.values():
+            if tracked.stage is RunStage.STARTING and not tracked.call_pending:
+                tracked.refuse(reason)
+
     def order_start(
         self, start: StartOrder, now_s: float, *, refusal: str = ""
     ) -> None:
--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -367,6 +367,7 @@
         worker = self._worker_report(now_s)
         if worker is not None and worker.lease_expired:
             self._expiry_report_sequence = self._report_sequence
+            self.registry.refuse_unsent_starts(REASON_UNREACHABLE)
         return VmReport(
             vm=self.vm,
             address=self.address,
