Block starts at a restarted worker for as long as a former agent's may come

Callers could see two runs of a task at the same time (TWICE).

Cause: keeps the claims of a restarted worker if the report of its new instance is the first one of a restarted agent. If that agent had reported the former instance once, the leader released the claims at once. Starts of its predecessor are executed up to 12 s late, and the agent neither sent them nor tracks the runs, which the leader had seen running and did not order again.

The scenario 'Runs are stopped first if the agent restarted before the worker' failed before; 'Runs are claimed at once if the agent restarted long before' pins that the wait ends.

--- a/src/yuccapoint/cell/report_handler.py
+++ b/src/yuccapoint/cell/report_handler.py
@@ -71,8 +71,7 @@
             worker = msgspec.structs.replace(worker, draining=True)
         vm.worker = worker
         vm.runs_listed = report.runs_listed
-        agent_restarted = vm.worker_reported_by != report.incarnation
-        vm.worker_reported_by = report.incarnation
+        agent_restarted = vm.note_reporter(report.incarnation, now_s)
         if previous is None or previous.instance != worker.instance:
             vm.applied_end_number = 0
             vm.acked_end_number = 0
--- a/src/yuccapoint/cell/vm_ledger.py
+++ b/src/yuccapoint/cell/vm_ledger.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from yuccapoint.cell import lease_bounds
+from yuccapoint.cell.run_registry import MAX_CALL_DELAY_S
 from yuccapoint.job.size import Size
 
 if TYPE_CHECKING:
@@ -37,6 +38,8 @@
         lease.
     worker_reported_by : int
         Incarnation of the agent that reported the worker last.
+    former_calls_until_s : float
+        Until when a call of this agent's predecessor may be executed.
     acked_end_number : int
         Run ends up to this number are stored.
     applied_end_number : int
@@ -58,6 +61,7 @@
         self.worker: WorkerReport | None = None
         self.has_worker = False
         self.worker_reported_by = 0
+        self.former_calls_until_s = 0.0
         self.follows_leader = False
         self.runs_listed = False
         self.claims: dict[str, TaskRun] = {}
@@ -93,6 +97,23 @@
         self.report_sequence = report.sequence
         return True
 
+    def note_reporter(self, incarnation: int, now_s: float) -> bool:
+        """Note which agent reported the worker.
+
+        Returns
+        -------
+        bool
+            Whether a former agent may have sent calls that are still to be
+            executed, of which this one doesn't know.
+        """
+        reported_by = self.worker_reported_by
+        self.worker_reported_by = incarnation
+        if not reported_by:
+            return True
+        if reported_by != incarnation:
+            self.former_calls_until_s = now_s + MAX_CALL_DELAY_S
+        return now_s < self.former_calls_until_s
+
     def grant(self) -> None:
         """Record a lease that is granted in answer to the last report.
 
--- a/tests/features/cell/instance_change.feature
+++ b/tests/features/cell/instance_change.feature
@@ -19,3 +19,17 @@
     And the new instance answers the poll in flight
     And it lists an end as done that the leader acknowledges
     Then the next poll acknowledges end 1 and is answered at once
+
+  Scenario: Runs are stopped first if the agent restarted before the worker
+    # Calls of the former agent are executed up to 12 s late, also after its
+    # successor has reported the former instance.
+    Given a leader with 2 VMs that work on a job of 4 tasks
+    When the agent of "vm-0" restarts and reports the same instance
+    And the worker of "vm-0" restarts under its id 5 s later
+    Then the tasks on "vm-0" are not claimed elsewhere and are to be stopped
+
+  Scenario: Runs are claimed at once if the agent restarted long before
+    Given a leader with 2 VMs that work on a job of 4 tasks
+    When the agent of "vm-0" restarts and reports the same instance
+    And the worker of "vm-0" restarts under its id 14 s later
+    Then all its tasks are claimed with a higher run
--- a/tests/features/steps/instance_change_steps.py
+++ b/tests/features/steps/instance_change_steps.py
@@ -3,9 +3,13 @@
 from typing import TYPE_CHECKING
 
 from behave import when
+from cell_leader_steps import deliver_report
+from cell_leader_steps import report
+from cell_leader_steps import WALL_MS
 import restarted_worker_steps as worker_steps
 
 from yuccapoint.cell.cell_messages import EndedRun
+from yuccapoint.cell.cell_messages import RunningTask
 from yuccapoint.cell.worker_events import WorkerStatus
 
 if TYPE_CHECKING:
@@ -40,3 +44,41 @@
     end = EndedRun(1, worker_steps.TASK_ID, 2, "done", "")
     worker_steps.answer(context, ends=(end,))
     worker_steps.deliver(context, acked=1)
+
+
+def _report_each_second(context: Context, vm: str, seconds: int) -> None:
+    leader = context.leader
+    for _ in range(seconds):
+        context.now_s += 1.0
+        for ledger in leader.vms.values():
+            if ledger.name != vm:
+                message = report(ledger.name, ledger.report_sequence + 1)
+                deliver_report(leader, message, context.now_s)
+                continue
+            running = tuple(
+                RunningTask(task.task_id, task.run, "", 0, 0.0)
+                for task in context.lost
+            )
+            message = report(
+                vm, ledger.report_sequence + 1, running=running, incarnation=2
+            )
+            deliver_report(leader, message, context.now_s)
+
+
+@when('the agent of "{vm}" restarts and reports the same instance')
+def restart_agent(context: Context, vm: str) -> None:
+    context.lost = list(context.leader.vms[vm].claims.values())
+    assert context.lost
+    starts = context.leader.collect_orders(context.now_s, may_grant=True)
+    assert any(orders.starts for _, orders in starts)
+    _report_each_second(context, vm, 1)
+
+
+@when('the worker of "{vm}" restarts under its id {seconds:d} s later')
+def restart_worker_later(context: Context, vm: str, seconds: int) -> None:
+    _report_each_second(context, vm, seconds)
+    leader = context.leader
+    message = worker_steps.restarted(context, vm, 2)
+    leader.on_report(message, context.now_s)
+    leader.tick(context.now_s, WALL_MS)
+    leader.commit(leader.collect_batch())
--- a/tests/features/steps/restarted_worker_steps.py
+++ b/tests/features/steps/restarted_worker_steps.py
@@ -263,7 +263,7 @@
     assert not calls(context, StartCall)
 
 
-def _restarted(
+def restarted(
     context: Context, vm: str, incarnation: int, refused: tuple = ()
 ):
     message = report(vm, 40 + incarnation, refused=refused)
@@ -283,7 +283,7 @@
 @when('the worker of "{vm}" restarts under its id')
 def restart_reported(context: Context, vm: str) -> None:
     context.lost = list(context.leader.vms[vm].claims.values())
-    _work_on(context, _restarted(context, vm, 1))
+    _work_on(context, restarted(context, vm, 1))
 
 
 @when('the worker and the agent of "{vm}" restart, the worker under its id')
@@ -292,7 +292,7 @@
     assert context.lost
     starts = context.leader.collect_orders(context.now_s, may_grant=True)
     assert any(orders.starts for _, orders in starts)
-    context.message = _restarted(context, vm, 2)
+    context.message = restarted(context, vm, 2)
     context.leader.on_report(context.message, context.now_s)
     context.leader.tick(context.now_s, WALL_MS)
     context.leader.commit(context.leader.collect_batch())
@@ -313,7 +313,7 @@
     refused = tuple(
         RefusedRun(task.task_id, task.run, "stopped") for task in context.lost
     )
-    message = _restarted(context, vm, 2, refused)
+    message = restarted(context, vm, 2, refused)
     message = msgspec.structs.replace(message, sequence=99)
     _work_on(context, message)
 
