Follow a new instance of a worker that was born earlier by its clock

Callers could see tasks that never end on a VM that gets no work any more (LOST).

Cause: the start time that tells instances apart is the time of day, which may be set back. An agent ignored all check-ins of an instance whose start time was below that of its predecessor and went on reporting the predecessor's runs; the leader kept the claims, as the VM's lease was renewed. If the agent restarted, the leader still kept claims on an instance with a later start time for good.

An agent now follows such a check-in if the instance has answered a poll that was meant for its predecessor, or, with another id, which the worker's answers would not show, once the predecessor's lease has expired. A delayed check-in of a former instance is still ignored, and if it is followed after the lease has expired, the next check-in of the later instance is followed again. The leader releases claims on a later instance once the earlier one has listed its runs, which a delayed check-in can't.

--- a/src/yuccapoint/cell/report_handler.py
+++ b/src/yuccapoint/cell/report_handler.py
@@ -76,9 +76,6 @@
             vm.applied_end_number = 0
             vm.acked_end_number = 0
             vm.unclaimed_runs.clear()
-            self._release_older_instances(
-                vm, worker.instance, now_s, agent_restarted=agent_restarted
-            )
             self._leader.explain(
                 "vm",
                 "a worker registered",
@@ -86,6 +83,9 @@
                 worker=worker.instance.worker_id,
                 born_ms=worker.instance.born_ms,
             )
+        self._release_former_instances(
+            vm, report, worker.instance, now_s, agent_restarted=agent_restarted
+        )
         if previous is not None and worker.draining and not previous.draining:
             self._leader.explain(
                 "vm", "drains", vm=vm.name, remaining_ms=worker.remaining_ms
@@ -94,9 +94,10 @@
         if worker.lease_expired:
             self.release_claims(vm, "the worker's lease expired", now_s)
 
-    def _release_older_instances(
+    def _release_former_instances(
         self,
         vm: VmLedger,
+        report: VmReport,
         instance: WorkerInstance,
         now_s: float,
         *,
@@ -105,7 +106,10 @@
         for task in list(vm.claims.values()):
             if task.instance is None or task.instance == instance:
                 continue
-            if task.instance.born_ms > instance.born_ms:
+            # A restarted agent may have followed a delayed check-in, unless
+            # the instance has listed its runs.
+            later = task.instance.born_ms > instance.born_ms
+            if later and not report.runs_listed:
                 continue
             same_id = task.instance.worker_id == instance.worker_id
             if agent_restarted and same_id and task.ordered_at_s:
--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -78,6 +78,8 @@
         self._reported_at_s: dict[int, float] = {}
         self._traits: dict[str, TaskTraits] = {}
         self._failed_status_requests = 0
+        # Start time of the instance that answered a poll meant for another.
+        self._answered_by_born_ms: int | None = None
         self._drain_until_s = 0.0
         self._leave_announced = False
         self._poll_pacer = PollPacer()
@@ -95,7 +97,8 @@
         """Apply a check-in; return whether it is newer than the last."""
         previous = self.check_in
         if previous is not None:
-            if check_in.instance.born_ms < previous.instance.born_ms:
+            older = check_in.instance.born_ms < previous.instance.born_ms
+            if older and not self._has_replaced(check_in, now_s):
                 return False
             same = check_in.instance == previous.instance
             if same and check_in.sequence <= previous.sequence:
@@ -117,6 +120,18 @@
         self.lease.record_clock(check_in.clock_ms, now_s)
         return True
 
+    def _has_replaced(self, check_in: CheckIn, now_s: float) -> bool:
+        """Return whether an instance born earlier is the worker's newest.
+
+        Its start time is lower if the time of day was set back. A delayed
+        check-in of a former instance has a lower one too.
+        """
+        assert self.check_in is not None
+        if check_in.instance.worker_id == self.check_in.instance.worker_id:
+            return check_in.instance.born_ms == self._answered_by_born_ms
+        # Polls name the id, so that another one does not answer them.
+        return self._is_lease_expired(now_s)
+
     def on_leave(self, worker_id: str) -> None:
         """Note that the worker is about to stop as planned."""
         if self.check_in is None:
@@ -143,6 +158,7 @@
             blocked_starts=blocked,
         )
         self._failed_status_requests = 0
+        self._answered_by_born_ms = None
         self._leave_announced = False
         self._poll_pacer.reset()
         self.lease.reset_clock()
@@ -325,6 +341,8 @@
             same = current is not None and request.instance == current.instance
             self.registry.on_ack_answered(request.last_seen if same else 0)
         if current is None or status.born_ms != current.instance.born_ms:
+            if current is not None and request.instance == current.instance:
+                self._answered_by_born_ms = status.born_ms
             self._poll_pacer.on_answer(sent_at_s, at_once=True)
             return
         self._failed_status_requests = 0
--- a/tests/features/cell/instance_change.feature
+++ b/tests/features/cell/instance_change.feature
@@ -33,3 +33,23 @@
     When the agent of "vm-0" restarts and reports the same instance
     And the worker of "vm-0" restarts under its id 14 s later
     Then all its tasks are claimed with a higher run
+
+  Scenario: A new instance is followed although the time of day was set back
+    Given an agent whose worker was started at 5000 ms
+    When the worker restarts under its id at 4000 ms and answers a poll
+    Then the worker is reported and no run is stopped there
+
+  Scenario: A delayed check-in of a former instance is ignored
+    Given an agent whose worker was started at 5000 ms
+    When a check-in of an instance that was started at 4000 ms arrives
+    Then the instance that was started at 5000 ms is reported
+
+  Scenario: Runs on an instance with a later start time are released
+    Given a leader with 2 VMs that work on a job of 4 tasks
+    When the worker of "vm-0" restarts with an earlier start time
+    Then all its tasks get a second run
+
+  Scenario: Runs are kept until an instance born earlier has listed its own
+    Given a leader with 2 VMs that work on a job of 4 tasks
+    When an instance of "vm-0" born earlier is reported without its runs
+    Then its tasks keep their first run
--- a/tests/features/steps/instance_change_steps.py
+++ b/tests/features/steps/instance_change_steps.py
@@ -2,14 +2,19 @@
 
 from typing import TYPE_CHECKING
 
+from behave import given
+from behave import then
 from behave import when
 from cell_leader_steps import deliver_report
 from cell_leader_steps import report
 from cell_leader_steps import WALL_MS
+import msgspec
 import restarted_worker_steps as worker_steps
 
 from yuccapoint.cell.cell_messages import EndedRun
 from yuccapoint.cell.cell_messages import RunningTask
+from yuccapoint.cell.occurrence_state import Phase
+from yuccapoint.cell.occurrence_state import WorkerInstance
 from yuccapoint.cell.worker_events import WorkerStatus
 
 if TYPE_CHECKING:
@@ -82,3 +87,70 @@
     leader.on_report(message, context.now_s)
     leader.tick(context.now_s, WALL_MS)
     leader.commit(leader.collect_batch())
+
+
+@given("an agent whose worker was started at {born_ms:d} ms")
+def worker_started_at(context: Context, born_ms: int) -> None:
+    worker_steps.make_agent(context)
+    context.born_ms = born_ms
+    worker_steps.check_in(context)
+    worker_steps.deliver(context)
+    worker_steps.answer(context)
+
+
+@when("the worker restarts under its id at {born_ms:d} ms and answers a poll")
+def restart_at(context: Context, born_ms: int) -> None:
+    context.born_ms = born_ms
+    context.sequence = 0
+    worker_steps.check_in(context)
+    worker_steps.answer(context)
+    worker_steps.check_in(context)
+
+
+@when("a check-in of an instance that was started at {born_ms:d} ms arrives")
+def delayed_check_in(context: Context, born_ms: int) -> None:
+    context.born_ms = born_ms
+    worker_steps.check_in(context)
+
+
+@then("the instance that was started at {born_ms:d} ms is reported")
+def reported_born(context: Context, born_ms: int) -> None:
+    message = context.vm_agent.build_report(context.now_s)
+    assert message.worker.instance.born_ms == born_ms
+
+
+def _report_born_earlier(
+    context: Context, vm: str, *, runs_listed: bool
+) -> None:
+    context.lost = list(context.leader.vms[vm].claims.values())
+    assert context.lost
+    message = report(vm, 50, runs_listed=runs_listed)
+    worker = msgspec.structs.replace(
+        message.worker, instance=WorkerInstance(vm, f"i-{vm}", 0)
+    )
+    message = msgspec.structs.replace(message, worker=worker)
+    worker_steps.work_on(context, message)
+
+
+@when('the worker of "{vm}" restarts with an earlier start time')
+def restart_born_earlier(context: Context, vm: str) -> None:
+    _report_born_earlier(context, vm, runs_listed=True)
+
+
+@when('an instance of "{vm}" born earlier is reported without its runs')
+def unlisted_born_earlier(context: Context, vm: str) -> None:
+    _report_born_earlier(context, vm, runs_listed=False)
+
+
+@then("all its tasks get a second run")
+def second_run(context: Context) -> None:
+    for task in context.lost:
+        assert task.phase is Phase.CLAIMED, task.phase
+        assert task.run == 2, task.run
+
+
+@then("its tasks keep their first run")
+def first_run_kept(context: Context) -> None:
+    for task in context.lost:
+        assert task.run == 1, task.run
+        assert task.instance.born_ms == 1
--- a/tests/features/steps/restarted_worker_steps.py
+++ b/tests/features/steps/restarted_worker_steps.py
@@ -274,7 +274,7 @@
     )
 
 
-def _work_on(context: Context, message) -> None:
+def work_on(context: Context, message) -> None:
     deliver_report(context.leader, message, context.now_s)
     context.leader.tick(context.now_s, WALL_MS)
     context.leader.commit(context.leader.collect_batch())
@@ -283,7 +283,7 @@
 @when('the worker of "{vm}" restarts under its id')
 def restart_reported(context: Context, vm: str) -> None:
     context.lost = list(context.leader.vms[vm].claims.values())
-    _work_on(context, restarted(context, vm, 1))
+    work_on(context, restarted(context, vm, 1))
 
 
 @when('the worker and the agent of "{vm}" restart, the worker under its id')
@@ -315,7 +315,7 @@
     )
     message = restarted(context, vm, 2, refused)
     message = msgspec.structs.replace(message, sequence=99)
-    _work_on(context, message)
+    work_on(context, message)
 
 
 @then("all its tasks are claimed with a higher run")
