Wait for ends beyond the 500 that a worker lists at a time

Callers could see a run started again after it had ended as done and the end had been acknowledged (TWICE).

Cause: an agent took a run that was neither listed as running nor as ended for one whose end had been acknowledged. A worker lists 500 ends at a time, so that a run whose end comes after them is in neither list. The leader ordered it again, the worker refused it as old, and the task got a second run before the end of the first was listed, ignored and acknowledged. A stop of such a run was reported as its refusal, with the same effect.

While 500 ends are listed, the agent now keeps runs that it doesn't see and starts none. The list gets shorter as the leader's acknowledgements are passed on, which depends on neither. Found by reading: so many ends add up only while the leader can't store, and then its leases soon end; no run has shown it.

--- a/src/yuccapoint/cell/run_registry.py
+++ b/src/yuccapoint/cell/run_registry.py
@@ -25,6 +25,8 @@
 # A stop that blocks a late start is sent again after this time, also while it
 # is unanswered: the start may be executed at any moment until one arrives.
 BLOCK_REPEAT_S = 0.05
+# A worker lists at most this many ends that it has not forgotten.
+MAX_LISTED_ENDS = 500
 # An unanswered start is abandoned by the agent after this time.
 START_TIMEOUT_S = 2.0
 # Longest time after which the platform's workers still execute a call that
@@ -79,6 +81,8 @@
         # The same for acknowledgements meant for the former instance.
         self._former_acks_until_s = 0.0
         self._ends: dict[int, EndedRun] = {}
+        # Whether the worker may have more ends than it listed.
+        self._ends_truncated = False
 
     def begin_instance(self, now_s: float, *, same_id: bool) -> int:
         """Drop all runs, as a new instance of the worker has started.
@@ -112,6 +116,7 @@
             block.blocks_former_start = True
             self._runs[key] = block
         self._ends = {}
+        self._ends_truncated = False
         self.running = ()
         self.runs_listed = False
         self.acked_end_number = 0
@@ -230,6 +235,8 @@
         # A former agent may have started it; the leader repeats the order.
         if not self.runs_listed or self._has_ended(key):
             return
+        if self._ends_truncated:
+            return
         tracked = TrackedRun(
             start.task_id, start.run, RunStage.STARTING, start
         )
@@ -348,6 +355,7 @@
         """Apply the runs and ends that the worker listed."""
         self._explain_unordered(status)
         self.running = status.running
+        self._ends_truncated = len(status.ends) >= MAX_LISTED_ENDS
         ended = set()
         for end in status.ends:
             ended.add((end.task_id, end.run))
@@ -361,7 +369,7 @@
                 del self._runs[key]
             elif key in running:
                 self._mark_running(tracked)
-            else:
+            elif not self._ends_truncated:
                 self._mark_absent(key, tracked, sent_at_s)
         if not self.runs_listed:
             self.runs_listed = True
