Block starts of released runs at a restarted worker of a restarted agent

Callers could see a run started again after it had ended as done and the end had been acknowledged, or two runs of a task at the same time (TWICE).

Cause: a restarted agent does not know which starts of its predecessor are unanswered, and covers only tasks that are still claimed when the new instance is reported. A claim is gone by then if its run ended, if the VM's lease expired while the agent was away, or if the worker restarted twice with the agent in between.

A run is taken off as soon as its end or refusal there is reported, so that the stops end. The worker is not kept from other work meanwhile. A new leader has no such memory.

--- a/src/yuccapoint/cell/order_builder.py
+++ b/src/yuccapoint/cell/order_builder.py
@@ -46,7 +46,7 @@
     if grant:
         vm.grant()
     starts: list[StartOrder] = []
-    stops = list(vm.unclaimed_runs)
+    stops = [*vm.unclaimed_runs, *vm.late_starts(now_s)]
     traits = []
     awaited = []
     for task in vm.claims.values():
@@ -62,6 +62,7 @@
             and len(starts) < MAX_STARTS_PER_MESSAGE
         ):
             task.ordered_at_s = now_s
+            vm.note_order(task.task_id, task.run, now_s)
             starts.append(_start(leader, task, vm, now_s))
     return LeaderOrders(
         vm=vm.name,
--- a/src/yuccapoint/cell/run_end_handler.py
+++ b/src/yuccapoint/cell/run_end_handler.py
@@ -42,6 +42,7 @@
         if ended.number <= vm.applied_end_number:
             return
         vm.applied_end_number = ended.number
+        vm.note_outcome(ended.task_id, ended.run)
         task = vm.claims.get(ended.task_id)
         if (
             task is None
@@ -103,6 +104,7 @@
         self, vm: VmLedger, refused: RefusedRun, now_s: float
     ) -> None:
         """Apply the refusal of a run that never started."""
+        vm.note_outcome(refused.task_id, refused.run)
         task = vm.claims.get(refused.task_id)
         if task is None or task.run != refused.run:
             return
--- a/src/yuccapoint/cell/vm_ledger.py
+++ b/src/yuccapoint/cell/vm_ledger.py
@@ -14,6 +14,9 @@
     from yuccapoint.cell.job_run import TaskRun
     from yuccapoint.cell.occurrence_state import WorkerInstance
 
+# Time after the order of a start in which its calls may be executed: agents
+# repeat an unanswered call for 2 s.
+ORDERED_START_S = MAX_CALL_DELAY_S + 2.0
 # Failures of different jobs, without a success in between, after which the
 # VM is blamed instead of the jobs.
 QUARANTINE_FAILURES = 2
@@ -40,6 +43,9 @@
         Incarnation of the agent that reported the worker last.
     former_calls_until_s : float
         Until when a call of this agent's predecessor may be executed.
+    ordered_runs : dict
+        For each run whose start was ordered lately, when that was, and the
+        instance on which it started or can't start any more.
     acked_end_number : int
         Run ends up to this number are stored.
     applied_end_number : int
@@ -62,6 +68,9 @@
         self.has_worker = False
         self.worker_reported_by = 0
         self.former_calls_until_s = 0.0
+        self.ordered_runs: dict[
+            tuple[str, int], tuple[float, WorkerInstance]
+        ] = {}
         self.follows_leader = False
         self.runs_listed = False
         self.claims: dict[str, TaskRun] = {}
@@ -114,6 +123,42 @@
             self.former_calls_until_s = now_s + MAX_CALL_DELAY_S
         return now_s < self.former_calls_until_s
 
+    def note_order(self, task_id: str, run: int, now_s: float) -> None:
+        """Note that a start is ordered on the present instance."""
+        for key, (ordered_at_s, _) in list(self.ordered_runs.items()):
+            if now_s - ordered_at_s < ORDERED_START_S:
+                break
+            del self.ordered_runs[key]
+        self.ordered_runs.pop((task_id, run), None)
+        if self.instance is not None:
+            self.ordered_runs[(task_id, run)] = (now_s, self.instance)
+
+    def note_outcome(self, task_id: str, run: int) -> None:
+        """Note that a run ended or can't start on the present instance."""
+        ordered = self.ordered_runs.get((task_id, run))
+        if ordered is not None and self.instance is not None:
+            self.ordered_runs[(task_id, run)] = (ordered[0], self.instance)
+
+    def late_starts(self, now_s: float) -> list[tuple[str, int]]:
+        """Return runs that a former agent's calls may start here.
+
+        The calls were meant for a former instance of the worker with the id
+        of the present one. An agent blocks its own calls of this kind.
+        """
+        instance = self.instance
+        if instance is None or now_s >= self.former_calls_until_s:
+            return []
+        late = []
+        for key, (ordered_at_s, former) in self.ordered_runs.items():
+            if now_s - ordered_at_s >= ORDERED_START_S:
+                continue
+            if former.worker_id != instance.worker_id or former == instance:
+                continue
+            claim = self.claims.get(key[0])
+            if claim is None or claim.run != key[1]:
+                late.append(key)
+        return late
+
     def grant(self) -> None:
         """Record a lease that is granted in answer to the last report.
 
--- a/tests/features/cell/instance_change.feature
+++ b/tests/features/cell/instance_change.feature
@@ -53,3 +53,12 @@
     Given a leader with 2 VMs that work on a job of 4 tasks
     When an instance of "vm-0" born earlier is reported without its runs
     Then its tasks keep their first run
+
+  Scenario: Starts of released runs are blocked if the agent restarted too
+    # The leader has released the claims, so that it does not keep them.
+    Given a leader with 2 VMs that work on a job of 4 tasks
+    When the tasks on "vm-0" end as done
+    And the worker and the agent of "vm-0" restart soon after
+    Then the runs that ended on "vm-0" are to be stopped
+    When the agent of "vm-0" reports that these can't start
+    Then no run on "vm-0" is to be stopped
--- a/tests/features/steps/instance_change_steps.py
+++ b/tests/features/steps/instance_change_steps.py
@@ -12,6 +12,7 @@
 import restarted_worker_steps as worker_steps
 
 from yuccapoint.cell.cell_messages import EndedRun
+from yuccapoint.cell.cell_messages import RefusedRun
 from yuccapoint.cell.cell_messages import RunningTask
 from yuccapoint.cell.occurrence_state import Phase
 from yuccapoint.cell.occurrence_state import WorkerInstance
@@ -154,3 +155,51 @@
     for task in context.lost:
         assert task.run == 1, task.run
         assert task.instance.born_ms == 1
+
+
+@when('the tasks on "{vm}" end as done')
+def end_as_done(context: Context, vm: str) -> None:
+    leader = context.leader
+    context.lost = list(leader.vms[vm].claims.values())
+    assert context.lost
+    leader.collect_orders(context.now_s, may_grant=True)
+    ends = tuple(
+        EndedRun(number, task.task_id, task.run, "done", "")
+        for number, task in enumerate(context.lost, start=1)
+    )
+    deliver_report(leader, report(vm, 30, ends=ends), context.now_s)
+    assert all(task.phase is Phase.DONE for task in context.lost)
+
+
+@when('the worker and the agent of "{vm}" restart soon after')
+def restart_both_soon(context: Context, vm: str) -> None:
+    context.leader.on_report(
+        worker_steps.restarted(context, vm, 2), context.now_s
+    )
+
+
+def _stops(context: Context, vm: str) -> set[tuple[str, int]]:
+    ledger = context.leader.vms[vm]
+    orders = context.leader.collect_orders(context.now_s, may_grant=True)
+    [stops] = [set(sent.stops) for to, sent in orders if to is ledger]
+    return stops
+
+
+@then('the runs that ended on "{vm}" are to be stopped')
+def ended_runs_to_be_stopped(context: Context, vm: str) -> None:
+    assert _stops(context, vm) == {(t.task_id, 1) for t in context.lost}
+
+
+@when('the agent of "{vm}" reports that these can\'t start')
+def report_blocked(context: Context, vm: str) -> None:
+    refused = tuple(
+        RefusedRun(task.task_id, 1, "stopped") for task in context.lost
+    )
+    message = worker_steps.restarted(context, vm, 2, refused)
+    message = msgspec.structs.replace(message, sequence=99)
+    context.leader.on_report(message, context.now_s)
+
+
+@then('no run on "{vm}" is to be stopped')
+def none_to_be_stopped(context: Context, vm: str) -> None:
+    assert not _stops(context, vm)
