Stop late starts while a new instance is kept from work

Callers could see two runs of a task at the same time (TWICE).

Cause: while an agent waits until no acknowledgement of the former instance can be executed, for up to 13 s, it reports no worker. The leader then can't stop what a late start of a former agent runs there, and releases the claim when the VM's lease, which is not granted meanwhile, expires.

What an instance lists before a leader knows of it can only be a late start; the agent stops it. The scenario 'A late start is stopped while the new instance is not reported' failed before.

--- a/src/yuccapoint/cell/run_registry.py
+++ b/src/yuccapoint/cell/run_registry.py
@@ -267,6 +267,15 @@
         if tracked.stage is RunStage.STOPPING and not tracked.reason:
             tracked.reason = "stopped"
 
+    def stop_late_starts(self) -> None:
+        """Stop what runs on an instance that no leader knows of yet.
+
+        Only a call meant for a former instance can have started it. Its
+        claim may be released before the leader knows of the instance.
+        """
+        for task in self.running:
+            self.order_stop(task.task_id, task.run)
+
     def _has_ended(self, key: RunKey) -> bool:
         return any((e.task_id, e.run) == key for e in self._ends.values())
 
--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -348,6 +348,8 @@
         self._failed_status_requests = 0
         self.lease.record_clock(status.clock_ms, now_s)
         self.registry.on_status(status, sent_at_s)
+        if self.registry.may_get_former_calls(now_s):
+            self.registry.stop_late_starts()
         self._poll_pacer.on_answer(
             sent_at_s, at_once=self.registry.has_unacked_ends
         )
--- a/tests/features/cell/instance_change.feature
+++ b/tests/features/cell/instance_change.feature
@@ -62,3 +62,13 @@
     Then the runs that ended on "vm-0" are to be stopped
     When the agent of "vm-0" reports that these can't start
     Then no run on "vm-0" is to be stopped
+
+  Scenario: A late start is stopped while the new instance is not reported
+    # A call of a former agent may start it. The leader can't stop what runs on
+    # an instance that it does not know, and releases the claim in time.
+    Given an agent whose worker lists an end as done
+    When the leader acknowledges it and the poll that says so is unanswered
+    And the worker restarts under its id after 4 s
+    And it lists a run that the agent did not start
+    Then the worker is not reported
+    And that run is stopped
--- a/tests/features/steps/instance_change_steps.py
+++ b/tests/features/steps/instance_change_steps.py
@@ -16,6 +16,7 @@
 from yuccapoint.cell.cell_messages import RunningTask
 from yuccapoint.cell.occurrence_state import Phase
 from yuccapoint.cell.occurrence_state import WorkerInstance
+from yuccapoint.cell.worker_events import StopCall
 from yuccapoint.cell.worker_events import WorkerStatus
 
 if TYPE_CHECKING:
@@ -203,3 +204,16 @@
 @then('no run on "{vm}" is to be stopped')
 def none_to_be_stopped(context: Context, vm: str) -> None:
     assert not _stops(context, vm)
+
+
+@when("it lists a run that the agent did not start")
+def list_unknown_run(context: Context) -> None:
+    running = RunningTask(worker_steps.TASK_ID, 3, "", 0, 0.0)
+    worker_steps.answer(context, running=(running,))
+
+
+@then("that run is stopped")
+def unknown_run_stopped(context: Context) -> None:
+    stops = worker_steps.calls(context, StopCall)
+    runs = [(call.task_id, call.run) for call in stops]
+    assert runs == [(worker_steps.TASK_ID, 3)], runs
