Follow an agent that restarted after the time of day was set back

An agent's incarnation is its start time. The leader drops reports of a lower incarnation, as those of a former agent. If the time of day was set back between two starts, the later agent's reports were all dropped until another entry led: its VM's lease expired, its tasks were claimed elsewhere, and the ends that its worker had listed were never applied.

Orders name the incarnation that the leader follows. An agent that finds a higher one than its own takes one above it, so that its reports count and delayed ones of its predecessor don't. No message changes. The scenario 'An agent that restarted after the time was set back is followed' failed before.

--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -37,6 +37,8 @@
 # After this many unanswered status requests the worker's lease is no longer
 # renewed.
 MAX_FAILED_STATUS_REQUESTS = 2
+# Incarnations are raised by less than this, in nanoseconds.
+INCARNATION_SPREAD_NS = 1_000_000
 # Reports that are kept to match the leader's answers with.
 MAX_UNANSWERED_REPORTS = 32
 
@@ -179,6 +181,8 @@
             self.registry.has_updates = True
         self.leader_address = orders.address
         self.leader_heard_at_s = now_s
+        if orders.agent_incarnation > self.incarnation:
+            self._raise_incarnation(orders.agent_incarnation)
         if orders.sequence <= self._order_sequence:
             return
         self._order_sequence = orders.sequence
@@ -192,6 +196,25 @@
             return
         self._apply_orders(orders, now_s)
 
+    def _raise_incarnation(self, former: int) -> None:
+        """Take an incarnation above one that the leader follows.
+
+        An incarnation is the time of day at the agent's start, which may be
+        set back between two starts. The leader would ignore all reports of
+        the later agent as those of a former one.
+        """
+        # The lower digits tell agents apart that are raised from the same one.
+        raised = former + 1 + self.incarnation % INCARNATION_SPREAD_NS
+        self._explain(
+            "leader",
+            "started before its predecessor by the time of day",
+            incarnation=self.incarnation,
+            former=former,
+            raised=raised,
+        )
+        self.incarnation = raised
+        self.registry.has_updates = True
+
     def _apply_orders(self, orders: LeaderOrders, now_s: float) -> None:
         if self.registry.discard_acked_ends(orders.acked_end_number):
             self._poll_pacer.reset()
