Let the soak's workers restart under their id and execute calls late

The soak executed a late order only on the instance that it was sent to, kept checking in for a crashed worker, and took note of no count of pending jobs. Now a share of all calls, holds with their LastSeen among them, gets no response and is executed 2 to 12 s later by the instance that has the id by then; a worker restarts at once or behind a cut; a lease is at most 6 s. The oracle also counts a start after an end `done` that is acknowledged later (unless the lease lapsed in between), an answer that tells no state, a job that nobody submitted, and a count under half of the waiting jobs.

The stand-in forgot ends by LastSeen when a hold answered, also those that came while it waited; it does so on arrival now.

--- a/src/yuccapoint_standins/platform_worker.py
+++ b/src/yuccapoint_standins/platform_worker.py
@@ -18,6 +18,8 @@
 
 CHECK_IN_INTERVAL_S = 0.3
 TICK_INTERVAL_S = 0.01
+# A longer lease is shortened to this.
+MAX_HOLD_MS = 6_000
 
 
 class PlatformWorker:
@@ -82,36 +84,39 @@
 
     async def _check_in(self) -> None:
         while True:
-            self._check_in_sequence += 1
-            body = {
-                "Service": self._service,
-                "Address": self._address,
-                "Zone": "zone",
-                "Version": "v1",
-                "Slots": 8,
-                "State": "draining" if self.draining else "ready",
-                "ColdRemainingMs": 0,
-                "Capacity": {"Cpu": 8000, "MemMb": 16384, "Gpu": 0},
-                "Labels": ["a", "r1"],
-                "ClockMs": self._clock_ms,
-                "Seq": self._check_in_sequence,
-                "RemainingMs": 2500 if self.draining else 0,
-                "born": self._started_at_ms,
-            }
-            url = f"http://{self._agent_address}/yuccapoint/instances/"
-            request = HTTPRequest(
-                url + self.worker_id,
-                method="PUT",
-                body=msgspec.json.encode(body),
-                request_timeout=1.0,
-            )
-            try:
-                await self._client.fetch(request, raise_error=False)
-            except (OSError, HTTPError):
-                # The agent is still starting; the next check-in reaches it.
-                await asyncio.sleep(TICK_INTERVAL_S)
+            await self._send_check_in()
             await asyncio.sleep(CHECK_IN_INTERVAL_S)
 
+    async def _send_check_in(self) -> None:
+        self._check_in_sequence += 1
+        body = {
+            "Service": self._service,
+            "Address": self._address,
+            "Zone": "zone",
+            "Version": "v1",
+            "Slots": 8,
+            "State": "draining" if self.draining else "ready",
+            "ColdRemainingMs": 0,
+            "Capacity": {"Cpu": 8000, "MemMb": 16384, "Gpu": 0},
+            "Labels": ["a", "r1"],
+            "ClockMs": self._clock_ms,
+            "Seq": self._check_in_sequence,
+            "RemainingMs": 2500 if self.draining else 0,
+            "born": self._started_at_ms,
+        }
+        url = f"http://{self._agent_address}/yuccapoint/instances/"
+        request = HTTPRequest(
+            url + self.worker_id,
+            method="PUT",
+            body=msgspec.json.encode(body),
+            request_timeout=1.0,
+        )
+        try:
+            await self._client.fetch(request, raise_error=False)
+        except (OSError, HTTPError):
+            # The agent is still starting; the next check-in reaches it.
+            await asyncio.sleep(TICK_INTERVAL_S)
+
     async def _tick(self) -> None:
         while True:
             now_s = time.monotonic()
@@ -145,9 +150,10 @@
             self._respond(request, 409, {"Reason": "fence"})
             return
         self._fencing_token = body.get("FencingToken", 0)
-        self._lease_until_ms = max(
-            self._lease_until_ms, body.get("DeadlineMs", 0)
+        deadline_ms = min(
+            body.get("DeadlineMs", 0), self._clock_ms + MAX_HOLD_MS
         )
+        self._lease_until_ms = max(self._lease_until_ms, deadline_ms)
         if call == "run-start":
             self._respond(request, *self._start(body))
             return
@@ -164,10 +170,9 @@
             self._respond(request, 200, {})
             return
         if call == "hold":
+            # An end that comes while the call waits is not forgotten by it.
+            self._forget_ends(body["LastSeen"])
             await self._wait_for_end(body)
-            self._ended_tasks = [
-                e for e in self._ended_tasks if e[0] > body["LastSeen"]
-            ]
             running = [
                 [task, run, "", 50, 0]
                 for task, (run, _) in self._running_tasks.items()
@@ -177,6 +182,9 @@
             return
         self._respond(request, 200, {})
 
+    def _forget_ends(self, through: int) -> None:
+        self._ended_tasks = [e for e in self._ended_tasks if e[0] > through]
+
     async def _wait_for_end(self, body: dict[str, Any]) -> None:
         until_s = time.monotonic() + body.get("WaitMs", 0) / 1000
         while time.monotonic() < until_s:
--- a/tests/features/proof/soak.feature
+++ b/tests/features/proof/soak.feature
@@ -25,8 +25,29 @@
       | accepted   | reported completed                            | MIXED   |
       | accepted   | reported cancelled                            | LOST    |
       | accepted   | reported unknown                              | LOST    |
+      | accepted   | start 0.0 at a, end 0.0 at a, start 0.0 at b, seen 1 at a | TWICE |
+      | accepted   | start 0.0 at a, end 0.0 at a, start 0.0 at b, seen 9 at a | TWICE |
+      | accepted   | counted 0 at entry                            | MIXED   |
+      | accepted   | unreadable 500 at entry                       | MIXED   |
+
+  Scenario Outline: the soak oracle allows what the rules allow
+    Given a soak job with two steps of one task each that was accepted
+    When workers and callers see "<events>"
+    Then the soak oracle reports no violation
+
+    Examples:
+      | events                                                                  |
+      | start 0.0 at a, end 0.0 at a, lapse 0 at a, start 0.0 at b, seen 1 at a |
+      | start 0.0 at a, end 0.0 at a, crash 0 at a, start 0.0 at b, end 0.0 at b, seen 1 at b |
+      | start 0.0 at a, counted 0 at entry                                      |
+      | counted 1 at entry                                                      |
 
   Scenario: A restarted worker of the soak knows nothing of its former instance
     Given a worker of the soak that ended a run and runs another
     When it restarts without having crashed
     Then it lists no run and no end, and counts its ends from 1
+
+  Scenario: A worker of the soak executes a late call in its next instance
+    Given a worker of the soak that gives no response to calls
+    When it is told that end 9 was seen, and restarts and ends a run
+    Then the late call makes it forget the end, and the oracle knows it
--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -11,10 +11,16 @@
 from behave import given
 from behave import then
 from behave import when
+import msgspec
+from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPServerRequest
+from tornado.httputil import RequestStartLine
 
 sys.path.append(str(pathlib.Path(__file__).parents[2]))
 
+from soak import soak_worker  # noqa: E402
 from soak.oracle import Oracle  # noqa: E402
+from soak.oracle import PENDING_DELAY_S  # noqa: E402
 from soak.oracle import SoakJob  # noqa: E402
 from soak.oracle import VISIBILITY_TIMEOUT_S  # noqa: E402
 from soak.seed_run import run_seed  # noqa: E402
@@ -121,8 +127,8 @@
     context.soak_job = SoakJob("a" * 16, "payload", [1, 1])
     context.oracle.jobs["a" * 16] = context.soak_job
     if how == "accepted":
-        accepted_at_s = time.monotonic() - VISIBILITY_TIMEOUT_S - 1
-        context.soak_job.accepted_at_s = accepted_at_s
+        age_s = VISIBILITY_TIMEOUT_S + PENDING_DELAY_S + 1
+        context.soak_job.accepted_at_s = time.monotonic() - age_s
 
 
 @when('workers and callers see "{events}"')
@@ -136,13 +142,29 @@
             state = "" if detail == "unknown" else detail
             oracle.on_state(job, "entry", status, state)
             continue
+        if what == "counted":
+            oracle.on_pending(oracle.waiting_jobs(), "entry", int(detail))
+            continue
+        if what == "unreadable":
+            oracle.on_unreadable(job.job_id, int(detail))
+            continue
         step = detail.partition(".")[0]
         owner = job.job_id if step != "9" else "b" * 16
         task = f"{owner}.0.{step}.0"
         worker = workers[rest[1]]
-        if what == "done":
+        if what in ("done", "end"):
             oracle.on_end(task, worker, "done", (1, 1))
-            oracle.on_acknowledged(worker, 1)
+            if what == "done":
+                oracle.on_acknowledged(worker, 1)
+            continue
+        if what == "seen":
+            oracle.on_acknowledged(worker, int(detail))
+            continue
+        if what == "lapse":
+            oracle.on_lapse(worker)
+            continue
+        if what == "crash":
+            oracle.on_crash(worker, [])
             continue
         payload = "another" if "payload" in rest else "payload"
         oracle.on_start({"Task": task, "Run": 1, "Spec": payload}, worker)
@@ -155,23 +177,76 @@
     assert rule in rules, context.oracle.violations
 
 
+@then("the soak oracle reports no violation")
+def no_violation_reported(context: Context) -> None:
+    assert not context.oracle.violations, context.oracle.violations
+
+
+def _idle_worker() -> SoakWorker:
+    address = "127.0.0.1:1"
+    return SoakWorker(Oracle(), "i-0", address, address, address, 1.0)
+
+
+def _start_run(worker: SoakWorker, index: int, run: int = 1) -> None:
+    body = {
+        "Task": f"{'a' * 16}.0.0.{index}",
+        "Run": run,
+        "Spec": "payload",
+        "DeadlineMs": 2**40,
+    }
+    worker._start(body)
+
+
 @given("a worker of the soak that ended a run and runs another")
 def worker_with_runs(context: Context) -> None:
-    context.worker = SoakWorker(
-        Oracle(), "i-0", "127.0.0.1:1", "127.0.0.1:1", "127.0.0.1:1", 1.0
-    )
-    far_ms = 2**40
+    context.worker = _idle_worker()
     for index in range(2):
-        body = {
-            "Task": f"{'a' * 16}.0.0.{index}",
-            "Run": 1,
-            "Spec": "payload",
-            "DeadlineMs": far_ms,
-        }
-        context.worker._start(body)
+        _start_run(context.worker, index)
     context.worker._end_task(f"{'a' * 16}.0.0.0", "done")
 
 
+@given("a worker of the soak that gives no response to calls")
+def worker_without_responses(context: Context) -> None:
+    context.worker = _idle_worker()
+    context.worker.late_share = 1.0
+    delay_s = soak_worker.CALL_DELAY_S
+    context.cleanups.append(
+        lambda: setattr(soak_worker, "CALL_DELAY_S", delay_s)
+    )
+    soak_worker.CALL_DELAY_S = (0.1, 0.1)
+
+
+@when("it is told that end {number:d} was seen, and restarts and ends a run")
+def restart_before_late_call(context: Context, number: int) -> None:
+    worker = context.worker
+    worker._oracle.jobs["a" * 16] = SoakJob("a" * 16, "payload", [1])
+    body = msgspec.json.encode({"FencingToken": 1, "LastSeen": number})
+    start_line = RequestStartLine("POST", "/yuccapoint/hold", "HTTP/1.1")
+    request = HTTPServerRequest(
+        start_line=start_line,
+        headers=HTTPHeaders({"Host": "127.0.0.1"}),
+        body=body,
+    )
+
+    async def restart() -> None:
+        await worker._serve(request)
+        worker.restart()
+        _start_run(worker, 0)
+        worker._end_task(f"{'a' * 16}.0.0.0", "done")
+        await asyncio.sleep(0.3)
+
+    context.loop.run_until_complete(restart())
+
+
+@then("the late call makes it forget the end, and the oracle knows it")
+def late_call_forgets(context: Context) -> None:
+    worker = context.worker
+    assert not worker._ended_tasks, worker._ended_tasks
+    _start_run(worker, 0, run=2)
+    violations = worker._oracle.violations
+    assert any(v.startswith("TWICE") for v in violations), violations
+
+
 @when("it restarts without having crashed")
 def restart_worker(context: Context) -> None:
     context.worker.restart()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -11,6 +11,7 @@
 from soak.proxy import LinkState
 
 if TYPE_CHECKING:
+    from soak.soak_worker import SoakWorker
     from soak.world import World
 
 Fault = Callable[["World"], Awaitable[None]]
@@ -171,9 +172,38 @@
     worker.restart()
 
 
+async def _execute_late(world: World, worker: SoakWorker) -> None:
+    worker.late_share = world.rng.choice((0.3, 0.5, 1.0))
+    await asyncio.sleep(_random_duration_s(world) / 2)
+    worker.late_share = 0.0
+
+
 @fault
-async def orders_late(world: World) -> None:
+async def calls_late(world: World) -> None:
+    await _execute_late(world, world.rng.choice(world.workers))
+
+
+@fault
+async def worker_reborn(world: World) -> None:
+    """Restart a worker under its id while its calls are executed late."""
     worker = world.rng.choice(world.workers)
-    worker.late_s = world.rng.uniform(1.0, 6.0)
-    await asyncio.sleep(_random_duration_s(world))
-    worker.late_s = 0.0
+    late_calls = asyncio.ensure_future(_execute_late(world, worker))
+    await asyncio.sleep(world.rng.uniform(0.1, 2.0))
+    worker.restart()
+    await late_calls
+
+
+@fault
+async def worker_reborn_behind_cut(world: World) -> None:
+    """Restart a worker under its id while nothing passes to its agent."""
+    number = world.rng.randrange(len(world.workers))
+    worker = world.workers[number]
+    proxy = world.proxies[f"worker of {world.agents[number]}"]
+    worker.sends_check_ins = False
+    proxy.state = LinkState.SILENT
+    await asyncio.sleep(_random_duration_s(world) / 2)
+    worker.restart()
+    await asyncio.sleep(_random_duration_s(world) / 2)
+    proxy.state = LinkState.PASS
+    proxy.reset_all()
+    worker.sends_check_ins = True
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -11,6 +11,8 @@
 FAULT_ALLOWANCE_S = 12.0
 # An accepted job is visible at all entries after this time.
 VISIBILITY_TIMEOUT_S = 3.0
+# A count of pending jobs may be this old.
+PENDING_DELAY_S = 2.0
 
 
 class SoakJob:
@@ -42,10 +44,31 @@
         self._running: dict[str, object] = {}
         self._done: set[str] = set()
         self._acknowledged_done: set[str] = set()
+        self._begun: set[str] = set()
+        # Ends that were not acknowledged, by worker and number.
         self._ends: dict[tuple[int, int], tuple[str, str]] = {}
+        # An end before a lapse of its worker's lease allows a later start.
+        self._lapsed_ends: set[tuple[int, int]] = set()
+        # Ends whose tasks started again before the acknowledgement.
+        self._restarted_ends: set[tuple[int, int]] = set()
 
-    def on_start(self, body: dict[str, Any], worker: object) -> None:
-        """Check a task start when a worker starts the task."""
+    def on_start(
+        self,
+        body: dict[str, Any],
+        worker: object,
+        sent_at_s: float | None = None,
+    ) -> None:
+        """Check a task start when a worker starts the task.
+
+        Parameters
+        ----------
+        body : dict
+            Body of the call.
+        worker : object
+            Worker that starts the task.
+        sent_at_s : float, optional
+            Monotonic time of the call, where it was executed late.
+        """
         task = body["Task"]
         self.starts += 1
         job = self.jobs.get(task.partition(".")[0])
@@ -64,6 +87,10 @@
             self._record_violation(
                 "TWICE", f"{task} starts after its end was acknowledged"
             )
+        self._begun.add(job.job_id)
+        for key, end in self._ends.items():
+            if end == (task, "done"):
+                self._restarted_ends.add(key)
         step = int(task.split(".")[2])
         for index in range(job.steps[step - 1] if step else 0):
             if f"{job.job_id}.0.{step - 1}.{index}" not in self._done:
@@ -71,7 +98,7 @@
                     "ORDER", f"{task} starts before step {step - 1}"
                 )
         if job.cancelled_at_s is not None:
-            late_s = time.monotonic() - job.cancelled_at_s
+            late_s = (sent_at_s or time.monotonic()) - job.cancelled_at_s
             if late_s > CANCEL_TIMEOUT_S + FAULT_ALLOWANCE_S:
                 self._record_violation(
                     "UNASKED", f"{task}: cancelled {late_s:.1f} s ago"
@@ -97,16 +124,31 @@
         """Record that a worker lost its running tasks and pending ends."""
         for task in tasks:
             self.on_end(task, worker, "crashed")
-        for key in [key for key in self._ends if key[0] == id(worker)]:
+        for key in self._ends_of(worker):
             del self._ends[key]
+            self._lapsed_ends.discard(key)
+            self._restarted_ends.discard(key)
+
+    def on_lapse(self, worker: object) -> None:
+        """Record that a worker's lease lapsed with ends that still wait."""
+        self._lapsed_ends.update(self._ends_of(worker))
 
     def on_acknowledged(self, worker: object, through: int) -> None:
         """Record that an agent acknowledged the ends up to a number."""
-        number = through
-        while (end := self._ends.pop((id(worker), number), None)) is not None:
-            if end[1] == "done":
-                self._acknowledged_done.add(end[0])
-            number -= 1
+        for key in self._ends_of(worker):
+            if key[1] > through:
+                continue
+            task, how = self._ends.pop(key)
+            if how != "done":
+                continue
+            self._acknowledged_done.add(task)
+            if key in self._restarted_ends - self._lapsed_ends:
+                self._record_violation(
+                    "TWICE", f"{task} started before its end was acknowledged"
+                )
+
+    def _ends_of(self, worker: object) -> list[tuple[int, int]]:
+        return [key for key in self._ends if key[0] == id(worker)]
 
     def on_state(
         self, job: SoakJob, entry: str, status: int, state: str
@@ -146,6 +188,38 @@
                 "LOST", f"{job.job_id} failed without a failed run"
             )
 
+    def waiting_jobs(self) -> int:
+        """Count the jobs that an entry has to report as pending by now."""
+        until_s = time.monotonic() - VISIBILITY_TIMEOUT_S - PENDING_DELAY_S
+        return sum(
+            job.accepted_at_s is not None
+            and job.accepted_at_s < until_s
+            and not job.cancel_attempted
+            and job.job_id not in self._begun
+            for job in self.jobs.values()
+        )
+
+    def on_pending(self, waiting: int, entry: str, pending: int) -> None:
+        """Check a count of pending jobs that an entry reported.
+
+        Parameters
+        ----------
+        waiting : int
+            Jobs that waited all the time of the call.
+        entry : str
+            Name of the entry.
+        pending : int
+            The count that it reported.
+        """
+        if 2 * pending < waiting:
+            self._record_violation(
+                "MIXED", f"{entry} counts {pending} of {waiting} pending jobs"
+            )
+
+    def on_unreadable(self, what: str, status: int) -> None:
+        """Record an answer that tells a caller nothing."""
+        self._record_violation("MIXED", f"{what} got status {status}")
+
     def check_refusals(self) -> None:
         """Check that no job runs whose submissions were all refused."""
         for task in [*self._running, *self._done]:
--- a/tests/soak/seed_run.py
+++ b/tests/soak/seed_run.py
@@ -52,6 +52,7 @@
         if jobs:
             job = world.rng.choice(jobs)
             await world.query_state(job, world.rng.choice(world.entries))
+            await world.query_pending(world.rng.choice(world.entries))
 
 
 async def _wait_for_accepted_jobs(world: World) -> None:
--- a/tests/soak/soak_worker.py
+++ b/tests/soak/soak_worker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 from typing import Any
 from typing import TYPE_CHECKING
@@ -14,11 +15,12 @@
 
     from soak.oracle import Oracle
 
-DRAIN_S = 3.0
+# Time after which a call that got no response is executed, in seconds.
+CALL_DELAY_S = (2.0, 12.0)
 
 
 class SoakWorker(PlatformWorker):
-    """A worker that can crash, drain and delay orders.
+    """A worker that can crash, drain and execute calls late.
 
     Parameters
     ----------
@@ -42,13 +44,24 @@
         self._listen_address = address
         self._app_address = app_address
         self.crashed = False
-        self.late_s = 0.0
+        self.sends_check_ins = True
+        # Share of the calls that are executed late and get no response.
+        self.late_share = 0.0
+        self._sent_at_s = 0.0
+        self._rng = random.Random(worker_id)
+        self._open_requests: set[HTTPServerRequest] = set()
+        self._late_calls: set[asyncio.Task[None]] = set()
 
     def start(self) -> None:
         super().start()
         # Check-ins announce the proxy's address.
         self._address = self._app_address
 
+    def stop(self) -> None:
+        super().stop()
+        for task in self._late_calls:
+            task.cancel()
+
     def crash(self) -> None:
         """Drop all state; calls are cut off until ``restart``."""
         self.crashed = True
@@ -56,6 +69,8 @@
         self._running_tasks.clear()
         self._highest_closed_runs.clear()
         self._ended_tasks.clear()
+        for request in self._open_requests:
+            self._cut(request)
 
     def restart(self) -> None:
         """Start with empty state under the same worker id."""
@@ -71,18 +86,42 @@
             self._check_in_sequence
         ) = self._last_end_number = 0
 
+    async def _send_check_in(self) -> None:
+        if self.sends_check_ins and not self.crashed:
+            await super()._send_check_in()
+
     async def _serve(self, request: HTTPServerRequest) -> None:
         if self.crashed:
             self._cut(request)
             return
-        born_ms = self._started_at_ms
-        if self.late_s and request.path.endswith(("run-start", "run-stop")):
-            # Execute the order late and send no response.
-            await asyncio.sleep(self.late_s)
-            if not self.crashed and born_ms == self._started_at_ms:
-                await super()._serve(request)
-            self._cut(request)
+        if self._rng.random() < self.late_share:
+            task = asyncio.ensure_future(
+                self._execute_late(request, time.monotonic())
+            )
+            self._late_calls.add(task)
+            task.add_done_callback(self._late_calls.discard)
             return
+        self._open_requests.add(request)
+        try:
+            await self._execute(request, time.monotonic())
+        finally:
+            self._open_requests.discard(request)
+
+    async def _execute_late(
+        self, request: HTTPServerRequest, sent_at_s: float
+    ) -> None:
+        """Execute a call on the instance that has this id by then."""
+        await asyncio.sleep(self._rng.uniform(*CALL_DELAY_S))
+        self._cut(request)
+        if not self.crashed:
+            await self._execute(request, sent_at_s)
+
+    async def _execute(
+        self, request: HTTPServerRequest, sent_at_s: float
+    ) -> None:
+        if self._clock_ms > self._lease_until_ms:
+            self._oracle.on_lapse(self)
+        self._sent_at_s = sent_at_s
         await super()._serve(request)
 
     def _cut(self, request: HTTPServerRequest) -> None:
@@ -94,7 +133,7 @@
         started_before = len(self.started)
         answer = super()._start(body)
         if len(self.started) > started_before:
-            self._oracle.on_start(body, self)
+            self._oracle.on_start(body, self, self._sent_at_s)
         return answer
 
     def _end_task(self, task: str, how: str) -> None:
@@ -102,6 +141,6 @@
         number, _, run, *_ = self._ended_tasks[-1]
         self._oracle.on_end(task, self, how, (number, run))
 
-    async def _wait_for_end(self, body: dict[str, Any]) -> None:
-        self._oracle.on_acknowledged(self, body["LastSeen"])
-        await super()._wait_for_end(body)
+    def _forget_ends(self, through: int) -> None:
+        self._oracle.on_acknowledged(self, through)
+        super()._forget_ends(through)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -218,7 +218,10 @@
     async def query_state(self, job: SoakJob, entry: str) -> str:
         """Query a job's state and pass the response to the oracle."""
         answer = await self.call(entry, "GET", f"/q/{job.job_id}", b"")
-        if answer is None or answer.status not in (200, 410):
+        if answer is None or answer.status == 503:
+            return ""
+        if answer.status not in (200, 410):
+            self.oracle.on_unreadable(job.job_id, answer.status)
             return ""
         state = ""
         if answer.status == 200:
@@ -226,6 +229,18 @@
         self.oracle.on_state(job, entry, answer.status, state)
         return state
 
+    async def query_pending(self, entry: str) -> None:
+        """Query the count of pending jobs, and a job that nobody submitted."""
+        waiting = self.oracle.waiting_jobs()
+        answer = await self.call(entry, "GET", "/q/", b"")
+        if answer is not None and answer.status == 200:
+            pending = msgspec.json.decode(answer.body)["Pending"]
+            waiting = min(waiting, self.oracle.waiting_jobs())
+            self.oracle.on_pending(waiting, entry, pending)
+        answer = await self.call(entry, "GET", f"/q/{'f' * 16}", b"")
+        if answer is not None and answer.status not in (410, 503):
+            self.oracle.on_unreadable("an unknown job", answer.status)
+
     async def close(self) -> None:
         """Kill all processes and stop the workers, proxies and store."""
         for name in self._processes:
