Reject a check-in without a start time

A check-in without `born` was taken as of a worker born at 0. Before the worker's first own check-in that was an instance that no list of runs is of, and two such writers were the same instance. `born` is always there as a whole number, so a check-in that lacks it, or has none above 0, comes from another writer and is now answered 400, logged and counted like other damaged ones. Three of the new scenarios (missing, 0, negative) failed before; null, text and a fraction were rejected already and are pinned.

--- a/src/yuccapoint/platform/check_in_server.py
+++ b/src/yuccapoint/platform/check_in_server.py
@@ -29,7 +29,7 @@
     gpu: int = 0
 
 
-class _CheckIn(msgspec.Struct, rename="pascal"):
+class _CheckIn(msgspec.Struct, rename="pascal", kw_only=True):
     # Name of the pool whose jobs the worker runs.
     service: str
     address: str
@@ -39,8 +39,8 @@
     capacity: _Capacity
     labels: list[str] = msgspec.field(default_factory=list)
     remaining_ms: int = 0
-    # When the worker was started, in milliseconds.
-    born: int = msgspec.field(name="born", default=0)
+    # When the worker was started, in Unix milliseconds.
+    born: int = msgspec.field(name="born")
 
 
 class CheckInServer:
@@ -110,7 +110,8 @@
     Raises
     ------
     MalformedMessageError
-        The body is not valid JSON, lacks a field, or has an unknown state.
+        The body is not valid JSON, lacks a field, has an unknown state or
+        names no start time.
     """
     try:
         wire: Any = msgspec.json.decode(body, type=_CheckIn)
@@ -120,6 +121,10 @@
         raise MalformedMessageError(
             f"check-in has unknown state {wire.state!r}"
         )
+    if wire.born <= 0:
+        raise MalformedMessageError(
+            f"check-in has born {wire.born}, expected Unix milliseconds"
+        )
     capacity = wire.capacity
     return CheckIn(
         instance=WorkerInstance(vm, worker_id, wire.born),
--- a/tests/features/platform/malformed.feature
+++ b/tests/features/platform/malformed.feature
@@ -40,3 +40,23 @@
     Given a store whose newest records are "config:Yg=" and "b:Yg=="
     When the operator's topic is followed for 1 s
     Then the store was read again and the feed is running
+
+  Scenario Outline: A check-in that names no lifetime is rejected
+    # Taken as born at 0 it would be the instance of all such check-ins.
+    Given a check-in server of a VM
+    When a check-in arrives whose "born" is <born>
+    Then it is rejected with status 400
+
+    Examples:
+      | born            |
+      | missing         |
+      | 0               |
+      | -1796383902006  |
+      | null            |
+      | "1796383902006" |
+      | 1796383902006.5 |
+
+  Scenario: A check-in that names its lifetime is accepted
+    Given a check-in server of a VM
+    When a check-in arrives whose "born" is 1796383902006
+    Then it is accepted
--- a/tests/features/steps/malformed_steps.py
+++ b/tests/features/steps/malformed_steps.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import struct
 from typing import TYPE_CHECKING
 
@@ -14,6 +15,7 @@
 from yuccapoint.cell.worker_events import StartCall
 from yuccapoint.connection.http_client import HttpClient
 from yuccapoint.exceptions import YuccapointError
+from yuccapoint.platform.check_in_server import CheckInServer
 from yuccapoint.platform.config_feed import ConfigFeed
 from yuccapoint.platform.exceptions import MalformedMessageError
 from yuccapoint.platform.store_partition import StorePartition
@@ -176,3 +178,62 @@
 def feed_runs(context: Context) -> None:
     assert not context.feed_task.done(), context.feed_task
     assert context.requests >= 2, context.requests
+
+
+@given("a check-in server of a VM")
+def check_in_server(context: Context) -> None:
+    context.check_ins, context.rejections = [], []
+    server = CheckInServer(
+        "vm-0",
+        context.check_ins.append,
+        lambda _: None,
+        context.rejections.append,
+    )
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        context.address = f"127.0.0.1:{free.getsockname()[1]}"
+
+    async def listen() -> None:
+        server.listen(context.address)
+
+    run(context, listen())
+    context.cleanups.append(server.stop)
+
+
+@when('a check-in arrives whose "{field}" is {value}')
+def check_in_arrives(context: Context, field: str, value: str) -> None:
+    body = {
+        "Service": "pool",
+        "Address": "127.0.0.1:1",
+        "State": "ready",
+        "Seq": 1,
+        "ClockMs": 100,
+        "Capacity": {"Cpu": 1000, "MemMb": 64, "Gpu": 0},
+        "born": 1_796_383_902_006,
+    }
+    del body[field]
+    if value != "missing":
+        body[field] = msgspec.Raw(value.encode())
+
+    async def send() -> None:
+        context.response = await HttpClient(context.address).call(
+            "PUT",
+            "/yuccapoint/instances/i-0",
+            msgspec.json.encode(body),
+            timeout_s=1.0,
+        )
+
+    run(context, send())
+
+
+@then("it is rejected with status {status:d}")
+def check_in_rejected(context: Context, status: int) -> None:
+    assert context.response.status == status, context.response.status
+    assert not context.check_ins, context.check_ins
+    assert len(context.rejections) == 1, context.rejections
+
+
+@then("it is accepted")
+def check_in_accepted(context: Context) -> None:
+    assert context.response.status == 200, context.response.status
+    assert len(context.check_ins) == 1, context.rejections
