Accept no record by an answer to a former process of the entry

A caller could get 200 for a submission that no store holds: numbers of relayed records began at 1 in each process, an entry keeps its address over a restart, and a peer answers up to 1.2 s later, or when its connection is back. The answer to record N of the former process then said "appended" to the caller of record N of the new one. Numbers now begin at the time of the start in nanoseconds, so no two processes of an entry share one; the message is the same.

--- a/src/yuccapoint/process/append_relay.py
+++ b/src/yuccapoint/process/append_relay.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import time
 from typing import TYPE_CHECKING
 
 from yuccapoint.cell import cell_records
@@ -65,7 +66,8 @@
         self._list_peers = list_peers
         self._has_leader_peer = has_leader_peer
         self._logger = logger
-        self._numbers = itertools.count(1)
+        # A peer may still answer requests of this entry's former process.
+        self._numbers = itertools.count(time.time_ns())
         self._waiting: dict[int, asyncio.Future[RelayResult]] = {}
         self._serving_tasks: set[asyncio.Task[None]] = set()
 
