Count a job as pending until a worker has had one of its tasks

`Pending` left out jobs that waited: a claim was taken for a start, and a run number stays when a start is refused or gets no answer. With a queue of one job, one unanswered start was enough.

The leader now stores with an occurrence whether a worker has run, or has ended, one of its tasks. It goes with the next write of the state, at the latest with the checkpoints after a second, so short jobs cost no additional record. The entries count by it; a claimed job is still reported as `running`. States without the mark keep their form, earlier versions skip the field. The form is compared through the encoder that writes the store, as the mark is left out there; the bytes expected are the same.

--- a/src/yuccapoint/cell/cell_leader.py
+++ b/src/yuccapoint/cell/cell_leader.py
@@ -196,7 +196,7 @@
             >= CHECKPOINT_WRITE_INTERVAL_S
         ):
             self._checkpoints_written_at_s = now_s
-            self._mark_new_checkpoints()
+            self._mark_unstored_progress()
 
     def _plan(self, now_s: float, wall_ms: int) -> None:
         planner = self.planner(now_s, wall_ms)
@@ -245,16 +245,21 @@
             wall_ms,
         )
 
-    def _mark_new_checkpoints(self) -> None:
-        """Mark occurrences whose checkpoints are newer than the stored ones.
+    def _mark_unstored_progress(self) -> None:
+        """Mark occurrences that have begun or saved progress unstored.
 
         Guards against a loss of all machines at once, after which each run
-        would otherwise restart from the checkpoint of its last claim.
+        would otherwise restart from the checkpoint of its last claim. The
+        first start is stored for the entries, which count pending jobs.
         """
         for vm in self.vms.values():
             for task in vm.claims.values():
-                if task.checkpoint != task.stored_checkpoint:
-                    self.mark_dirty(task.step.occurrence)
+                occurrence = task.step.occurrence
+                if (
+                    occurrence.begun != occurrence.begun_stored
+                    or task.checkpoint != task.stored_checkpoint
+                ):
+                    self.mark_dirty(occurrence)
 
     def _add_due_occurrences(self, wall_ms: int) -> None:
         for job in self.jobs.values():
--- a/src/yuccapoint/cell/cell_records.py
+++ b/src/yuccapoint/cell/cell_records.py
@@ -110,6 +110,11 @@
 
 def encode(record: CellRecord) -> bytes:
     """Encode the value of a record."""
+    if isinstance(record, OccurrenceState) and not record.begun:
+        # Versions that did not store the mark wrote this form.
+        return _encoder.encode(
+            (record.outcome, record.instances, record.steps)
+        )
     return _encoder.encode(record)
 
 
--- a/src/yuccapoint/cell/cell_view.py
+++ b/src/yuccapoint/cell/cell_view.py
@@ -17,6 +17,7 @@
 
 if TYPE_CHECKING:
     from yuccapoint.cell.cell_records import CellRecord
+    from yuccapoint.cell.occurrence_state import TaskState
 
 
 class JobView:
@@ -79,10 +80,12 @@
 
     @property
     def has_started(self) -> bool:
-        """Whether a task was ever claimed."""
+        """Whether a task was ever started; a claim alone is no start."""
         for occurrence in self.occurrences.values():
+            if occurrence.begun:
+                return True
             for step in occurrence.steps:
-                if any(task.run for task in step):
+                if any(_has_run(task) for task in step):
                     return True
         return False
 
@@ -96,6 +99,11 @@
         return False
 
 
+def _has_run(task: TaskState) -> bool:
+    # Versions that did not store ``begun`` leave these traces.
+    return bool(task.phase is Phase.DONE or task.failures or task.checkpoint)
+
+
 class CellView:
     """Applies records in any order; the newest of each key is valid."""
 
--- a/src/yuccapoint/cell/job_run.py
+++ b/src/yuccapoint/cell/job_run.py
@@ -177,14 +177,31 @@
 
 
 class OccurrenceRun:
-    """One execution of all steps of a job."""
+    """One execution of all steps of a job.
 
-    __slots__ = ("job", "number", "outcome", "steps")
+    Attributes
+    ----------
+    begun : bool
+        Whether a worker ever ran one of the tasks.
+    begun_stored : bool
+        Whether the last written state says so.
+    """
+
+    __slots__ = (
+        "begun",
+        "begun_stored",
+        "job",
+        "number",
+        "outcome",
+        "steps",
+    )
 
     def __init__(self, job: JobRun, number: int) -> None:
         self.job = job
         self.number = number
         self.outcome = Outcome.OPEN
+        self.begun = False
+        self.begun_stored = False
         self.steps = [
             StepRun(self, step_number, spec)
             for step_number, spec in enumerate(job.submission.steps)
@@ -226,6 +243,7 @@
     def load(self, state: OccurrenceState) -> None:
         """Restore the stored state."""
         self.outcome = state.outcome
+        self.begun = self.begun_stored = state.begun
         for step, states in zip(self.steps, state.steps, strict=False):
             for task, stored in zip(step.tasks, states, strict=False):
                 task.run = stored.run
@@ -264,7 +282,8 @@
                     )
                 )
             steps.append(states)
-        return OccurrenceState(self.outcome, instances, steps)
+        self.begun_stored = self.begun
+        return OccurrenceState(self.outcome, instances, steps, self.begun)
 
 
 class JobRun:
--- a/src/yuccapoint/cell/occurrence_state.py
+++ b/src/yuccapoint/cell/occurrence_state.py
@@ -57,8 +57,13 @@
 
 
 class OccurrenceState(msgspec.Struct, array_like=True):
-    """State of one occurrence, with its tasks by step."""
+    """State of one occurrence, with its tasks by step.
+
+    ``begun`` tells whether a worker ever ran one of them; a claimed run may
+    still be refused.
+    """
 
     outcome: Outcome
     instances: list[WorkerInstance]
     steps: list[list[TaskState]]
+    begun: bool = False
--- a/src/yuccapoint/cell/report_handler.py
+++ b/src/yuccapoint/cell/report_handler.py
@@ -130,6 +130,7 @@
     ) -> None:
         if not task.seen_running:
             task.seen_running = True
+            task.step.occurrence.begun = True
             task.started_at_s = now_s
             task.progressed_at_s = now_s
         if running.checkpoint and running.checkpoint != task.checkpoint:
--- a/src/yuccapoint/cell/run_end_handler.py
+++ b/src/yuccapoint/cell/run_end_handler.py
@@ -62,6 +62,7 @@
             )
             return
         del vm.claims[ended.task_id]
+        task.step.occurrence.begun = True
         self._leader.explain(
             "run",
             f"ended {ended.how}",
--- a/src/yuccapoint/process/cell_job_gateway.py
+++ b/src/yuccapoint/process/cell_job_gateway.py
@@ -165,7 +165,9 @@
             return None
         if job.outcome is not Outcome.OPEN:
             return job.outcome.value
-        return "running" if job.has_started else "pending"
+        if job.has_started or job.has_claims:
+            return "running"
+        return "pending"
 
     def count_pending(self, route: str) -> int:
         """Count the accepted jobs without a started task."""
--- a/tests/features/steps/compatibility_steps.py
+++ b/tests/features/steps/compatibility_steps.py
@@ -66,13 +66,19 @@
     assert context.encoded == context.expected
 
 
+def _encode(group: str, record: object) -> bytes:
+    if group == "cell_records":
+        return cell_records.encode(record)
+    return msgspec.msgpack.encode(record)
+
+
 @when("each of the earlier build's {group} is decoded and encoded again")
 def recode(context: Context, group: str) -> None:
     context.expected = {
         name: base64.b64decode(data) for name, data in _baseline(group).items()
     }
     context.encoded = {
-        name: msgspec.msgpack.encode(_decode(group, name, data))
+        name: _encode(group, _decode(group, name, data))
         for name, data in context.expected.items()
     }
 
