Answer 400 to a submission whose numbers can't be stored

A caller got 500 for a submission with a number of more than 64 bits (in `Cpu`, `Repeats`, `MemMb` after its conversion to bytes, or a large `TargetMs`): the record could not be encoded. A schedule that ends beyond 64 bits was accepted. 500 says neither that the job was accepted nor that it never runs, so callers send it again for good. Such bodies are now rejected like other invalid jobs. Five examples of "Invalid input gets a definite status" failed before.

--- a/src/yuccapoint/cell/submission.py
+++ b/src/yuccapoint/cell/submission.py
@@ -11,6 +11,8 @@
 # Larger jobs do not fit into one record of the store.
 MAX_STEPS = 256
 MAX_TASKS = 20_000
+# Numbers above this can't be stored; no resource or time comes close.
+MAX_NUMBER = 2**62
 
 
 class Submission(msgspec.Struct, frozen=True, array_like=True):
@@ -70,6 +72,9 @@
             raise InvalidJobError(f"a job has at most {MAX_TASKS} tasks")
         if self.repeats < 0 or self.interval_ms < 0 or self.first_due_ms < 0:
             raise InvalidJobError("a schedule can't be negative")
+        last_due_ms = self.first_due_ms + self.repeats * self.interval_ms
+        if max(self.repeats, self.interval_ms, last_due_ms) > MAX_NUMBER:
+            raise InvalidJobError("a schedule exceeds the range of numbers")
         for number, step in enumerate(self.steps):
             _check_step(number, step)
 
@@ -82,6 +87,13 @@
     limits = (step.estimate_ms, step.max_per_vm, step.target_ms)
     if min(*limits, step.max_unavailable) < 0:
         raise InvalidJobError(f"step {number} has a negative limit")
+    size = (
+        step.size.millicores,
+        step.size.memory_bytes,
+        step.size.accelerators,
+    )
+    if max(*size, *limits, step.max_unavailable) > MAX_NUMBER:
+        raise InvalidJobError(f"step {number} exceeds the range of numbers")
     for earlier in step.depends_on:
         if not 0 <= earlier < number:
             raise InvalidJobError(
--- a/tests/features/platform/path.feature
+++ b/tests/features/platform/path.feature
@@ -72,6 +72,11 @@
       | POST   | /q/00000000000000aa    | {"Steps":[{"Count":1,"Cpu":-5}]}           | 400    |
       | POST   | /q/00000000000000aa    | {"Steps":[{"Count":1,"DependsOn":[0]}]}    | 400    |
       | POST   | /q/00000000000000aa    | {"Steps":[{"Count":"x"}]}                  | 400    |
+      | POST   | /q/00000000000000aa    | {"Steps":[{"Count":1,"Cpu":99999999999999999999}]}     | 400 |
+      | POST   | /q/00000000000000aa    | {"Steps":[{"Count":1,"MemMb":99999999999999}]}         | 400 |
+      | POST   | /q/00000000000000aa    | {"Steps":[{"Count":1,"TargetMs":1e30}]}                | 400 |
+      | POST   | /q/00000000000000aa    | {"Steps":[{"Count":1}],"Repeats":99999999999999999999} | 400 |
+      | POST   | /q/00000000000000aa    | {"Steps":[{"Count":1}],"StartAtMs":18446744073709551615,"Repeats":2} | 400 |
       | POST   | /q/short               | {}                                         | 400    |
       | POST   | /elsewhere/aa          | {}                                         | 404    |
       | GET    | /q/00000000000000bb    |                                            | 410    |
