Fence calls that reach a worker's next instance

A new instance knows no closed run and has seen no token, so a start ran a finished task again; a late hold with the LastSeen of before would make it forget ends that nobody has read, and prolong its lease by up to 6 s.

The token of a call is now the term, followed by the start time of the instance that the call is meant for. It rises with the term as before and within a term with each instance; after the first call that the new instance answers, it refuses all calls meant for the former one. An agent that restarts computes the same token, so nothing has to be stored. What is executed between the start of the instance and its first call still takes effect.

A build from before sends the bare term, which a worker that saw such a token refuses until it restarts.

--- a/src/yuccapoint/platform/worker_client.py
+++ b/src/yuccapoint/platform/worker_client.py
@@ -19,6 +19,7 @@
 from yuccapoint.platform.exceptions import MalformedMessageError
 
 if TYPE_CHECKING:
+    from yuccapoint.cell.occurrence_state import WorkerInstance
     from yuccapoint.cell.worker_events import StatusRequest
     from yuccapoint.cell.worker_events import WorkerCall
     from yuccapoint.connection.http_client import HttpResponse
@@ -26,6 +27,8 @@
 # The worker is on the same VM and usually responds in about a millisecond; a
 # busy one may take longer.
 CALL_TIMEOUT_S = 0.6
+# Room for a start time in Unix milliseconds, until the year 2039.
+BORN_BITS = 41
 INSTANCE_HEADER = "Yuccapoint-Expect-Instance"
 STATUS_OK = 200
 STATUS_CONFLICT = 409
@@ -65,9 +68,9 @@
         self._client = HttpClient(address)
 
     async def call(
-        self, call: WorkerCall, worker_id: str
+        self, call: WorkerCall, instance: WorkerInstance
     ) -> tuple[CallResult, str]:
-        """Start, stop or throttle a run.
+        """Start, stop or throttle a run on an instance of the worker.
 
         Returns
         -------
@@ -76,13 +79,14 @@
             respond.
         """
         path, body = _encode_call(call)
+        body["FencingToken"] = fencing_token(call.term, instance)
         try:
             response = await self._client.call(
                 "POST",
                 path,
                 msgspec.json.encode(body),
                 timeout_s=CALL_TIMEOUT_S,
-                headers=_headers(worker_id),
+                headers=_headers(instance.worker_id),
             )
         except UnreachableError as error:
             return CallResult.UNANSWERED, str(error)
@@ -97,7 +101,7 @@
         return CallResult.REFUSED, f"status {response.status}"
 
     async def fetch_status(
-        self, request: StatusRequest, worker_id: str
+        self, request: StatusRequest, instance: WorkerInstance
     ) -> WorkerStatus:
         """Renew the worker's lease and fetch its running and ended tasks.
 
@@ -112,7 +116,7 @@
             The worker responded with an error status or a malformed body.
         """
         body: dict[str, int] = {
-            "FencingToken": request.term,
+            "FencingToken": fencing_token(request.term, instance),
             "LastSeen": request.last_seen,
             "WaitMs": request.wait_ms,
         }
@@ -123,7 +127,7 @@
             "/yuccapoint/hold",
             msgspec.json.encode(body),
             timeout_s=CALL_TIMEOUT_S + request.wait_ms / 1000,
-            headers=_headers(worker_id),
+            headers=_headers(instance.worker_id),
         )
         if response.status != STATUS_OK:
             text = response.body[:200].decode("utf-8", "replace")
@@ -148,8 +152,18 @@
         self._client.close()
 
 
+def fencing_token(term: int, instance: WorkerInstance) -> int:
+    """Return the token of calls to an instance of the worker in a term.
+
+    A call without a response may be executed seconds later, by a worker that
+    has restarted under the same id. Once the new instance has seen a call of
+    its own, it refuses those meant for its predecessor.
+    """
+    return (term << BORN_BITS) + instance.born_ms % (1 << BORN_BITS)
+
+
 def _encode_call(call: WorkerCall) -> tuple[str, dict[str, Any]]:
-    body: dict[str, Any] = {"FencingToken": call.term}
+    body: dict[str, Any] = {}
     if isinstance(call, StartCall):
         order = call.order
         body.update(
--- a/src/yuccapoint/process/cell_agent_process.py
+++ b/src/yuccapoint/process/cell_agent_process.py
@@ -26,6 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from yuccapoint.cell.occurrence_state import WorkerInstance
     from yuccapoint.cell.worker_events import CallResult
     from yuccapoint.cell.worker_events import CheckIn
     from yuccapoint.cell.worker_events import StatusRequest
@@ -54,12 +55,12 @@
     """Client interface of the worker."""
 
     async def call(
-        self, call: WorkerCall, worker_id: str
+        self, call: WorkerCall, instance: WorkerInstance
     ) -> tuple[CallResult, str]:
         """Start, stop or throttle a run; return the result and a reason."""
 
     async def fetch_status(
-        self, request: StatusRequest, worker_id: str
+        self, request: StatusRequest, instance: WorkerInstance
     ) -> WorkerStatus:
         """Renew the worker's lease and list its running and ended runs."""
 
@@ -214,7 +215,7 @@
         worker, check_in = self._worker, self.vm_agent.check_in
         if worker is None or check_in is None:
             return
-        result, reason = await worker.call(call, check_in.instance.worker_id)
+        result, reason = await worker.call(call, check_in.instance)
         now_s = steady_s()
         self.metrics.count(
             "worker_calls", kind=type(call).__name__, result=result.value
@@ -270,9 +271,7 @@
             return False
         sent_at_s = steady_s()
         try:
-            status = await worker.fetch_status(
-                request, check_in.instance.worker_id
-            )
+            status = await worker.fetch_status(request, check_in.instance)
         except YuccapointError as error:
             self.vm_agent.on_status_failed()
             self.logger.log(
--- a/tests/features/steps/agent_poll_steps.py
+++ b/tests/features/steps/agent_poll_steps.py
@@ -38,15 +38,15 @@
         self.polled_at_s: list[float] = []
 
     async def call(
-        self, call: WorkerCall, worker_id: str
+        self, call: WorkerCall, instance: WorkerInstance
     ) -> tuple[CallResult, str]:
-        del call, worker_id
+        del call, instance
         return CallResult.DONE, ""
 
     async def fetch_status(
-        self, request: StatusRequest, worker_id: str
+        self, request: StatusRequest, instance: WorkerInstance
     ) -> WorkerStatus:
-        del worker_id
+        del instance
         self.polled_at_s.append(asyncio.get_running_loop().time())
         await asyncio.sleep(0.001)
         ends = (END,) if request.last_seen < END.number else ()
--- a/tests/features/steps/malformed_steps.py
+++ b/tests/features/steps/malformed_steps.py
@@ -12,6 +12,7 @@
 from platform_path_steps import run
 
 from yuccapoint.cell.cell_messages import StartOrder
+from yuccapoint.cell.occurrence_state import WorkerInstance
 from yuccapoint.cell.worker_events import StartCall
 from yuccapoint.connection.http_client import HttpClient
 from yuccapoint.exceptions import YuccapointError
@@ -105,7 +106,8 @@
 
     async def start() -> None:
         worker = WorkerClient(context.address)
-        context.result, _ = await worker.call(StartCall(order, 1, 1), "i-0")
+        instance = WorkerInstance("vm-0", "i-0", 1)
+        context.result, _ = await worker.call(StartCall(order, 1, 1), instance)
 
     run(context, start())
 
