Reject a check-in with a value that can't be used

An agent ended itself when it reported a check-in's number of more than 64 bits to the leader ("can't serialize ints"), and again after each restart, while the writer of such check-ins went on; callers' jobs on that VM stood still. An address without a port number was taken over before the client for it failed, so that the agent called the former worker for the new instance. Check-ins with negative or huge numbers, without a service or with such an address are now answered 400, logged and counted; a negative `RemainingMs` stays allowed. The 12 examples failed before.

--- a/src/yuccapoint/platform/check_in_server.py
+++ b/src/yuccapoint/platform/check_in_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -21,6 +22,9 @@
     from tornado.httputil import HTTPServerRequest
 
 CHECK_IN_PATH = "/yuccapoint/instances/"
+ADDRESS_PATTERN = re.compile(r"[^:\s]+:[0-9]{1,5}\Z")
+# Leaves room for memory in bytes within the 64 bits of a message.
+MAX_NUMBER = 2**42
 
 
 class _Capacity(msgspec.Struct, rename="pascal"):
@@ -110,8 +114,8 @@
     Raises
     ------
     MalformedMessageError
-        The body is not valid JSON, lacks a field, has an unknown state or
-        names no start time.
+        The body is not valid JSON, lacks a field, has an unknown state, names
+        no start time or has a value that can't be used.
     """
     try:
         wire: Any = msgspec.json.decode(body, type=_CheckIn)
@@ -126,6 +130,25 @@
             f"check-in has born {wire.born}, expected Unix milliseconds"
         )
     capacity = wire.capacity
+    numbers = (
+        wire.born,
+        wire.seq,
+        wire.clock_ms,
+        # Less than none is left of a drain that takes longer than announced.
+        abs(wire.remaining_ms),
+        capacity.cpu,
+        capacity.mem_mb,
+        capacity.gpu,
+    )
+    if min(numbers) < 0 or max(numbers) > MAX_NUMBER:
+        raise MalformedMessageError(
+            f"check-in has a number outside of 0 to {MAX_NUMBER}"
+        )
+    if not wire.service or not ADDRESS_PATTERN.match(wire.address):
+        raise MalformedMessageError(
+            f"check-in has service {wire.service!r} and address"
+            f" {wire.address!r}, expected a name and HOST:PORT"
+        )
     return CheckIn(
         instance=WorkerInstance(vm, worker_id, wire.born),
         pool=wire.service,
--- a/tests/features/platform/malformed.feature
+++ b/tests/features/platform/malformed.feature
@@ -60,3 +60,24 @@
     Given a check-in server of a VM
     When a check-in arrives whose "born" is 1796383902006
     Then it is accepted
+
+  Scenario Outline: A check-in with a value that can't be used is rejected
+    # The agent ended itself when it reported such a number to the leader.
+    Given a check-in server of a VM
+    When a check-in arrives whose "<field>" is <value>
+    Then it is rejected with status 400
+
+    Examples:
+      | field    | value                       |
+      | born     | 99999999999999999999        |
+      | Seq      | 99999999999999999999        |
+      | Seq      | -1                          |
+      | ClockMs  | 99999999999999999999        |
+      | ClockMs  | -1                          |
+      | Capacity | {"Cpu":99999999999999999999} |
+      | Capacity | {"MemMb":99999999999999}    |
+      | Capacity | {"Gpu":-1}                  |
+      | Address  | ""                          |
+      | Address  | "10.0.0.1"                  |
+      | Address  | "10.0.0.1:http"             |
+      | Service  | ""                          |
