Read a long backlog to its end before a job is called unknown

An entry answered 410 to a GET or DELETE of a job that another entry had accepted when more than 1 MB of records were between what it had read and the job: catching up, and loading, made one read, and a read returns 1 MB at most. That is LOST for the caller, and a cancellation that never takes effect. Found in reading; a paused entry beside large jobs gets there. Both now read on while a read returned 250 kB or more; a short backlog still takes one read.

--- a/src/yuccapoint/process/cell_tail.py
+++ b/src/yuccapoint/process/cell_tail.py
@@ -27,6 +27,9 @@
 # must succeed within two seconds after the store recovers.
 FIRST_RETRY_S = 0.1
 MAX_RETRY_S = 0.8
+# A read returns 1 MB at most and no part of a record; one that returned less
+# than this has reached the end.
+FULL_READ_BYTES = 250_000
 # The view counts as stale after this many seconds without a successful read.
 STALE_AFTER_S = 2.0
 
@@ -115,8 +118,16 @@
         if self._next_offset is None:
             await self._load()
             return
-        records, _ = await self._store.read(self._next_offset, 0)
-        self._apply(records)
+        await self._read_to_end(self._next_offset)
+
+    async def _read_to_end(self, offset: int) -> int:
+        """Apply the records from an offset on; return the end offset."""
+        while True:
+            records, offset = await self._store.read(offset, 0)
+            self._apply(records)
+            size = sum(len(stored.value or b"") for stored in records)
+            if size < FULL_READ_BYTES:
+                return offset
 
     async def _read_once(self) -> bool:
         if self._next_offset is None:
@@ -135,8 +146,7 @@
         self._apply(records)
         self._view.retain({record.key for record in records}, follow_from)
         # Records that changed while the pages were read.
-        newer, next_offset = await self._store.read(follow_from, 0)
-        self._apply(newer)
+        next_offset = await self._read_to_end(follow_from)
         self._next_offset = next_offset
         self.loaded = True
         self._logger.log(
--- /dev/null
+++ b/tests/features/steps/long_backlog_steps.py
@@ -0,0 +1,105 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from behave import given
+from behave import then
+from behave import when
+from platform_path_steps import job_body
+from platform_path_steps import JOB_ID
+from platform_path_steps import run
+
+from yuccapoint.cell import cell_records
+from yuccapoint.cell.cell_view import CellView
+from yuccapoint.cell.queue_rules import QueueRules
+from yuccapoint.connection.cell_store import StoredRecord
+from yuccapoint.platform.job_body import decode_job
+from yuccapoint.process.cell_job_gateway import CellJobGateway
+from yuccapoint.process.cell_tail import CellTail
+from yuccapoint.process.metrics import Metrics
+from yuccapoint.process.process_logger import ProcessLogger
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+MAX_READ_BYTES = 1_048_576
+RECORD_BYTES = 300_000
+ROUTE = "q"
+
+
+class PagedStore:
+    """Returns a limited amount of records with each read."""
+
+    def __init__(self) -> None:
+        self.records: list[StoredRecord] = []
+        self.reads = 0
+
+    def put(self, key: str, value: bytes) -> None:
+        self.records.append(StoredRecord(len(self.records), key, value))
+
+    async def read_newest(self) -> tuple[list[StoredRecord], int]:
+        return [], 0
+
+    async def read(
+        self, from_offset: int, wait_ms: int
+    ) -> tuple[list[StoredRecord], int]:
+        del wait_ms
+        self.reads += 1
+        found: list[StoredRecord] = []
+        size = 0
+        for record in self.records[from_offset:]:
+            size += len(record.value or b"")
+            if found and size > MAX_READ_BYTES:
+                break
+            found.append(record)
+        return found, from_offset + len(found)
+
+
+def _set_up(context: Context) -> None:
+    context.store = PagedStore()
+    logger = ProcessLogger("entry")
+    view = CellView()
+    context.tail = CellTail(
+        context.store, view, lambda _: None, lambda: None, logger
+    )
+    context.gateway = CellJobGateway(
+        view, context.tail, None, None, logger, Metrics()
+    )
+
+
+@given("a store whose reads return at most 1 MB, and an entry that loads it")
+def loading_entry(context: Context) -> None:
+    _set_up(context)
+
+
+@given(
+    "a store whose reads return at most 1 MB, and an entry that has read it"
+)
+def reading_entry(context: Context) -> None:
+    _set_up(context)
+    run(context, context.tail._read_once())
+
+
+@when("another entry appends {megabytes:d} MB of records and a job")
+def append_backlog(context: Context, megabytes: int) -> None:
+    for number in range(megabytes * 1_000_000 // RECORD_BYTES):
+        context.store.put(f"p:{number:016x}.0", b"\xc1" * RECORD_BYTES)
+    job = decode_job(job_body(1, 1), JOB_ID, QueueRules(ROUTE, "pool"), 1)
+    key = cell_records.SUBMISSION + JOB_ID
+    context.store.put(key, cell_records.encode(job))
+    context.reads_before = context.store.reads
+
+
+@then("the entry knows the job")
+def job_known(context: Context) -> None:
+    async def ask() -> str | None:
+        return await context.gateway.state(ROUTE, JOB_ID)
+
+    state = run(context, ask())
+    assert state == "pending", state
+
+
+@then("it has made {count:d} more read")
+def reads_made(context: Context, count: int) -> None:
+    made = context.store.reads - context.reads_before
+    assert made == count, made
