Run periodic tasks by steady time, not by the time of day

The same cause as in the agents' logs, elsewhere: the ticks and heartbeats of entries and agents of the other deployments used tornado's PeriodicCallback, which follows the time of day and pauses for as long as that is set back. One timer by the event loop's steady time serves these and the log output.

--- a/src/yuccapoint/process/agent_process.py
+++ b/src/yuccapoint/process/agent_process.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING
 
 from tornado.httpserver import HTTPServer
-from tornado.ioloop import PeriodicCallback
 
 from yuccapoint.connection.control_channel import ControlChannel
 from yuccapoint.connection.endpoint_client import EndpointClient
@@ -30,6 +29,7 @@
 from yuccapoint.process.metrics import Metrics
 from yuccapoint.process.process_logger import ProcessLogger
 from yuccapoint.process.request_server import RequestServer
+from yuccapoint.process.steady_timer import SteadyTimer
 from yuccapoint.process.worker_driver import WorkerDriver
 from yuccapoint.request.recent_keys import RecentKeys
 from yuccapoint.version.table_replica import TableReplica
@@ -89,7 +89,7 @@
         self._next_report_at_s = 0.0
         self._requests = RequestServer(self)
         self._announce_server = HTTPServer(announce_application(self))
-        self._tick_timer = PeriodicCallback(self._tick, TICK_MS)
+        self._tick_timer = SteadyTimer(self._tick, TICK_MS)
 
     @property
     def tables(self) -> CompiledTables:
--- a/src/yuccapoint/process/entry_process.py
+++ b/src/yuccapoint/process/entry_process.py
@@ -9,7 +9,6 @@
 
 import msgspec
 from tornado.httpserver import HTTPServer
-from tornado.ioloop import PeriodicCallback
 
 from yuccapoint.connection.control_channel import ControlChannel
 from yuccapoint.connection.entry_directory import EntryDirectory
@@ -41,6 +40,7 @@
 from yuccapoint.process.request_forwarder import RequestForwarder
 from yuccapoint.process.snapshot_schedule import SnapshotSchedule
 from yuccapoint.process.snapshot_writer import SnapshotWriter
+from yuccapoint.process.steady_timer import SteadyTimer
 from yuccapoint.process.tls_context import create_tls_context
 from yuccapoint.request.customer_rate_limiter import CustomerRateLimiter
 from yuccapoint.request.exceptions import RepeatedKeyError
@@ -163,8 +163,8 @@
             operator_application(self),
             ssl_options=self.tls.context if self.tls else None,
         )
-        self._tick_timer = PeriodicCallback(self._tick, TICK_MS)
-        self._heartbeat_timer = PeriodicCallback(
+        self._tick_timer = SteadyTimer(self._tick, TICK_MS)
+        self._heartbeat_timer = SteadyTimer(
             self._send_heartbeats, HEARTBEAT_MS
         )
 
--- a/src/yuccapoint/process/log_output.py
+++ b/src/yuccapoint/process/log_output.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import collections
 import os
 from typing import Any
@@ -10,9 +9,11 @@
 import eliot
 import msgspec
 
+from yuccapoint.process.steady_timer import SteadyTimer
+
 # Limit of buffered lines in bytes; the oldest lines are dropped above it.
 MAX_BUFFERED_BYTES = 1_000_000
-FLUSH_EVERY_S = 0.1
+FLUSH_EVERY_MS = 100
 STDOUT = 1
 
 
@@ -28,30 +29,20 @@
         self._descriptor = descriptor
         self._lines: collections.deque[bytes] = collections.deque()
         self._buffered_bytes = 0
-        self._flush_timer: asyncio.TimerHandle | None = None
+        self._flush_timer = SteadyTimer(self.flush, FLUSH_EVERY_MS)
 
     def start(self) -> None:
         """Start to receive the log messages of this process."""
         os.set_blocking(self._descriptor, False)
         eliot.add_destinations(self.write)
-        self._schedule_flush()
+        self._flush_timer.start()
 
     def stop(self) -> None:
         """Write what the reader accepts and stop."""
-        if self._flush_timer is not None:
-            self._flush_timer.cancel()
+        self._flush_timer.stop()
         self.flush()
         eliot.remove_destination(self.write)
 
-    def _schedule_flush(self) -> None:
-        # Tornado's timers follow the time of day, which may be set back.
-        loop = asyncio.get_running_loop()
-        self._flush_timer = loop.call_later(FLUSH_EVERY_S, self._flush_again)
-
-    def _flush_again(self) -> None:
-        self._schedule_flush()
-        self.flush()
-
     def write(self, message: dict[str, Any]) -> None:
         """Buffer a message; drop the oldest ones above the limit."""
         message.pop("task_uuid", None)
