Simulate clocks that are set, and check that a leader follows each VM

Their incarnation is the time of day now, which a disruption sets ahead or back, and a VM that the newest leader does not hear after the calm counts as a failure.

--- a/tests/cell_world/agent_model.py
+++ b/tests/cell_world/agent_model.py
@@ -29,15 +29,16 @@
         self.worker = worker
         self.late_share = 0.0
         self.frozen_until_s = 0.0
+        # Difference of the VM's time of day from true time.
+        self.clock_offset_s = 0.0
         self._rng = rng
         self._late_calls: list[tuple[float, WorkerCall | StatusRequest]] = []
-        self._incarnation = 0
         self.restart(now_s)
 
     def restart(self, now_s: float) -> None:
-        self._incarnation += 1
+        incarnation = int((now_s + self.clock_offset_s) * 1e9)
         self.vm_agent = VmAgent(
-            self.worker.vm, self.worker.vm, self._incarnation, now_s
+            self.worker.vm, self.worker.vm, incarnation, now_s
         )
         self._checked_in_at_s = -9.0
         self._checked_in_born = 0
--- a/tests/cell_world/world.py
+++ b/tests/cell_world/world.py
@@ -14,6 +14,7 @@
 from yuccapoint.cell import cell_records
 from yuccapoint.cell.cell_records import Member
 from yuccapoint.cell.job_gateway import GatewayResult
+from yuccapoint.cell.lease_bounds import REPORT_INTERVAL_S
 from yuccapoint.cell.occurrence_state import Outcome
 from yuccapoint.cell.queue_rules import QueueRules
 from yuccapoint.cell.step_spec import StepSpec
@@ -43,6 +44,7 @@
     "store_lost",
     "store_slow",
     "link_slow",
+    "clock_step",
 )
 # A caller whose job got no answer submits it again, at any entry, after this
 # time in seconds, up to this many times in all.
@@ -256,6 +258,18 @@
         agent = self.rng.choice([*self.agents.values()])
         agent.frozen_until_s = self.now_s + self.rng.uniform(0.5, 9.0)
 
+    def _clock_step(self) -> None:
+        """Set the time of day of some VMs ahead or back for a while."""
+        offset_s = self.rng.choice((-60.0, -5.0, 5.0, 60.0))
+        for agent in self.agents.values():
+            if self.rng.random() < 0.5:
+                agent.clock_offset_s = offset_s
+        self.after(self.rng.uniform(3.0, 12.0), self._correct_clocks)
+
+    def _correct_clocks(self) -> None:
+        for agent in self.agents.values():
+            agent.clock_offset_s = 0.0
+
     def _entry_kill(self) -> None:
         entry = self.rng.choice(self.entries)
         entry.kill()
@@ -402,7 +416,7 @@
                 self.after(1.0, lambda w=worker: w.begin_instance(self.now_s))
 
     def unfinished(self) -> list[str]:
-        """List jobs that should have ended and idle long-running tasks."""
+        """List jobs that should have ended, idle tasks and idle VMs."""
         left = []
         view = self.entries[0].view
         for job_id, job in self.oracle.jobs.items():
@@ -421,4 +435,21 @@
                 task_id = f"{job_id}.0.0.{index}"
                 if not any(task_id in w.running for w in self.workers):
                     left.append(f"{task_id} is not running")
+        left.extend(self._unfollowed_vms())
+        return left
+
+    def _unfollowed_vms(self) -> list[str]:
+        """List the VMs whose reports the newest leader does not apply."""
+        leaders = [e.leader for e in self.entries if e.leader is not None]
+        if not leaders:
+            return ["no entry leads"]
+        leader = max(leaders, key=lambda leader: leader.term)
+        left = []
+        for vm in self.agents:
+            ledger = leader.vms.get(vm)
+            if (
+                ledger is None
+                or self.now_s - ledger.heard_at_s > 3 * REPORT_INTERVAL_S
+            ):
+                left.append(f"{vm} is not followed by {leader.name}")
         return left
--- a/tests/features/cell/disruptions.feature
+++ b/tests/features/cell/disruptions.feature
@@ -21,6 +21,7 @@
       | 1-3   | drain                        |
       | 1-3   | power_off_all                |
       | 1-12  | worker_crash and late_orders |
+      | 1-6   | clock_step and agent_kill    |
       | 1-3   | worker_freeze                |
       | 1-3   | entry_stop                   |
       | 1-3   | entry_reload                 |
