--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -194,6 +194,8 @@
         "Spec": "payload",
         "DeadlineMs": 2**40,
     }
+    # The lease that a served call would give.
+    worker._lease_until_ms = body["DeadlineMs"]
     worker._start(body)
 
 
--- a/tests/run.py
+++ b/tests/run.py
@@ -43,6 +43,9 @@
                 passed += 1
                 continue
             failed.append(scenario.name.strip())
+            for step in scenario.steps:
+                if step.error_message:
+                    print(f"{scenario.name.strip()}: {step.error_message}")
     known = known_red()
     for name in failed:
         label = "known red" if name in known else "failed"
