--- /dev/null
+++ b/tests/features/steps/silent_connection_steps.py
@@ -0,0 +1,124 @@
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+from unittest import mock
+
+from behave import given
+from behave import then
+from behave import when
+from platform_path_steps import call
+from platform_path_steps import Deployment
+from platform_path_steps import free_address
+from platform_path_steps import job_body
+from platform_path_steps import JOB_ID
+from platform_path_steps import run
+from platform_path_steps import wait_until
+import pynng
+
+from soak.proxy import Proxy
+from yuccapoint.cell.lease_bounds import VM_LEASE_S
+from yuccapoint.process.steady_clock import steady_s
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+TASKS = 6
+TASK_RUN_S = 60.0
+
+
+class ProxiedDeployment(Deployment):
+    """A deployment whose control messages all pass proxies."""
+
+    def __init__(self, entries: int, vms: int) -> None:
+        self.proxies: dict[str, Proxy] = {}
+        self._real_socket = pynng.Pull0
+        with mock.patch.object(pynng, "Pull0", self._listen):
+            super().__init__(entries, vms)
+
+    def _listen(self, listen: str, **options) -> pynng.Pull0:
+        address = listen.removeprefix("tcp://")
+        behind = free_address()
+        proxy = Proxy(address, behind)
+        self.proxies[address] = proxy
+        asyncio.ensure_future(proxy.start())
+        return self._real_socket(listen=f"tcp://{behind}", **options)
+
+    def silence_from_agents(self, vms: int) -> None:
+        assert self.proxies[self.entries[0].address].silence_open(vms) == vms
+
+    def silence_to_agents(self, numbers: range) -> None:
+        for number in numbers:
+            assert self.proxies[self.agent_addresses[number]].silence_open()
+
+    def close(self) -> None:
+        super().close()
+        for proxy in self.proxies.values():
+            proxy.close()
+
+
+@given(
+    "a platform of one entry and {vms:d} VMs behind proxies, with {tasks:d} "
+    "running tasks"
+)
+def make_platform(context: Context, vms: int, tasks: int) -> None:
+    async def start() -> None:
+        deployment = ProxiedDeployment(1, vms)
+        context.deployment = deployment
+        context.cleanups.append(deployment.close)
+        for worker in deployment.workers:
+            worker._run_s = TASK_RUN_S
+        entry = deployment.entries[0]
+
+        def ready() -> bool:
+            if entry.leader is None or not entry.job_gateway.ready:
+                return False
+            ledgers = entry.leader.vms.values()
+            return sum(vm.runs_listed for vm in ledgers) == vms
+
+        assert await wait_until(ready, 10)
+        await call(context, 0, "POST", f"/q/{JOB_ID}", job_body(1, tasks))
+        assert await wait_until(lambda: _started(context) == tasks, 5)
+
+    run(context, start())
+
+
+def _started(context: Context) -> int:
+    return sum(len(w.started) for w in context.deployment.workers)
+
+
+@when("the open connections of {count:d} VMs fall silent {way}")
+def silence(context: Context, count: int, way: str) -> None:
+    deployment = context.deployment
+    context.silent_at_s = steady_s()
+    if way in ("from the agents", "both ways"):
+        deployment.silence_from_agents(count)
+    if way in ("to the agents", "both ways"):
+        deployment.silence_to_agents(range(count))
+    if way == "one way or the other":
+        deployment.silence_from_agents(1)
+        deployment.silence_to_agents(range(1, count))
+
+
+@then("each VM gets a new lease before its last one expires")
+def leased(context: Context) -> None:
+    # A lease that was requested after the connections had fallen silent.
+    new_s = context.silent_at_s + VM_LEASE_S + 0.5
+    agents = [agent.vm_agent for agent in context.deployment.agents]
+
+    async def wait() -> None:
+        await wait_until(
+            lambda: all(agent.lease.until_s > new_s for agent in agents),
+            context.silent_at_s + VM_LEASE_S - steady_s(),
+        )
+
+    run(context, wait())
+    late = [agent.vm for agent in agents if agent.lease.until_s <= new_s]
+    assert not late, f"no new lease for {late}"
+
+
+@then("no task was started twice, and none lapsed")
+def kept(context: Context) -> None:
+    assert _started(context) == TASKS, _started(context)
+    for worker in context.deployment.workers:
+        assert not worker._ended_tasks, worker._ended_tasks
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -29,6 +29,9 @@
         self._upstream = upstream
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        # Both writers of each connection, in the order of its opening.
+        self._connections: list[set[asyncio.StreamWriter]] = []
+        self._silenced: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
@@ -40,6 +43,24 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def silence_open(self, count: int | None = None) -> int:
+        """Silence the connections that are open now, for good.
+
+        Parameters
+        ----------
+        count : int, optional
+            How many, the oldest first; all by default.
+
+        Returns
+        -------
+        int
+            How many were silenced.
+        """
+        open_now = [c for c in self._connections if c <= self._writers]
+        silenced = open_now[:count]
+        self._silenced.update(*silenced)
+        return len(silenced)
+
     def close(self) -> None:
         if self._server is not None:
             self._server.close()
@@ -59,6 +80,7 @@
             writer.transport.abort()
             return
         self._writers.update((writer, upstream_writer))
+        self._connections.append({writer, upstream_writer})
         directions = (
             (reader, upstream_writer, LinkState.DROP_REQUESTS),
             (upstream_reader, writer, LinkState.DROP_RESPONSES),
@@ -79,7 +101,10 @@
         lost = False
         with contextlib.suppress(OSError):
             while data := await reader.read(CHUNK_BYTES):
-                if self.state in (LinkState.SILENT, drop_state):
+                if writer in self._silenced or self.state in (
+                    LinkState.SILENT,
+                    drop_state,
+                ):
                     # A stream that lost bytes forwards nothing more.
                     lost = True
                 if lost:
