--- a/src/yuccapoint/process/cell_agent_process.py
+++ b/src/yuccapoint/process/cell_agent_process.py
@@ -206,6 +206,12 @@
         if silent_s > lease_bounds.RECONNECT_AFTER_S:
             self._reconnected_at_s = now_s
             self._control_channel.reconnect(vm_agent.leader_address)
+            self.logger.log(
+                "channel",
+                "nothing heard from the leader; reopening the connection",
+                leader=vm_agent.leader_address,
+                silent_ms=int(silent_s * 1000),
+            )
         self._reported_at_s = now_s
         self._control_channel.send(
             vm_agent.leader_address, vm_agent.build_report(now_s)
@@ -282,6 +288,8 @@
             )
             return False
         self.vm_agent.on_status(request, status, sent_at_s, steady_s())
+        if request.last_seen:
+            self.metrics.set("acknowledged_end", request.last_seen)
         return True
 
     async def _register(self) -> None:
--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -330,6 +330,12 @@
             if silent_s > lease_bounds.RECONNECT_AFTER_S:
                 vm.reconnected_at_s = now_s
                 self._control_channel.reconnect(vm.address)
+                self.logger.log(
+                    "channel",
+                    "nothing heard from an agent; reopening the connection",
+                    vm=vm.name,
+                    silent_ms=int(silent_s * 1000),
+                )
             if vm.address:
                 self._control_channel.send(vm.address, orders)
         for explanation in leader.explanations:
