Reopen a control connection by what its peer confirms

Cause: control messages travel over one connection each way, and a process reopened the one on which it sends when it heard nothing on the other. With one of them silent, the process that could mend it heard its peer and did nothing, and the other one reopened the connection that works.

Now the channel probes each connection on which it sends, at most each 0.5 s along with a message. The receiver confirms probes over its own connection; a probe unconfirmed for 1 s has the connection reopened, whatever is heard. That holds for all users of the channel: leader and agents, relays between entries, and the older deployments' entries and agents, which never reopened one. The time doubles with each reopening and follows slow ways, which the fixed 1.3 s did not. A peer without receipts is reopened each 8 s at most.

Ruled out: a connection reopened on both sides whenever nothing is heard does not help, as nothing tells the deaf direction's sender.

--- a/src/yuccapoint/cell/lease_bounds.py
+++ b/src/yuccapoint/cell/lease_bounds.py
@@ -22,8 +22,6 @@
 PROBE_INTERVAL_S = 0.5
 # A VM without a report for this long gets no new work.
 STALE_AFTER_S = 1.8
-# A connection is reopened after this time without a message.
-RECONNECT_AFTER_S = 1.3
 
 
 def granted_until_s(asked_at_s: float) -> float:
--- a/src/yuccapoint/cell/vm_ledger.py
+++ b/src/yuccapoint/cell/vm_ledger.py
@@ -63,7 +63,6 @@
         self.order_sequence = 0
         self.heard_at_s = 0.0
         self.contacted_at_s = 0.0
-        self.reconnected_at_s = 0.0
         self.worker: WorkerReport | None = None
         self.has_worker = False
         self.worker_reported_by = 0
--- a/src/yuccapoint/connection/control_channel.py
+++ b/src/yuccapoint/connection/control_channel.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import time
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -11,6 +12,9 @@
 import pynng
 from pynng import _nng
 
+from yuccapoint.connection.control_peer import ControlPeer
+from yuccapoint.connection.delivery_messages import DeliveryProbe
+from yuccapoint.connection.delivery_messages import DeliveryReceipt
 from yuccapoint.connection.messages import ControlMessage
 from yuccapoint.exceptions import ListenError
 
@@ -41,7 +45,8 @@
     """Receives control messages, and sends them without blocking.
 
     A message that can't be queued for its peer is dropped and counted; the
-    decision logic resends what is still needed.
+    decision logic resends what is still needed. A connection on which
+    nothing is delivered any more is reopened.
 
     Parameters
     ----------
@@ -49,6 +54,8 @@
         IP number and port to receive on.
     deliver : callable
         Called with each message on the event loop.
+    log : callable
+        Logs an event: its part, text and fields.
     message_type : type, optional
         Type to which messages are decoded.
     """
@@ -57,17 +64,22 @@
         self,
         address: str,
         deliver: Callable[[Any], None],
+        log: Callable[..., None],
         message_type: Any = ControlMessage,
     ) -> None:
         self.address = address
         self.dropped_messages = 0
         self.malformed_messages = 0
+        self.reopened_connections = 0
         self.sent_bytes = 0
         self.received_bytes = 0
         self._deliver = deliver
-        self._peers: dict[str, pynng.Push0] = {}
+        self._log = log
+        self._peers: dict[str, ControlPeer] = {}
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(message_type)
+        self._decoder = msgspec.msgpack.Decoder(
+            message_type | DeliveryProbe | DeliveryReceipt
+        )
         self._receive_socket: pynng.Pull0 | None = None
         self._receive_task: asyncio.Task[None] | None = None
 
@@ -94,22 +106,43 @@
 
     def send(self, address: str, message: msgspec.Struct) -> None:
         """Send a message; it may get lost."""
-        data = self._encoder.encode(message)
+        now_s = time.monotonic()
         try:
-            self._peer(address).send(data, block=False)
+            peer = self._peer(address)
+            self._reopen_if_silent(peer, now_s)
+            self._send(peer, message)
+            number = peer.monitor.next_probe(now_s)
+            if number is not None:
+                self._send(peer, DeliveryProbe(self.address, address, number))
         except pynng.NNGException:
             self.dropped_messages += 1
-            return
+
+    def _send(self, peer: ControlPeer, message: msgspec.Struct) -> None:
+        data = self._encoder.encode(message)
+        peer.send(data)
         self.sent_bytes += len(data)
 
-    def reconnect(self, address: str) -> None:
-        """Close the connection to a peer; the next message opens a new one.
+    def _reopen_if_silent(self, peer: ControlPeer, now_s: float) -> None:
+        silent_s = peer.monitor.silent_s(now_s)
+        if not silent_s:
+            return
+        self.reopened_connections += 1
+        self._log(
+            "channel",
+            "the peer confirms nothing; reopening the connection",
+            peer=peer.address,
+            silent_ms=int(silent_s * 1000),
+        )
+        peer.reopen()
 
-        A connection may stop delivering without being closed.
-        """
-        peer = self._peers.pop(address, None)
-        if peer is not None:
-            peer.close()
+    def _confirm(self, probe: DeliveryProbe) -> None:
+        # A receipt carries no probe of its own: two idle peers would go on
+        # confirming each other's receipts.
+        receipt = DeliveryReceipt(probe.receiver, probe.number)
+        try:
+            self._send(self._peer(probe.sender), receipt)
+        except pynng.NNGException:
+            self.dropped_messages += 1
 
     def close(self) -> None:
         """Stop receiving and close the connections to all peers."""
@@ -121,19 +154,14 @@
             peer.close()
         self._peers.clear()
 
-    def _peer(self, address: str) -> pynng.Push0:
+    def _peer(self, address: str) -> ControlPeer:
         peer = self._peers.get(address)
         if peer is not None:
             return peer
         if len(self._peers) >= MAX_PEERS:
             oldest = next(iter(self._peers))
             self._peers.pop(oldest).close()
-        peer = pynng.Push0(
-            send_buffer_size=64,
-            reconnect_time_min=100,
-            reconnect_time_max=2_000,
-        )
-        peer.dial(f"tcp://{address}", block=False)
+        peer = ControlPeer(address)
         self._peers[address] = peer
         return peer
 
@@ -150,7 +178,7 @@
             self.malformed_messages += 1
             return
         try:
-            self._deliver(message)
+            self._dispatch(message)
         except Exception as error:
             # One failing message must not stop the receive loop.
             asyncio.get_running_loop().call_exception_handler(
@@ -159,3 +187,15 @@
                     "exception": error,
                 }
             )
+
+    def _dispatch(self, message: Any) -> None:
+        if isinstance(message, DeliveryProbe):
+            self._confirm(message)
+            return
+        if isinstance(message, DeliveryReceipt):
+            peer = self._peers.get(message.receiver)
+            if peer is not None:
+                now_s = time.monotonic()
+                peer.monitor.on_confirmed(message.number, now_s)
+            return
+        self._deliver(message)
--- a/src/yuccapoint/process/agent_process.py
+++ b/src/yuccapoint/process/agent_process.py
@@ -78,7 +78,9 @@
         self.guard = Guard(self.task_manager)
         self.directory = EntryDirectory(settings.entries.seeds)
         self.control_channel = ControlChannel(
-            settings.listen.control_address, self._on_message
+            settings.listen.control_address,
+            self._on_message,
+            self.logger.log,
         )
         self._worker = HttpWorker(
             settings.worker.address, settings.worker.timeout_s
--- a/src/yuccapoint/process/append_relay.py
+++ b/src/yuccapoint/process/append_relay.py
@@ -123,8 +123,6 @@
                 result: RelayResult = await answered
                 return result
         except TimeoutError:
-            # The connection may be half-open; the next message reconnects.
-            self._control_channel.reconnect(address)
             return RelayResult.UNKNOWN
         finally:
             del self._waiting[number]
--- a/src/yuccapoint/process/cell_agent_process.py
+++ b/src/yuccapoint/process/cell_agent_process.py
@@ -110,12 +110,11 @@
         self._worker: CellWorkerPort | None = None
         self._worker_address = ""
         self._control_channel = ControlChannel(
-            address, self._on_message, CellMessage
+            address, self._on_message, logger.log, CellMessage
         )
         self._wake = asyncio.Event()
         self._poll_requested = asyncio.Event()
         self._reported_at_s = 0.0
-        self._reconnected_at_s = 0.0
         self._tasks: list[asyncio.Task[None]] = []
         self._calls: set[asyncio.Task[None]] = set()
         self.failed = asyncio.Event()
@@ -200,18 +199,6 @@
         vm_agent = self.vm_agent
         if not vm_agent.leader_address:
             return
-        silent_s = now_s - max(
-            vm_agent.leader_heard_at_s, self._reconnected_at_s
-        )
-        if silent_s > lease_bounds.RECONNECT_AFTER_S:
-            self._reconnected_at_s = now_s
-            self._control_channel.reconnect(vm_agent.leader_address)
-            self.logger.log(
-                "channel",
-                "nothing heard from the leader; reopening the connection",
-                leader=vm_agent.leader_address,
-                silent_ms=int(silent_s * 1000),
-            )
         self._reported_at_s = now_s
         self._control_channel.send(
             vm_agent.leader_address, vm_agent.build_report(now_s)
--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -111,7 +111,7 @@
         )
         self.tail.read_pause_s = READ_PAUSE_S
         self._control_channel = ControlChannel(
-            address, self._on_message, CellMessage
+            address, self._on_message, logger.log, CellMessage
         )
         appender = GroupAppender(store)
         self._relay = AppendRelay(
@@ -326,16 +326,6 @@
             self._start_append(leader, now_s)
         may_grant = self._leader_election.may_grant(now_s)
         for vm, orders in leader.collect_orders(now_s, may_grant=may_grant):
-            silent_s = now_s - max(vm.heard_at_s, vm.reconnected_at_s)
-            if silent_s > lease_bounds.RECONNECT_AFTER_S:
-                vm.reconnected_at_s = now_s
-                self._control_channel.reconnect(vm.address)
-                self.logger.log(
-                    "channel",
-                    "nothing heard from an agent; reopening the connection",
-                    vm=vm.name,
-                    silent_ms=int(silent_s * 1000),
-                )
             if vm.address:
                 self._control_channel.send(vm.address, orders)
         for explanation in leader.explanations:
--- a/src/yuccapoint/process/entry_process.py
+++ b/src/yuccapoint/process/entry_process.py
@@ -150,7 +150,9 @@
         )
         self._snapshot_task: asyncio.Task[None] | None = None
         self.control_channel = ControlChannel(
-            settings.listen.control_address, self._on_message
+            settings.listen.control_address,
+            self._on_message,
+            self.logger.log,
         )
         self._request_number = 0
         self._callers = HTTPServer(
--- a/tests/cell_world/channel_model.py
+++ b/tests/cell_world/channel_model.py
@@ -17,9 +17,10 @@
         send: Callable[[str, str, Any], None],
         address: str,
         deliver: Callable[[Any], None],
+        log: Callable[..., None],
         message_type: Any,
     ) -> None:
-        del message_type
+        del log, message_type
         self.address = address
         self.deliver = deliver
         self._send = send
@@ -30,8 +31,5 @@
     def close(self) -> None:
         """Do nothing, as the world drops the messages to dead entries."""
 
-    def reconnect(self, address: str) -> None:
-        """Do nothing, as the world's links never need it."""
-
     def send(self, address: str, message: Any) -> None:
         self._send(self.address, address, message)
--- /dev/null
+++ b/tests/features/connection/delivery.feature
@@ -0,0 +1,41 @@
+Feature: A connection is judged by what its peer confirms
+
+  Scenario: A connection on which probes stay unconfirmed is silent
+    Given a connection with a probe sent at 0.0 s
+    Then it is not silent at 0.9 s
+    And it is silent at 1.0 s
+
+  Scenario: A receipt ends the wait for all earlier probes
+    Given a connection with a probe sent at 0.0 s
+    And a probe sent at 0.6 s
+    When the last probe is confirmed at 0.8 s
+    Then it is not silent at 5.0 s
+
+  Scenario: A receipt from before the reopening says nothing of the new connection
+    Given a connection with a probe sent at 0.0 s
+    When the connection is reopened at 1.0 s
+    And a probe sent at 1.0 s
+    And the first probe is confirmed at 1.2 s
+    Then it is silent at 3.0 s
+
+  Scenario: A slow way is not reopened again and again
+    # Reopening at a fixed interval would never outlast the set-up of a
+    # connection over a way that takes longer.
+    Given a connection over a way on which a receipt takes 3.0 s
+    When messages are sent each 0.5 s for 60.0 s
+    Then it was reopened at most 3 times
+
+  Scenario: A peer of a version without receipts is reopened seldom
+    Given a connection over a way on which a receipt takes 999.0 s
+    When messages are sent each 0.5 s for 60.0 s
+    Then it was reopened at most 10 times
+
+  Scenario: Two idle peers do not go on confirming each other
+    Given two control channels
+    When one sends 3 messages, and then both are idle for 1.5 s
+    Then at most 4 messages were sent in the idle time
+
+  Scenario: A probe with an unusable address harms nothing
+    Given two control channels
+    When one receives probes from "", "nowhere" and "127.0.0.1:999999"
+    Then it still receives messages
--- a/tests/features/steps/append_relay_steps.py
+++ b/tests/features/steps/append_relay_steps.py
@@ -31,9 +31,6 @@
         del address
         self.sent.append(message)
 
-    def reconnect(self, address: str) -> None:
-        """Nothing is connected."""
-
 
 class RefusingAppender:
     """Has no way to the store."""
--- /dev/null
+++ b/tests/features/steps/delivery_steps.py
@@ -0,0 +1,165 @@
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from behave import given
+from behave import then
+from behave import when
+from platform_path_steps import free_address
+from platform_path_steps import run
+from platform_path_steps import wait_until
+
+from yuccapoint.cell.cell_messages import CellMessage
+from yuccapoint.cell.cell_messages import RelayAnswer
+from yuccapoint.cell.cell_messages import RelayResult
+from yuccapoint.connection.control_channel import ControlChannel
+from yuccapoint.connection.delivery_messages import DeliveryProbe
+from yuccapoint.connection.delivery_monitor import DeliveryMonitor
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+MESSAGE = RelayAnswer(1, RelayResult.APPENDED)
+
+
+@given("a connection with a probe sent at {at_s:f} s")
+def connection(context: Context, at_s: float) -> None:
+    context.monitor = DeliveryMonitor(100)
+    context.probes = []
+    probe(context, at_s)
+
+
+@given("a probe sent at {at_s:f} s")
+@when("a probe sent at {at_s:f} s")
+def probe(context: Context, at_s: float) -> None:
+    number = context.monitor.next_probe(at_s)
+    assert number is not None
+    context.probes.append(number)
+
+
+@when("the last probe is confirmed at {at_s:f} s")
+def confirm_last(context: Context, at_s: float) -> None:
+    context.monitor.on_confirmed(context.probes[-1], at_s)
+
+
+@when("the first probe is confirmed at {at_s:f} s")
+def confirm_first(context: Context, at_s: float) -> None:
+    context.monitor.on_confirmed(context.probes[0], at_s)
+
+
+@when("the connection is reopened at {at_s:f} s")
+def reopen(context: Context, at_s: float) -> None:
+    assert context.monitor.silent_s(at_s)
+    context.monitor.on_reopened()
+
+
+@then("it is not silent at {at_s:f} s")
+def not_silent(context: Context, at_s: float) -> None:
+    assert not context.monitor.silent_s(at_s)
+
+
+@then("it is silent at {at_s:f} s")
+def silent(context: Context, at_s: float) -> None:
+    assert context.monitor.silent_s(at_s)
+
+
+@given("a connection over a way on which a receipt takes {receipt_s:f} s")
+def slow_way(context: Context, receipt_s: float) -> None:
+    context.monitor = DeliveryMonitor(100)
+    context.receipt_s = receipt_s
+
+
+@when("messages are sent each {pause_s:f} s for {seconds:f} s")
+def send_for(context: Context, pause_s: float, seconds: float) -> None:
+    context.reopened = 0
+    receipts: list[tuple[float, int]] = []
+    for tick in range(int(seconds / pause_s)):
+        now_s = tick * pause_s
+        for receipt in list(receipts):
+            if receipt[0] <= now_s:
+                receipts.remove(receipt)
+                context.monitor.on_confirmed(receipt[1], now_s)
+        if context.monitor.silent_s(now_s):
+            context.monitor.on_reopened()
+            context.reopened += 1
+        number = context.monitor.next_probe(now_s)
+        if number is not None:
+            receipts.append((now_s + context.receipt_s, number))
+
+
+@then("it was reopened at most {times:d} times")
+def reopened(context: Context, times: int) -> None:
+    assert 0 < context.reopened <= times, context.reopened
+
+
+@given("two control channels")
+def two_channels(context: Context) -> None:
+    async def start() -> None:
+        context.received = []
+        context.channels = []
+        for _ in range(2):
+            channel = ControlChannel(
+                free_address(),
+                context.received.append,
+                lambda *_, **__: None,
+                CellMessage,
+            )
+            channel.open()
+            context.cleanups.append(channel.close)
+            context.channels.append(channel)
+
+    run(context, start())
+
+
+def _received_bytes(context: Context) -> int:
+    return sum(channel.received_bytes for channel in context.channels)
+
+
+@when("one sends 3 messages, and then both are idle for {idle_s:f} s")
+def send_then_idle(context: Context, idle_s: float) -> None:
+    first, second = context.channels
+
+    async def exchange() -> None:
+        for _ in range(3):
+            first.send(second.address, MESSAGE)
+        assert await wait_until(lambda: len(context.received) == 3, 5)
+        context.before_bytes = _received_bytes(context)
+        await asyncio.sleep(idle_s)
+
+    run(context, exchange())
+
+
+@then("at most {count:d} messages were sent in the idle time")
+def few_messages(context: Context, count: int) -> None:
+    # A receipt is shorter than this.
+    limit_bytes = count * 64
+    sent_bytes = _received_bytes(context) - context.before_bytes
+    assert sent_bytes <= limit_bytes, sent_bytes
+
+
+@when('one receives probes from "{first}", "{second}" and "{third}"')
+@when('one receives probes from "", "{second}" and "{third}"')
+def bad_probes(
+    context: Context, second: str, third: str, first: str = ""
+) -> None:
+    sender, receiver = context.channels
+
+    async def send() -> None:
+        for address in (first, second, third):
+            sender.send(
+                receiver.address, DeliveryProbe(address, receiver.address, 1)
+            )
+
+    run(context, send())
+
+
+@then("it still receives messages")
+def still_receives(context: Context) -> None:
+    sender, receiver = context.channels
+
+    async def send() -> None:
+        sender.send(receiver.address, MESSAGE)
+        assert await wait_until(lambda: context.received == [MESSAGE], 5)
+
+    run(context, send())
--- a/tests/fuzzing/network.py
+++ b/tests/fuzzing/network.py
@@ -141,7 +141,7 @@
         member: Member,
         deliver: Callable[[ControlMessage], None],
     ) -> None:
-        super().__init__("", deliver)
+        super().__init__("", deliver, lambda *_, **__: None)
         self._network = network
         self._member = member
 
