Take reports and orders that confirm each other as proof of delivery

Orders name the report that they answer, and a report now names the newest orders that it follows (`heard_orders`, appended to VmReport, skipped by earlier builds).

Channels of a cell go by the clock that counts suspensions, like leases.

--- a/src/yuccapoint/cell/cell_leader.py
+++ b/src/yuccapoint/cell/cell_leader.py
@@ -185,6 +185,13 @@
             return True
         return vm.is_open(now_s) and not was_open
 
+    def heard_orders_sent_at_s(self, report: VmReport) -> float | None:
+        """Return when the orders that a report confirms were sent."""
+        vm = self.vms.get(report.vm)
+        if vm is None or report.term != self.term:
+            return None
+        return vm.orders_sent_at_s(report.heard_orders)
+
     def tick(self, now_s: float, wall_ms: int) -> None:
         """Release expired VMs, stop runs that stall or move, and claim."""
         self._vm_checks.run(now_s)
--- a/src/yuccapoint/cell/cell_messages.py
+++ b/src/yuccapoint/cell/cell_messages.py
@@ -78,7 +78,8 @@
     """An agent's report of its VM, which also requests the VM's lease.
 
     ``running`` and ``ends`` concern the instance in ``worker`` and are
-    complete when ``runs_listed`` is set.
+    complete when ``runs_listed`` is set. ``heard_orders`` is the sequence
+    number of the newest orders of ``term`` that reached the agent.
     """
 
     vm: str
@@ -92,6 +93,7 @@
     ends: tuple[EndedRun, ...]
     refused: tuple[RefusedRun, ...]
     pending: tuple[tuple[str, int], ...]
+    heard_orders: int = 0
 
 
 class StartOrder(msgspec.Struct, frozen=True, array_like=True):
--- a/src/yuccapoint/cell/order_builder.py
+++ b/src/yuccapoint/cell/order_builder.py
@@ -40,7 +40,7 @@
     grant : bool
         Whether a lease may be granted.
     """
-    vm.order_sequence += 1
+    sequence = vm.next_order_sequence(now_s)
     # Runs of a worker that its agent does not know end with their lease. An
     # agent ignores all but the lease of orders that name no instance, so that
     # it could make starts that were abandoned when the last lease expired.
@@ -71,7 +71,7 @@
         term=leader.term,
         leader=leader.name,
         address=leader.address,
-        sequence=vm.order_sequence,
+        sequence=sequence,
         answers=vm.report_sequence,
         agent_incarnation=vm.incarnation,
         lease_ms=int(lease_bounds.VM_LEASE_S * 1000) if grant else 0,
--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -187,7 +187,7 @@
             return
         self._order_sequence = orders.sequence
         if orders.agent_incarnation == self.incarnation:
-            asked_at_s = self._reported_at_s.get(orders.answers)
+            asked_at_s = self.answered_report_at_s(orders)
             if asked_at_s is not None and orders.lease_ms:
                 self.lease.extend(asked_at_s + orders.lease_ms / 1000)
         else:
@@ -228,6 +228,10 @@
         for task_id, run in orders.stops:
             self.registry.order_stop(task_id, run)
 
+    def answered_report_at_s(self, orders: LeaderOrders) -> float | None:
+        """Return when the report that orders answer was sent, if known."""
+        return self._reported_at_s.get(self._answered_report(orders))
+
     def _answered_report(self, orders: LeaderOrders) -> int:
         """Return which report of this agent the orders answer; 0 if none."""
         if orders.agent_incarnation != self.incarnation:
@@ -426,6 +430,7 @@
                 applied=worker is not None and self.registry.runs_listed,
             ),
             pending=self.registry.report_pending(),
+            heard_orders=self._order_sequence,
         )
 
     def _worker_report(self, now_s: float) -> WorkerReport | None:
--- a/src/yuccapoint/cell/vm_ledger.py
+++ b/src/yuccapoint/cell/vm_ledger.py
@@ -17,6 +17,8 @@
 # Time after the order of a start in which its calls may be executed: agents
 # repeat an unanswered call for 2 s.
 ORDERED_START_S = MAX_CALL_DELAY_S + 2.0
+# Orders that are kept to match the agent's reports with.
+MAX_UNCONFIRMED_ORDERS = 32
 # Failures of different jobs, without a success in between, after which the
 # VM is blamed instead of the jobs.
 QUARANTINE_FAILURES = 2
@@ -61,6 +63,7 @@
         self.incarnation = 0
         self.report_sequence = 0
         self.order_sequence = 0
+        self._sent_orders_at_s: dict[int, float] = {}
         self.heard_at_s = 0.0
         self.contacted_at_s = 0.0
         self.worker: WorkerReport | None = None
@@ -122,6 +125,18 @@
             self.former_calls_until_s = now_s + MAX_CALL_DELAY_S
         return now_s < self.former_calls_until_s
 
+    def next_order_sequence(self, now_s: float) -> int:
+        """Return the sequence number of orders that are sent now."""
+        self.order_sequence += 1
+        self._sent_orders_at_s[self.order_sequence] = now_s
+        if len(self._sent_orders_at_s) > MAX_UNCONFIRMED_ORDERS:
+            del self._sent_orders_at_s[next(iter(self._sent_orders_at_s))]
+        return self.order_sequence
+
+    def orders_sent_at_s(self, sequence: int) -> float | None:
+        """Return when orders were sent, if known."""
+        return self._sent_orders_at_s.get(sequence)
+
     def note_order(self, task_id: str, run: int, now_s: float) -> None:
         """Note that a start is ordered on the present instance."""
         for key, (ordered_at_s, _) in list(self.ordered_runs.items()):
--- a/src/yuccapoint/connection/control_channel.py
+++ b/src/yuccapoint/connection/control_channel.py
@@ -58,6 +58,8 @@
         Logs an event: its part, text and fields.
     message_type : type, optional
         Type to which messages are decoded.
+    clock : callable, optional
+        Returns steady time in seconds.
     """
 
     def __init__(
@@ -66,15 +68,18 @@
         deliver: Callable[[Any], None],
         log: Callable[..., None],
         message_type: Any = ControlMessage,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.address = address
         self.dropped_messages = 0
         self.malformed_messages = 0
         self.reopened_connections = 0
+        self.sent_probes = 0
         self.sent_bytes = 0
         self.received_bytes = 0
         self._deliver = deliver
         self._log = log
+        self._clock = clock
         self._peers: dict[str, ControlPeer] = {}
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(
@@ -106,17 +111,28 @@
 
     def send(self, address: str, message: msgspec.Struct) -> None:
         """Send a message; it may get lost."""
-        now_s = time.monotonic()
+        now_s = self._clock()
         try:
             peer = self._peer(address)
             self._reopen_if_silent(peer, now_s)
             self._send(peer, message)
             number = peer.monitor.next_probe(now_s)
             if number is not None:
+                self.sent_probes += 1
                 self._send(peer, DeliveryProbe(self.address, address, number))
         except pynng.NNGException:
             self.dropped_messages += 1
 
+    def note_delivered(self, address: str, sent_at_s: float) -> None:
+        """Note that a message sent to a peer at a time has arrived.
+
+        A connection with such evidence needs no probes, which cost a large
+        cell's leader more than its orders.
+        """
+        peer = self._peers.get(address)
+        if peer is not None:
+            peer.monitor.on_delivered(sent_at_s, self._clock())
+
     def _send(self, peer: ControlPeer, message: msgspec.Struct) -> None:
         data = self._encoder.encode(message)
         peer.send(data)
@@ -133,7 +149,7 @@
             peer=peer.address,
             silent_ms=int(silent_s * 1000),
         )
-        peer.reopen()
+        peer.reopen(now_s)
 
     def _confirm(self, probe: DeliveryProbe) -> None:
         # A receipt carries no probe of its own: two idle peers would go on
@@ -195,7 +211,6 @@
         if isinstance(message, DeliveryReceipt):
             peer = self._peers.get(message.receiver)
             if peer is not None:
-                now_s = time.monotonic()
-                peer.monitor.on_confirmed(message.number, now_s)
+                peer.monitor.on_receipt(message.number, self._clock())
             return
         self._deliver(message)
--- a/src/yuccapoint/connection/control_peer.py
+++ b/src/yuccapoint/connection/control_peer.py
@@ -39,11 +39,11 @@
         """Queue a message; raise ``pynng.NNGException`` if that is full."""
         self._socket.send(data, block=False)
 
-    def reopen(self) -> None:
+    def reopen(self, now_s: float) -> None:
         """Replace the connection; messages that still wait are lost."""
         self._socket.close()
         self._socket = _connect(self.address)
-        self.monitor.on_reopened()
+        self.monitor.on_reopened(now_s)
 
     def close(self) -> None:
         """Close the connection."""
--- a/src/yuccapoint/process/cell_agent_process.py
+++ b/src/yuccapoint/process/cell_agent_process.py
@@ -110,7 +110,7 @@
         self._worker: CellWorkerPort | None = None
         self._worker_address = ""
         self._control_channel = ControlChannel(
-            address, self._on_message, logger.log, CellMessage
+            address, self._on_message, logger.log, CellMessage, steady_s
         )
         self._wake = asyncio.Event()
         self._poll_requested = asyncio.Event()
@@ -171,6 +171,9 @@
     def _on_message(self, message: CellMessage) -> None:
         if not isinstance(message, LeaderOrders):
             return
+        sent_at_s = self.vm_agent.answered_report_at_s(message)
+        if sent_at_s is not None:
+            self._control_channel.note_delivered(message.address, sent_at_s)
         self.vm_agent.on_orders(message, steady_s())
         self._wake.set()
         self._poll_requested.set()
--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -111,7 +111,7 @@
         )
         self.tail.read_pause_s = READ_PAUSE_S
         self._control_channel = ControlChannel(
-            address, self._on_message, logger.log, CellMessage
+            address, self._on_message, logger.log, CellMessage, steady_s
         )
         appender = GroupAppender(store)
         self._relay = AppendRelay(
@@ -384,3 +384,6 @@
             return
         if self.leader.on_report(message, steady_s()):
             self._wake.set()
+        sent_at_s = self.leader.heard_orders_sent_at_s(message)
+        if sent_at_s is not None:
+            self._control_channel.note_delivered(message.address, sent_at_s)
--- a/tests/features/platform/silent_connections.feature
+++ b/tests/features/platform/silent_connections.feature
@@ -16,3 +16,8 @@
       | to the agents              | 3     |
       | one way or the other       | 2     |
       | both ways                  | 3     |
+
+  Scenario: A leader and agents whose messages confirm each other send no probes
+    Given a platform of one entry and 3 VMs behind proxies, with 6 running tasks
+    When nothing happens for 4 s
+    Then at most 3 probes were sent meanwhile
--- a/tests/features/steps/silent_connection_steps.py
+++ b/tests/features/steps/silent_connection_steps.py
@@ -122,3 +122,21 @@
     assert _started(context) == TASKS, _started(context)
     for worker in context.deployment.workers:
         assert not worker._ended_tasks, worker._ended_tasks
+
+
+def _sent_probes(context: Context) -> int:
+    deployment = context.deployment
+    processes = (*deployment.entries, *deployment.agents)
+    return sum(p._control_channel.sent_probes for p in processes)
+
+
+@when("nothing happens for {seconds:d} s")
+def wait(context: Context, seconds: int) -> None:
+    context.probes_before = _sent_probes(context)
+    run(context, asyncio.sleep(seconds))
+
+
+@then("at most {count:d} probes were sent meanwhile")
+def few_probes(context: Context, count: int) -> None:
+    sent = _sent_probes(context) - context.probes_before
+    assert sent <= count, sent
