--- a/tests/features/platform/silent_connections.feature
+++ b/tests/features/platform/silent_connections.feature
@@ -16,3 +16,15 @@
       | to the agents              | 3     |
       | one way or the other       | 2     |
       | both ways                  | 3     |
+
+  Scenario Outline: Records are relayed again after a connection fell silent <way>
+    # The answering entry did not reopen its connection.
+    Given two entries behind proxies that have relayed a record
+    When the open connection <way> falls silent
+    And records are relayed each 0.2 s for 2.0 s
+    Then the next record that is relayed is appended
+
+    Examples:
+      | way           |
+      | to the peer   |
+      | from the peer |
--- a/tests/features/steps/silent_connection_steps.py
+++ b/tests/features/steps/silent_connection_steps.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from typing import TYPE_CHECKING
 from unittest import mock
 
@@ -16,7 +17,10 @@
 from platform_path_steps import wait_until
 import pynng
 
+from soak.proxy import LinkState
 from soak.proxy import Proxy
+from yuccapoint.cell import cell_records
+from yuccapoint.cell.cell_messages import RelayResult
 from yuccapoint.cell.lease_bounds import VM_LEASE_S
 from yuccapoint.process.steady_clock import steady_s
 
@@ -100,6 +104,21 @@
         deployment.silence_to_agents(range(1, count))
 
 
+@when("all links are silent for {seconds:f} s")
+def silence_links(context: Context, seconds: float) -> None:
+    proxies = context.deployment.proxies.values()
+    context.silent_at_s = steady_s()
+
+    async def wait() -> None:
+        for proxy in proxies:
+            proxy.state = LinkState.SILENT
+        await asyncio.sleep(seconds)
+        for proxy in proxies:
+            proxy.state = LinkState.PASS
+
+    run(context, wait())
+
+
 @then("each VM gets a new lease before its last one expires")
 def leased(context: Context) -> None:
     # A lease that was requested after the connections had fallen silent.
@@ -122,3 +141,56 @@
     assert _started(context) == TASKS, _started(context)
     for worker in context.deployment.workers:
         assert not worker._ended_tasks, worker._ended_tasks
+
+
+@given("two entries behind proxies that have relayed a record")
+def relaying_entries(context: Context) -> None:
+    async def start() -> None:
+        deployment = ProxiedDeployment(2, 0)
+        context.deployment = deployment
+        context.cleanups.append(deployment.close)
+        context.job_numbers = itertools.count(1)
+        first, second = deployment.entries
+        assert await wait_until(lambda: first.view.peers_of(first.name), 10)
+        assert first.view.peers_of(first.name) == [second.address]
+        assert await _relay_record(context) is RelayResult.APPENDED
+
+    run(context, start())
+
+
+async def _relay_record(context: Context) -> RelayResult:
+    job_id = f"{next(context.job_numbers):016x}"
+    record = cell_records.Cancellation(job_id, 1)
+    return await context.deployment.entries[0]._relay.append(
+        cell_records.CANCELLATION + job_id, cell_records.encode(record), 3.0
+    )
+
+
+@when("the open connection {way} the peer falls silent")
+def silence_relay(context: Context, way: str) -> None:
+    deployment = context.deployment
+    receiver = deployment.entries[1 if way == "to" else 0]
+    assert deployment.proxies[receiver.address].silence_open() == 1
+
+
+@when("records are relayed each {pause_s:f} s for {seconds:f} s")
+def relay_records(context: Context, pause_s: float, seconds: float) -> None:
+    async def relay() -> None:
+        relays = []
+        for _ in range(round(seconds / pause_s)):
+            relays.append(asyncio.ensure_future(_relay_record(context)))
+            await asyncio.sleep(pause_s)
+        await asyncio.wait(relays)
+
+    run(context, relay())
+
+
+@when("one record is relayed at once")
+def relay_one(context: Context) -> None:
+    run(context, _relay_record(context))
+
+
+@then("the next record that is relayed is appended")
+def next_appended(context: Context) -> None:
+    result = run(context, _relay_record(context))
+    assert result is RelayResult.APPENDED, result
