Show by a failing test that a message without a probe is not judged

A message within 0.5 s of a probe carries none, so that its loss is not noticed before a later message has carried a probe and 1 s has passed. A relay with few records loses two of them instead of one.

--- a/tests/features/platform/silent_connections.feature
+++ b/tests/features/platform/silent_connections.feature
@@ -28,3 +28,10 @@
       | way           |
       | to the peer   |
       | from the peer |
+
+  Scenario: One lost record makes the next one take a new connection
+    # A message without a probe did not count as unconfirmed.
+    Given two entries behind proxies that have relayed a record
+    When the open connection to the peer falls silent
+    And one record is relayed at once
+    Then the next record that is relayed is appended
