Show by a failing test that the time between reopenings outlasts a lease

Connections opened while the links are silent stay so at the proxies. The next reopening comes at about 1, 3 and 7 s, after the lease of 5 s; lease_bounds.py states that an agent may be absent for 3.5 s.

--- a/tests/features/platform/silent_connections.feature
+++ b/tests/features/platform/silent_connections.feature
@@ -35,3 +35,10 @@
     When the open connection to the peer falls silent
     And one record is relayed at once
     Then the next record that is relayed is appended
+
+  Scenario: VMs keep their leases when the links are silent for 3.4 s
+    # Connections opened meanwhile were silent too, and given up after 4 s.
+    Given a platform of one entry and 3 VMs behind proxies, with 6 running tasks
+    When all links are silent for 3.4 s
+    Then each VM gets a new lease before its last one expires
+    And no task was started twice, and none lapsed
