Show by a failing test that a connection of receipts stays silent

A receipt carries no probe, so that a channel that only confirms never reopens its connection, and its peer reopens a working one again and again.

--- a/tests/features/connection/delivery.feature
+++ b/tests/features/connection/delivery.feature
@@ -39,3 +39,10 @@
     Given two control channels
     When one receives probes from "", "nowhere" and "127.0.0.1:999999"
     Then it still receives messages
+
+  Scenario: A connection that carries only receipts is reopened when it is silent
+    # Receipts carry no probe, so that the other side reopened its working
+    # connection for ever.
+    Given two control channels behind proxies, of which only one sends messages
+    When the other one's connection falls silent
+    Then within 6.0 s a receipt arrives again
--- a/tests/features/steps/delivery_steps.py
+++ b/tests/features/steps/delivery_steps.py
@@ -1,7 +1,9 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import TYPE_CHECKING
+from unittest import mock
 
 from behave import given
 from behave import then
@@ -9,10 +11,13 @@
 from platform_path_steps import free_address
 from platform_path_steps import run
 from platform_path_steps import wait_until
+import pynng
 
+from soak.proxy import Proxy
 from yuccapoint.cell.cell_messages import CellMessage
 from yuccapoint.cell.cell_messages import RelayAnswer
 from yuccapoint.cell.cell_messages import RelayResult
+from yuccapoint.connection import control_peer
 from yuccapoint.connection.control_channel import ControlChannel
 from yuccapoint.connection.delivery_messages import DeliveryProbe
 from yuccapoint.connection.delivery_monitor import DeliveryMonitor
@@ -163,3 +168,102 @@
         assert await wait_until(lambda: context.received == [MESSAGE], 5)
 
     run(context, send())
+
+
+@given("two control channels behind proxies, of which only one sends messages")
+def one_way_channels(context: Context) -> None:
+    listen_socket = pynng.Pull0
+    proxies = []
+
+    def listen_behind(listen: str, **options) -> pynng.Pull0:
+        behind = free_address()
+        proxies.append(Proxy(listen.removeprefix("tcp://"), behind))
+        return listen_socket(listen=f"tcp://{behind}", **options)
+
+    with mock.patch.object(pynng, "Pull0", listen_behind):
+        two_channels(context)
+    context.proxies = proxies
+
+    async def connect() -> None:
+        for proxy in proxies:
+            await proxy.start()
+            context.cleanups.append(proxy.close)
+        await _send_until_receipt(context, 5.0)
+
+    run(context, connect())
+
+
+async def _send_until_receipt(context: Context, seconds: float) -> None:
+    first, second = context.channels
+    before_bytes = first.received_bytes
+
+    def confirmed() -> bool:
+        first.send(second.address, MESSAGE)
+        return first.received_bytes > before_bytes
+
+    assert await wait_until(confirmed, seconds), (
+        f"no receipt, {first.reopened_connections} reopenings by the sender "
+        f"of messages, {second.reopened_connections} by that of receipts"
+    )
+
+
+@when("the other one's connection falls silent")
+def silence_receipts(context: Context) -> None:
+    assert context.proxies[0].silence_open() == 1
+
+
+@then("within {seconds:f} s a receipt arrives again")
+def receipt_again(context: Context, seconds: float) -> None:
+    run(context, _send_until_receipt(context, seconds))
+
+
+@when("one sends a message, is held up for {held_s:f} s and sends another")
+def hold_up(context: Context, held_s: float) -> None:
+    first, second = context.channels
+    confirm = second._confirm
+
+    def confirm_and_hold_up(probe: DeliveryProbe) -> None:
+        confirm(probe)
+        # Both channels share an event loop: the receipt waits unread.
+        time.sleep(held_s)
+        first.send(second.address, MESSAGE)
+
+    async def exchange() -> None:
+        second.send(first.address, MESSAGE)
+        assert await wait_until(lambda: len(context.received) == 1, 5)
+        with mock.patch.object(second, "_confirm", confirm_and_hold_up):
+            first.send(second.address, MESSAGE)
+            assert await wait_until(lambda: len(context.received) == 3, 5)
+
+    run(context, exchange())
+
+
+@then("it has reopened no connection")
+def none_reopened(context: Context) -> None:
+    reopened = context.channels[0].reopened_connections
+    assert not reopened, f"{reopened} reopened"
+
+
+@when(
+    "one is connected to the other, and receives probes from {count:d} "
+    "addresses"
+)
+def strangers(context: Context, count: int) -> None:
+    first, second = context.channels
+
+    async def receive() -> None:
+        first.send(second.address, MESSAGE)
+        context.peer = first._peers[second.address]
+        with mock.patch.object(control_peer.pynng, "Push0", mock.Mock()):
+            for number in range(count):
+                address = f"127.1.{number // 250}.{1 + number % 250}:1"
+                first._dispatch(DeliveryProbe(address, first.address, 1))
+
+    run(context, receive())
+
+
+@then("it is still connected to the other")
+def still_connected(context: Context) -> None:
+    first, second = context.channels
+    kept = first._peers.get(second.address) is context.peer
+    assert kept, "the connection in use was closed"
