--- a/tests/features/connection/delivery.feature
+++ b/tests/features/connection/delivery.feature
@@ -46,3 +46,9 @@
     Given two control channels behind proxies, of which only one sends messages
     When the other one's connection falls silent
     Then within 6.0 s a receipt arrives again
+
+  Scenario: A process that was held up does not reopen connections that work
+    # Receipts that wait in the receive queue were not looked at.
+    Given two control channels
+    When one sends a message, is held up for 1.2 s and sends another
+    Then it has reopened no connection
