Show by a failing test that probes of strangers evict peers

A probe has the receiver dial whatever address it names. Of MAX_PEERS the one first used is closed, which may be the leader. Entries could be made to answer a RelayRequest anywhere before; agents dialled only leaders.

--- a/tests/features/connection/delivery.feature
+++ b/tests/features/connection/delivery.feature
@@ -52,3 +52,8 @@
     Given two control channels
     When one sends a message, is held up for 1.2 s and sends another
     Then it has reopened no connection
+
+  Scenario: Probes from unknown addresses do not close connections in use
+    Given two control channels
+    When one is connected to the other, and receives probes from 5000 addresses
+    Then it is still connected to the other
