--- a/tests/features/request/selection.feature
+++ b/tests/features/request/selection.feature
@@ -19,6 +19,13 @@
     And all but endpoint 2 of the router are silent for 4 seconds
     Then 100 choices of the router all select endpoint 2
 
+  Scenario: A report that a later one overtook changes nothing
+    # A reopened connection delivers before what the former one still holds.
+    Given a router with reports of 6 endpoints
+    When endpoint 1 of the router reports "leaving"
+    And an earlier report of endpoint 1 of the router arrives late
+    Then endpoint 1 of the router is "leaving"
+
   Scenario: Overloaded tiers spill over, to the other region last
     Given a router with reports of 6 endpoints, two in each tier
     Then 100 choices of the router all select tier "data centre"
--- a/tests/features/steps/request_selection_steps.py
+++ b/tests/features/steps/request_selection_steps.py
@@ -140,6 +140,11 @@
     context.router.on_report(build_report(number, 2, state), context.now_s)
 
 
+@when("an earlier report of endpoint {number:d} of the router arrives late")
+def arrives_late(context: Context, number: int) -> None:
+    context.router.on_report(build_report(number, 1), context.now_s)
+
+
 @when(
     "all but endpoint {number:d} of the router are silent for {time:d} seconds"
 )
