--- a/tests/features/connection/delivery.feature
+++ b/tests/features/connection/delivery.feature
@@ -57,3 +57,9 @@
     Given two control channels
     When one is connected to the other, and receives probes from 5000 addresses
     Then it is still connected to the other
+
+  Scenario: A connection delivers within a lease after a silence of 3.4 s
+    # The time between two reopenings doubled beyond the rest of the lease.
+    Given a connection over a way on which a receipt takes 0.0 s
+    When all connections opened in the first 3.4 s are silent
+    Then a probe is confirmed within a VM's lease
--- a/tests/features/steps/delivery_steps.py
+++ b/tests/features/steps/delivery_steps.py
@@ -17,6 +17,8 @@
 from yuccapoint.cell.cell_messages import CellMessage
 from yuccapoint.cell.cell_messages import RelayAnswer
 from yuccapoint.cell.cell_messages import RelayResult
+from yuccapoint.cell.lease_bounds import PROBE_INTERVAL_S
+from yuccapoint.cell.lease_bounds import VM_LEASE_S
 from yuccapoint.connection import control_peer
 from yuccapoint.connection.control_channel import ControlChannel
 from yuccapoint.connection.delivery_messages import DeliveryProbe
@@ -267,3 +269,25 @@
     first, second = context.channels
     kept = first._peers.get(second.address) is context.peer
     assert kept, "the connection in use was closed"
+
+
+@when("all connections opened in the first {seconds:f} s are silent")
+def silent_at_first(context: Context, seconds: float) -> None:
+    context.confirmed_at_s = None
+    opened_at_s = 0.0
+    # A leader sends this often to an agent that it does not hear.
+    for tick in range(int(60.0 / PROBE_INTERVAL_S)):
+        now_s = tick * PROBE_INTERVAL_S
+        if context.monitor.silent_s(now_s):
+            context.monitor.on_reopened()
+            opened_at_s = now_s
+        number = context.monitor.next_probe(now_s)
+        if number is not None and opened_at_s >= seconds:
+            context.confirmed_at_s = now_s
+            break
+
+
+@then("a probe is confirmed within a VM's lease")
+def confirmed_in_lease(context: Context) -> None:
+    assert context.confirmed_at_s is not None
+    assert context.confirmed_at_s < VM_LEASE_S, context.confirmed_at_s
