--- a/tests/features/connection/delivery.feature
+++ b/tests/features/connection/delivery.feature
@@ -53,3 +53,27 @@
     Given two control channels
     When one receives probes from "", "nowhere" and "127.0.0.1:999999"
     Then it still receives messages
+
+  Scenario: A connection that carries only receipts is reopened when it is silent
+    # Receipts carry no probe, so that the other side reopened its working
+    # connection for ever.
+    Given two control channels behind proxies, of which only one sends messages
+    When the other one's connection falls silent
+    Then within 6.0 s a receipt arrives again
+
+  Scenario: A process that was held up does not reopen connections that work
+    # Receipts that wait in the receive queue were not looked at.
+    Given two control channels
+    When one sends a message, is held up for 1.2 s and sends another
+    Then it has reopened no connection
+
+  Scenario: Probes from unknown addresses do not close connections in use
+    Given two control channels
+    When one is connected to the other, and receives probes from 5000 addresses
+    Then it is still connected to the other
+
+  Scenario: A connection delivers within a lease after a silence of 3.4 s
+    # The time between two reopenings doubled beyond the rest of the lease.
+    Given a connection over a way on which a receipt takes 0.0 s
+    When all connections opened in the first 3.4 s are silent
+    Then a probe is confirmed within a VM's lease
--- a/tests/features/platform/silent_connections.feature
+++ b/tests/features/platform/silent_connections.feature
@@ -21,3 +21,28 @@
     Given a platform of one entry and 3 VMs behind proxies, with 6 running tasks
     When nothing happens for 4 s
     Then at most 3 probes were sent meanwhile
+  Scenario Outline: Records are relayed again after a connection fell silent <way>
+    # The answering entry did not reopen its connection.
+    Given two entries behind proxies that have relayed a record
+    When the open connection <way> falls silent
+    And records are relayed each 0.2 s for 2.0 s
+    Then the next record that is relayed is appended
+
+    Examples:
+      | way           |
+      | to the peer   |
+      | from the peer |
+
+  Scenario: One lost record makes the next one take a new connection
+    # A message without a probe did not count as unconfirmed.
+    Given two entries behind proxies that have relayed a record
+    When the open connection to the peer falls silent
+    And one record is relayed at once
+    Then the next record that is relayed is appended
+
+  Scenario: VMs keep their leases when the links are silent for 3.4 s
+    # Connections opened meanwhile were silent too, and given up after 4 s.
+    Given a platform of one entry and 3 VMs behind proxies, with 6 running tasks
+    When all links are silent for 3.4 s
+    Then each VM gets a new lease before its last one expires
+    And no task was started twice, and none lapsed
