Ignore an agent's report that a later one overtook

An entry checked only the incarnation of a report: one that a reopened connection overtook made an endpoint that had reported "leaving" ready again. The scenario in selection.feature failed before.

--- a/src/yuccapoint/request/router.py
+++ b/src/yuccapoint/request/router.py
@@ -84,14 +84,15 @@
         self._rng = rng
         self._services: dict[tuple[str, str], ServiceEndpoints] = {}
         self._by_vm: dict[str, set[str]] = {}
-        self._incarnations: dict[str, int] = {}
+        self._newest_reports: dict[str, tuple[int, int]] = {}
 
     def on_report(self, report: AgentReport, now_s: float) -> None:
         """Apply an agent's report of its endpoints."""
-        known = self._incarnations.get(report.vm, 0)
-        if report.incarnation < known:
+        # A report may be overtaken by a later one over a new connection.
+        newest = (report.incarnation, report.sequence)
+        if newest < self._newest_reports.get(report.vm, (0, 0)):
             return
-        self._incarnations[report.vm] = report.incarnation
+        self._newest_reports[report.vm] = newest
         self.session_addresses[report.vm] = report.session_address
         keys = set()
         for endpoint in report.endpoints:
