Notice each silent connection within a lease, and only silent ones

- A relayed record without a probe was not judged, so that a second one was lost: a relay now tells the channel of a request that got no answer.
- A connection that carries only receipts was never reopened.
A probe now names the newest receipt that its sender got, and so confirms the receipts.
- A process that was held up reopened connections whose receipts it had not read.
The channel judges on a timer, and not just after a delay of the loop.
- A stranger's probe could displace the connection to the leader.

After a reopening the agent reports, and the leader repeats its orders, at once.

--- a/src/yuccapoint/cell/cell_leader.py
+++ b/src/yuccapoint/cell/cell_leader.py
@@ -192,6 +192,12 @@
             return None
         return vm.orders_sent_at_s(report.heard_orders)
 
+    def repeat_orders(self, address: str) -> None:
+        """Send the orders of the VMs with an agent's address again."""
+        for vm in self.vms.values():
+            if vm.address == address:
+                vm.orders_due = True
+
     def tick(self, now_s: float, wall_ms: int) -> None:
         """Release expired VMs, stop runs that stall or move, and claim."""
         self._vm_checks.run(now_s)
--- a/src/yuccapoint/connection/control_channel.py
+++ b/src/yuccapoint/connection/control_channel.py
@@ -23,6 +23,12 @@
 
 MAX_PEERS = 4_096
 RECEIVE_BUFFER_MESSAGES = 4_096
+# Interval at which connections are checked, in seconds.
+WATCH_INTERVAL_S = 0.1
+# After a longer delay of the event loop, in seconds, no connection is judged
+# for a while, so that what has arrived meanwhile is read first.
+MAX_LOOP_DELAY_S = 0.2
+READ_AFTER_DELAY_S = 0.3
 NNG_THREADS_PER_POOL = 2
 _THREAD_PARAMETERS = (
     _nng.lib.NNG_INIT_NUM_TASK_THREADS,
@@ -60,6 +66,9 @@
         Type to which messages are decoded.
     clock : callable, optional
         Returns steady time in seconds.
+    on_reopened : callable, optional
+        Called with a peer's address after its connection was reopened, so
+        that what was lost can be sent again at once.
     """
 
     def __init__(
@@ -69,6 +78,7 @@
         log: Callable[..., None],
         message_type: Any = ControlMessage,
         clock: Callable[[], float] = time.monotonic,
+        on_reopened: Callable[[str], None] = lambda address: None,
     ) -> None:
         self.address = address
         self.dropped_messages = 0
@@ -80,6 +90,7 @@
         self._deliver = deliver
         self._log = log
         self._clock = clock
+        self._on_reopened = on_reopened
         self._peers: dict[str, ControlPeer] = {}
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(
@@ -87,6 +98,7 @@
         )
         self._receive_socket: pynng.Pull0 | None = None
         self._receive_task: asyncio.Task[None] | None = None
+        self._watch_task: asyncio.Task[None] | None = None
 
     def open(self) -> None:
         """Start to listen and to deliver messages.
@@ -108,18 +120,14 @@
         self._receive_task = asyncio.ensure_future(
             self._receive(self._receive_socket)
         )
+        self._watch_task = asyncio.ensure_future(self._watch())
 
     def send(self, address: str, message: msgspec.Struct) -> None:
         """Send a message; it may get lost."""
-        now_s = self._clock()
         try:
             peer = self._peer(address)
-            self._reopen_if_silent(peer, now_s)
             self._send(peer, message)
-            number = peer.monitor.next_probe(now_s)
-            if number is not None:
-                self.sent_probes += 1
-                self._send(peer, DeliveryProbe(self.address, address, number))
+            self._probe(peer)
         except pynng.NNGException:
             self.dropped_messages += 1
 
@@ -133,37 +141,98 @@
         if peer is not None:
             peer.monitor.on_delivered(sent_at_s, self._clock())
 
+    def note_unanswered(self, address: str, sent_at_s: float) -> None:
+        """Note that an answer expected from a peer did not come in time.
+
+        The next message takes a new connection, unless the message sent at
+        that time is known to have arrived.
+        """
+        peer = self._peers.get(address)
+        if peer is None:
+            return
+        peer.monitor.on_unanswered(sent_at_s)
+        self._reopen_if_silent(peer)
+
     def _send(self, peer: ControlPeer, message: msgspec.Struct) -> None:
         data = self._encoder.encode(message)
         peer.send(data)
         self.sent_bytes += len(data)
 
-    def _reopen_if_silent(self, peer: ControlPeer, now_s: float) -> None:
+    def _probe(self, peer: ControlPeer) -> None:
+        number = peer.monitor.next_probe(self._clock())
+        if number is None:
+            return
+        self.sent_probes += 1
+        probe = DeliveryProbe(
+            self.address, peer.address, number, peer.monitor.confirmed
+        )
+        self._send(peer, probe)
+
+    def _reopen_if_silent(self, peer: ControlPeer) -> None:
+        now_s = self._clock()
         silent_s = peer.monitor.silent_s(now_s)
         if not silent_s:
             return
         self.reopened_connections += 1
+        try:
+            peer.reopen(now_s)
+            self._probe(peer)
+        except pynng.NNGException:
+            self.dropped_messages += 1
+        self._on_reopened(peer.address)
+        reopenings = peer.monitor.reopenings
+        # A peer that is down is not logged each time.
+        if reopenings & (reopenings - 1):
+            return
         self._log(
             "channel",
-            "the peer confirms nothing; reopening the connection",
+            "the peer confirms nothing; the connection was reopened",
             peer=peer.address,
             silent_ms=int(silent_s * 1000),
+            reopenings=reopenings,
         )
-        peer.reopen(now_s)
+
+    async def _watch(self) -> None:
+        """Reopen silent connections, but not by receipts yet to be read."""
+        read_until_s = 0.0
+        while True:
+            due_s = self._clock() + WATCH_INTERVAL_S
+            await asyncio.sleep(WATCH_INTERVAL_S)
+            now_s = self._clock()
+            if now_s - due_s > MAX_LOOP_DELAY_S:
+                # The process was held up; receipts may wait in the queue.
+                read_until_s = now_s + READ_AFTER_DELAY_S
+            if now_s < read_until_s:
+                continue
+            for peer in list(self._peers.values()):
+                self._check(peer)
+
+    def _check(self, peer: ControlPeer) -> None:
+        try:
+            self._reopen_if_silent(peer)
+        except Exception as error:
+            # One failing peer must not stop the watch of the others.
+            self._report_failure("control connection check failed", error)
 
     def _confirm(self, probe: DeliveryProbe) -> None:
-        # A receipt carries no probe of its own: two idle peers would go on
-        # confirming each other's receipts.
-        receipt = DeliveryReceipt(probe.receiver, probe.number)
+        peer = self._peers.get(probe.sender)
+        if peer is None and len(self._peers) >= MAX_PEERS:
+            # Peers that are only answered displace no others.
+            self.dropped_messages += 1
+            return
         try:
-            self._send(self._peer(probe.sender), receipt)
+            peer = self._peer(probe.sender)
+            peer.receipts.on_probe(probe, self._clock())
+            self._reopen_if_silent(peer)
+            self._send(peer, DeliveryReceipt(probe.receiver, probe.number))
         except pynng.NNGException:
             self.dropped_messages += 1
 
     def close(self) -> None:
         """Stop receiving and close the connections to all peers."""
-        if self._receive_task is not None:
-            self._receive_task.cancel()
+        for task in (self._receive_task, self._watch_task):
+            if task is not None:
+                task.cancel()
         if self._receive_socket is not None:
             self._receive_socket.close()
         for peer in self._peers.values():
@@ -197,12 +266,12 @@
             self._dispatch(message)
         except Exception as error:
             # One failing message must not stop the receive loop.
-            asyncio.get_running_loop().call_exception_handler(
-                {
-                    "message": "control message handler failed",
-                    "exception": error,
-                }
-            )
+            self._report_failure("control message handler failed", error)
+
+    def _report_failure(self, text: str, error: Exception) -> None:
+        asyncio.get_running_loop().call_exception_handler(
+            {"message": text, "exception": error}
+        )
 
     def _dispatch(self, message: Any) -> None:
         if isinstance(message, DeliveryProbe):
--- a/src/yuccapoint/connection/control_peer.py
+++ b/src/yuccapoint/connection/control_peer.py
@@ -7,6 +7,7 @@
 import pynng
 
 from yuccapoint.connection.delivery_monitor import DeliveryMonitor
+from yuccapoint.connection.sent_receipts import SentReceipts
 
 SEND_BUFFER_MESSAGES = 64
 RECONNECT_TIME_MIN_MS = 100
@@ -28,11 +29,12 @@
         The address is invalid.
     """
 
-    __slots__ = ("_socket", "address", "monitor")
+    __slots__ = ("_socket", "address", "monitor", "receipts")
 
     def __init__(self, address: str) -> None:
         self.address = address
         self.monitor = DeliveryMonitor(random.getrandbits(PROBE_NUMBER_BITS))
+        self.receipts = SentReceipts(self.monitor)
         self._socket = _connect(address)
 
     def send(self, data: bytes) -> None:
--- a/src/yuccapoint/process/append_relay.py
+++ b/src/yuccapoint/process/append_relay.py
@@ -14,6 +14,7 @@
 from yuccapoint.cell.exceptions import DamagedRecordError
 from yuccapoint.connection.cell_store import StoreRefusedError
 from yuccapoint.connection.cell_store import StoreResponseLostError
+from yuccapoint.process.steady_clock import steady_s
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -117,12 +118,14 @@
         request = RelayRequest(
             self._control_channel.address, number, key, value
         )
+        sent_at_s = steady_s()
         self._control_channel.send(address, request)
         try:
             async with asyncio.timeout(timeout_s):
                 result: RelayResult = await answered
                 return result
         except TimeoutError:
+            self._control_channel.note_unanswered(address, sent_at_s)
             return RelayResult.UNKNOWN
         finally:
             del self._waiting[number]
--- a/src/yuccapoint/process/cell_agent_process.py
+++ b/src/yuccapoint/process/cell_agent_process.py
@@ -110,7 +110,12 @@
         self._worker: CellWorkerPort | None = None
         self._worker_address = ""
         self._control_channel = ControlChannel(
-            address, self._on_message, logger.log, CellMessage, steady_s
+            address,
+            self._on_message,
+            logger.log,
+            CellMessage,
+            steady_s,
+            self._on_reopened,
         )
         self._wake = asyncio.Event()
         self._poll_requested = asyncio.Event()
@@ -178,6 +183,12 @@
         self._wake.set()
         self._poll_requested.set()
 
+    def _on_reopened(self, address: str) -> None:
+        """Report at once what a silent connection may have lost."""
+        if address == self.vm_agent.leader_address:
+            self.vm_agent.registry.has_updates = True
+            self._wake.set()
+
     async def _run(self) -> None:
         while True:
             with contextlib.suppress(TimeoutError):
--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -111,7 +111,12 @@
         )
         self.tail.read_pause_s = READ_PAUSE_S
         self._control_channel = ControlChannel(
-            address, self._on_message, logger.log, CellMessage, steady_s
+            address,
+            self._on_message,
+            logger.log,
+            CellMessage,
+            steady_s,
+            self._on_reopened,
         )
         appender = GroupAppender(store)
         self._relay = AppendRelay(
@@ -373,6 +378,12 @@
             leader.commit(batch)
         self._wake.set()
 
+    def _on_reopened(self, address: str) -> None:
+        """Repeat the orders that a silent connection may have lost."""
+        if self.leader is not None:
+            self.leader.repeat_orders(address)
+            self._wake.set()
+
     def _on_message(self, message: CellMessage) -> None:
         if isinstance(message, RelayRequest):
             self._relay.on_request(message)
--- a/tests/features/steps/append_relay_steps.py
+++ b/tests/features/steps/append_relay_steps.py
@@ -31,6 +31,9 @@
         del address
         self.sent.append(message)
 
+    def note_unanswered(self, address: str, sent_at_s: float) -> None:
+        """Nothing is connected."""
+
 
 class RefusingAppender:
     """Has no way to the store."""
