--- a/tests/features/steps/delivery_steps.py
+++ b/tests/features/steps/delivery_steps.py
@@ -8,10 +8,10 @@
 from behave import given
 from behave import then
 from behave import when
+import msgspec
 from platform_path_steps import free_address
 from platform_path_steps import run
 from platform_path_steps import wait_until
-import msgspec
 import pynng
 
 from soak.proxy import Proxy
