Reuse an HTTP connection only if it answered since a call is overdue

Connections to the store or a worker may fall silent without a reset, several at a time. A call that timed out closed its own connection alone, and each other idle one cost a caller another whole timeout: the store's pool of 8 is 8 x 0.8 s, with a leader's lease of 2.5 s. That an idle connection was open was taken for a sign that it delivers.

Now a connection is reused only if it has delivered a response since the response of the newest overdue call was due. A call that timed out, or that was cancelled when overdue, closes the others; one that is only overdue makes new calls open a connection, and leaves the old ones for the case that the peer is slow. A long poll is due when its wait ends, so that a connection that was used during the poll counts as unproven too. The error text, which each caller logs, says how many idle connections were closed.

Ruled out: a timeout closes only connections that were last used before the call was sent. With a long poll of 0.7 s, a connection that was used during the poll then costs a second one, 3.1 s in all, and an entry is not ready after 2 s. Also ruled out: TCP_USER_TIMEOUT and keep-alive probes, which a proxy in between answers.

Verdicts are unchanged: NOT_RUN only if no connection could be opened.

--- a/src/yuccapoint/connection/http_client.py
+++ b/src/yuccapoint/connection/http_client.py
@@ -26,6 +26,9 @@
 MAX_IDLE_CONNECTIONS = 8
 # The peer may close a connection that is idle for longer.
 MAX_IDLE_S = 20.0
+# A call that is unanswered for this long after its response was due, in
+# seconds, makes the other connections suspect; usual times are milliseconds.
+OVERDUE_AFTER_S = 0.4
 # Bounds on a response's head and body.
 MAX_HEAD_BYTES = 16_384
 MAX_BODY_BYTES = 16 * 1_024 * 1_024
@@ -55,9 +58,23 @@
         self.body = body
 
 
+class IdleConnection:
+    """An open connection without a request."""
+
+    __slots__ = ("answered_at_s", "stream")
+
+    def __init__(self, stream: IOStream, answered_at_s: float) -> None:
+        self.stream = stream
+        self.answered_at_s = answered_at_s
+
+
 class HttpClient:
     """Calls one address over keep-alive connections.
 
+    Connections may fall silent without being closed, several at a time. Once
+    a call is overdue, a connection is reused only if it has delivered a
+    response since that call's response was due.
+
     Parameters
     ----------
     address : str
@@ -70,9 +87,9 @@
         self._host, _, port = address.rpartition(":")
         self._port = int(port)
         self._connector = TCPClient()
-        self._idle: collections.deque[tuple[IOStream, float]] = (
-            collections.deque()
-        )
+        self._idle: collections.deque[IdleConnection] = collections.deque()
+        # When the response of each call in flight is due.
+        self._due_at_s: dict[IOStream, float] = {}
 
     async def call(
         self,
@@ -81,6 +98,7 @@
         body: bytes = b"",
         *,
         timeout_s: float,
+        wait_s: float = 0.0,
         headers: dict[str, str] | None = None,
     ) -> HttpResponse:
         """Send a request and return its response.
@@ -93,6 +111,8 @@
             Body of the request.
         timeout_s : float
             Timeout of the whole call in seconds.
+        wait_s : float, optional
+            How long the peer may hold a long poll, in seconds.
         headers : dict, optional
             Additional headers.
 
@@ -113,6 +133,7 @@
             lines.append(f"{name}: {value}")
         head = "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
         reusable = False
+        self._due_at_s[stream] = time.monotonic() + wait_s
         try:
             left_s = max(0.001, deadline_s - time.monotonic())
             async with asyncio.timeout(left_s):
@@ -124,32 +145,70 @@
             TimeoutError,
             ValueError,
         ) as error:
-            raise ResponseLostError(
-                f"no response from {self.address}: {error!r}"
-            ) from None
+            text = f"no response from {self.address}: {error!r}"
+            if isinstance(error, TimeoutError):
+                closed = self._close_suspects(stream)
+                text = f"{text}; closed {closed} idle connections"
+            raise ResponseLostError(text) from None
+        except asyncio.CancelledError:
+            self._close_suspects(stream)
+            raise
         finally:
+            del self._due_at_s[stream]
             # The next request on this connection would read the rest of an
             # abandoned response as its own.
             if not reusable:
                 stream.close()
-        if len(self._idle) < MAX_IDLE_CONNECTIONS:
-            self._idle.append((stream, time.monotonic()))
-        else:
-            stream.close()
+        self._idle.append(IdleConnection(stream, time.monotonic()))
+        if len(self._idle) > MAX_IDLE_CONNECTIONS:
+            self._idle.popleft().stream.close()
         return response
 
     def close(self) -> None:
         """Close the idle connections."""
         while self._idle:
-            self._idle.pop()[0].close()
+            self._idle.pop().stream.close()
+
+    def _close_suspects(self, unanswered: IOStream) -> int:
+        """Close connections that may be as silent as one without response.
+
+        Returns
+        -------
+        int
+            How many were closed.
+        """
+        due_at_s = self._due_at_s[unanswered]
+        if time.monotonic() - due_at_s < OVERDUE_AFTER_S:
+            return 0
+        return self._close_idle(due_at_s)
+
+    def _close_idle(self, answered_until_s: float) -> int:
+        closed = 0
+        while self._idle and self._idle[0].answered_at_s <= answered_until_s:
+            self._idle.popleft().stream.close()
+            closed += 1
+        return closed
+
+    def _reuse_idle(self, now_s: float) -> IOStream | None:
+        self._close_idle(now_s - MAX_IDLE_S)
+        # An overdue call may still be answered, and show that the others are
+        # only slow.
+        overdue_s = now_s - OVERDUE_AFTER_S
+        suspect_s = max(
+            (due_s for due_s in self._due_at_s.values() if due_s < overdue_s),
+            default=0.0,
+        )
+        while self._idle and self._idle[-1].answered_at_s > suspect_s:
+            stream = self._idle.pop().stream
+            if not stream.closed():
+                return stream
+        return None
 
     async def _connect(self, deadline_s: float) -> IOStream:
         now_s = time.monotonic()
-        while self._idle:
-            stream, used_at_s = self._idle.pop()
-            if not stream.closed() and now_s - used_at_s < MAX_IDLE_S:
-                return stream
-            stream.close()
+        idle = self._reuse_idle(now_s)
+        if idle is not None:
+            return idle
         left_s = max(0.001, deadline_s - now_s)
         try:
             async with asyncio.timeout(left_s):
--- a/src/yuccapoint/platform/store_partition.py
+++ b/src/yuccapoint/platform/store_partition.py
@@ -113,8 +113,15 @@
     ) -> tuple[list[StoredRecord], int]:
         """Read from an offset on; see ``CellStore.read``."""
         query = {"From": from_offset, "WaitMs": wait_ms}
-        timeout_s = RESPONSE_TIMEOUT_S + wait_ms / 1000
-        response = await self._call("GET", "log-read", query, b"", timeout_s)
+        wait_s = wait_ms / 1000
+        response = await self._call(
+            "GET",
+            "log-read",
+            query,
+            b"",
+            RESPONSE_TIMEOUT_S + wait_s,
+            wait_s,
+        )
         if response.status == STATUS_EXPIRED:
             raise StoreRecordsExpiredError(
                 f"the store no longer holds offset {from_offset}"
@@ -157,12 +164,13 @@
         query: dict[str, str | int] | dict[str, int] | dict[str, str],
         body: bytes,
         timeout_s: float,
+        wait_s: float = 0.0,
     ) -> HttpResponse:
         parameters = {"Topic": self._topic, "part": self._partition, **query}
         target = f"/yuccapoint/{operation}?{urlencode(parameters)}"
         try:
             response = await self._client.call(
-                method, target, body, timeout_s=timeout_s
+                method, target, body, timeout_s=timeout_s, wait_s=wait_s
             )
         except NotSentError as error:
             raise StoreRefusedError(str(error)) from None
--- a/src/yuccapoint/platform/worker_client.py
+++ b/src/yuccapoint/platform/worker_client.py
@@ -127,6 +127,7 @@
             "/yuccapoint/hold",
             msgspec.json.encode(body),
             timeout_s=CALL_TIMEOUT_S + request.wait_ms / 1000,
+            wait_s=request.wait_ms / 1000,
             headers=_headers(instance.worker_id),
         )
         if response.status != STATUS_OK:
