Take over only while reads of the store succeed

A follower judged the leader by renewals that it read, and went on to do so for 1.8 s after its last read. A leader renews each 0.7 s and is replaced after 2.0 s, so from 1.3 s on a follower whose read hung on a silent connection took its own silence for the leader's.

A read now counts for 1.1 s: it takes 0.7 s where there is nothing to read, with 0.15 s between reads. With the interval of renewals this stays below the timeout. While a slow store answers reads later than that, a takeover is decided when a read returns. Ruled out: counting from the last read instead of now, which delays a takeover by up to one read.

On the code before, "A follower whose reads hang does not take over" fails; its counterpart, a leader that is gone, passes before and after.

--- a/src/yuccapoint/cell/leader_election.py
+++ b/src/yuccapoint/cell/leader_election.py
@@ -81,7 +81,8 @@
         """Return whether to write a record of the next term now."""
         if self._reading_since_s is None or self.leads():
             return False
-        if now_s - self._read_at_s > lease_bounds.STALE_AFTER_S:
+        # A read that hangs hides the leader's renewals.
+        if now_s - self._read_at_s > lease_bounds.MAX_READ_AGE_S:
             return False
         newest = self._newest
         silent_s = now_s - self._changed_at_s
--- a/src/yuccapoint/cell/lease_bounds.py
+++ b/src/yuccapoint/cell/lease_bounds.py
@@ -11,6 +11,10 @@
 RENEW_INTERVAL_S = 0.7
 # Another entry takes over after this time without a renewal.
 LEADER_TIMEOUT_S = 2.0
+# A leader's silence counts only as long as reads of the store succeed; each
+# takes 0.7 s at most where there is nothing to read. With a renewal's interval
+# this stays below the timeout.
+MAX_READ_AGE_S = 1.1
 # Clocks of two VMs differ by at most 2 %; the rest covers delays of the
 # event loop.
 MAX_CLOCK_RATIO = 1.04
--- a/tests/features/cell/recovery.feature
+++ b/tests/features/cell/recovery.feature
@@ -22,6 +22,17 @@
     When it reads that another entry leads term 4
     Then it neither leads nor grants nor takes over at once
 
+  Scenario: A follower whose reads hang does not take over
+    # It took the silence of its own connection for that of the leader.
+    Given a follower that reads a renewal each 0.7 s
+    When its reads hang for 10.0 s
+    Then it did not try to take over
+
+  Scenario: A follower takes over when reads show no more renewals
+    Given a follower that reads a renewal each 0.7 s
+    When the leader is gone for 2.1 s and reads return after 0.85 s each
+    Then it tried to take over
+
   Scenario: Progress survives the loss of all machines
     Given a leader with 1 VMs that work on a job of 4 tasks
     When the VM reports checkpoints of all tasks for 3 s
--- a/tests/features/steps/cell_recovery_steps.py
+++ b/tests/features/steps/cell_recovery_steps.py
@@ -128,6 +128,54 @@
     assert not context.watch.should_take_over(context.now_s + 0.3)
 
 
+@given("a follower that reads a renewal each {interval_s:f} s")
+def follower(context: Context, interval_s: float) -> None:
+    context.now_s = 100.0
+    context.watch = LeaderElection("e-0", 1, 0.0)
+    for number in range(5):
+        context.now_s += interval_s
+        context.newest = Leadership(3, "e-1", 1, number)
+        context.watch.on_records_read(context.newest, context.now_s)
+    # The last read returns just before the next renewal is stored.
+    context.now_s += interval_s - 0.01
+    context.watch.on_records_read(context.newest, context.now_s)
+    context.tried = False
+
+
+def _watch(context: Context, seconds: float) -> None:
+    until_s = context.now_s + seconds
+    while context.now_s < until_s:
+        context.now_s += 0.01
+        context.tried |= context.watch.should_take_over(context.now_s)
+
+
+@when("its reads hang for {seconds:f} s")
+def reads_hang(context: Context, seconds: float) -> None:
+    _watch(context, seconds)
+
+
+@when(
+    "the leader is gone for {gone_s:f} s and reads return after {read_s:f} s"
+    " each"
+)
+def leader_gone(context: Context, gone_s: float, read_s: float) -> None:
+    gone_from_s = context.now_s
+    while context.now_s + read_s < gone_from_s + gone_s:
+        _watch(context, read_s)
+        context.watch.on_records_read(context.newest, context.now_s)
+    _watch(context, gone_from_s + gone_s - context.now_s)
+
+
+@then("it did not try to take over")
+def not_tried(context: Context) -> None:
+    assert not context.tried
+
+
+@then("it tried to take over")
+def tried(context: Context) -> None:
+    assert context.tried
+
+
 @when("the VM reports checkpoints of all tasks for {seconds:d} s")
 def report_progress(context: Context, seconds: int) -> None:
     leader = context.leader
