Replace a session that is silent while its agent responds

The session between an entry and an agent was judged by nothing but a reset. When its connection fell silent, each request to that VM waited for its whole deadline and failed as "may have run", and so did the requests that probe a quarantined endpoint: the VM was lost to the entry for good. Claims of keys waited alike.

While requests or claims are unanswered, the entry now sends a probe each 0.5 s, which the agent confirms on the same connection. If receipts are overdue (DeliveryMonitor: 1 s, or twice what the last one took) and nothing was received for 1 s, the entry opens a second connection. Only if the agent answers its handshake there, and the first connection still confirms nothing 0.25 s later, the session is replaced, logged, and its requests fail as "may-have-run", or "not-run" if they weren't sent whole, as after a reset.

Ruled out: the age of the oldest request, as endpoints may take long; a bound on receipts alone, as an agent that is paused for seconds would lose requests that it still answers; probes to agents that don't announce that they confirm them (an appended field of the handshake), as they close the session on an unknown frame.

--- a/src/yuccapoint/connection/agent_session.py
+++ b/src/yuccapoint/connection/agent_session.py
@@ -4,11 +4,16 @@
 
 import asyncio
 import contextlib
+import random
+import time
 from typing import TYPE_CHECKING
 
 from tornado.iostream import StreamClosedError
 from tornado.tcpclient import TCPClient
 
+from yuccapoint.connection.delivery_monitor import DeliveryMonitor
+from yuccapoint.connection.delivery_monitor import MAX_SILENCE_S
+from yuccapoint.connection.delivery_monitor import MIN_SILENCE_S
 from yuccapoint.connection.frame_stream import CHUNK_BYTES
 from yuccapoint.connection.frame_stream import FrameStream
 from yuccapoint.connection.frames import KeyClaim
@@ -21,6 +26,8 @@
 from yuccapoint.connection.frames import ResponseCredit
 from yuccapoint.connection.frames import ResponseHead
 from yuccapoint.connection.frames import SessionHandshake
+from yuccapoint.connection.frames import SessionProbe
+from yuccapoint.connection.frames import SessionReceipt
 from yuccapoint.exceptions import ProtocolError
 from yuccapoint.request.exceptions import SessionLostError
 from yuccapoint.request.pending_response import PendingResponse
@@ -33,11 +40,18 @@
     from yuccapoint.connection.frames import RequestHead
 
 CONNECT_TIMEOUT_S = 1.0
+# Interval between checks of a session with unanswered requests, in seconds.
+WATCH_INTERVAL_S = 0.25
+PROBE_NUMBER_BITS = 48
 
 
 class AgentSession:
     """Sends requests to an agent and collects their responses.
 
+    A connection may fall silent without being closed. While requests are
+    unanswered, the agent has to confirm probes on the session; it is replaced
+    if it stays silent although the agent responds on a new connection.
+
     Attributes
     ----------
     unmatched_responses : int
@@ -57,6 +71,8 @@
         Called with the endpoint and the load that a response reports.
     vm : str
         Name required in the agent's handshake; empty accepts any.
+    log : callable, optional
+        Logs an event: its part, text and fields.
     """
 
     def __init__(
@@ -66,6 +82,7 @@
         address: str,
         on_load: Callable[[str, int], None],
         vm: str = "",
+        log: Callable[..., None] | None = None,
     ) -> None:
         self.address = address
         self.vm = vm
@@ -79,6 +96,13 @@
         self._frames: FrameStream | None = None
         self._connecting: asyncio.Task[FrameStream] | None = None
         self._reader_task: asyncio.Task[None] | None = None
+        self._watch_task: asyncio.Task[None] | None = None
+        self._log = log
+        self._monitor = DeliveryMonitor(random.getrandbits(PROBE_NUMBER_BITS))
+        self._confirms_probes = False
+        self._received_at_s = 0.0
+        # Set while requests or claims are unanswered.
+        self._awaited = asyncio.Event()
 
     def next_request_id(self) -> int:
         """Return the id for a new request."""
@@ -117,6 +141,7 @@
         if pending is None:
             pending = PendingResponse(head.endpoint)
         self._pending[head.request_id] = pending
+        self._awaited.set()
         try:
             await self._write(frames, head, rest, pending)
         except StreamClosedError:
@@ -161,6 +186,7 @@
             asyncio.get_running_loop().create_future()
         )
         self._claims[request_id] = result
+        self._awaited.set()
         try:
             frames.write(KeyClaim(request_id, scope, key, claimant))
             return await result
@@ -199,6 +225,8 @@
             self._connecting.cancel()
         if self._reader_task is not None:
             self._reader_task.cancel()
+        if self._watch_task is not None:
+            self._watch_task.cancel()
         if self._frames is not None:
             self._frames.close()
         self._fail_pending()
@@ -223,6 +251,20 @@
             ) from None
 
     async def _connect(self) -> FrameStream:
+        frames = await self._open()
+        if self._watch_task is not None:
+            self._watch_task.cancel()
+        self._watch_task = asyncio.ensure_future(self._watch())
+        self._use(frames)
+        return frames
+
+    def _use(self, frames: FrameStream) -> None:
+        self._frames = frames
+        self._monitor.on_reopened()
+        self._received_at_s = time.monotonic()
+        self._reader_task = asyncio.ensure_future(self._read(frames))
+
+    async def _open(self) -> FrameStream:
         host, _, port = self.address.rpartition(":")
         stream = await asyncio.wait_for(
             TCPClient().connect(host, int(port)), CONNECT_TIMEOUT_S
@@ -236,8 +278,6 @@
         except BaseException:
             frames.close()
             raise
-        self._frames = frames
-        self._reader_task = asyncio.ensure_future(self._read(frames))
         return frames
 
     async def _receive_handshake(self, frames: FrameStream) -> None:
@@ -250,18 +290,80 @@
                 f"handshake is from {handshake.name}, expected {self.vm}"
             )
         self.agent_incarnation = handshake.incarnation
+        self._confirms_probes = handshake.confirms_probes
 
     async def _read(self, frames: FrameStream) -> None:
         try:
             while True:
-                for frame in await frames.read():
+                frames_read = await frames.read()
+                self._received_at_s = time.monotonic()
+                for frame in frames_read:
                     self._dispatch(frame)
         except (StreamClosedError, ProtocolError):
             frames.close()
             if self._frames is frames:
                 self._fail_pending()
 
+    async def _watch(self) -> None:
+        """Probe the session while requests wait; replace it if silent."""
+        while self._frames is not None and not self._frames.closed:
+            if not self._pending and not self._claims:
+                self._awaited.clear()
+                await self._awaited.wait()
+                continue
+            if self._is_silent(self._frames, time.monotonic()):
+                await self._replace(self._frames)
+            number = None
+            if self._confirms_probes:
+                number = self._monitor.next_probe(time.monotonic())
+            if number is not None:
+                with contextlib.suppress(StreamClosedError):
+                    self._frames.write(SessionProbe(number))
+            await asyncio.sleep(WATCH_INTERVAL_S)
+
+    def _is_silent(self, frames: FrameStream, now_s: float) -> bool:
+        silent_s = self._monitor.silent_s(now_s)
+        if not silent_s or now_s - self._received_at_s < MIN_SILENCE_S:
+            return False
+        # A probe behind a large body takes as long as the body.
+        return not frames.writing or silent_s >= MAX_SILENCE_S
+
+    async def _replace(self, silent: FrameStream) -> None:
+        """Replace a session if the agent responds on a new connection.
+
+        An agent that responds on neither is down, paused or cut off, and may
+        still answer the requests that it has received.
+        """
+        try:
+            frames = await self._open()
+        except (OSError, StreamClosedError, ProtocolError):
+            return
+        try:
+            # Responses of an agent that has just resumed may be on their way.
+            await asyncio.sleep(WATCH_INTERVAL_S)
+        except asyncio.CancelledError:
+            frames.close()
+            raise
+        now_s = time.monotonic()
+        if silent.closed or not self._is_silent(silent, now_s):
+            frames.close()
+            return
+        if self._log is not None:
+            self._log(
+                "session",
+                "the agent confirms nothing; replacing the session",
+                vm=self.vm,
+                silent_ms=int(self._monitor.silent_s(now_s) * 1000),
+                requests=len(self._pending),
+            )
+        self._use(frames)
+        silent.close()
+        self._fail_pending()
+
     def _dispatch(self, frame: Frame) -> None:
+        if isinstance(frame, SessionReceipt):
+            self._monitor.on_confirmed(frame.number, time.monotonic())
+            return
         if isinstance(frame, KeyClaimResult):
             claim = self._claims.get(frame.request_id)
             if claim is not None and not claim.done():
--- a/src/yuccapoint/connection/frame_stream.py
+++ b/src/yuccapoint/connection/frame_stream.py
@@ -41,6 +41,11 @@
         """Whether the stream was closed by either side."""
         return bool(self._stream.closed())
 
+    @property
+    def writing(self) -> bool:
+        """Whether written frames are still in the buffer."""
+        return bool(self._stream.writing())
+
     def write(self, frame: Frame) -> asyncio.Future[None]:
         """Write a frame; the future is done when it has left the buffer.
 
--- a/src/yuccapoint/connection/frames.py
+++ b/src/yuccapoint/connection/frames.py
@@ -8,10 +8,18 @@
 
 
 class SessionHandshake(msgspec.Struct, frozen=True, tag=1, array_like=True):
-    """First frame in each direction: the sender's name and incarnation."""
+    """First frame in each direction: the sender's name and incarnation.
+
+    Attributes
+    ----------
+    confirms_probes : bool
+        Whether the sender answers a ``SessionProbe``; former versions close
+        the session on one.
+    """
 
     name: str
     incarnation: int
+    confirms_probes: bool = False
 
 
 class RequestHead(msgspec.Struct, frozen=True, tag=2, array_like=True):
@@ -135,6 +143,18 @@
     claimant: str
 
 
+class SessionProbe(msgspec.Struct, frozen=True, tag=12, array_like=True):
+    """Asks the agent to confirm that the session delivers."""
+
+    number: int
+
+
+class SessionReceipt(msgspec.Struct, frozen=True, tag=13, array_like=True):
+    """Confirms a probe by its number."""
+
+    number: int
+
+
 Frame = (
     SessionHandshake
     | RequestHead
@@ -147,4 +167,6 @@
     | KeyClaim
     | KeyClaimResult
     | KeyRelease
+    | SessionProbe
+    | SessionReceipt
 )
--- a/src/yuccapoint/process/request_forwarder.py
+++ b/src/yuccapoint/process/request_forwarder.py
@@ -320,7 +320,12 @@
                 view.record_load(in_flight, time.monotonic())
 
         session = AgentSession(
-            self._name, self._incarnation, address, on_load, vm
+            self._name,
+            self._incarnation,
+            address,
+            on_load,
+            vm,
+            self._logger.log,
         )
         self._sessions[vm] = session
         return session
--- a/src/yuccapoint/process/request_server.py
+++ b/src/yuccapoint/process/request_server.py
@@ -21,6 +21,8 @@
 from yuccapoint.connection.frames import RequestHead
 from yuccapoint.connection.frames import ResponseCredit
 from yuccapoint.connection.frames import SessionHandshake
+from yuccapoint.connection.frames import SessionProbe
+from yuccapoint.connection.frames import SessionReceipt
 from yuccapoint.exceptions import ProtocolError
 from yuccapoint.process.served_request import ServedRequest
 from yuccapoint.request.exceptions import RequestError
@@ -91,7 +93,9 @@
 
     async def serve(self) -> None:
         """Read and dispatch frames until the session closes."""
-        handshake = SessionHandshake(self.agent.name, self.agent.incarnation)
+        handshake = SessionHandshake(
+            self.agent.name, self.agent.incarnation, confirms_probes=True
+        )
         with contextlib.suppress(StreamClosedError):
             self.frames.write(handshake)
         try:
@@ -118,6 +122,10 @@
     def _on_handshake(self, handshake: SessionHandshake) -> None:
         self.name = f"{handshake.name}@{handshake.incarnation}"
 
+    def _on_probe(self, probe: SessionProbe) -> None:
+        with contextlib.suppress(StreamClosedError):
+            self.frames.write(SessionReceipt(probe.number))
+
     def _on_head(self, head: RequestHead) -> None:
         if not self._late_copies.add(head.request_id):
             self.agent.metrics.count("late_copies")
@@ -171,6 +179,7 @@
 
 _FRAME_HANDLERS: dict[type, Callable[[ServedSession, Any], None]] = {
     SessionHandshake: ServedSession._on_handshake,
+    SessionProbe: ServedSession._on_probe,
     RequestHead: ServedSession._on_head,
     RequestChunk: ServedSession._on_chunk,
     RequestCancel: ServedSession._on_cancel,
