Close idle endpoint connections that may be as silent as a timed-out one

When they fell silent, each cost a request its whole deadline. A request that reaches its deadline without the head of a response now closes, and logs, those that were idle when it was sent; the error that callers see is unchanged. Connections that answered since are kept. A response whose body is late says nothing: its reader may be slow.

--- a/src/yuccapoint/connection/endpoint_client.py
+++ b/src/yuccapoint/connection/endpoint_client.py
@@ -79,6 +79,7 @@
         on_head: Callable[[EndpointResponse], None],
         on_chunk: Callable[[bytes], Awaitable[None] | None],
     ) -> None:
+        self.started = False
         self.complete = False
         self.reusable = False
         self.failure = ""
@@ -90,6 +91,7 @@
         self, start_line: object, headers: HTTPHeaders
     ) -> Awaitable[None] | None:
         """Parse the head."""
+        self.started = True
         line: ResponseStartLine = start_line  # type: ignore[assignment]
         if line.code < MIN_FINAL_STATUS:
             return None
@@ -122,9 +124,16 @@
 
 
 class EndpointClient:
-    """Calls the endpoints on the agent's VM."""
+    """Calls the endpoints on the agent's VM.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    log : callable, optional
+        Logs an event: its part, text and fields.
+    """
+
+    def __init__(self, log: Callable[..., None] | None = None) -> None:
+        self._log = log
         self._idle: dict[str, list[IdleConnection]] = {}
         self._parameters = HTTP1ConnectionParameters(
             chunk_size=CHUNK_BYTES,
@@ -158,12 +167,15 @@
         if stream is None:
             stream = await self._connect(address, deadline_s)
         reader = ResponseReader(method, on_head, on_chunk)
+        sent_at_s = time.monotonic()
         try:
             async with asyncio.timeout(deadline_s - time.monotonic()):
                 await self._exchange(
                     stream, address, method, target, headers, body, reader
                 )
         except TimeoutError:
+            if not reader.started:
+                self._close_suspects(address, sent_at_s)
             raise DeadlinePassedError(
                 "deadline passed while waiting for the endpoint",
                 Verdict.MAY_HAVE_RUN,
@@ -222,6 +234,27 @@
         stream.set_nodelay(True)
         return stream
 
+    def _close_suspects(self, address: str, sent_at_s: float) -> None:
+        """Close connections that may be as silent as one without response."""
+        kept: list[IdleConnection] = []
+        closed = 0
+        for connection in self._idle.get(address, []):
+            if connection.idle_since_s > sent_at_s:
+                kept.append(connection)
+                continue
+            connection.stream.close()
+            closed += 1
+        if not closed:
+            return
+        self._idle[address] = kept
+        if self._log is not None:
+            self._log(
+                "endpoint",
+                "no response in time; closed the other idle connections",
+                endpoint=address,
+                closed=closed,
+            )
+
     def _reuse_idle(self, address: str) -> IOStream | None:
         idle_connections = self._idle.get(address, [])
         now_s = time.monotonic()
--- a/src/yuccapoint/process/agent_process.py
+++ b/src/yuccapoint/process/agent_process.py
@@ -73,7 +73,7 @@
         )
         self.recent_keys = RecentKeys()
         self.queued_requests: dict[str, ServedRequest] = {}
-        self.client = EndpointClient()
+        self.client = EndpointClient(self.logger.log)
         self.task_manager = TaskManager(self.name, self.incarnation, Size())
         self.guard = Guard(self.task_manager)
         self.directory = EntryDirectory(settings.entries.seeds)
--- a/tests/features/connection/silent_http.feature
+++ b/tests/features/connection/silent_http.feature
@@ -45,6 +45,13 @@
     When a call gets no response, and 3 at a time are answered meanwhile
     Then 3 calls are answered on the kept connections
 
+  Scenario: One timeout shows that all connections to an endpoint are silent
+    # Each idle connection cost a caller its whole deadline.
+    Given an endpoint with 8 kept connections
+    When the open connections fall silent
+    And a request to the endpoint fails with a deadline of 300 ms
+    Then the next request is answered within 200 ms
+
   Scenario: A call that could not connect has not run
     Given a peer that accepts no connection
     Then a call fails as "not-run"
--- a/tests/features/steps/silent_http_steps.py
+++ b/tests/features/steps/silent_http_steps.py
@@ -10,9 +10,11 @@
 from platform_path_steps import free_address
 from platform_path_steps import run
 
+from yuccapoint.connection.endpoint_client import EndpointClient
 from yuccapoint.connection.http_client import HttpClient
 from yuccapoint.exceptions import YuccapointError
 from yuccapoint.platform.store_partition import StorePartition
+from yuccapoint.request.exceptions import DeadlinePassedError
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -207,3 +209,46 @@
 def answered_on_kept(context: Context, count: int) -> None:
     run(context, _call_many(context, count))
     kept(context)
+
+
+async def _request(context: Context, timeout_s: float) -> None:
+    await context.client.call(
+        context.address,
+        "GET",
+        "/",
+        [],
+        b"",
+        time.monotonic() + timeout_s,
+        lambda head: None,
+        lambda chunk: None,
+    )
+
+
+@given("an endpoint with {count:d} kept connections")
+def endpoint(context: Context, count: int) -> None:
+    async def start() -> None:
+        context.peer = SilentPeer()
+        context.address = await context.peer.start()
+        context.client = EndpointClient()
+        context.cleanups.append(context.peer.close)
+        context.cleanups.append(context.client.close)
+        requests = (_request(context, TIMEOUT_S) for _ in range(count))
+        await asyncio.gather(*requests)
+
+    run(context, start())
+    assert context.peer.opened == count, context.peer.opened
+
+
+@when("a request to the endpoint fails with a deadline of {milliseconds:d} ms")
+def request_fails(context: Context, milliseconds: int) -> None:
+    try:
+        run(context, _request(context, milliseconds / 1000))
+    except DeadlinePassedError as error:
+        assert error.verdict.value == "may-have-run", error.verdict
+        return
+    raise AssertionError("the request was answered")
+
+
+@then("the next request is answered within {milliseconds:d} ms")
+def request_answered(context: Context, milliseconds: int) -> None:
+    run(context, _request(context, milliseconds / 1000))
