Show that clients without kept connections lose one call to silence

HttpLog and HttpWorker open a connection for each call, AdviserClient keeps one: a silent connection costs the call in flight, which fails after its timeout as possibly executed, and none of the next.

--- a/tests/features/connection/silent_http.feature
+++ b/tests/features/connection/silent_http.feature
@@ -52,6 +52,18 @@
     And a request to the endpoint fails with a deadline of 300 ms
     Then the next request is answered within 200 ms
 
+  Scenario Outline: A client of the <service> loses one call to silence
+    Given a client of the <service> with a call in flight
+    When the open connections fall silent
+    Then its call fails as <error> within <ms> ms
+    And its next call succeeds within 300 ms
+
+    Examples:
+      | service | error                  | ms   |
+      | log     | LogResponseLostError   | 700  |
+      | worker  | WorkerUnreachableError | 1700 |
+      | adviser | ResponseLostError      | 2200 |
+
   Scenario: A call that could not connect has not run
     Given a peer that accepts no connection
     Then a call fails as "not-run"
--- a/tests/features/steps/silent_http_steps.py
+++ b/tests/features/steps/silent_http_steps.py
@@ -12,7 +12,10 @@
 
 from yuccapoint.connection.endpoint_client import EndpointClient
 from yuccapoint.connection.http_client import HttpClient
+from yuccapoint.connection.http_log import HttpLog
+from yuccapoint.connection.http_worker import HttpWorker
 from yuccapoint.exceptions import YuccapointError
+from yuccapoint.platform.adviser_client import AdviserClient
 from yuccapoint.platform.store_partition import StorePartition
 from yuccapoint.request.exceptions import DeadlinePassedError
 
@@ -28,6 +31,7 @@
 
     def __init__(self) -> None:
         self.delay_s = 0.02
+        self.body = b"ok"
         self.opened = 0
         self.lost_targets: set[str] = set()
         self._silenced: set[int] = set()
@@ -64,7 +68,8 @@
             await asyncio.sleep(self.delay_s)
             if number in self._silenced or target in self.lost_targets:
                 continue
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n")
+            writer.write(self.body)
 
 
 async def _call(context: Context, target: str = "/") -> None:
@@ -252,3 +257,47 @@
 @then("the next request is answered within {milliseconds:d} ms")
 def request_answered(context: Context, milliseconds: int) -> None:
     run(context, _request(context, milliseconds / 1000))
+
+
+def _service_call(service: str, address: str):
+    if service == "log":
+        log = HttpLog(address, "stream", 0.5)
+        return lambda: log.append(b"record")
+    if service == "worker":
+        worker = HttpWorker(address, 0.5)
+        return lambda: worker.stop("job", 1)
+    adviser = AdviserClient(address)
+    return lambda: adviser.ask("step", ["worker"])
+
+
+@given("a client of the {service} with a call in flight")
+def client_in_flight(context: Context, service: str) -> None:
+    async def start() -> None:
+        context.peer = SilentPeer()
+        context.cleanups.append(context.peer.close)
+        context.peer.body = b"17" if service == "log" else b"{}"
+        address = await context.peer.start()
+        context.service_call = _service_call(service, address)
+        await context.service_call()
+        context.peer.delay_s = 0.1
+        context.in_flight = asyncio.ensure_future(context.service_call())
+        await asyncio.sleep(0.05)
+
+    run(context, start())
+
+
+@then("its call fails as {error} within {milliseconds:d} ms")
+def call_fails(context: Context, error: str, milliseconds: int) -> None:
+    async def wait() -> str:
+        await asyncio.wait([context.in_flight], timeout=milliseconds / 1000)
+        assert context.in_flight.done()
+        return type(context.in_flight.exception()).__name__
+
+    name = run(context, wait())
+    assert name == error, name
+
+
+@then("its next call succeeds within {milliseconds:d} ms")
+def next_succeeds(context: Context, milliseconds: int) -> None:
+    call = asyncio.wait_for(context.service_call(), milliseconds / 1000)
+    run(context, call)
