Give up a request at its deadline if its body is incomplete

An agent waited without limit for the rest of a request's body. On a session that fell silent after the head, the request stayed in flight for good, and a planned stop of the agent waited for it for its whole drain timeout. Now it is refused and logged at its deadline; it hasn't run, and the verdict says so.

On the code before, "An agent gives up a request whose body does not arrive" fails: still in flight 1 s after, with a deadline of 0.3 s.

--- a/src/yuccapoint/process/served_request.py
+++ b/src/yuccapoint/process/served_request.py
@@ -116,13 +116,28 @@
         self._writer.on_credit(chunks)
 
     async def _run(self) -> None:
-        await self._body_complete.wait()
+        await self._wait_for_body()
         self._check()
         endpoint = self._find_endpoint()
         self._endpoint = endpoint
         await self._admit(endpoint)
         await self._call(endpoint)
 
+    async def _wait_for_body(self) -> None:
+        left_s = self._deadline_s - time.monotonic()
+        try:
+            await asyncio.wait_for(self._body_complete.wait(), left_s)
+        except TimeoutError:
+            self._agent.logger.log(
+                "session",
+                "the request's body is incomplete at its deadline",
+                request=self.key,
+                received_bytes=self._size_bytes,
+            )
+            raise DeadlinePassedError(
+                "the deadline passed before the body was complete"
+            ) from None
+
     def _check(self) -> None:
         if self._cancelled:
             raise RequestCancelledError("cancelled before it started")
--- a/tests/features/request/silent_session.feature
+++ b/tests/features/request/silent_session.feature
@@ -24,6 +24,12 @@
     Then a request is answered within 12 s
     And the session was not replaced
 
+  Scenario: An agent gives up a request whose body does not arrive
+    # It stayed in flight for good, and a planned stop waited for it.
+    When the open connections fall silent after the head of a request
+    Then the agent has no request in flight after 1 s
+    And the scripted endpoint saw 1 connections and 1 runs
+
   Scenario: An agent that does not confirm probes receives none
     Given an agent of a version without probes
     When a request has been unanswered for 3 s
--- a/tests/features/steps/request_path_steps.py
+++ b/tests/features/steps/request_path_steps.py
@@ -126,6 +126,7 @@
         context.scripted = ScriptedEndpoint()
         context.agent = minimal_agent("vm-1", context)
         server = RequestServer(context.agent)
+        context.request_server = server
         context.session_address = listen(server, context)
         context.cleanups.append(server.close_all)
         announcement = Announcement(
--- a/tests/features/steps/silent_session_steps.py
+++ b/tests/features/steps/silent_session_steps.py
@@ -149,3 +149,20 @@
 def received(context: Context) -> None:
     expected = ["SessionHandshake", "RequestHead"]
     assert context.agent.received == expected, context.agent.received
+
+
+@when("the open connections fall silent after the head of a request")
+def silent_after_head(context: Context) -> None:
+    async def send() -> None:
+        await context.session.call(_head(context, "/whole/10", last=False), [])
+        await asyncio.sleep(0.1)
+        assert context.request_server.in_flight == 1
+
+    _run(context, send())
+    silence(context)
+
+
+@then("the agent has no request in flight after {seconds:d} s")
+def none_in_flight(context: Context, seconds: int) -> None:
+    _run(context, asyncio.sleep(seconds))
+    assert context.request_server.in_flight == 0
