Silence open connections in the soak, control connections too

The soak sent control messages past its proxies, so no fault of their connections could occur in it, and its proxies silenced an address as a whole, new connections included.

The processes now run by a module below tests/soak that dials the proxy beside the receiver's port; src is unchanged. A proxy silences single open connections, each way or both, and knows who dialled them. A silenced direction delivers no close either, which the proxy passed on before. New faults: control_silent, store_silent, workers_silent; the older link faults choose among the control proxies as well. A seed that ends with a worker that gets no lease again is a LOST now: idle VMs stay unseen while others carry the load.

--- a/tests/features/proof/soak.feature
+++ b/tests/features/proof/soak.feature
@@ -9,6 +9,23 @@
       | 1    |
       | 30   |
 
+  Scenario: No VM stays out of use when control connections fall silent
+    When the soak runs seed 2 for 12 s with the faults "control_silent"
+    Then no guarantee is violated and tasks were started
+
+  Scenario Outline: A proxy silences open connections and serves new ones
+    Given a proxy before a server that answers each line
+    When a connection from 127.0.0.9 is silenced for its <way>
+    Then a line on it <request> the server and gets no answer
+    And closing it <close> the server's side
+    And a new connection gets an answer
+
+    Examples:
+      | way                    | request     | close     |
+      | requests               | doesn't get to | leaves open |
+      | responses              | gets to     | closes    |
+      | requests and responses | doesn't get to | leaves open |
+
   Scenario Outline: the soak oracle detects a violation
     Given a soak job with two steps of one task each that was <submission>
     When workers and callers see "<events>"
--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -115,6 +115,19 @@
         )
 
 
+@when(
+    'the soak runs seed {seed:d} for {seconds:d} s with the faults "{faults}"'
+)
+def run_soak_faults(
+    context: Context, seed: int, seconds: int, faults: str
+) -> None:
+    chosen = tuple(faults.split(" and "))
+    with tempfile.TemporaryDirectory() as scratch:
+        context.report = context.loop.run_until_complete(
+            run_seed(seed, pathlib.Path(scratch), seconds, 3, 4, chosen)
+        )
+
+
 @then("no guarantee is violated and tasks were started")
 def no_violation(context: Context) -> None:
     assert not context.report.violations, context.report.violations
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -34,6 +34,11 @@
     parser.add_argument(
         "--keep", type=pathlib.Path, help="directory to keep process logs in"
     )
+    parser.add_argument(
+        "--faults",
+        default="",
+        help="names of the faults to choose from, separated by commas",
+    )
     parser.add_argument(
         "--regressions",
         action="store_true",
@@ -57,6 +62,7 @@
                     options.seconds,
                     options.entries,
                     options.vms,
+                    tuple(options.faults.split(",")) if options.faults else (),
                 )
             )
         failures += bool(report.violations)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,6 +8,8 @@
 import signal
 from typing import TYPE_CHECKING
 
+from soak.proxied_connection import BOTH_WAYS
+from soak.proxied_connection import Way
 from soak.proxy import LinkState
 
 if TYPE_CHECKING:
@@ -154,6 +156,33 @@
             proxy.reset_all()
 
 
+def _silence_share(
+    world: World, kind: str, ways: tuple[Way, ...] = BOTH_WAYS
+) -> None:
+    """Silence a random share of the open connections of one kind."""
+    share = world.rng.choice((0.3, 0.7, 1.0))
+    for connection in world.open_connections(kind):
+        if world.rng.random() < share:
+            connection.silence(ways)
+
+
+@fault
+async def control_silent(world: World) -> None:
+    _silence_share(world, "control")
+
+
+@fault
+async def store_silent(world: World) -> None:
+    ways = ((Way.REQUESTS,), (Way.RESPONSES,), BOTH_WAYS)
+    _silence_share(world, "store", world.rng.choice(ways))
+
+
+@fault
+async def workers_silent(world: World) -> None:
+    ways = ((Way.REQUESTS,), (Way.RESPONSES,), BOTH_WAYS)
+    _silence_share(world, "worker", world.rng.choice(ways))
+
+
 @fault
 async def worker_crash(world: World) -> None:
     worker = world.rng.choice(world.workers)
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -6,6 +6,9 @@
 import contextlib
 import enum
 
+from soak.proxied_connection import ProxiedConnection
+from soak.proxied_connection import Way
+
 CHUNK_BYTES = 65_536
 
 
@@ -19,6 +22,12 @@
     DROP_RESPONSES = "drop_answers"
 
 
+_DROP_STATES = {
+    Way.REQUESTS: (LinkState.SILENT, LinkState.DROP_REQUESTS),
+    Way.RESPONSES: (LinkState.SILENT, LinkState.DROP_RESPONSES),
+}
+
+
 class Proxy:
     """Forwards connections from one loopback address to another."""
 
@@ -28,20 +37,24 @@
         self.delay_s = 0.0
         self._upstream = upstream
         self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
-        # Both writers of each connection, in the order of its opening.
-        self._connections: list[set[asyncio.StreamWriter]] = []
-        self._silenced: set[asyncio.StreamWriter] = set()
+        # In the order of their opening.
+        self._connections: list[ProxiedConnection] = []
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
         host, _, port = self.address.rpartition(":")
         self._server = await asyncio.start_server(self._serve, host, int(port))
 
+    @property
+    def open_connections(self) -> list[ProxiedConnection]:
+        """The connections that are open now, the oldest first."""
+        return [c for c in self._connections if c.is_open]
+
     def reset_all(self) -> None:
         """Abort all open connections."""
-        for writer in list(self._writers):
-            writer.transport.abort()
+        for connection in self._connections:
+            connection.abort()
+        self._connections = []
 
     def silence_open(self, count: int | None = None) -> int:
         """Silence the connections that are open now, for good.
@@ -56,9 +69,9 @@
         int
             How many were silenced.
         """
-        open_now = [c for c in self._connections if c <= self._writers]
-        silenced = open_now[:count]
-        self._silenced.update(*silenced)
+        silenced = self.open_connections[:count]
+        for connection in silenced:
+            connection.silence()
         return len(silenced)
 
     def close(self) -> None:
@@ -79,39 +92,38 @@
         except OSError:
             writer.transport.abort()
             return
-        self._writers.update((writer, upstream_writer))
-        self._connections.append({writer, upstream_writer})
-        directions = (
-            (reader, upstream_writer, LinkState.DROP_REQUESTS),
-            (upstream_reader, writer, LinkState.DROP_RESPONSES),
+        connection = ProxiedConnection(
+            writer.get_extra_info("peername")[0],
+            {Way.REQUESTS: upstream_writer, Way.RESPONSES: writer},
         )
-        for source, target, drop_state in directions:
+        self._connections.append(connection)
+        for way, source in (
+            (Way.REQUESTS, reader),
+            (Way.RESPONSES, upstream_reader),
+        ):
             task = asyncio.ensure_future(
-                self._forward(source, target, drop_state)
+                self._forward(connection, way, source)
             )
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
     async def _forward(
         self,
+        connection: ProxiedConnection,
+        way: Way,
         reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        drop_state: LinkState,
     ) -> None:
-        lost = False
+        writer = connection.writers[way]
         with contextlib.suppress(OSError):
             while data := await reader.read(CHUNK_BYTES):
-                if writer in self._silenced or self.state in (
-                    LinkState.SILENT,
-                    drop_state,
-                ):
+                if self.state in _DROP_STATES[way]:
                     # A stream that lost bytes forwards nothing more.
-                    lost = True
-                if lost:
+                    connection.silence((way,))
+                if way in connection.silent_ways:
                     continue
                 if self.state is LinkState.DELAY:
                     await asyncio.sleep(self.delay_s)
                 writer.write(data)
                 await writer.drain()
-        self._writers.discard(writer)
-        writer.transport.abort()
+        if way not in connection.silent_ways:
+            writer.transport.abort()
--- a/tests/soak/seed_run.py
+++ b/tests/soak/seed_run.py
@@ -72,8 +72,26 @@
         )
 
 
+async def _wait_for_leases(world: World) -> None:
+    """Check that no VM stays out of use when all faults have ended."""
+    end_s = time.monotonic() + RECOVERY_TIMEOUT_S
+    idle = world.workers
+    while idle and time.monotonic() < end_s:
+        await asyncio.sleep(0.2)
+        idle = [worker for worker in idle if not worker.has_lease]
+    for worker in idle:
+        world.oracle.violations.append(
+            f"LOST: worker {worker.worker_id} got no lease again"
+        )
+
+
 async def run_seed(
-    seed: int, directory: pathlib.Path, seconds: float, entries: int, vms: int
+    seed: int,
+    directory: pathlib.Path,
+    seconds: float,
+    entries: int,
+    vms: int,
+    faults: tuple[str, ...] = (),
 ) -> SeedReport:
     """Run a seed and report violations of the guarantees.
 
@@ -87,6 +105,8 @@
         How long new faults are started.
     entries, vms : int
         Number of entries and VMs.
+    faults : tuple of str, optional
+        Names of the faults to choose from; all by default.
     """
     world = World(directory, seed, entries, vms)
     names: list[str] = []
@@ -101,7 +121,7 @@
         end_s = time.monotonic() + seconds
         while time.monotonic() < end_s:
             await asyncio.sleep(world.rng.uniform(0.1, MAX_FAULT_INTERVAL_S))
-            name = world.rng.choice([*FAULTS])
+            name = world.rng.choice(faults or [*FAULTS])
             names.append(name)
             running.append(asyncio.ensure_future(FAULTS[name](world)))
         await asyncio.gather(*running)
@@ -110,6 +130,7 @@
             world.spawn(name)
         background_tasks.pop(0).cancel()
         await _wait_for_accepted_jobs(world)
+        await _wait_for_leases(world)
         world.oracle.check_refusals()
     finally:
         for task in background_tasks:
--- a/tests/soak/soak_worker.py
+++ b/tests/soak/soak_worker.py
@@ -62,6 +62,11 @@
         for task in self._late_calls:
             task.cancel()
 
+    @property
+    def has_lease(self) -> bool:
+        """Whether the worker may run tasks now."""
+        return not self.crashed and self._clock_ms <= self._lease_until_ms
+
     def crash(self) -> None:
         """Drop all state; calls are cut off until ``restart``."""
         self.crashed = True
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import pathlib
 import random
 import signal
 import subprocess
@@ -22,10 +23,12 @@
 from yuccapoint_standins.platform_store import PlatformStore
 
 if TYPE_CHECKING:
-    import pathlib
+    from soak.proxied_connection import ProxiedConnection
 
+ROLE_PROGRAM = pathlib.Path(__file__).with_name("proxied_role.py")
 FRONT_PORT, CONTROL_PORT, APP_PORT, PROXY_PORT = 8161, 8166, 8080, 8090
 STORE_PORT, PEER_PORT = 8169, 7720
+CONTROL_PROXY_PORT = PROXY_PORT + 2
 ROUTE_HOST = "soak.example"
 TASK_RUN_S = 0.5
 CALL_TIMEOUT_S = 3.0
@@ -87,9 +90,15 @@
         self.store.listen(store_address)
         self.store.put("keyed.op", "config", _config())
         for name in (*self.entries, *self.agents):
-            proxy = Proxy(f"{self.ip(name)}:{PROXY_PORT}", store_address)
-            await proxy.start()
-            self.proxies[f"store of {name}"] = proxy
+            ip = self.ip(name)
+            await self._start_proxy(
+                f"store of {name}", f"{ip}:{PROXY_PORT}", store_address
+            )
+            await self._start_proxy(
+                f"control of {name}",
+                f"{ip}:{CONTROL_PROXY_PORT}",
+                f"{ip}:{PEER_PORT}",
+            )
             self.spawn(name)
         for name in self.agents:
             await self._start_worker(name)
@@ -97,12 +106,26 @@
             self._clients[name] = HttpClient(f"{self.ip(name)}:{FRONT_PORT}")
         await self._wait_until_ready()
 
+    async def _start_proxy(
+        self, name: str, address: str, upstream: str
+    ) -> None:
+        proxy = Proxy(address, upstream)
+        await proxy.start()
+        self.proxies[name] = proxy
+
+    def open_connections(self, kind: str) -> list[ProxiedConnection]:
+        """Return the open connections through proxies of one kind."""
+        return [
+            connection
+            for name, proxy in self.proxies.items()
+            if name.startswith(kind)
+            for connection in proxy.open_connections
+        ]
+
     async def _start_worker(self, name: str) -> None:
         ip = self.ip(name)
         app, proxy_address = f"{ip}:{APP_PORT}", f"{ip}:{PROXY_PORT + 1}"
-        proxy = Proxy(proxy_address, app)
-        await proxy.start()
-        self.proxies[f"worker of {name}"] = proxy
+        await self._start_proxy(f"worker of {name}", proxy_address, app)
         worker = SoakWorker(
             self.oracle,
             f"i-{name}",
@@ -149,7 +172,12 @@
         role = name.partition("-")[0].replace("vm", "agent")
         with (self._directory / f"{name}.log").open("ab") as log:
             self._processes[name] = subprocess.Popen(
-                [sys.executable, "-m", "yuccapoint.platform", role],
+                [
+                    sys.executable,
+                    str(ROLE_PROGRAM),
+                    role,
+                    str(CONTROL_PROXY_PORT),
+                ],
                 stdout=log,
                 stderr=subprocess.STDOUT,
                 env={**os.environ, "YUCCAPOINT_NODE_FILE": str(path)},
