Claim nothing on a VM that does not confirm its orders

What callers would see: a task claimed on a VM whose reports arrive, but to which no orders get through, waits for as long as that lasts, while other VMs are free.

Each report renewed the VM's lease in the leader's account, so the claim was never released, and the VM stayed open for more.

Agents now confirm the newest orders along with a report, at most each 0.5 s, and at once when they hear a leader again. A VM that has confirmed none for 2.5 s, half a lease, gets no new claims; after a lease it gets no grants, so that its claims are released when the last one has expired. Both changes of state are logged. The receipt is a message of its own, as the bytes of a report are pinned by compatibility.feature: a field at its end, tried first, broke it. A VM whose agent has sent no receipt, as in an earlier build, is judged by its reports as before; a leader of an earlier build counts a receipt as malformed and drops it.

Not done: releasing sooner than two leases. Grants that end after half a lease would take the leases of VMs behind slow links, which work today.

--- a/src/yuccapoint/cell/cell_leader.py
+++ b/src/yuccapoint/cell/cell_leader.py
@@ -25,6 +25,7 @@
 
 if TYPE_CHECKING:
     from yuccapoint.cell.cell_messages import LeaderOrders
+    from yuccapoint.cell.cell_messages import OrdersReceipt
     from yuccapoint.cell.cell_messages import VmReport
     from yuccapoint.cell.cell_records import Member
     from yuccapoint.cell.cell_view import CellView
@@ -185,6 +186,12 @@
             return True
         return vm.is_open(now_s) and not was_open
 
+    def on_receipt(self, receipt: OrdersReceipt) -> None:
+        """Apply an agent's receipt for orders of this leader."""
+        vm = self.vms.get(receipt.vm)
+        if vm is not None and receipt.term == self.term:
+            vm.on_orders_confirmed(receipt.sequence)
+
     def tick(self, now_s: float, wall_ms: int) -> None:
         """Release expired VMs, stop runs that stall or move, and claim."""
         self._vm_checks.run(now_s)
--- a/src/yuccapoint/cell/cell_messages.py
+++ b/src/yuccapoint/cell/cell_messages.py
@@ -142,6 +142,14 @@
     pairs: tuple[PairEstimate, ...]
 
 
+class OrdersReceipt(msgspec.Struct, frozen=True, tag="or", array_like=True):
+    """Confirms the newest orders that an agent has got from a leader."""
+
+    vm: str
+    term: int
+    sequence: int
+
+
 class RelayResult(enum.StrEnum):
     """Result of an append that a peer was asked to make."""
 
@@ -169,4 +177,6 @@
     result: RelayResult
 
 
-CellMessage = VmReport | LeaderOrders | RelayRequest | RelayAnswer
+CellMessage = (
+    VmReport | LeaderOrders | OrdersReceipt | RelayRequest | RelayAnswer
+)
--- a/src/yuccapoint/cell/lease_bounds.py
+++ b/src/yuccapoint/cell/lease_bounds.py
@@ -20,8 +20,14 @@
 # sends to a silent agent.
 REPORT_INTERVAL_S = 0.8
 PROBE_INTERVAL_S = 0.5
+# Minimum interval between an agent's receipts for orders; they go along with
+# reports.
+RECEIPT_INTERVAL_S = 0.5
 # A VM without a report for this long gets no new work.
 STALE_AFTER_S = 1.8
+# The same for a VM that has not confirmed orders for this long: a lease that
+# takes as long to arrive is about to expire.
+UNCONFIRMED_AFTER_S = VM_LEASE_S / 2
 
 
 def granted_until_s(asked_at_s: float) -> float:
--- a/src/yuccapoint/cell/order_builder.py
+++ b/src/yuccapoint/cell/order_builder.py
@@ -40,11 +40,14 @@
     grant : bool
         Whether a lease may be granted.
     """
-    vm.order_sequence += 1
+    sequence = vm.next_order(now_s)
     # Runs of a worker that its agent does not know end with their lease. An
     # agent ignores all but the lease of orders that name no instance, so that
     # it could make starts that were abandoned when the last lease expired.
     grant = grant and vm.has_worker and vm.worker is not None
+    # Without an end of its lease, a VM that gets no orders would keep the
+    # claims whose starts it never gets.
+    grant = grant and vm.unconfirmed_s(now_s) < lease_bounds.VM_LEASE_S
     if grant:
         vm.grant()
     starts: list[StartOrder] = []
@@ -71,7 +74,7 @@
         term=leader.term,
         leader=leader.name,
         address=leader.address,
-        sequence=vm.order_sequence,
+        sequence=sequence,
         answers=vm.report_sequence,
         agent_incarnation=vm.incarnation,
         lease_ms=int(lease_bounds.VM_LEASE_S * 1000) if grant else 0,
--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from yuccapoint.cell import lease_bounds
+from yuccapoint.cell.cell_messages import OrdersReceipt
 from yuccapoint.cell.cell_messages import REASON_DRAINING
 from yuccapoint.cell.cell_messages import REASON_UNREACHABLE
 from yuccapoint.cell.cell_messages import TaskTraits
@@ -74,6 +75,7 @@
         self.registry = RunRegistry(now_s, self._explain)
         self._order_sequence = 0
         self._report_sequence = 0
+        self._next_receipt_at_s = 0.0
         # The newest report of an expired lease, on which the leader releases
         # all claims of the VM.
         self._expiry_report_sequence = 0
@@ -180,6 +182,10 @@
             self._order_sequence = 0
             self.registry.has_updates = True
         self.leader_address = orders.address
+        if now_s - self.leader_heard_at_s > lease_bounds.STALE_AFTER_S:
+            # The leader claims nothing here before it has a receipt.
+            self._next_receipt_at_s = now_s
+            self.registry.has_updates = True
         self.leader_heard_at_s = now_s
         if orders.agent_incarnation > self.incarnation:
             self._raise_incarnation(orders.agent_incarnation)
@@ -428,6 +434,13 @@
             pending=self.registry.report_pending(),
         )
 
+    def next_receipt(self, now_s: float) -> OrdersReceipt | None:
+        """Return the receipt to send after a report; None if none is due."""
+        if now_s < self._next_receipt_at_s or not self._order_sequence:
+            return None
+        self._next_receipt_at_s = now_s + lease_bounds.RECEIPT_INTERVAL_S
+        return OrdersReceipt(self.vm, self.term, self._order_sequence)
+
     def _worker_report(self, now_s: float) -> WorkerReport | None:
         check_in = self.check_in
         if check_in is None:
--- a/src/yuccapoint/cell/vm_checks.py
+++ b/src/yuccapoint/cell/vm_checks.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from yuccapoint.cell import lease_bounds
 from yuccapoint.cell.run_stops import find_evacuations
 from yuccapoint.cell.run_stops import find_stalled
 from yuccapoint.cell.throttled_moves import find_throttled_moves
@@ -53,6 +54,7 @@
 
     def _check(self, vm: VmLedger, now_s: float) -> None:
         leader = self._leader
+        self._check_orders(vm, now_s)
         if vm.claims and now_s > vm.leased_until_s:
             self._report_handler.release_claims(
                 vm, "the VM's lease expired", now_s
@@ -68,3 +70,19 @@
             return
         for task in find_evacuations(vm, now_s):
             leader.stop(task, "the VM is draining", now_s)
+
+    def _check_orders(self, vm: VmLedger, now_s: float) -> None:
+        unconfirmed_s = vm.unconfirmed_s(now_s)
+        deaf = unconfirmed_s >= lease_bounds.UNCONFIRMED_AFTER_S
+        if deaf == vm.deaf:
+            return
+        vm.deaf = deaf
+        text = "confirms orders again"
+        if deaf:
+            text = "confirms no orders; it gets no new work"
+        self._leader.explain(
+            "vm",
+            text,
+            vm=vm.name,
+            unconfirmed_ms=int(unconfirmed_s * 1000),
+        )
--- a/src/yuccapoint/cell/vm_ledger.py
+++ b/src/yuccapoint/cell/vm_ledger.py
@@ -46,6 +46,9 @@
     ordered_runs : dict
         For each run whose start was ordered lately, when that was, and the
         instance on which it started or can't start any more.
+    deaf : bool
+        Whether the agent has not confirmed orders for too long to get new
+        work, though its reports may arrive.
     acked_end_number : int
         Run ends up to this number are stored.
     applied_end_number : int
@@ -61,6 +64,12 @@
         self.incarnation = 0
         self.report_sequence = 0
         self.order_sequence = 0
+        self.deaf = False
+        # Agents of an earlier build confirm no orders.
+        self._confirms_orders = False
+        # The first orders since the last confirmed ones; 0 if there are none.
+        self._unconfirmed_order = 0
+        self._unconfirmed_since_s = 0.0
         self.heard_at_s = 0.0
         self.contacted_at_s = 0.0
         self.worker: WorkerReport | None = None
@@ -100,6 +109,7 @@
         if report.incarnation > self.incarnation:
             self.incarnation = report.incarnation
             self.report_sequence = 0
+            self._confirms_orders = False
         if report.sequence <= self.report_sequence:
             return False
         self.report_sequence = report.sequence
@@ -122,6 +132,26 @@
             self.former_calls_until_s = now_s + MAX_CALL_DELAY_S
         return now_s < self.former_calls_until_s
 
+    def next_order(self, now_s: float) -> int:
+        """Return the number of the orders that are sent now."""
+        self.order_sequence += 1
+        if not self._unconfirmed_order:
+            self._unconfirmed_order = self.order_sequence
+            self._unconfirmed_since_s = now_s
+        return self.order_sequence
+
+    def on_orders_confirmed(self, number: int) -> None:
+        """Apply a receipt for the orders with a number."""
+        self._confirms_orders = True
+        if number >= self._unconfirmed_order:
+            self._unconfirmed_order = 0
+
+    def unconfirmed_s(self, now_s: float) -> float:
+        """Return for how long the agent has not confirmed any orders."""
+        if not self._unconfirmed_order or not self._confirms_orders:
+            return 0.0
+        return now_s - self._unconfirmed_since_s
+
     def note_order(self, task_id: str, run: int, now_s: float) -> None:
         """Note that a start is ordered on the present instance."""
         for key, (ordered_at_s, _) in list(self.ordered_runs.items()):
@@ -176,6 +206,8 @@
             return False
         if now_s < self.quarantined_until_s or now_s < self.full_until_s:
             return False
+        if self.unconfirmed_s(now_s) >= lease_bounds.UNCONFIRMED_AFTER_S:
+            return False
         return now_s - self.heard_at_s < lease_bounds.STALE_AFTER_S
 
     def is_on_probation(self, now_s: float) -> bool:
--- a/src/yuccapoint/process/cell_agent_process.py
+++ b/src/yuccapoint/process/cell_agent_process.py
@@ -203,6 +203,9 @@
         self._control_channel.send(
             vm_agent.leader_address, vm_agent.build_report(now_s)
         )
+        receipt = vm_agent.next_receipt(now_s)
+        if receipt is not None:
+            self._control_channel.send(vm_agent.leader_address, receipt)
 
     async def _execute_call(self, call: WorkerCall) -> None:
         worker, check_in = self._worker, self.vm_agent.check_in
--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -14,6 +14,7 @@
 from yuccapoint.cell import lease_bounds
 from yuccapoint.cell.cell_leader import CellLeader
 from yuccapoint.cell.cell_messages import CellMessage
+from yuccapoint.cell.cell_messages import OrdersReceipt
 from yuccapoint.cell.cell_messages import RelayAnswer
 from yuccapoint.cell.cell_messages import RelayRequest
 from yuccapoint.cell.cell_messages import VmReport
@@ -380,7 +381,12 @@
         if isinstance(message, RelayAnswer):
             self._relay.on_answer(message)
             return
-        if self.leader is None or not isinstance(message, VmReport):
+        if self.leader is None:
+            return
+        if isinstance(message, OrdersReceipt):
+            self.leader.on_receipt(message)
+            return
+        if not isinstance(message, VmReport):
             return
         if self.leader.on_report(message, steady_s()):
             self._wake.set()
--- a/tests/cell_world/agent_model.py
+++ b/tests/cell_world/agent_model.py
@@ -46,10 +46,10 @@
         self._reported_at_s = 0.0
 
     def step(self, now_s: float):
-        """Make due calls and polls; return a report when one is due."""
+        """Make due calls and polls; return the messages that are due."""
         if now_s < self.frozen_until_s:
             self._execute_late_calls(now_s)
-            return None
+            return ()
         if self.worker.alive and self._is_check_in_due(now_s):
             self._checked_in_at_s = now_s
             self._checked_in_born = self.worker.instance.born_ms
@@ -62,11 +62,13 @@
             self._poll(now_s)
         due = now_s - self._reported_at_s >= REPORT_INTERVAL_S
         if not self.vm_agent.leader_address:
-            return None
+            return ()
         if not due and not self.vm_agent.report_due:
-            return None
+            return ()
         self._reported_at_s = now_s
-        return self.vm_agent.build_report(now_s)
+        report = self.vm_agent.build_report(now_s)
+        receipt = self.vm_agent.next_receipt(now_s)
+        return (report,) if receipt is None else (report, receipt)
 
     def _is_check_in_due(self, now_s: float) -> bool:
         """Return whether an interval has passed or the worker is new."""
--- a/tests/cell_world/world.py
+++ b/tests/cell_world/world.py
@@ -147,9 +147,9 @@
             worker.step(now_s)
         self.oracle.note_ends()
         for vm, agent in self.agents.items():
-            report = agent.step(now_s)
-            if report is not None:
-                self.send(vm, agent.vm_agent.leader_address, report)
+            messages = agent.step(now_s)
+            if messages:
+                self.send(vm, agent.vm_agent.leader_address, *messages)
         for entry in self.entries:
             entry.step(now_s)
             for failure in entry.find_failures():
@@ -157,13 +157,15 @@
             if entry.alive and self._steps % VIEW_CHECK_STEPS == 0:
                 self.oracle.check_view(entry.view)
 
-    def send(self, sender: str, receiver: str, message: object) -> None:
-        """Send a message; a slow link keeps the order of its messages."""
+    def send(self, sender: str, receiver: str, *messages: object) -> None:
+        """Send messages; a slow link keeps the order of its messages."""
         if self.rng.random() < self.loss:
             return
         at_s = self.now_s + self.rng.uniform(0.002, 0.03)
         at_s += self.slow_links.get((sender, receiver), 0.0)
-        self._messages.append((at_s, sender, receiver, message))
+        self._messages.extend(
+            (at_s, sender, receiver, message) for message in messages
+        )
 
     def _deliver(self, sender: str, receiver: str, message) -> None:
         if (sender, receiver) in self.cut_links:
--- a/tests/features/cell/one_way_cuts.feature
+++ b/tests/features/cell/one_way_cuts.feature
@@ -19,3 +19,12 @@
     And the cell is undisturbed for 5 s
     Then its worker lists no ends any more
     And no guarantee of the cell is violated
+
+  Scenario: A task does not wait for as long as its VM gets no orders
+    Given a cell of 4 VMs and 2 entries for seeds 1-5
+    When no orders get through to a VM for 30 s, while jobs are submitted
+    Then each task started within two leases, and soon once none was claimed there
+    When the cell is undisturbed for 5 s
+    Then no guarantee of the cell is violated
+    And all jobs of the cell have ended or are running
+    And the VM gets work again
