Withdraw a claim whose start was not ordered when the task is done

An end `done` of an abandoned run was ignored if its task had been claimed anew, though the new start had not left the leader: the claim waits for its commit, which takes as long as the store does. The task then ran a second time for nothing, and its success was acknowledged and dropped.

Such a claim is withdrawn now, and the task is done. That is as safe as accepting the end of a task that waits, which the leader did already: no run of the task can be alive, and should the leader end before the change is stored, the next one loads the claim and goes on as before. Claims of a former leader count as ordered. Gangs and tasks that last are left as they were.

"A task is not started again after its end was heard of", example `done` before: failed without the change (the end was ignored), passes with it. The examples with an ordered start, and with ends other than `done`, passed before and pass now.

--- a/src/yuccapoint/cell/run_end_handler.py
+++ b/src/yuccapoint/cell/run_end_handler.py
@@ -89,14 +89,30 @@
     def _finish_abandoned(
         self, vm: VmLedger, ended: EndedRun, now_s: float
     ) -> bool:
-        """Accept the success of an abandoned run that was not retried."""
+        """Accept the success of an abandoned run that was not retried.
+
+        A claim whose start was never ordered is withdrawn.
+        """
         task = self._leader.find_task(ended.task_id)
-        if task is None or task.run != ended.run:
+        if task is None or task.step.spec.gang:
             return False
-        if task.phase is not Phase.WAITING or task.step.spec.gang:
+        withdrawn = (
+            task.phase is Phase.CLAIMED
+            and not task.ordered_at_s
+            and not task.step.spec.long_running
+        )
+        if not withdrawn and (
+            task.phase is not Phase.WAITING or task.run != ended.run
+        ):
             return False
+        if withdrawn and task.instance is not None:
+            self._leader.vms[task.instance.vm].claims.pop(task.task_id, None)
         self._leader.explain(
-            "run", "abandoned run is done", task=ended.task_id, run=ended.run
+            "run",
+            "abandoned run is done",
+            task=ended.task_id,
+            run=ended.run,
+            withdrawn_run=task.run if withdrawn else 0,
         )
         self._finish(vm, task, now_s)
         return True
--- a/tests/features/cell/one_way_cuts.feature
+++ b/tests/features/cell/one_way_cuts.feature
@@ -28,3 +28,15 @@
     Then no guarantee of the cell is violated
     And all jobs of the cell have ended or are running
     And the VM gets work again
+
+  Scenario Outline: A task is not started again after its end was heard of
+    Given a task whose run on a lost VM was abandoned, and that is claimed anew
+    When the lost VM reports the run as <how> <time> its new start is ordered
+    Then the task is <phase> and its new start is <start>
+
+    Examples:
+      | how    | time   | phase   | start       |
+      | done   | before | done    | not ordered |
+      | done   | after  | claimed | ordered     |
+      | failed | before | claimed | ordered     |
+      | lapsed | before | claimed | ordered     |
