--- a/src/yuccapoint/cell/cell_leader.py
+++ b/src/yuccapoint/cell/cell_leader.py
@@ -178,6 +178,8 @@
         vm.heard_at_s = now_s
         vm.orders_due = True
         vm.follows_leader = report.term == self.term
+        if vm.follows_leader:
+            vm.on_orders_heard(report.heard_orders)
         if report.term > self.term:
             return False
         self._report_handler.apply(vm, report, now_s)
--- a/src/yuccapoint/cell/order_builder.py
+++ b/src/yuccapoint/cell/order_builder.py
@@ -45,6 +45,9 @@
     # agent ignores all but the lease of orders that name no instance, so that
     # it could make starts that were abandoned when the last lease expired.
     grant = grant and vm.has_worker and vm.worker is not None
+    # Without an end of its lease, a VM that gets no orders would keep the
+    # claims whose starts it never gets.
+    grant = grant and vm.unconfirmed_s(now_s) < lease_bounds.VM_LEASE_S
     if grant:
         vm.grant()
     starts: list[StartOrder] = []
--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -180,6 +180,9 @@
             self._order_sequence = 0
             self.registry.has_updates = True
         self.leader_address = orders.address
+        if now_s - self.leader_heard_at_s > lease_bounds.STALE_AFTER_S:
+            # The leader claims nothing here before its orders are confirmed.
+            self.registry.has_updates = True
         self.leader_heard_at_s = now_s
         if orders.agent_incarnation > self.incarnation:
             self._raise_incarnation(orders.agent_incarnation)
--- a/src/yuccapoint/cell/vm_ledger.py
+++ b/src/yuccapoint/cell/vm_ledger.py
@@ -48,6 +48,9 @@
     ordered_runs : dict
         For each run whose start was ordered lately, when that was, and the
         instance on which it started or can't start any more.
+    deaf : bool
+        Whether the agent has not confirmed orders for too long to get new
+        work, though its reports may arrive.
     acked_end_number : int
         Run ends up to this number are stored.
     applied_end_number : int
@@ -64,6 +67,12 @@
         self.report_sequence = 0
         self.order_sequence = 0
         self._sent_orders_at_s: dict[int, float] = {}
+        self.deaf = False
+        # Agents of an earlier build confirm no orders.
+        self._confirms_orders = False
+        # The first orders since the last confirmed ones; 0 if there are none.
+        self._unconfirmed_order = 0
+        self._unconfirmed_since_s = 0.0
         self.heard_at_s = 0.0
         self.contacted_at_s = 0.0
         self.worker: WorkerReport | None = None
@@ -103,6 +112,7 @@
         if report.incarnation > self.incarnation:
             self.incarnation = report.incarnation
             self.report_sequence = 0
+            self._confirms_orders = False
         if report.sequence <= self.report_sequence:
             return False
         self.report_sequence = report.sequence
@@ -131,8 +141,25 @@
         self._sent_orders_at_s[self.order_sequence] = now_s
         if len(self._sent_orders_at_s) > MAX_UNCONFIRMED_ORDERS:
             del self._sent_orders_at_s[next(iter(self._sent_orders_at_s))]
+        if not self._unconfirmed_order:
+            self._unconfirmed_order = self.order_sequence
+            self._unconfirmed_since_s = now_s
         return self.order_sequence
 
+    def on_orders_heard(self, sequence: int) -> None:
+        """Apply the newest orders that a report confirms; 0 for none."""
+        if not sequence:
+            return
+        self._confirms_orders = True
+        if sequence >= self._unconfirmed_order:
+            self._unconfirmed_order = 0
+
+    def unconfirmed_s(self, now_s: float) -> float:
+        """Return for how long the agent has not confirmed any orders."""
+        if not self._unconfirmed_order or not self._confirms_orders:
+            return 0.0
+        return now_s - self._unconfirmed_since_s
+
     def orders_sent_at_s(self, sequence: int) -> float | None:
         """Return when orders were sent, if known."""
         return self._sent_orders_at_s.get(sequence)
@@ -191,6 +218,8 @@
             return False
         if now_s < self.quarantined_until_s or now_s < self.full_until_s:
             return False
+        if self.unconfirmed_s(now_s) >= lease_bounds.UNCONFIRMED_AFTER_S:
+            return False
         return now_s - self.heard_at_s < lease_bounds.STALE_AFTER_S
 
     def is_on_probation(self, now_s: float) -> bool:
