Let the simulated cell's workers shrink and grow

The disruption capacity_changes shrinks a worker, which may or may not guard its capacity, submits a wide step and lets the worker grow again. A run that is being stopped may hold its room for up to 1.5 s. The oracle's LIMIT counts processors, memory and accelerators, and what a worker has lost 4 s later (ContactMs and one check-in).

--- a/tests/cell_world/oracle.py
+++ b/tests/cell_world/oracle.py
@@ -88,12 +88,12 @@
             self.record_violation(
                 "ROUTE", task_id, f"{len(near)} on {worker.vm}"
             )
-        used = sum(
-            self.spec_of(other).committed.millicores
-            for other in worker.running
-        )
-        if used + spec.committed.millicores > worker.capacity.millicores:
-            self.record_violation("LIMIT", task_id, f"{worker.vm} uses {used}")
+        used, room = worker.used(), worker.room(now_s)
+        fits = (used + spec.committed).fits(room)
+        if not fits and not worker.guards_capacity:
+            self.record_violation(
+                "LIMIT", task_id, f"{worker.vm} uses {used} of {room}"
+            )
         cancelled_at_s = self.cancelled_at_s.get(job_id)
         if cancelled_at_s is not None and now_s - cancelled_at_s > 30:
             self.record_violation(
--- a/tests/cell_world/worker_model.py
+++ b/tests/cell_world/worker_model.py
@@ -22,6 +22,9 @@
     from yuccapoint.cell.worker_events import StatusRequest
     from yuccapoint.cell.worker_events import WorkerCall
 
+# A capacity that has shrunk counts ContactMs and one check-in later.
+SHRINK_GRACE_S = 3.0 + 1.0
+
 
 class WorkerModel:
     """Runs tasks under a lease and answers like the platform's workers."""
@@ -31,6 +34,11 @@
     ) -> None:
         self.vm = vm
         self.capacity = Size(4_000, 2**34, 0)
+        self.guards_capacity = False
+        # How long a stopped run still holds its room.
+        self.stop_takes_s = 0.0
+        # Former capacities, each with the time at which it ended.
+        self._former: list[tuple[float, Size]] = []
         self.labels = ("a", f"r{vm[-1]}")
         self.alive = False
         self.draining = False
@@ -60,6 +68,30 @@
     def instance(self) -> WorkerInstance:
         return WorkerInstance(self.vm, f"i-{self.vm}", self._born)
 
+    def resize(self, capacity: Size, now_s: float) -> None:
+        """Change the capacity, which the next check-in shows."""
+        self._former.append((now_s, self.capacity))
+        self.capacity = capacity
+
+    def room(self, now_s: float) -> Size:
+        """Return the capacity that counts, which shrinks with a delay."""
+        counted = [self.capacity]
+        for ended_s, capacity in self._former:
+            if now_s - ended_s <= SHRINK_GRACE_S:
+                counted.append(capacity)
+        return Size(
+            max(size.millicores for size in counted),
+            max(size.memory_bytes for size in counted),
+            max(size.accelerators for size in counted),
+        )
+
+    def used(self) -> Size:
+        """Return the room of all runs, also of those being stopped."""
+        used = Size()
+        for task_id in self.running:
+            used += self._oracle.spec_of(task_id).committed
+        return used
+
     def clock_ms(self, now_s: float) -> int:
         return int((now_s - self._started_s) * self._rate * 1000)
 
@@ -87,7 +119,7 @@
             self._block(call.task_id, call.run)
             current = self.running.get(call.task_id)
             if current is not None and current[0] <= call.run:
-                self._end(call.task_id, "stopped")
+                self._stop(call.task_id, now_s)
             return CallResult.DONE, ""
         return self._start(call, now_s)
 
@@ -102,6 +134,9 @@
             return CallResult.DONE, ""
         if order.run <= self._blocked.get(order.task_id, 0):
             return CallResult.REFUSED, "old"
+        needed = self.used() + self._oracle.spec_of(order.task_id).committed
+        if self.guards_capacity and not needed.fits(self.capacity):
+            return CallResult.REFUSED, "room"
         self._oracle.on_run_started(self, order.task_id, order.payload, now_s)
         how = "done"
         end_s = now_s + self._rng.uniform(0.5, 3.0)
@@ -159,6 +194,14 @@
         self.alive = False
         self.running = {}
 
+    def _stop(self, task_id: str, now_s: float) -> None:
+        run, end_s, how = self.running[task_id]
+        if not self.stop_takes_s:
+            self._end(task_id, "stopped")
+        elif how != "stopped":
+            end_s = min(end_s, now_s + self.stop_takes_s)
+            self.running[task_id] = (run, end_s, "stopped")
+
     def _end(self, task_id: str, how: str) -> None:
         run, _, _ = self.running.pop(task_id)
         self._block(task_id, run)
--- a/tests/cell_world/world.py
+++ b/tests/cell_world/world.py
@@ -396,6 +396,22 @@
         for agent in self.agents.values():
             agent.late_share = 0.0
 
+    def _capacity_changes(self) -> None:
+        """Shrink a worker, submit a wide job, and let the worker grow."""
+        worker = self.rng.choice(self.workers)
+        full = Size(4_000, 2**34, 0)
+        worker.guards_capacity = self.rng.random() < 0.2
+        worker.stop_takes_s = self.rng.uniform(0.0, 1.5)
+        cpu = self.rng.choice((0, 1_000, 2_500, 4_000))
+        memory_bytes = self.rng.choice((2**34, 2**34, 3 * 2**20))
+        worker.resize(Size(cpu, memory_bytes, 0), self.now_s)
+        step = StepSpec(self.rng.randint(8, 24), Size(300, 2**20, 0), 1_500)
+        self.after(self.rng.uniform(0, 6), lambda: self.submit(steps=(step,)))
+        self.after(
+            self.rng.uniform(2.0, 15.0),
+            lambda: worker.resize(full, self.now_s),
+        )
+
     def _drain(self) -> None:
         worker = self.rng.choice(self.workers)
         worker.draining = True
--- a/tests/features/cell/disruptions.feature
+++ b/tests/features/cell/disruptions.feature
@@ -29,6 +29,7 @@
       | 1-3   | store_slow                   |
       | 1-3   | link_slow                    |
       | 1-12  | all                          |
+      | 1-3   | capacity_changes             |
 
   Scenario Outline: The checks detect a seeded fault
     Given a cell of 4 VMs and 3 entries for seeds 1-12
@@ -42,6 +43,7 @@
       | steps start in any order    | ORDER   | all        |
       | attempts are not counted    | BUDGET  | all        |
       | room is not counted         | LIMIT   | all        |
+      | shrunk room counts in full  | LIMIT   | capacity_changes |
       | labels are not looked at    | ROUTE   | all        |
       | jobs complete too early     | MIXED   | all        |
       | unanswered jobs are refused | REFUSED | store_lost and entry_cut |
--- a/tests/features/steps/cell_world_steps.py
+++ b/tests/features/steps/cell_world_steps.py
@@ -19,6 +19,8 @@
 from yuccapoint.cell.job_run import StepRun  # noqa: E402
 from yuccapoint.cell.job_run import TaskRun  # noqa: E402
 from yuccapoint.cell.vm_candidate import VmCandidate  # noqa: E402
+from yuccapoint.cell.vm_ledger import VmLedger  # noqa: E402
+from yuccapoint.job.size import Size  # noqa: E402
 from yuccapoint.process.cell_job_gateway import CellJobGateway  # noqa: E402
 
 if TYPE_CHECKING:
@@ -51,6 +53,11 @@
     "room is not counted": lambda: mock.patch.object(
         VmCandidate, "place", lambda self, spec, step_key: None
     ),
+    "shrunk room counts in full": lambda: mock.patch.object(
+        VmLedger,
+        "available",
+        property(lambda self: Size(4_000, 2**34, 0) - self.used),
+    ),
     "labels are not looked at": lambda: mock.patch.object(
         VmCandidate, "labels", property(lambda self: ("r1",), _no_failures)
     ),
@@ -81,9 +88,9 @@
 
 @when('jobs are submitted for {seconds:d} s with disruptions "{disruptions}"')
 def run_disrupted(context: Context, seconds: int, disruptions: str) -> None:
-    chosen = DISRUPTIONS
-    if disruptions != "all":
-        chosen = tuple(disruptions.split(" and "))
+    chosen = ()
+    for part in disruptions.split(" and "):
+        chosen += DISRUPTIONS if part == "all" else (part,)
     for _, world in context.worlds:
         world.run(3.0)
         world.run(seconds, chosen)
