Withdraw claims whose room has shrunk before their start

Callers' work was started on a worker whose Capacity had shrunk below it (LIMIT): a claim was made on the former room, its append took seconds, and the start was ordered when it was stored, though the shrunk room had been reported meanwhile. The planner looks at the room, the order did not.

Orders now look at the VM's room first. A claim that was never ordered is released and planned anew. An ordered start may run unseen: it isn't repeated, and is stopped after 2 s without a word of it. What was seen on the worker goes on. The other members of a gang are released with the one that is withdrawn.

--- a/src/yuccapoint/cell/order_builder.py
+++ b/src/yuccapoint/cell/order_builder.py
@@ -8,6 +8,8 @@
 from yuccapoint.cell.cell_messages import LeaderOrders
 from yuccapoint.cell.cell_messages import StartOrder
 from yuccapoint.cell.cell_messages import TaskTraits
+from yuccapoint.cell.due_starts import is_start_due
+from yuccapoint.cell.due_starts import withdraw_excess_starts
 
 if TYPE_CHECKING:
     from yuccapoint.cell.cell_leader import CellLeader
@@ -15,9 +17,6 @@
     from yuccapoint.cell.vm_ledger import VmLedger
     from yuccapoint.job.interference.pair_report import PairEstimate
 
-# A start without a reaction is ordered again after this time, which is
-# longer than a report takes over the slow link.
-START_ORDER_RETRY_S = 0.25
 # Interval at which the interference estimates for a VM are sent.
 PAIRS_INTERVAL_S = 1.5
 # Limit of the starts in one message, as payloads may be long.
@@ -47,6 +46,7 @@
     grant = grant and vm.has_worker and vm.worker is not None
     if grant:
         vm.grant()
+    has_room = withdraw_excess_starts(leader, vm, now_s)
     starts: list[StartOrder] = []
     stops = [*vm.unclaimed_runs, *vm.late_starts(now_s)]
     traits = []
@@ -60,7 +60,8 @@
         if not task.seen_running:
             awaited.append((task.task_id, task.run))
         if (
-            _is_start_due(vm, task, now_s)
+            has_room
+            and is_start_due(vm, task, now_s)
             and len(starts) < MAX_STARTS_PER_MESSAGE
         ):
             task.ordered_at_s = now_s
@@ -85,14 +86,6 @@
     )
 
 
-def _is_start_due(vm: VmLedger, task: TaskRun, now_s: float) -> bool:
-    if not task.durable or task.seen_running or task.instance != vm.instance:
-        return False
-    if (task.task_id, task.run) in vm.pending:
-        return False
-    return now_s - task.ordered_at_s >= START_ORDER_RETRY_S
-
-
 def _start(
     leader: CellLeader, task: TaskRun, vm: VmLedger, now_s: float
 ) -> StartOrder:
--- a/tests/features/cell/disruptions.feature
+++ b/tests/features/cell/disruptions.feature
@@ -30,6 +30,9 @@
       | 1-3   | link_slow                    |
       | 1-12  | all                          |
       | 1-3   | capacity_changes             |
+      | 23    | capacity_changes and store_slow |
+      | 10    | capacity_changes and store_down |
+      | 24    | capacity_changes and store_down |
 
   Scenario Outline: The checks detect a seeded fault
     Given a cell of 4 VMs and 3 entries for seeds 1-12
--- /dev/null
+++ b/tests/features/cell/shrunk_capacity.feature
@@ -0,0 +1,31 @@
+Feature: Workers whose capacity shrinks
+
+  Scenario: A claim is not started after its VM's room has shrunk
+    # Slow store: claims became durable after the shrink and were started.
+    Given a leader with a VM and claims that are not stored yet
+    When the VM reports room for 1 of them, and the claims are stored
+    Then 1 start is ordered
+    When the VM reports room for all of them
+    Then the other tasks are claimed there again
+
+  Scenario: A start that was ordered before a shrink is not repeated
+    Given a leader with a VM and claims whose starts were ordered
+    When the VM reports room for 1 of them
+    Then 0 starts are ordered
+    And no run is stopped
+    When nothing is heard of the starts for 3 s
+    Then 0 starts are ordered
+    And all but 1 of the runs are stopped
+
+  Scenario: Runs that no longer fit go on
+    Given a leader with a VM and claims whose starts were ordered
+    When the VM reports that all run, and room for 1 of them
+    And 3 s pass in which the VM reports so
+    Then 0 starts are ordered
+    And no run is stopped
+
+  Scenario: No member of a gang waits for one whose VM's room has shrunk
+    Given a leader with 2 VMs and a gang on both that is not stored yet
+    When the first VM reports room for 1 of its members, and it is stored
+    Then 0 starts are ordered
+    And no member of the gang holds a claim
