Refuse starts that were planned before the worker shrank

Work was started on a worker whose Capacity had shrunk below it (LIMIT): the agent knew, but on a link that delays messages by seconds its leader planned on the former room, and the agent passed the starts on. An unanswered start was repeated after the shrink as well.

The agent now refuses starts in orders that do not answer a report sent since the shrink, and withdraws the starts that the worker has not confirmed. An unanswered one is stopped first, as any refused start. The wire keeps its form: orders name the report that they answer already.

Both scenarios failed before.

--- a/src/yuccapoint/cell/cell_messages.py
+++ b/src/yuccapoint/cell/cell_messages.py
@@ -17,6 +17,8 @@
 # Reasons of an agent for refusing a start.
 REASON_DRAINING = "draining"
 REASON_UNREACHABLE = "unreachable"
+# The worker refuses with the same reason.
+REASON_NO_ROOM = "room"
 
 
 class RunningTask(msgspec.Struct, frozen=True, array_like=True):
--- a/src/yuccapoint/cell/run_end_handler.py
+++ b/src/yuccapoint/cell/run_end_handler.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from yuccapoint.cell.cell_messages import REASON_NO_ROOM
 from yuccapoint.cell.cell_messages import REASON_UNREACHABLE
 from yuccapoint.cell.occurrence_state import Outcome
 from yuccapoint.cell.occurrence_state import Phase
@@ -117,7 +118,7 @@
             run=refused.run,
             vm=vm.name,
         )
-        if refused.reason in ("room", REASON_UNREACHABLE):
+        if refused.reason in (REASON_NO_ROOM, REASON_UNREACHABLE):
             vm.full_until_s = now_s + NO_ROOM_PAUSE_S
         if refused.reason == "ticket":
             self._leader.ticket_cache.discard_step(task.step)
--- a/src/yuccapoint/cell/run_registry.py
+++ b/src/yuccapoint/cell/run_registry.py
@@ -216,6 +216,15 @@
             if tracked.stage is RunStage.STARTING and not tracked.call_pending:
                 tracked.refuse(reason)
 
+    def withdraw_starts(self, reason: str) -> int:
+        """Refuse the starts that are not confirmed; return their number."""
+        withdrawn = 0
+        for tracked in self._runs.values():
+            if tracked.stage is RunStage.STARTING:
+                tracked.withdraw(reason)
+                withdrawn += 1
+        return withdrawn
+
     def order_start(
         self, start: StartOrder, now_s: float, *, refusal: str = ""
     ) -> None:
@@ -337,6 +346,9 @@
             tracked.stage = RunStage.RUNNING
             tracked.started_at_s = now_s
             return True
+        if tracked.withdrawn:
+            tracked.refuse(tracked.withdrawn)
+            return False
         tracked.next_call_at_s = now_s + CALL_RETRY_S
         if result is CallResult.REFUSED and reason in ("fence", "late"):
             return False
--- a/src/yuccapoint/cell/tracked_run.py
+++ b/src/yuccapoint/cell/tracked_run.py
@@ -39,6 +39,8 @@
     refusal_report : int
         Sequence number of the first report that told the leader of the
         refusal; 0 until then.
+    withdrawn : str
+        Why a pending start call is not to be repeated; empty if it may be.
     """
 
     __slots__ = (
@@ -56,6 +58,7 @@
         "stop_acked_at_s",
         "task_id",
         "unanswered",
+        "withdrawn",
     )
 
     def __init__(
@@ -79,6 +82,7 @@
         self.started_at_s = 0.0
         self.stop_acked_at_s = 0.0
         self.refusal_report = 0
+        self.withdrawn = ""
 
     @property
     def may_reach_new_instance(self) -> bool:
@@ -109,6 +113,13 @@
         pause_s = min(MAX_BLOCK_REPEAT_S, max(FIRST_BLOCK_REPEAT_S, waited_s))
         self.next_call_at_s = now_s + pause_s
 
+    def withdraw(self, reason: str) -> None:
+        """Refuse the run, unless a pending start call succeeds."""
+        if self.call_pending:
+            self.withdrawn = reason
+            return
+        self.refuse(reason)
+
     def refuse(self, reason: str) -> None:
         """Mark the run as refused and ensure that it never starts.
 
--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -19,6 +19,7 @@
 from yuccapoint.cell.worker_events import StatusRequest
 from yuccapoint.cell.worker_events import StopCall
 from yuccapoint.cell.worker_lease import WorkerLease
+from yuccapoint.cell.worker_room import WorkerRoom
 from yuccapoint.job.actions import Explain
 
 if TYPE_CHECKING:
@@ -72,6 +73,7 @@
         self.lease = WorkerLease(now_s)
         self.explanations: list[Explain] = []
         self.registry = RunRegistry(now_s, self._explain)
+        self._room = WorkerRoom(self.registry, self._explain)
         self._order_sequence = 0
         self._report_sequence = 0
         # The newest report of an expired lease, on which the leader releases
@@ -118,6 +120,7 @@
             )
             self.registry.has_updates = True
         self.check_in = check_in
+        self._room.on_check_in(check_in)
         self._drain_until_s = now_s + check_in.remaining_ms / 1000
         self.lease.record_clock(check_in.clock_ms, now_s)
         return True
@@ -223,8 +226,11 @@
         self.registry.discard_unawaited(
             set(orders.awaited), self._answered_report(orders)
         )
+        refusal = self._refusal or self._room.refusal(
+            self._answered_report(orders)
+        )
         for start in self._valid_starts(orders):
-            self.registry.order_start(start, now_s, refusal=self._refusal)
+            self.registry.order_start(start, now_s, refusal=refusal)
         for task_id, run in orders.stops:
             self.registry.order_stop(task_id, run)
 
@@ -408,6 +414,8 @@
         if len(self._reported_at_s) > MAX_UNANSWERED_REPORTS:
             del self._reported_at_s[next(iter(self._reported_at_s))]
         worker = self._worker_report(now_s)
+        if worker is not None:
+            self._room.on_report(self._report_sequence)
         if worker is not None and worker.lease_expired:
             self._expiry_report_sequence = self._report_sequence
             self.registry.refuse_unsent_starts(REASON_UNREACHABLE)
--- a/tests/features/cell/disruptions.feature
+++ b/tests/features/cell/disruptions.feature
@@ -30,6 +30,8 @@
       | 1-3   | link_slow                    |
       | 1-12  | all                          |
       | 1-3   | capacity_changes             |
+      | 6     | capacity_changes and link_slow |
+      | 8     | capacity_changes and link_slow |
       | 23    | capacity_changes and store_slow |
       | 10    | capacity_changes and store_down |
       | 24    | capacity_changes and store_down |
--- a/tests/features/cell/shrunk_capacity.feature
+++ b/tests/features/cell/shrunk_capacity.feature
@@ -29,3 +29,19 @@
     When the first VM reports room for 1 of its members, and it is stored
     Then 0 starts are ordered
     And no member of the gang holds a claim
+
+  Scenario: A start that was planned before the worker shrank is not made
+    # Slow link: the agent knew of the shrink seconds before the leader.
+    Given a leader and an agent whose worker has room for a task
+    When the worker checks in without room, and that report is on its way
+    And the leader orders a start by its last report
+    Then the worker gets no start of the first run
+    When the leader gets the report
+    Then the start is not claimed there again
+
+  Scenario: An unanswered start is not repeated after the worker shrank
+    Given a leader and an agent whose worker has room for a task
+    When the leader orders a start by its last report
+    And the worker checks in without room while the start is pending
+    And the start call gets no answer
+    Then the start is not repeated but stopped
