Report a changed capacity at once

A worker's changed Capacity reached the leader only with the agent's next regular report, up to 0.8 s after the check-in, so that claims went on for room that was gone and room that had come back stayed unused. It now counts as an update, as a drain does, and the leader logs the change.

The scenario failed before (no report was due).

--- a/src/yuccapoint/cell/report_handler.py
+++ b/src/yuccapoint/cell/report_handler.py
@@ -83,6 +83,15 @@
                 worker=worker.instance.worker_id,
                 born_ms=worker.instance.born_ms,
             )
+        elif previous.capacity != worker.capacity:
+            self._leader.explain(
+                "vm",
+                "its worker's capacity has changed",
+                vm=vm.name,
+                millicores=worker.capacity.millicores,
+                memory_bytes=worker.capacity.memory_bytes,
+                accelerators=worker.capacity.accelerators,
+            )
         self._release_former_instances(
             vm, report, worker.instance, now_s, agent_restarted=agent_restarted
         )
--- a/src/yuccapoint/cell/worker_room.py
+++ b/src/yuccapoint/cell/worker_room.py
@@ -46,6 +46,7 @@
             return
         if former.capacity == check_in.capacity:
             return
+        self._registry.has_updates = True
         withdrawn = 0
         if not former.capacity.fits(check_in.capacity):
             self._has_shrunk = True
--- a/tests/features/cell/shrunk_capacity.feature
+++ b/tests/features/cell/shrunk_capacity.feature
@@ -45,3 +45,10 @@
     And the worker checks in without room while the start is pending
     And the start call gets no answer
     Then the start is not repeated but stopped
+
+  Scenario: An agent reports a changed capacity at once
+    Given a leader and an agent whose worker has room for a task
+    When the worker checks in without room
+    Then a report of no room is due
+    When the worker checks in with room again
+    Then a report of the room is due
