Make no starts on a check-in from before a suspension

Work was started on a worker whose Capacity had shrunk below it (LIMIT): its agent was suspended for some 4 s or had started anew, and the newest check-in that it had processed was from before, while its lease was still valid. A check-in that waited in a socket looks fresh when it is read.

The agent now measures the age of the last check-in by the worker's own clock, of which polls and check-ins give a lower bound, and withdraws the starts that the worker has not confirmed while the age is over 3 s (ContactMs); the leader places them elsewhere.

The simulated cell gets unseen_shrinks: a worker shrinks while its agent is suspended or starts anew, and check-ins wait and arrive in any order. The scenario in shrunk_capacity.feature failed before.

start_orders.feature and delayed_start_orders.feature kept one check-in for up to 10 s, which would now hide what they test. Their worker checks in with each round of orders, as a real one does; the checks are unchanged, and each still fails without the line it guards (grant without a worker; starts from before a lapse; a refusal known too early).

Ruled out as sufficient: the order of check-ins (Seq), which a new agent has no memory of.

--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -120,7 +120,7 @@
             )
             self.registry.has_updates = True
         self.check_in = check_in
-        self._room.on_check_in(check_in)
+        self._room.on_check_in(check_in, now_s)
         self._drain_until_s = now_s + check_in.remaining_ms / 1000
         self.lease.record_clock(check_in.clock_ms, now_s)
         return True
@@ -275,6 +275,7 @@
         """Return the calls to make now."""
         if self.check_in is None or not self.term:
             return []
+        self._room.withdraw_outdated_starts(now_s)
         calls: list[WorkerCall] = []
         calls.extend(self.registry.next_calls(self.term, self.lease, now_s))
         calls.extend(self._pace_calls)
@@ -376,6 +377,7 @@
             return
         self._failed_status_requests = 0
         self.lease.record_clock(status.clock_ms, now_s)
+        self._room.record_clock(status.clock_ms, now_s)
         self.registry.on_status(status, sent_at_s)
         if self.registry.may_get_former_calls(now_s):
             self.registry.stop_late_starts()
--- a/tests/cell_world/agent_model.py
+++ b/tests/cell_world/agent_model.py
@@ -15,6 +15,7 @@
     import random
 
     from cell_world.worker_model import WorkerModel
+    from yuccapoint.cell.worker_events import CheckIn
     from yuccapoint.cell.worker_events import WorkerCall
 
 POLL_INTERVAL_S = 0.2
@@ -29,6 +30,9 @@
         self.worker = worker
         self.late_share = 0.0
         self.frozen_until_s = 0.0
+        # Whether check-ins wait for a frozen agent, and for the next one.
+        self.check_ins_wait = False
+        self._waiting_check_ins: list[tuple[float, CheckIn]] = []
         # Difference of the VM's time of day from true time.
         self.clock_offset_s = 0.0
         self._rng = rng
@@ -49,7 +53,13 @@
         """Make due calls and polls; return a report when one is due."""
         if now_s < self.frozen_until_s:
             self._execute_late_calls(now_s)
+            if self.check_ins_wait:
+                self._queue_check_in(now_s)
             return None
+        for item in list(self._waiting_check_ins):
+            if item[0] <= now_s:
+                self._waiting_check_ins.remove(item)
+                self.vm_agent.on_check_in(item[1], now_s)
         if self.worker.alive and self._is_check_in_due(now_s):
             self._checked_in_at_s = now_s
             self._checked_in_born = self.worker.instance.born_ms
@@ -68,6 +78,15 @@
         self._reported_at_s = now_s
         return self.vm_agent.build_report(now_s)
 
+    def _queue_check_in(self, now_s: float) -> None:
+        """Let a check-in arrive in any order, once the agent goes on."""
+        if self.worker.alive and self._is_check_in_due(now_s):
+            self._checked_in_at_s = now_s
+            self._checked_in_born = self.worker.instance.born_ms
+            at_s = self.frozen_until_s + self._rng.uniform(0.0, 0.5)
+            check_in = self.worker.check_in(now_s)
+            self._waiting_check_ins.append((at_s, check_in))
+
     def _is_check_in_due(self, now_s: float) -> bool:
         """Return whether an interval has passed or the worker is new."""
         if self.worker.instance.born_ms != self._checked_in_born:
--- a/tests/cell_world/world.py
+++ b/tests/cell_world/world.py
@@ -396,7 +396,7 @@
         for agent in self.agents.values():
             agent.late_share = 0.0
 
-    def _capacity_changes(self) -> None:
+    def _capacity_changes(self) -> WorkerModel:
         """Shrink a worker, submit a wide job, and let the worker grow."""
         worker = self.rng.choice(self.workers)
         full = Size(4_000, 2**34, 0)
@@ -411,6 +411,15 @@
             self.rng.uniform(2.0, 15.0),
             lambda: worker.resize(full, self.now_s),
         )
+        return worker
+
+    def _unseen_shrinks(self) -> None:
+        """Shrink a worker whose agent is suspended or starts again."""
+        agent = self.agents[self._capacity_changes().vm]
+        agent.check_ins_wait = True
+        agent.frozen_until_s = self.now_s + self.rng.uniform(3.5, 6.0)
+        if self.rng.random() < 0.5:
+            agent.restart(agent.frozen_until_s)
 
     def _drain(self) -> None:
         worker = self.rng.choice(self.workers)
--- a/tests/features/cell/disruptions.feature
+++ b/tests/features/cell/disruptions.feature
@@ -30,6 +30,9 @@
       | 1-3   | link_slow                    |
       | 1-12  | all                          |
       | 1-3   | capacity_changes             |
+      | 1-3   | unseen_shrinks               |
+      | 11-12 | unseen_shrinks               |
+      | 17    | unseen_shrinks and late_orders |
       | 6     | capacity_changes and link_slow |
       | 8     | capacity_changes and link_slow |
       | 23    | capacity_changes and store_slow |
--- a/tests/features/cell/shrunk_capacity.feature
+++ b/tests/features/cell/shrunk_capacity.feature
@@ -52,3 +52,11 @@
     Then a report of no room is due
     When the worker checks in with room again
     Then a report of the room is due
+
+  Scenario: A start does not follow a check-in from before a suspension
+    # The agent was suspended for 4 s; its worker had shrunk meanwhile.
+    Given a leader and an agent whose worker has room for a task
+    When a start is ordered and the agent is suspended for 4 s
+    And a check-in of the time before and the worker's clock arrive
+    Then the worker gets no start of the first run
+    And the start is reported as refused: "unreachable"
--- a/tests/features/steps/shrunk_worker_steps.py
+++ b/tests/features/steps/shrunk_worker_steps.py
@@ -5,10 +5,10 @@
 from behave import given
 from behave import then
 from behave import when
+from cell_leader_steps import add_job
 import start_order_steps as order_steps
 
 from yuccapoint.cell.worker_events import CallResult
-from yuccapoint.cell.worker_events import CheckIn
 from yuccapoint.cell.worker_events import StartCall
 from yuccapoint.cell.worker_events import StopCall
 from yuccapoint.job.size import Size
@@ -21,23 +21,6 @@
 SHRUNK = Size(8_000, 0, 0)
 
 
-def check_in(context: Context, capacity: Size) -> None:
-    former = context.vm_agent.check_in
-    assert former is not None
-    newer = CheckIn(
-        instance=former.instance,
-        pool=former.pool,
-        address=former.address,
-        capacity=capacity,
-        labels=former.labels,
-        draining=False,
-        remaining_ms=0,
-        clock_ms=int(context.now_s * 1000),
-        sequence=former.sequence + 1,
-    )
-    assert context.vm_agent.on_check_in(newer, context.now_s)
-
-
 def _report(context: Context) -> None:
     context.delayed = context.vm_agent.build_report(context.now_s)
 
@@ -50,12 +33,12 @@
 
 @when("the worker checks in without room")
 def worker_shrinks(context: Context) -> None:
-    check_in(context, SHRUNK)
+    order_steps.check_in(context, SHRUNK)
 
 
 @when("the worker checks in with room again")
 def worker_grows(context: Context) -> None:
-    check_in(context, FULL)
+    order_steps.check_in(context, FULL)
 
 
 @when("the worker checks in without room, and that report is on its way")
@@ -70,6 +53,29 @@
     worker_shrinks(context)
 
 
+@when("a start is ordered and the agent is suspended for {seconds:d} s")
+def suspended(context: Context, seconds: int) -> None:
+    add_job(context.leader, order_steps.JOB_ID, order_steps.STEP)
+    order_steps.plan(context)
+    [(_, orders)] = context.leader.collect_orders(
+        context.now_s, may_grant=True
+    )
+    assert orders.starts, orders
+    context.suspended_at_s = context.now_s
+    context.now_s += seconds
+    context.vm_agent.on_orders(orders, context.now_s)
+    assert context.vm_agent.lease.is_valid(context.now_s)
+
+
+@when("a check-in of the time before and the worker's clock arrive")
+def outdated_check_in(context: Context) -> None:
+    woken_at_s, context.now_s = context.now_s, context.suspended_at_s
+    order_steps.check_in(context)
+    context.now_s = woken_at_s
+    order_steps.answer_poll(context)
+    order_steps.make_calls(context)
+
+
 @when("the start call gets no answer")
 def start_unanswered(context: Context) -> None:
     claim = context.leader.vms[order_steps.VM].claims[order_steps.TASK_ID]
@@ -106,6 +112,13 @@
     assert kinds == [StopCall], kinds
 
 
+@then('the start is reported as refused: "{reason}"')
+def refused(context: Context, reason: str) -> None:
+    _report(context)
+    reasons = [run.reason for run in context.delayed.refused]
+    assert reasons == [reason], context.delayed
+
+
 def _is_reported(context: Context, capacity: Size) -> None:
     assert context.vm_agent.report_due
     _report(context)
--- a/tests/features/steps/start_order_steps.py
+++ b/tests/features/steps/start_order_steps.py
@@ -35,11 +35,33 @@
     context.leader.on_report(message, context.now_s)
 
 
+def check_in(context: Context, capacity: Size | None = None) -> None:
+    """Let the worker check in, with its former capacity if none is given."""
+    former = context.vm_agent.check_in
+    newer = CheckIn(
+        instance=WorkerInstance(VM, "i-0", 1),
+        pool="pool",
+        address="worker",
+        capacity=capacity or former.capacity,
+        labels=("a", "r1"),
+        draining=False,
+        remaining_ms=0,
+        clock_ms=int(context.now_s * 1000),
+        sequence=former.sequence + 1 if former else 1,
+    )
+    assert context.vm_agent.on_check_in(newer, context.now_s)
+
+
 def pass_orders(context: Context, *, may_grant: bool = True) -> None:
+    check_in(context)
     due = context.leader.collect_orders(context.now_s, may_grant=may_grant)
     for vm, orders in due:
         if vm.name == VM:
             context.vm_agent.on_orders(orders, context.now_s)
+    make_calls(context)
+
+
+def make_calls(context: Context) -> None:
     for call in context.vm_agent.next_calls(context.now_s):
         if isinstance(call, StartCall):
             context.started.append((call.order.task_id, call.order.run))
@@ -65,18 +87,7 @@
     context.leader = CellLeader("e-0", "e-0", 1, 0.0)
     context.leader.on_member(Member(VM, VM, 1))
     context.vm_agent = VmAgent(VM, VM, 1, 0.0)
-    check_in = CheckIn(
-        instance=WorkerInstance(VM, "i-0", 1),
-        pool="pool",
-        address="worker",
-        capacity=Size(8_000, 2**35, 0),
-        labels=("a", "r1"),
-        draining=False,
-        remaining_ms=0,
-        clock_ms=int(context.now_s * 1000),
-        sequence=1,
-    )
-    context.vm_agent.on_check_in(check_in, context.now_s)
+    check_in(context, Size(8_000, 2**35, 0))
     for _ in range(2):
         pass_orders(context)
         answer_poll(context)
