Count the room of runs without a claim in full

A run on a worker without a claim counted as no room at all when its job was unknown, or when its start was still pending.

A pending start now counts the size of its task, as a running one does. A run of an unknown job may hold any room, so its VM gets nothing new until the run, which is ordered to stop, has ended.

--- a/src/yuccapoint/cell/report_handler.py
+++ b/src/yuccapoint/cell/report_handler.py
@@ -136,15 +136,14 @@
         for running in report.running:
             task = vm.claims.get(running.task_id)
             if task is None or task.run != running.run:
-                known = self._leader.find_task(running.task_id)
-                size = Size() if known is None else known.step.spec.committed
-                vm.unclaimed_runs[(running.task_id, running.run)] = size
+                key = (running.task_id, running.run)
+                vm.unclaimed_runs[key] = self._size_on(vm, running.task_id)
                 continue
             self._note_progress(task, running, now_s)
         for task_id, run in report.pending:
             task = vm.claims.get(task_id)
             if task is None or task.run != run:
-                vm.unclaimed_runs[(task_id, run)] = Size()
+                vm.unclaimed_runs[(task_id, run)] = self._size_on(vm, task_id)
         listed = {running.task_id for running in report.running}
         for task in vm.claims.values():
             if task.seen_running and task.task_id not in listed:
@@ -152,6 +151,13 @@
                 task.seen_running = False
                 task.ordered_at_s = now_s
 
+    def _size_on(self, vm: VmLedger, task_id: str) -> Size:
+        """Return the room of a run; all of its VM's if it is unknown."""
+        known = self._leader.find_task(task_id)
+        if known is not None:
+            return known.step.spec.committed
+        return Size() if vm.worker is None else vm.worker.capacity
+
     def _note_progress(
         self, task: TaskRun, running: RunningTask, now_s: float
     ) -> None:
--- a/tests/features/cell/shrunk_capacity.feature
+++ b/tests/features/cell/shrunk_capacity.feature
@@ -60,3 +60,16 @@
     And a check-in of the time before and the worker's clock arrive
     Then the worker gets no start of the first run
     And the start is reported as refused: "unreachable"
+
+  Scenario Outline: Room held by a run without a claim is not claimed
+    Given a leader with a VM with room for one task, and a waiting job
+    When the VM reports that <run>
+    Then the VM gets no claim
+    And the run is stopped
+    When the VM reports that it runs nothing
+    Then the VM gets a claim
+
+    Examples:
+      | run                                |
+      | a run of an unknown job is running |
+      | an abandoned start is pending      |
--- a/tests/features/steps/shrunk_capacity_steps.py
+++ b/tests/features/steps/shrunk_capacity_steps.py
@@ -167,3 +167,55 @@
 def rest_stopped(context: Context, count: int) -> None:
     stops = [stop for orders in context.orders for stop in orders.stops]
     assert len(stops) == TASKS - count, stops
+
+
+@given("a leader with a VM with room for one task, and a waiting job")
+def room_for_one(context: Context) -> None:
+    context.now_s = 100.0
+    context.sequence = 0
+    context.room = TASK.size
+    context.leader = CellLeader("e-0", "e-0", 1, 0.0)
+    context.leader.on_member(Member(VM, VM, 1))
+    add_job(context.leader, "e" * 16, TASK)
+
+
+def _report_and_plan(context: Context, **changes) -> None:
+    context.now_s += 0.5
+    _report(context, context.room, **changes)
+    context.leader.tick(context.now_s, WALL_MS)
+
+
+@when("the VM reports that a run of an unknown job is running")
+def unknown_runs(context: Context) -> None:
+    context.unclaimed = ("0" * 16 + ".0.0.0", 1)
+    running = RunningTask(*context.unclaimed, "", 1, 0.0)
+    _report_and_plan(context, running=(running,))
+
+
+@when("the VM reports that an abandoned start is pending")
+def abandoned_pending(context: Context) -> None:
+    context.unclaimed = ("e" * 16 + ".0.0.2", 1)
+    _report_and_plan(context, pending=(context.unclaimed,))
+
+
+@when("the VM reports that it runs nothing")
+def nothing_runs(context: Context) -> None:
+    _report_and_plan(context)
+
+
+@then("the VM gets no claim")
+def none_claimed(context: Context) -> None:
+    claims = context.leader.vms[VM].claims
+    assert not claims, claims
+
+
+@then("the run is stopped")
+def run_stopped(context: Context) -> None:
+    stops = [stop for orders in context.orders for stop in orders.stops]
+    assert stops == [context.unclaimed], stops
+
+
+@then("the VM gets a claim")
+def one_claimed(context: Context) -> None:
+    claims = context.leader.vms[VM].claims
+    assert len(claims) == 1, claims
