--- a/tests/features/cell/disruptions.feature
+++ b/tests/features/cell/disruptions.feature
@@ -33,6 +33,15 @@
       | 1-3   | agents_cut and entries_cut   |
       | 1-3   | reports_cut and entry_kill   |
       | 1-12  | all                          |
+      | 1-3   | capacity_changes             |
+      | 1-3   | unseen_shrinks               |
+      | 11-12 | unseen_shrinks               |
+      | 17    | unseen_shrinks and late_orders |
+      | 6     | capacity_changes and link_slow |
+      | 8     | capacity_changes and link_slow |
+      | 23    | capacity_changes and store_slow |
+      | 10    | capacity_changes and store_down |
+      | 24    | capacity_changes and store_down |
 
   Scenario Outline: The checks detect a seeded fault
     Given a cell of 4 VMs and 3 entries for seeds 1-12
@@ -46,6 +55,7 @@
       | steps start in any order    | ORDER   | all        |
       | attempts are not counted    | BUDGET  | all        |
       | room is not counted         | LIMIT   | all        |
+      | shrunk room counts in full  | LIMIT   | capacity_changes |
       | labels are not looked at    | ROUTE   | all        |
       | jobs complete too early     | MIXED   | all        |
       | unanswered jobs are refused | REFUSED | store_lost and entry_cut |
