Log quarantines by stalled runs, and how long abandoned runs worked

A run that ends with its worker left no trace of how long it had worked, and a VM that went into quarantine as its runs stalled left none at all.

--- a/src/yuccapoint/cell/run_end_handler.py
+++ b/src/yuccapoint/cell/run_end_handler.py
@@ -136,6 +136,9 @@
             run=task.run,
             vm="" if vm is None else vm.name,
             why=why,
+            # Neither is known of a run that was not reported yet.
+            worked_ms=_since_ms(task.started_at_s, now_s),
+            still_ms=_since_ms(task.progressed_at_s, now_s),
         )
         self._requeue(task, "", now_s)
 
@@ -188,3 +191,7 @@
     def _requeue(self, task: TaskRun, checkpoint: str, now_s: float) -> None:
         task.release(checkpoint, now_s)
         self._leader.mark_dirty(task.step.occurrence)
+
+
+def _since_ms(at_s: float, now_s: float) -> int:
+    return int(1000 * (now_s - at_s)) if at_s else 0
--- a/src/yuccapoint/cell/vm_checks.py
+++ b/src/yuccapoint/cell/vm_checks.py
@@ -63,7 +63,13 @@
             leader.stop(task, "the run makes no progress", now_s)
             task.failed_on.add(vm.name)
             job_id = task.step.occurrence.job.submission.job_id
-            vm.record_failure(job_id, now_s)
+            if vm.record_failure(job_id, now_s):
+                leader.explain(
+                    "vm",
+                    "quarantined, as its runs make no progress",
+                    vm=vm.name,
+                    for_ms=int(1000 * (vm.quarantined_until_s - now_s)),
+                )
         if vm.worker is None or not vm.worker.draining:
             return
         for task in find_evacuations(vm, now_s):
