Give up tasks that crash the workers that start them

A task that kills its worker 10 ms after its start was started on worker after worker, eleven times in 40 s: only ends that a worker lists were counted, and a worker that has crashed lists none.

The agent knows which runs may have done it: those whose start was answered or is unanswered and that no status listed 0.5 s after it. When a new instance begins without notice it reports them for 15 s in a message of its own, as VmReport and TaskState can't grow without changing bytes that compatibility.feature pins. The leader counts each run once, stored with the occurrence, and gives the task up (failed) after two crashes of workers that are known to have started it, the last with no other suspect, or after four. Suspects start alone, each on a VM with no other run that is starting, on at most half of a pool, until the agent has seen the run work for 0.5 s; that also clears the count, as such a task does not crash what starts it. A restarted agent accuses nobody. Failures and quarantine are not touched.

--- a/src/yuccapoint/cell/cell_leader.py
+++ b/src/yuccapoint/cell/cell_leader.py
@@ -9,6 +9,7 @@
 from yuccapoint.cell.adviser_queries import AdviserQueries
 from yuccapoint.cell.claim_planner import ClaimPlanner
 from yuccapoint.cell.commit_batch import CommitBatch
+from yuccapoint.cell.crash_counter import CrashCounter
 from yuccapoint.cell.interference_model import InterferenceModel
 from yuccapoint.cell.job_run import JobRun
 from yuccapoint.cell.occurrence_state import Outcome
@@ -74,6 +75,7 @@
         self._uncommitted_claims: list[tuple[TaskRun, int]] = []
         self._end_handler = RunEndHandler(self)
         self._report_handler = ReportHandler(self, self._end_handler)
+        self.crash_counter = CrashCounter(self)
         self._vm_checks = VmChecks(self, self._report_handler)
         self.maintenance = StoreMaintenance(self)
         self.adviser_queries = AdviserQueries(self)
--- a/src/yuccapoint/cell/cell_messages.py
+++ b/src/yuccapoint/cell/cell_messages.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from yuccapoint.cell.crash_messages import CrashReport
 from yuccapoint.cell.occurrence_state import WorkerInstance
 from yuccapoint.job.interference.pair_report import PairEstimate
 from yuccapoint.job.size import Size
@@ -169,4 +170,6 @@
     result: RelayResult
 
 
-CellMessage = VmReport | LeaderOrders | RelayRequest | RelayAnswer
+CellMessage = (
+    VmReport | LeaderOrders | RelayRequest | RelayAnswer | CrashReport
+)
--- a/src/yuccapoint/cell/cell_records.py
+++ b/src/yuccapoint/cell/cell_records.py
@@ -110,11 +110,12 @@
 
 def encode(record: CellRecord) -> bytes:
     """Encode the value of a record."""
-    if isinstance(record, OccurrenceState) and not record.begun:
-        # Versions that did not store the mark wrote this form.
-        return _encoder.encode(
-            (record.outcome, record.instances, record.steps)
-        )
+    if isinstance(record, OccurrenceState) and not record.crashes:
+        # Versions that did not store the later fields wrote these forms.
+        fields = (record.outcome, record.instances, record.steps)
+        if not record.begun:
+            return _encoder.encode(fields)
+        return _encoder.encode((*fields, record.begun))
     return _encoder.encode(record)
 
 
--- a/src/yuccapoint/cell/claim_planner.py
+++ b/src/yuccapoint/cell/claim_planner.py
@@ -5,6 +5,7 @@
 import math
 from typing import TYPE_CHECKING
 
+from yuccapoint.cell import crash_trials
 from yuccapoint.cell.occurrence_state import Outcome
 from yuccapoint.cell.occurrence_state import Phase
 from yuccapoint.cell.placement_costs import total_cost
@@ -92,7 +93,9 @@
             if vm.worker is None or not vm.is_open(self._now_s):
                 continue
             in_pool = candidates.setdefault(vm.worker.pool, [])
-            in_pool.append(VmCandidate(vm, self._interference))
+            candidate = VmCandidate(vm, self._interference)
+            crash_trials.assess(candidate, self._now_s)
+            in_pool.append(candidate)
         return candidates
 
     def ready_steps(self, jobs: Iterable[JobRun]) -> Iterable[StepRun]:
@@ -171,9 +174,10 @@
         idle = all(
             task.phase is not Phase.CLAIMED for task in step.occurrence.tasks
         )
+        chosen.extend(self._place_suspects(step, candidates, idle=idle))
         ranking: StepRanking | None = None
         for task in step.tasks:
-            if not self._is_waiting(task):
+            if task.is_suspect or not self._is_waiting(task):
                 continue
             if idle and not chosen:
                 candidate = self._choose(task, candidates, overcommit=True)
@@ -189,11 +193,63 @@
                     self.unplaced.append(step)
                 break
             candidate.place(step.spec, id(step))
+            crash_trials.note_start(task, candidate)
             if ranking is not None:
                 ranking.update(candidate)
             chosen.append((task, candidate.ledger))
         return chosen
 
+    def _place_suspects(
+        self, step: StepRun, candidates: list[VmCandidate], *, idle: bool
+    ) -> list[tuple[TaskRun, VmLedger]]:
+        """Place the step's suspects, each where it starts alone.
+
+        A crash then tells whether it was its cause, and takes no other new
+        run with it. The claims of a suspect that has to wait are not counted
+        as unplaced, as no preemption would help.
+        """
+        chosen: list[tuple[TaskRun, VmLedger]] = []
+        for task in step.tasks:
+            if not task.is_suspect or not self._is_waiting(task):
+                continue
+            reserved = [
+                c for c in candidates if c.reserved_for == task.task_id
+            ]
+            if not reserved and not crash_trials.has_vm_left(candidates):
+                continue
+            overcommit = idle and not chosen
+            candidate = self._choose(
+                task, reserved or candidates, overcommit=overcommit
+            )
+            if candidate is not None:
+                candidate.place(step.spec, id(step))
+                crash_trials.note_start(task, candidate)
+                chosen.append((task, candidate.ledger))
+                continue
+            if not reserved:
+                self._reserve(task, candidates, overcommit=overcommit)
+        return chosen
+
+    def _reserve(
+        self,
+        task: TaskRun,
+        candidates: list[VmCandidate],
+        *,
+        overcommit: bool,
+    ) -> None:
+        """Reserve the VM with the fewest runs that are starting."""
+        best: VmCandidate | None = None
+        for candidate in candidates:
+            if candidate.on_trial:
+                continue
+            cost = self._cost_beside(task, candidate, overcommit=overcommit)
+            if cost is None:
+                continue
+            if best is None or candidate.starting_runs < best.starting_runs:
+                best = candidate
+        if best is not None:
+            crash_trials.reserve(task, best, self._now_s)
+
     def _place_gang(
         self, step: StepRun, candidates: list[VmCandidate]
     ) -> list[tuple[TaskRun, VmLedger]]:
@@ -215,20 +271,35 @@
 
     def _place_all(
         self, step: StepRun, candidates: list[VmCandidate]
+    ) -> list[tuple[TaskRun, VmLedger]]:
+        chosen = self._place_members(step, candidates)
+        if not chosen and any(task.is_suspect for task in step.tasks):
+            # Not every pool has a VM for each suspect of a gang.
+            chosen = self._place_members(step, candidates, alone=False)
+        by_name = {
+            candidate.ledger.name: candidate for candidate in candidates
+        }
+        for task, ledger in chosen:
+            by_name[ledger.name].place(step.spec, id(step))
+            crash_trials.note_start(task, by_name[ledger.name])
+        return chosen
+
+    def _place_members(
+        self,
+        step: StepRun,
+        candidates: list[VmCandidate],
+        *,
+        alone: bool = True,
     ) -> list[tuple[TaskRun, VmLedger]]:
         copies = [candidate.copy() for candidate in candidates]
         chosen = []
         for task in step.tasks:
-            copied = self._choose(task, copies)
+            copied = self._choose(task, copies, alone=alone)
             if copied is None:
                 return []
             copied.place(step.spec, id(step))
+            crash_trials.note_start(task, copied)
             chosen.append((task, copied.ledger))
-        by_name = {
-            candidate.ledger.name: candidate for candidate in candidates
-        }
-        for _, ledger in chosen:
-            by_name[ledger.name].place(step.spec, id(step))
         return chosen
 
     def _choose(
@@ -237,11 +308,13 @@
         candidates: list[VmCandidate],
         *,
         overcommit: bool = False,
+        alone: bool = True,
     ) -> VmCandidate | None:
         best: VmCandidate | None = None
         best_cost = math.inf
+        rate = self._cost if alone else self._cost_beside
         for candidate in candidates:
-            cost = self._cost(task, candidate, overcommit=overcommit)
+            cost = rate(task, candidate, overcommit=overcommit)
             if cost is not None and cost < best_cost:
                 best, best_cost = candidate, cost
         return best
@@ -254,6 +327,18 @@
         overcommit: bool = False,
     ) -> float | None:
         """Return the cost of placing a task on a VM; None if it can't."""
+        if not crash_trials.may_start(task, candidate):
+            return None
+        return self._cost_beside(task, candidate, overcommit=overcommit)
+
+    def _cost_beside(
+        self,
+        task: TaskRun,
+        candidate: VmCandidate,
+        *,
+        overcommit: bool = False,
+    ) -> float | None:
+        """Return the cost of a task beside runs that are starting."""
         spec = task.step.spec
         if not candidate.can_run(spec):
             return None
--- /dev/null
+++ b/src/yuccapoint/cell/crash_log.py
@@ -0,0 +1,111 @@
+"""The agent's record of crashes of its worker and of their suspects."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from yuccapoint.cell.crash_messages import CrashReport
+from yuccapoint.cell.crash_messages import CrashSuspect
+from yuccapoint.cell.tracked_run import RunStage
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from yuccapoint.cell.tracked_run import TrackedRun
+
+# Crashes and proofs are reported for this long, which outlasts a change of
+# the leader.
+REPORTED_FOR_S = 15.0
+# A first run of a task is not suspected of a crash yet, so that its proof is
+# of no interest.
+FIRST_RUN = 1
+# A status request waits at most this long for a run to end while the proof
+# of a later run is due; its task may be waiting for a VM of its own.
+PROOF_WAIT_MS = 100
+
+RunKey = tuple[str, int]
+
+
+def has_unproven_restart(runs: Iterable[TrackedRun]) -> bool:
+    """Return whether a later run of a task works and is not proven yet."""
+    return any(
+        tracked.run > FIRST_RUN
+        and tracked.stage is RunStage.RUNNING
+        and not tracked.proven
+        for tracked in runs
+    )
+
+
+class CrashLog:
+    """Keeps crashes and proofs until they have been reported for long.
+
+    Parameters
+    ----------
+    vm : str
+        Name of the VM.
+    """
+
+    __slots__ = ("_crashes", "_proofs", "_vm")
+
+    def __init__(self, vm: str) -> None:
+        self._vm = vm
+        # With the time until which each is reported.
+        self._crashes: list[tuple[float, tuple[CrashSuspect, ...]]] = []
+        self._proofs: dict[RunKey, float] = {}
+
+    def note_crash(
+        self, runs: Iterable[TrackedRun], now_s: float
+    ) -> tuple[CrashSuspect, ...]:
+        """Record a crash.
+
+        Parameters
+        ----------
+        runs : iterable of TrackedRun
+            All runs of the instance that crashed.
+        now_s : float
+            Steady time in seconds.
+
+        Returns
+        -------
+        tuple
+            The runs that may have caused the crash.
+        """
+        suspects = tuple(
+            CrashSuspect(tracked.task_id, tracked.run, tracked.known_started)
+            for tracked in runs
+            if tracked.may_have_crashed_worker
+        )
+        if suspects:
+            self._crashes.append((now_s + REPORTED_FOR_S, suspects))
+        return suspects
+
+    def note_proofs(self, runs: Iterable[TrackedRun], now_s: float) -> bool:
+        """Record proven runs; return whether there are new ones."""
+        has_new = False
+        for tracked in runs:
+            key = (tracked.task_id, tracked.run)
+            if not tracked.proven or tracked.run == FIRST_RUN:
+                continue
+            if tracked.proof_recorded:
+                continue
+            tracked.proof_recorded = True
+            self._proofs[key] = now_s + REPORTED_FOR_S
+            has_new = True
+        return has_new
+
+    def build_report(
+        self, incarnation: int, now_s: float
+    ) -> CrashReport | None:
+        """Return what is to be reported now, or None."""
+        self._crashes = [c for c in self._crashes if c[0] > now_s]
+        for key, until_s in list(self._proofs.items()):
+            if until_s <= now_s:
+                del self._proofs[key]
+        if not self._crashes and not self._proofs:
+            return None
+        return CrashReport(
+            vm=self._vm,
+            incarnation=incarnation,
+            crashes=tuple(suspects for _, suspects in self._crashes),
+            proven=tuple(self._proofs),
+        )
--- /dev/null
+++ b/src/yuccapoint/cell/crash_trials.py
@@ -0,0 +1,71 @@
+"""Separate starts of tasks that are suspected of crashing workers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from yuccapoint.cell.job_run import TaskRun
+    from yuccapoint.cell.vm_candidate import VmCandidate
+
+# A run counts as starting for this long after it was first reported. Its
+# worker has then listed it, or its crash is being noticed.
+STARTING_S = 1.0
+# A suspect's run that is still reported after this time did not crash its
+# worker: the lease of a crashed one has expired by then.
+TRIAL_TIMEOUT_S = 6.0
+# A VM gets no other starts for at most this long until a suspect can start.
+RESERVATION_S = 3.0
+# Share of the VMs of a pool that suspects may keep from other starts.
+MAX_TRIAL_SHARE = 0.5
+
+
+def assess(candidate: VmCandidate, now_s: float) -> None:
+    """Record which runs are starting on a VM."""
+    ledger = candidate.ledger
+    for task in ledger.claims.values():
+        run_s = now_s - task.started_at_s if task.seen_running else 0.0
+        if task.is_suspect and run_s < TRIAL_TIMEOUT_S:
+            candidate.on_trial = True
+            candidate.starting_runs += 1
+        elif run_s < STARTING_S:
+            candidate.starting_runs += 1
+    candidate.starting_runs += len(ledger.unclaimed_runs)
+    if now_s < ledger.reserved_until_s:
+        candidate.on_trial = True
+        candidate.reserved_for = ledger.reserved_for
+
+
+def may_start(task: TaskRun, candidate: VmCandidate) -> bool:
+    """Return whether a start would leave a suspect alone."""
+    if not task.is_suspect:
+        return not candidate.on_trial
+    if candidate.starting_runs:
+        return False
+    return not candidate.on_trial or candidate.reserved_for == task.task_id
+
+
+def note_start(task: TaskRun, candidate: VmCandidate) -> None:
+    """Record a start that is planned on a VM."""
+    candidate.starting_runs += 1
+    if not task.is_suspect:
+        return
+    candidate.on_trial = True
+    candidate.reserved_for = ""
+    if candidate.ledger.reserved_for == task.task_id:
+        candidate.ledger.reserved_for = ""
+        candidate.ledger.reserved_until_s = 0.0
+
+
+def has_vm_left(candidates: list[VmCandidate]) -> bool:
+    """Return whether another VM may be kept for a suspect."""
+    kept = sum(candidate.on_trial for candidate in candidates)
+    return kept < max(1, int(MAX_TRIAL_SHARE * len(candidates)))
+
+
+def reserve(task: TaskRun, candidate: VmCandidate, now_s: float) -> None:
+    """Keep a VM from other starts until a suspect can start alone."""
+    candidate.on_trial = True
+    candidate.reserved_for = task.task_id
+    candidate.ledger.reserved_for = task.task_id
+    candidate.ledger.reserved_until_s = now_s + RESERVATION_S
--- a/src/yuccapoint/cell/job_run.py
+++ b/src/yuccapoint/cell/job_run.py
@@ -4,9 +4,11 @@
 
 from typing import TYPE_CHECKING
 
+from yuccapoint.cell.crash_history import CrashHistory
 from yuccapoint.cell.occurrence_state import OccurrenceState
 from yuccapoint.cell.occurrence_state import Outcome
 from yuccapoint.cell.occurrence_state import Phase
+from yuccapoint.cell.occurrence_state import TaskCrashes
 from yuccapoint.cell.occurrence_state import TaskState
 
 if TYPE_CHECKING:
@@ -45,10 +47,13 @@
         Number of such moves.
     speed : float
         Mean share of its processors, 0 to 1, that the run used of late.
+    crashes : CrashHistory
+        Crashes of workers that the task may have caused.
     """
 
     __slots__ = (
         "checkpoint",
+        "crashes",
         "durable",
         "failed_on",
         "failures",
@@ -88,6 +93,7 @@
         self.checkpoint = ""
         self.stored_checkpoint = ""
         self.failed_on: set[str] = set()
+        self.crashes = CrashHistory()
         self.left_vm = ""
         self.moves = 0
         self.not_before_s = 0.0
@@ -113,6 +119,11 @@
             return False
         return self.seen_running and not self.stopping
 
+    @property
+    def is_suspect(self) -> bool:
+        """Whether the task may crash the worker that starts it next."""
+        return bool(self.crashes.runs)
+
     def claim(self, instance: WorkerInstance, run: int) -> None:
         """Claim the next run on an instance of a worker."""
         self._reset_run()
@@ -266,6 +277,10 @@
                     # A former leader may have sent the start already.
                     task.ordered_at_s = -1.0
             step.done = sum(t.phase is Phase.DONE for t in step.tasks)
+        for crashed in state.crashes:
+            task = self.steps[crashed.step].tasks[crashed.index]
+            task.crashes.runs = list(crashed.runs)
+            task.crashes.known = crashed.known
 
     def snapshot(self) -> OccurrenceState:
         """Return the state to store."""
@@ -292,7 +307,19 @@
                 )
             steps.append(states)
         self.begun_stored = self.begun
-        return OccurrenceState(self.outcome, instances, steps, self.begun)
+        crashes = [
+            TaskCrashes(
+                task.step.number,
+                task.index,
+                list(task.crashes.runs),
+                task.crashes.known,
+            )
+            for task in self.tasks
+            if task.is_suspect
+        ]
+        return OccurrenceState(
+            self.outcome, instances, steps, self.begun, crashes
+        )
 
 
 class JobRun:
--- a/src/yuccapoint/cell/occurrence_state.py
+++ b/src/yuccapoint/cell/occurrence_state.py
@@ -56,14 +56,28 @@
     checkpoint: str = ""
 
 
+class TaskCrashes(msgspec.Struct, array_like=True):
+    """Runs of a task that may have crashed their workers.
+
+    ``known`` of them are known to have started on these workers.
+    """
+
+    step: int
+    index: int
+    runs: list[int]
+    known: int
+
+
 class OccurrenceState(msgspec.Struct, array_like=True):
     """State of one occurrence, with its tasks by step.
 
     ``begun`` tells whether a worker ever ran one of them; a claimed run may
-    still be refused.
+    still be refused. ``crashes`` has an entry for each task that is suspected
+    of crashing the workers that start it.
     """
 
     outcome: Outcome
     instances: list[WorkerInstance]
     steps: list[list[TaskState]]
     begun: bool = False
+    crashes: list[TaskCrashes] = []
--- a/src/yuccapoint/cell/run_end_handler.py
+++ b/src/yuccapoint/cell/run_end_handler.py
@@ -64,6 +64,8 @@
             run=ended.run,
             vm=vm.name,
         )
+        if ended.how in ("done", "failed"):
+            task.crashes.note_proven(ended.run)
         if ended.how == "done":
             self._finish(vm, task, now_s)
             return
--- a/src/yuccapoint/cell/run_registry.py
+++ b/src/yuccapoint/cell/run_registry.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
 
     from yuccapoint.cell.cell_messages import EndedRun
     from yuccapoint.cell.cell_messages import StartOrder
@@ -122,6 +123,11 @@
         self.has_updates = True
         return len(self._runs)
 
+    @property
+    def tracked_runs(self) -> Iterable[TrackedRun]:
+        """All runs that were ordered on this instance."""
+        return self._runs.values()
+
     def _note_late_start(self, key: RunKey, now_s: float) -> None:
         self._late_starts_until_s[key] = now_s + MAX_CALL_DELAY_S
 
@@ -380,7 +386,7 @@
             if key in ended:
                 del self._runs[key]
             elif key in running:
-                self._mark_running(tracked)
+                self._mark_running(tracked, sent_at_s)
             elif not self._ends_truncated:
                 self._mark_absent(key, tracked, sent_at_s)
         if not self.runs_listed:
@@ -402,8 +408,8 @@
                 first_listing=int(not self.runs_listed),
             )
 
-    def _mark_running(self, tracked: TrackedRun) -> None:
-        tracked.listed = True
+    def _mark_running(self, tracked: TrackedRun, sent_at_s: float) -> None:
+        tracked.note_listed(sent_at_s)
         if tracked.stage is RunStage.STARTING:
             tracked.stage = RunStage.RUNNING
             self.has_updates = True
--- a/src/yuccapoint/cell/tracked_run.py
+++ b/src/yuccapoint/cell/tracked_run.py
@@ -12,6 +12,10 @@
 # Bounds of the pause between two copies of a stop that blocks a late start.
 FIRST_BLOCK_REPEAT_S = 0.05
 MAX_BLOCK_REPEAT_S = 0.8
+# A run that the worker lists this long after its start has not crashed it.
+SUSPECT_RUN_S = 0.5
+# Longest time from a status request to the listing that answers it.
+LISTING_DELAY_S = 0.5
 
 
 class RunStage(enum.Enum):
@@ -32,22 +36,31 @@
         Whether a start call got no answer and may still take effect.
     listed : bool
         Whether the intended instance of the worker has listed the run.
+    alive_since_s : float
+        When the run was first known to work; 0 until then.
     blocks_former_start : bool
         Whether it blocks a start meant for the worker's former instance.
     stop_acked_at_s : float
         When the worker confirmed the stop; 0 until then.
+    proven : bool
+        Whether the worker has listed the run long enough after its start.
+    proof_recorded : bool
+        Whether the proof has been recorded for the leader.
     refusal_report : int
         Sequence number of the first report that told the leader of the
         refusal; 0 until then.
     """
 
     __slots__ = (
+        "alive_since_s",
         "blocks_former_start",
         "call_pending",
         "first_call_at_s",
         "listed",
         "next_call_at_s",
         "order",
+        "proof_recorded",
+        "proven",
         "reason",
         "refusal_report",
         "run",
@@ -72,11 +85,14 @@
         self.reason = ""
         self.unanswered = False
         self.listed = False
+        self.proven = False
+        self.proof_recorded = False
         self.blocks_former_start = False
         self.call_pending = False
         self.next_call_at_s = 0.0
         self.first_call_at_s = 0.0
         self.started_at_s = 0.0
+        self.alive_since_s = 0.0
         self.stop_acked_at_s = 0.0
         self.refusal_report = 0
 
@@ -91,6 +107,32 @@
             return True
         return self.stage is RunStage.RUNNING and not self.listed
 
+    def note_listed(self, sent_at_s: float) -> None:
+        """Note that the answer to a status request lists the run."""
+        self.listed = True
+        if not self.alive_since_s:
+            self.alive_since_s = self.started_at_s or (
+                sent_at_s + LISTING_DELAY_S
+            )
+        if sent_at_s - self.alive_since_s >= SUSPECT_RUN_S:
+            self.proven = True
+
+    @property
+    def may_have_crashed_worker(self) -> bool:
+        """Whether a start by this agent may just have taken effect."""
+        if self.order is None or not self.first_call_at_s or self.proven:
+            return False
+        if self.stage is RunStage.STARTING:
+            return self.call_pending or self.unanswered
+        if self.stage is RunStage.STOPPING:
+            return not self.stop_acked_at_s
+        return self.stage is RunStage.RUNNING
+
+    @property
+    def known_started(self) -> bool:
+        """Whether the worker answered the start or listed the run."""
+        return self.listed or self.started_at_s > 0.0
+
     def is_refusal_known(self, answered_report: int) -> bool:
         """Return whether a leader that answers a report has the refusal."""
         if self.stage is not RunStage.REFUSED or not self.refusal_report:
--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from yuccapoint.cell import crash_log
 from yuccapoint.cell import lease_bounds
 from yuccapoint.cell.cell_messages import REASON_DRAINING
 from yuccapoint.cell.cell_messages import REASON_UNREACHABLE
@@ -24,6 +25,7 @@
 if TYPE_CHECKING:
     from yuccapoint.cell.cell_messages import LeaderOrders
     from yuccapoint.cell.cell_messages import StartOrder
+    from yuccapoint.cell.crash_messages import CrashSuspect
     from yuccapoint.cell.worker_events import CheckIn
     from yuccapoint.cell.worker_events import WorkerCall
     from yuccapoint.cell.worker_events import WorkerStatus
@@ -72,6 +74,7 @@
         self.lease = WorkerLease(now_s)
         self.explanations: list[Explain] = []
         self.registry = RunRegistry(now_s, self._explain)
+        self.crash_log = crash_log.CrashLog(vm)
         self._order_sequence = 0
         self._report_sequence = 0
         # The newest report of an expired lease, on which the leader releases
@@ -150,6 +153,11 @@
             previous is not None
             and previous.instance.worker_id == check_in.instance.worker_id
         )
+        suspects: tuple[CrashSuspect, ...] = ()
+        if not self._is_draining:
+            suspects = self.crash_log.note_crash(
+                self.registry.tracked_runs, now_s
+            )
         blocked = self.registry.begin_instance(now_s, same_id=same_id)
         self._explain(
             "worker",
@@ -158,6 +166,8 @@
             born_ms=check_in.instance.born_ms,
             same_id=int(same_id),
             blocked_starts=blocked,
+            announced=int(self._is_draining),
+            suspects=" ".join(f"{s.task_id}/{s.run}" for s in suspects),
         )
         self._failed_status_requests = 0
         self._answered_by_born_ms = None
@@ -316,6 +326,8 @@
         last_seen = 0
         if not self._failed_status_requests:
             last_seen = self.registry.unforgotten_ack
+        if crash_log.has_unproven_restart(self.registry.tracked_runs):
+            wait_ms = crash_log.PROOF_WAIT_MS
         if last_seen or self._failed_status_requests:
             # An acknowledgement that stays unanswered may reach the worker's
             # next instance, so that its answer is not delayed.
@@ -371,6 +383,8 @@
         self._failed_status_requests = 0
         self.lease.record_clock(status.clock_ms, now_s)
         self.registry.on_status(status, sent_at_s)
+        if self.crash_log.note_proofs(self.registry.tracked_runs, now_s):
+            self.registry.has_updates = True
         if self.registry.may_get_former_calls(now_s):
             self.registry.stop_late_starts()
         self._poll_pacer.on_answer(
--- a/src/yuccapoint/cell/vm_candidate.py
+++ b/src/yuccapoint/cell/vm_candidate.py
@@ -41,6 +41,13 @@
         Processors committed to tasks with a latency target, by image.
     demand_millicores : float
         Processors that all tasks are expected to use.
+    starting_runs : int
+        Runs that started so shortly before that they may yet crash the
+        worker.
+    on_trial : bool
+        Whether the VM is kept for the start of a suspect.
+    reserved_for : str
+        The suspect that it is kept for and that has not started yet.
     expected_speed : float
         Speed, 0 to 1, of a best-effort run that starts now.
     """
@@ -55,7 +62,10 @@
         "interference",
         "labels",
         "ledger",
+        "on_trial",
+        "reserved_for",
         "serving_images",
+        "starting_runs",
         "step_counts",
     )
 
@@ -74,6 +84,9 @@
         self.serving_images: dict[str, int] = {}
         self.best_effort_images: dict[str, float] = {}
         self.expected_speed = 1.0
+        self.starting_runs = 0
+        self.on_trial = False
+        self.reserved_for = ""
         for task in ledger.claims.values():
             self._adjust(task.step.spec, id(task.step))
             self._limit_speed(task)
--- a/src/yuccapoint/cell/vm_ledger.py
+++ b/src/yuccapoint/cell/vm_ledger.py
@@ -52,6 +52,9 @@
         Run ends up to this number are applied to the leader's state.
     unclaimed_runs : dict
         Runs on the worker without a claim, by task and run.
+    reserved_for : str
+        Task suspected of crashing workers that may start until
+        ``reserved_until_s``, alone.
     """
 
     def __init__(self, name: str, address: str, leased_until_s: float) -> None:
@@ -87,6 +90,8 @@
         self.pairs_sent_at_s = 0.0
         self.pairs_sent_for: frozenset[str] = frozenset()
         self.moved_at_s = 0.0
+        self.reserved_for = ""
+        self.reserved_until_s = 0.0
 
     @property
     def instance(self) -> WorkerInstance | None:
--- a/src/yuccapoint/process/cell_agent_process.py
+++ b/src/yuccapoint/process/cell_agent_process.py
@@ -200,6 +200,10 @@
         if not vm_agent.leader_address:
             return
         self._reported_at_s = now_s
+        # The crash is counted before the report releases the claims.
+        crashes = vm_agent.crash_log.build_report(vm_agent.incarnation, now_s)
+        if crashes is not None:
+            self._control_channel.send(vm_agent.leader_address, crashes)
         self._control_channel.send(
             vm_agent.leader_address, vm_agent.build_report(now_s)
         )
--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -22,6 +22,7 @@
 from yuccapoint.cell.cell_records import Leadership
 from yuccapoint.cell.cell_records import Member
 from yuccapoint.cell.cell_view import CellView
+from yuccapoint.cell.crash_messages import CrashReport
 from yuccapoint.cell.leader_election import LeaderElection
 from yuccapoint.cell.submission import Submission
 from yuccapoint.connection.cell_store import StoreFencedError
@@ -380,7 +381,13 @@
         if isinstance(message, RelayAnswer):
             self._relay.on_answer(message)
             return
-        if self.leader is None or not isinstance(message, VmReport):
+        if self.leader is None:
+            return
+        if isinstance(message, CrashReport):
+            if self.leader.crash_counter.apply(message, steady_s()):
+                self._wake.set()
+            return
+        if not isinstance(message, VmReport):
             return
         if self.leader.on_report(message, steady_s()):
             self._wake.set()
--- a/tests/cell_world/agent_model.py
+++ b/tests/cell_world/agent_model.py
@@ -15,6 +15,7 @@
     import random
 
     from cell_world.worker_model import WorkerModel
+    from yuccapoint.cell.crash_messages import CrashReport
     from yuccapoint.cell.worker_events import WorkerCall
 
 POLL_INTERVAL_S = 0.2
@@ -68,6 +69,11 @@
         self._reported_at_s = now_s
         return self.vm_agent.build_report(now_s)
 
+    def build_crash_report(self, now_s: float) -> CrashReport | None:
+        """Return what is to be sent with a report."""
+        agent = self.vm_agent
+        return agent.crash_log.build_report(agent.incarnation, now_s)
+
     def _is_check_in_due(self, now_s: float) -> bool:
         """Return whether an interval has passed or the worker is new."""
         if self.worker.instance.born_ms != self._checked_in_born:
--- a/tests/cell_world/oracle.py
+++ b/tests/cell_world/oracle.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from cell_world.worker_model import DEADLY
 from yuccapoint.cell.occurrence_state import Outcome
 
 if TYPE_CHECKING:
@@ -12,6 +13,12 @@
     from yuccapoint.cell.submission import Submission
 
 
+# A task that has crashed three workers may be started this often less one.
+MAX_STARTS_AFTER_CRASHES = 3
+# A task is to be blamed only for crashes this soon after its start.
+EARLY_CRASH_S = 2.5
+
+
 class Oracle:
     """Collects violations of the cell's guarantees."""
 
@@ -27,6 +34,14 @@
         self.accepted: set[str] = set()
         self.refused: set[str] = set()
         self.shown_completed: set[str] = set()
+        # Workers that crashed while they ran the task, and shortly after its
+        # start.
+        self.crashes: dict[str, int] = {}
+        self.early_crashes: dict[str, int] = {}
+        # Starts of the task after ``MAX_CRASHES`` of these.
+        self._starts_after: dict[str, int] = {}
+        self._failed_runs: dict[str, int] = {}
+        self.shown_failed: set[str] = set()
         self._runs_started: dict[str, int] = {}
         # Ends done that are not taken note of, with the number of starts of
         # the task before each.
@@ -48,6 +63,13 @@
             self.record_violation("UNASKED", task_id, "no job has this task")
             return
         spec = job.steps[int(step)]
+        if job.payload == DEADLY and self.crashes.get(task_id, 0) >= 3:
+            after = self._starts_after.get(task_id, 0) + 1
+            self._starts_after[task_id] = after
+            if after >= MAX_STARTS_AFTER_CRASHES:
+                self.record_violation(
+                    "BUDGET", task_id, f"crashed {self.crashes[task_id]}"
+                )
         for other in self.workers:
             if other.alive and task_id in other.running:
                 self.record_violation(
@@ -142,9 +164,41 @@
                     )
         self._open_ends = listed
 
+    def on_crash(self, worker: WorkerModel, now_s: float) -> None:
+        """Record the runs that a worker's crash ends."""
+        for task_id in worker.running:
+            self.crashes[task_id] = self.crashes.get(task_id, 0) + 1
+            if now_s - worker.started_at_s[task_id] > EARLY_CRASH_S:
+                continue
+            before = self.early_crashes.get(task_id, 0)
+            self.early_crashes[task_id] = before + 1
+
+    def on_run_failed(self, task_id: str) -> None:
+        """Record a run that ended as failed."""
+        before = self._failed_runs.get(task_id, 0)
+        self._failed_runs[task_id] = before + 1
+
+    def _check_failed(self, job_id: str) -> None:
+        """Check that a job shown as failed has a cause.
+
+        A task under which two workers have crashed may be given up; here
+        both have to have crashed shortly after its start.
+        """
+        self.shown_failed.add(job_id)
+        job = self.jobs[job_id]
+        for task_id in self.tasks_of(job_id):
+            if self._failed_runs.get(task_id, 0) >= job.queue.max_attempts:
+                return
+            if self.early_crashes.get(task_id, 0) >= 2:
+                return
+        self.record_violation("LOST", job_id, "is failed without cause")
+
     def check_view(self, view: CellView) -> None:
         """Check that the jobs shown as completed have ended so."""
         for job_id, seen in view.jobs.items():
+            failed = seen.outcome is Outcome.FAILED
+            if failed and job_id not in self.shown_failed:
+                self._check_failed(job_id)
             if job_id in self.shown_completed:
                 continue
             if seen.outcome is not Outcome.COMPLETED:
--- a/tests/cell_world/worker_model.py
+++ b/tests/cell_world/worker_model.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from yuccapoint.cell.cell_messages import EndedRun
@@ -23,6 +24,12 @@
     from yuccapoint.cell.worker_events import WorkerCall
 
 
+# A task with this payload crashes each worker that starts it, after this time
+# in seconds. The worker is back some seconds later.
+DEADLY = "deadly"
+DEADLY_AFTER_S = 0.01
+
+
 class WorkerModel:
     """Runs tasks under a lease and answers like the platform's workers."""
 
@@ -35,6 +42,9 @@
         self.alive = False
         self.draining = False
         self.running: dict[str, tuple[int, float, str]] = {}
+        self.started_at_s: dict[str, float] = {}
+        self.crash_at_s = math.inf
+        self.back_at_s = math.inf
         self._oracle = oracle
         self._rng = rng
         self._born = 0
@@ -42,11 +52,14 @@
 
     def begin_instance(self, now_s: float) -> None:
         """Start a new instance with the same id and no state."""
+        self._oracle.on_crash(self, now_s)
         self._born += 1
         self._started_s = now_s
         self._rate = self._rng.choice((0.98, 1.0, 1.0))
         self.alive = True
         self.draining = False
+        self.crash_at_s = math.inf
+        self.back_at_s = math.inf
         self.running = {}
         self._blocked: dict[str, int] = {}
         self._ends: list[EndedRun] = []
@@ -111,6 +124,11 @@
         if order.payload == "poison" or self._rng.random() < 0.03:
             how = "failed"
         self.running[order.task_id] = (order.run, end_s, how)
+        self.started_at_s[order.task_id] = now_s
+        if order.payload == DEADLY:
+            self.crash_at_s = now_s + DEADLY_AFTER_S
+            if self._rng.random() < 0.5:
+                return CallResult.UNANSWERED, ""
         return CallResult.DONE, ""
 
     def status(
@@ -142,6 +160,11 @@
 
     def step(self, now_s: float) -> None:
         """End the runs that are due, and all once the lease has expired."""
+        if now_s >= self.back_at_s:
+            self.begin_instance(now_s)
+        if self.alive and now_s >= self.crash_at_s:
+            self.crash(now_s)
+            self.back_at_s = now_s + self._rng.uniform(1.0, 4.0)
         if not self.alive:
             return
         lapsed = self.clock_ms(now_s) > self._lease_ms
@@ -155,13 +178,24 @@
                     self._oracle.done.add(task_id)
                 self._end(task_id, how)
 
-    def crash(self) -> None:
+    def crash(self, now_s: float) -> None:
+        self._oracle.on_crash(self, now_s)
+        self.alive = False
+        self.crash_at_s = math.inf
+        self.running = {}
+
+    def leave(self, now_s: float) -> None:
+        """End as announced; a later instance did not announce it."""
+        if not self.draining:
+            self._oracle.on_crash(self, now_s)
         self.alive = False
         self.running = {}
 
     def _end(self, task_id: str, how: str) -> None:
         run, _, _ = self.running.pop(task_id)
         self._block(task_id, run)
+        if how == "failed":
+            self._oracle.on_run_failed(task_id)
         self._number += 1
         self._ends.append(EndedRun(self._number, task_id, run, how, ""))
 
--- a/tests/cell_world/world.py
+++ b/tests/cell_world/world.py
@@ -10,6 +10,7 @@
 from cell_world.oracle import Oracle
 from cell_world.simulated_clock import SimulatedClock
 from cell_world.store_model import StoreModel
+from cell_world.worker_model import DEADLY
 from cell_world.worker_model import WorkerModel
 from yuccapoint.cell import cell_records
 from yuccapoint.cell.cell_records import Member
@@ -26,6 +27,9 @@
 VIEW_CHECK_STEPS = 5
 # More long-running jobs would leave no room for the other jobs.
 MAX_LONG_RUNNING_JOBS = 4
+# Each of them crashes several of the few workers, some of which then get no
+# work for as long as a call may be carried out late.
+MAX_DEADLY_JOBS = 4
 DISRUPTIONS = (
     "agent_kill",
     "agent_freeze",
@@ -90,6 +94,7 @@
         self._steps = 0
         self._jobs = 0
         self._long_running_jobs = 0
+        self._deadly_jobs = 0
         self._register()
 
     @property
@@ -136,8 +141,13 @@
         self.oracle.note_ends()
         for vm, agent in self.agents.items():
             report = agent.step(now_s)
-            if report is not None:
-                self.send(vm, agent.vm_agent.leader_address, report)
+            if report is None:
+                continue
+            leader = agent.vm_agent.leader_address
+            crashes = agent.build_crash_report(now_s)
+            if crashes is not None:
+                self.send(vm, leader, crashes)
+            self.send(vm, leader, report)
         for entry in self.entries:
             entry.step(now_s)
             for failure in entry.find_failures():
@@ -201,7 +211,9 @@
         job = Submission(
             job_id=job_id,
             queue=QueueRules("route", "pool", max_attempts=3),
-            payload="poison" if poison else f"payload {job_id}",
+            payload=changes.get(
+                "payload", "poison" if poison else f"payload {job_id}"
+            ),
             steps=changes.get("steps", tuple(steps)),
         )
         self.oracle.jobs[job_id] = job
@@ -367,12 +379,28 @@
 
     def _worker_crash(self) -> None:
         worker = self.rng.choice(self.workers)
-        worker.crash()
+        worker.crash(self.now_s)
         self.after(
             self.rng.uniform(0.2, 8.0),
             lambda: worker.begin_instance(self.now_s),
         )
 
+    def _deadly_task(self) -> None:
+        """Submit a job whose tasks crash each worker that starts them."""
+        self._deadly_jobs += 1
+        if self._deadly_jobs > MAX_DEADLY_JOBS:
+            return
+        long_running = self.rng.random() < 0.2
+        size = Size(300, 2**20, 0)
+        step = StepSpec(
+            tasks=self.rng.randint(1, 2),
+            size=size,
+            estimate_ms=1_500,
+            long_running=long_running,
+            gang=not long_running and self.rng.random() < 0.2,
+        )
+        self.submit(steps=(step,), payload=DEADLY)
+
     def _worker_freeze(self) -> None:
         worker = self.rng.choice(self.workers)
         if not worker.alive:
@@ -399,7 +427,7 @@
     def _drain(self) -> None:
         worker = self.rng.choice(self.workers)
         worker.draining = True
-        self.after(3.0, worker.crash)
+        self.after(3.0, lambda: worker.leave(self.now_s))
         self.after(3.5, lambda: worker.begin_instance(self.now_s))
 
     def _power_off_all(self) -> None:
@@ -412,7 +440,7 @@
             agent.restart(back_s)
         if self.rng.random() < 0.5:
             for worker in self.workers:
-                worker.crash()
+                worker.crash(self.now_s)
                 self.after(1.0, lambda w=worker: w.begin_instance(self.now_s))
 
     def unfinished(self) -> list[str]:
--- /dev/null
+++ b/tests/features/cell/worker_crashes.feature
@@ -0,0 +1,130 @@
+Feature: Tasks that crash the workers that start them
+
+  Scenario Outline: A task that crashes each worker is not started for good
+    Given a cell of 4 VMs and 3 entries for seeds <seeds>
+    When jobs are submitted for 40 s with disruptions "<troubles>"
+    And the cell is undisturbed for 90 s
+    Then no guarantee of the cell is violated
+    And all jobs of the cell have ended or are running
+
+    Examples:
+      | seeds | troubles                                             |
+      | 1-4   | deadly_task                                          |
+      | 1-2   | deadly_task and worker_crash                         |
+      | 1-2   | deadly_task and entry_kill                           |
+      | 1-2   | deadly_task and late_orders                          |
+      | 1-2   | deadly_task and agent_kill                           |
+      | 1-2   | deadly_task and drain and power_off_all              |
+      | 1-2   | deadly_task and link_cut and entry_cut and link_slow |
+
+  Scenario: The checks detect crashes that are not counted
+    Given a cell of 4 VMs and 3 entries for seeds 1-2
+    And the program has the fault "crashes are not counted"
+    When jobs are submitted for 40 s with disruptions "deadly_task"
+    Then the guarantee "BUDGET" of the cell is violated
+
+  Scenario Outline: Only runs that started shortly before are suspected
+    Given an agent whose worker has listed run "a" 2 s after
+    And the start of "b" was answered 10 ms ago
+    When the worker is back after 3 s under <which> id
+    Then the agent suspects "b" of the crash, known to have started
+    And the crash is reported for 15 s, also to another leader
+
+    Examples:
+      | which   |
+      | its     |
+      | another |
+
+  Scenario: A run that was listed soon after its start is suspected
+    Given an agent whose worker has listed run "a" 2 s after
+    And the start of "b" was answered 100 ms ago
+    And the worker has listed "a b" at once
+    When the worker is back after 3 s under its id
+    Then the agent suspects "b" of the crash, known to have started
+
+  Scenario: A start that may be carried out late is suspected
+    Given an agent whose worker has listed run "a" 2 s after
+    And the start of "b" was lost 8000 ms ago
+    When the worker is back after 3 s under its id
+    Then the agent suspects "b" of the crash, unknown to have started
+
+  Scenario Outline: No run is suspected when a worker ends as announced
+    Given an agent whose worker has listed run "a" 2 s after
+    And the start of "b" was answered 10 ms ago
+    And the worker has announced that it <how>
+    When the worker is back after 3 s under its id
+    Then the agent suspects no run of a crash
+
+    Examples:
+      | how    |
+      | leaves |
+      | drains |
+
+  Scenario: No run is suspected when the agent went down with its worker
+    Given an agent whose worker has listed run "a" 2 s after
+    And the start of "b" was answered 10 ms ago
+    And the agent has restarted and heard of the worker
+    When the worker is back after 3 s under its id
+    Then the agent suspects no run of a crash
+
+  Scenario Outline: A task that crashed two workers is given up
+    Given 4 VMs on which a <kind> job of <tasks> tasks is claimed
+    When the worker of task 0 crashes, with it as the only suspect
+    And all crashes are reported again
+    Then the job is open
+    And task 0 has no failed attempt and its VM is open
+    When the worker of task 0 crashes, with it as the only suspect
+    Then the job is failed
+    And the job's stored state is failed
+
+    Examples:
+      | kind         | tasks |
+      | plain        | 1     |
+      | gang         | 2     |
+      | long-running | 1     |
+
+  Scenario: A crash counts though the claim was released before
+    Given 4 VMs on which a plain job of 1 tasks is claimed
+    When the worker of task 0 crashes, and the claim is released first
+    And the worker of task 0 crashes, and the claim is released first
+    Then the job is failed
+
+  Scenario: A crash counts at the next leader too
+    Given 4 VMs on which a plain job of 1 tasks is claimed
+    When the worker of task 0 crashes, with it as the only suspect
+    And another leader takes over from the store
+    And all crashes are reported again
+    Then the job is open
+    When the worker of task 0 crashes, with it as the only suspect
+    Then the job is failed
+
+  Scenario: A task whose start may not have arrived is not given up soon
+    Given 4 VMs on which a plain job of 1 tasks is claimed
+    When its worker crashes before the start of task 0 is answered
+    And the worker of task 0 crashes, with it as the only suspect
+    Then the job is open
+    When its worker crashes before the start of task 0 is answered
+    Then the job is open
+    When its worker crashes before the start of task 0 is answered
+    Then the job is failed
+
+  Scenario: Suspects start alone until they are proven
+    Given 1 VMs on which a plain job of 3 tasks is claimed
+    When the worker of all tasks crashes, with all of them as suspects
+    Then the job is open
+    And 1 of the suspects start now, each on a VM of its own
+
+  Scenario: Suspects leave half of the VMs to others
+    Given 4 VMs on which a plain job of 1 tasks is claimed
+    When the worker of all tasks crashes, with all of them as suspects
+    Then 1 of the suspects start now, each on a VM of its own
+    When another job of 12 tasks is submitted
+    Then none of its tasks starts on a VM with a suspect
+
+  Scenario: A suspect starts though others start all the time
+    Given 1 VMs on which a plain job of 1 tasks is claimed
+    When 3 jobs of 1 tasks are submitted 300 ms apart
+    And the worker of task 0 crashes, with it as the only suspect
+    Then all suspects are claimed
+    When the suspects that started are proven
+    Then the job is open
--- a/tests/features/steps/cell_world_steps.py
+++ b/tests/features/steps/cell_world_steps.py
@@ -14,6 +14,7 @@
 from cell_world.world import DISRUPTIONS  # noqa: E402
 from cell_world.world import World  # noqa: E402
 from yuccapoint.cell import lease_bounds  # noqa: E402
+from yuccapoint.cell.crash_history import CrashHistory  # noqa: E402
 from yuccapoint.cell.job_gateway import GatewayResult  # noqa: E402
 from yuccapoint.cell.job_run import OccurrenceRun  # noqa: E402
 from yuccapoint.cell.job_run import StepRun  # noqa: E402
@@ -57,6 +58,9 @@
     "jobs complete too early": lambda: mock.patch.object(
         StepRun, "finished", property(lambda self: self.done > 0)
     ),
+    "crashes are not counted": lambda: mock.patch.object(
+        CrashHistory, "note_crash", lambda self, run, *, started: False
+    ),
     "unanswered jobs are refused": lambda: mock.patch.object(
         CellJobGateway, "_truthful", _refuse_unanswered
     ),
@@ -81,9 +85,9 @@
 
 @when('jobs are submitted for {seconds:d} s with disruptions "{disruptions}"')
 def run_disrupted(context: Context, seconds: int, disruptions: str) -> None:
-    chosen = DISRUPTIONS
-    if disruptions != "all":
-        chosen = tuple(disruptions.split(" and "))
+    chosen: tuple[str, ...] = ()
+    for name in disruptions.split(" and "):
+        chosen += DISRUPTIONS if name == "all" else (name,)
     for _, world in context.worlds:
         world.run(3.0)
         world.run(seconds, chosen)
