Don't blame a new instance of a worker for runs that stalled on the former

After a crash the leader sees the worker's runs stall and records each as a failure of the VM; it then went into quarantine and on probation, where no task that lasts starts. A new instance now begins without the failures of its predecessor.

Ruled out: room taken by others, as tasks that last are placed first.

"A worker that crashed is not blamed for the runs that stalled on it" failed before this commit (both tasks waiting) and passes now.

--- a/src/yuccapoint/cell/report_handler.py
+++ b/src/yuccapoint/cell/report_handler.py
@@ -76,6 +76,7 @@
             vm.applied_end_number = 0
             vm.acked_end_number = 0
             vm.unclaimed_runs.clear()
+            vm.forget_former_failures()
             self._leader.explain(
                 "vm",
                 "a worker registered",
--- a/src/yuccapoint/cell/vm_ledger.py
+++ b/src/yuccapoint/cell/vm_ledger.py
@@ -52,6 +52,8 @@
         Run ends up to this number are applied to the leader's state.
     unclaimed_runs : dict
         Runs on the worker without a claim, by task and run.
+    failures_of : WorkerInstance or None
+        Instance on which a run failed or stalled last.
     reserved_for : str
         Task suspected of crashing workers that may start until
         ``reserved_until_s``, alone.
@@ -83,6 +85,7 @@
         self.orders_due = False
         self.drain_until_s = 0.0
         self.failed_jobs: set[str] = set()
+        self.failures_of: WorkerInstance | None = None
         self.quarantined_until_s = 0.0
         self.quarantine_s = INITIAL_QUARANTINE_S
         self.unproven = False
@@ -207,6 +210,7 @@
     def record_failure(self, job_id: str, now_s: float) -> bool:
         """Record a failed run; return whether it starts a quarantine."""
         self.failed_jobs.add(job_id)
+        self.failures_of = self.instance
         if not self.unproven and len(self.failed_jobs) < QUARANTINE_FAILURES:
             return False
         self.quarantined_until_s = now_s + self.quarantine_s
@@ -215,6 +219,13 @@
         self.unproven = True
         return True
 
+    def forget_former_failures(self) -> None:
+        """Drop the failures that an earlier instance is blamed for."""
+        if self.failures_of is None or self.failures_of == self.instance:
+            return
+        self.record_success()
+        self.quarantined_until_s = 0.0
+
     def record_success(self) -> None:
         """Record a successful run."""
         self.failed_jobs.clear()
--- a/tests/features/cell/worker_crashes.feature
+++ b/tests/features/cell/worker_crashes.feature
@@ -128,3 +128,8 @@
     Then all suspects are claimed
     When the suspects that started are proven
     Then the job is open
+
+  Scenario: A worker that crashed is not blamed for the runs that stalled on it
+    Given 2 VMs on which runs of 3 jobs stall, the worker gone
+    When the workers are back as new instances
+    Then a long-running job of 2 tasks is claimed at once
