Stop retrying a request after three endpoints failed while running it

It now goes to three at most and the caller is told may-have-run, as before when nothing was left. Attempts that did not run are not counted, and callers of requests with one or two such failures see no change.

"A request that crashes its endpoints does not reach all of them" failed before (10 of 10 endpoints ran it) and passes now (3).

--- a/src/yuccapoint/process/request_forwarder.py
+++ b/src/yuccapoint/process/request_forwarder.py
@@ -9,6 +9,7 @@
 from yuccapoint.connection.agent_session import AgentSession
 from yuccapoint.connection.agent_session import split_body
 from yuccapoint.connection.frames import RequestHead
+from yuccapoint.process.retry_decision import may_retry
 from yuccapoint.request.exceptions import DeadlinePassedError
 from yuccapoint.request.exceptions import EndpointFailedError
 from yuccapoint.request.exceptions import NoEndpointError
@@ -163,9 +164,7 @@
             except RequestError as error:
                 if error.verdict is not Verdict.NOT_RUN:
                     verdict = error.verdict
-                if not error.verdict.allows_retry(
-                    idempotent=request.idempotent
-                ):
+                if not may_retry(request, error, self._logger):
                     raise
                 error.verdict = verdict
                 if not budget.withdraw():
@@ -220,6 +219,7 @@
             forwarded = await self._send(request, decision)
         except RequestError as error:
             view.remove_request(request.customer)
+            request.failed_runs += error.verdict is Verdict.MAY_HAVE_RUN
             self._record_result(decision, failed=_is_endpoint_failure(error))
             raise
         except asyncio.CancelledError:
--- a/src/yuccapoint/request/service_request.py
+++ b/src/yuccapoint/request/service_request.py
@@ -27,11 +27,14 @@
         VMs whose agents accepted the claim of the request's key.
     tried_endpoints : set of str
         Keys of the endpoints that the request was sent to.
+    failed_runs : int
+        Attempts that may have run and got no whole response.
     """
 
     __slots__ = (
         "body_chunks",
         "customer",
+        "failed_runs",
         "deadline_s",
         "headers",
         "idempotent",
@@ -68,6 +71,7 @@
         self.key = ""
         self.claimed_key_vms: list[str] = []
         self.tried_endpoints: set[str] = set()
+        self.failed_runs = 0
 
     @property
     def scope(self) -> str:
