--- a/tests/cell_world/agent_model.py
+++ b/tests/cell_world/agent_model.py
@@ -15,6 +15,7 @@
     import random
 
     from cell_world.worker_model import WorkerModel
+    from yuccapoint.cell.crash_messages import CrashReport
     from yuccapoint.cell.worker_events import CheckIn
     from yuccapoint.cell.worker_events import WorkerCall
 
@@ -87,6 +88,11 @@
             check_in = self.worker.check_in(now_s)
             self._waiting_check_ins.append((at_s, check_in))
 
+    def build_crash_report(self, now_s: float) -> CrashReport | None:
+        """Return what is to be sent with a report."""
+        agent = self.vm_agent
+        return agent.crash_log.build_report(agent.incarnation, now_s)
+
     def _is_check_in_due(self, now_s: float) -> bool:
         """Return whether an interval has passed or the worker is new."""
         if self.worker.instance.born_ms != self._checked_in_born:
