Give up an occurrence when all suspects of a crash belong to it

A gang whose members share a VM, or a task whose starts stay unanswered, was given up only after four counted crashes. "Alone" now means that all suspects are of one occurrence, which is what is given up; three crashes are enough when the newest is of this kind, known starts or not.

--- a/src/yuccapoint/cell/crash_counter.py
+++ b/src/yuccapoint/cell/crash_counter.py
@@ -13,9 +13,11 @@
     from yuccapoint.cell.crash_messages import CrashSuspect
     from yuccapoint.cell.job_run import TaskRun
 
-# A task that was the only suspect of its newest crash is given up after this
-# many crashes of workers that are known to have started it.
-MAX_CRASHES_ALONE = 2
+# If all suspects of a crash belong to one occurrence, it is given up after
+# this many crashes of workers that are known to have started the same task.
+MAX_KNOWN_CRASHES = 2
+# The same with workers that may have crashed before the start arrived.
+MAX_CRASHES_ALONE = 3
 # It is given up in any case after this many.
 MAX_CRASHES = 4
 
@@ -43,7 +45,7 @@
                 self._explain_proven(task, run, report.vm)
                 has_new = True
         for suspects in report.crashes:
-            alone = len(suspects) == 1
+            alone = len({_occurrence_of(s) for s in suspects}) == 1
             for suspect in suspects:
                 task = self._leader.find_task(suspect.task_id)
                 if task is None or not _count(task, suspect):
@@ -95,6 +97,10 @@
         self._leader.end_occurrence(occurrence, Outcome.FAILED, now_s)
 
 
+def _occurrence_of(suspect: CrashSuspect) -> str:
+    return suspect.task_id.rsplit(".", 2)[0]
+
+
 def _count(task: TaskRun, suspect: CrashSuspect) -> bool:
     """Return whether a crash counts that was not counted before."""
     if task.phase is Phase.DONE or suspect.run > task.run:
@@ -103,6 +109,9 @@
 
 
 def _is_hopeless(task: TaskRun, *, alone: bool) -> bool:
-    if len(task.crashes.runs) >= MAX_CRASHES:
+    crashes = len(task.crashes.runs)
+    if not alone:
+        return crashes >= MAX_CRASHES
+    if task.crashes.known >= MAX_KNOWN_CRASHES:
         return True
-    return alone and task.crashes.known >= MAX_CRASHES_ALONE
+    return crashes >= MAX_CRASHES_ALONE
--- a/tests/features/cell/worker_crashes.feature
+++ b/tests/features/cell/worker_crashes.feature
@@ -104,8 +104,22 @@
     And the worker of task 0 crashes, with it as the only suspect
     Then the job is open
     When its worker crashes before the start of task 0 is answered
+    Then the job is failed
+
+  Scenario: A suspect that never starts alone is given up at last
+    Given 4 VMs on which a plain job of 1 tasks is claimed
+    When the worker of task 0 crashes, with a task of another job
+    And the worker of task 0 crashes, with a task of another job
+    And the worker of task 0 crashes, with a task of another job
     Then the job is open
-    When its worker crashes before the start of task 0 is answered
+    When the worker of task 0 crashes, with a task of another job
+    Then the job is failed
+
+  Scenario: A gang that fits on one VM only is given up after two crashes
+    Given 1 VMs on which a gang job of 2 tasks is claimed
+    When the worker of all tasks crashes, with all of them as suspects
+    Then the job is open
+    When the worker of all tasks crashes, with all of them as suspects
     Then the job is failed
 
   Scenario: Suspects start alone until they are proven
--- a/tests/features/steps/worker_crash_steps.py
+++ b/tests/features/steps/worker_crash_steps.py
@@ -87,13 +87,19 @@
 
 
 def _crash(
-    context: Context, names: list[str], tasks: list[TaskRun], *, started=True
+    context: Context,
+    names: list[str],
+    tasks: list[TaskRun],
+    *,
+    started: bool = True,
+    beside: tuple[CrashSuspect, ...] = (),
 ) -> None:
     """Report a crash of a VM's worker and its new instance."""
     [vm] = {task.instance.vm for task in tasks}
     suspects = tuple(
         CrashSuspect(task.task_id, task.run, started) for task in tasks
     )
+    suspects += beside
     crash = CrashReport(vm=vm, incarnation=1, crashes=(suspects,), proven=())
     for step in names:
         if step == "crash":
@@ -165,6 +171,15 @@
     _plan(context)
 
 
+@when("the worker of task {index:d} crashes, with a task of another job")
+def crash_beside(context: Context, index: int) -> None:
+    task = _tasks(context)[index]
+    other = CrashSuspect(f"{OTHER_JOB}.0.0.0", 1, True)
+    _crash(context, ["crash", "restart"], [task], beside=(other,))
+    context.now_s += 3.0
+    _plan(context)
+
+
 @when("another leader takes over from the store")
 def new_leader(context: Context) -> None:
     former = context.leader
