--- a/src/yuccapoint/cell/crash_log.py
+++ b/src/yuccapoint/cell/crash_log.py
@@ -53,23 +53,27 @@
         self._crashes: list[tuple[float, tuple[CrashSuspect, ...]]] = []
         self._proofs: dict[RunKey, float] = {}
 
-    def note_crash(
-        self, runs: Iterable[TrackedRun], now_s: float
-    ) -> tuple[CrashSuspect, ...]:
-        """Record a crash.
+    def on_instance_ended(
+        self, runs: Iterable[TrackedRun], now_s: float, *, announced: bool
+    ) -> str:
+        """Record a crash, unless the worker had announced its end.
 
         Parameters
         ----------
         runs : iterable of TrackedRun
-            All runs of the instance that crashed.
+            All runs of the instance that ended.
         now_s : float
             Steady time in seconds.
+        announced : bool
+            Whether the worker had announced that it leaves or drains.
 
         Returns
         -------
-        tuple
-            The runs that may have caused the crash.
+        str
+            The suspects by task and run, for the log.
         """
+        if announced:
+            return ""
         suspects = tuple(
             CrashSuspect(tracked.task_id, tracked.run, tracked.known_started)
             for tracked in runs
@@ -77,7 +81,7 @@
         )
         if suspects:
             self._crashes.append((now_s + REPORTED_FOR_S, suspects))
-        return suspects
+        return " ".join(f"{s.task_id}/{s.run}" for s in suspects)
 
     def note_proofs(self, runs: Iterable[TrackedRun], now_s: float) -> bool:
         """Record proven runs; return whether there are new ones."""
--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -25,7 +25,6 @@
 if TYPE_CHECKING:
     from yuccapoint.cell.cell_messages import LeaderOrders
     from yuccapoint.cell.cell_messages import StartOrder
-    from yuccapoint.cell.crash_messages import CrashSuspect
     from yuccapoint.cell.worker_events import CheckIn
     from yuccapoint.cell.worker_events import WorkerCall
     from yuccapoint.cell.worker_events import WorkerStatus
@@ -153,11 +152,9 @@
             previous is not None
             and previous.instance.worker_id == check_in.instance.worker_id
         )
-        suspects: tuple[CrashSuspect, ...] = ()
-        if not self._is_draining:
-            suspects = self.crash_log.note_crash(
-                self.registry.tracked_runs, now_s
-            )
+        suspects = self.crash_log.on_instance_ended(
+            self.registry.tracked_runs, now_s, announced=self._is_draining
+        )
         blocked = self.registry.begin_instance(now_s, same_id=same_id)
         self._explain(
             "worker",
@@ -167,7 +164,7 @@
             same_id=int(same_id),
             blocked_starts=blocked,
             announced=int(self._is_draining),
-            suspects=" ".join(f"{s.task_id}/{s.run}" for s in suspects),
+            suspects=suspects,
         )
         self._failed_status_requests = 0
         self._answered_by_born_ms = None
