Stop the members of a gang that wait for a refused one

A member whose start was refused (no room, a draining or silent worker) went back to the queue, and the others held their room and waited for it until they ended alone (GANG), as a gang is claimed anew only when no member holds a claim. The leader now stops them when it learns of the refusal. Withdrawn starts after a shrink make such refusals more likely.

The scenario failed before (no member was stopped).

--- a/src/yuccapoint/cell/run_end_handler.py
+++ b/src/yuccapoint/cell/run_end_handler.py
@@ -123,6 +123,12 @@
         if refused.reason == "ticket":
             self._leader.ticket_cache.discard_step(task.step)
         self._requeue(task, "", now_s)
+        if not task.step.spec.gang:
+            return
+        # The other members would wait for this one in vain.
+        for member in task.step.tasks:
+            if member.phase is Phase.CLAIMED and member.run == refused.run:
+                self._leader.stop(member, "a member was refused", now_s)
 
     def abandon(
         self, vm: VmLedger | None, task: TaskRun, why: str, now_s: float
--- a/tests/features/cell/shrunk_capacity.feature
+++ b/tests/features/cell/shrunk_capacity.feature
@@ -30,6 +30,11 @@
     Then 0 starts are ordered
     And no member of the gang holds a claim
 
+  Scenario: No member of a gang waits for one that was refused
+    Given a leader with 2 VMs and a gang on both that is not stored yet
+    When it is stored, and the first VM refuses a member for want of room
+    Then its 3 other members are stopped
+
   Scenario: A start that was planned before the worker shrank is not made
     # Slow link: the agent knew of the shrink seconds before the leader.
     Given a leader and an agent whose worker has room for a task
--- a/tests/features/steps/shrunk_capacity_steps.py
+++ b/tests/features/steps/shrunk_capacity_steps.py
@@ -10,6 +10,7 @@
 from cell_leader_steps import WALL_MS
 
 from yuccapoint.cell.cell_leader import CellLeader
+from yuccapoint.cell.cell_messages import RefusedRun
 from yuccapoint.cell.cell_messages import RunningTask
 from yuccapoint.cell.cell_records import Member
 from yuccapoint.cell.step_spec import StepSpec
@@ -97,6 +98,23 @@
     _order(context)
 
 
+@when("it is stored, and the first VM refuses a member for want of room")
+def member_refused(context: Context) -> None:
+    context.leader.commit(context.batch)
+    _order(context)
+    assert len(_starts(context)) == 4, context.orders
+    context.now_s += 0.1
+    task_id = next(iter(context.leader.vms[VM].claims))
+    refused = RefusedRun(task_id, 1, "room")
+    _report(context, Size(4_000, 2**35, 0), refused=(refused,))
+
+
+@then("its {count:d} other members are stopped")
+def members_stopped(context: Context, count: int) -> None:
+    stops = [stop for orders in context.orders for stop in orders.stops]
+    assert len(stops) == count, stops
+
+
 @when("the VM reports room for all of them")
 def room_grows(context: Context) -> None:
     context.now_s += 0.5
