--- a/tests/features/platform/malformed.feature
+++ b/tests/features/platform/malformed.feature
@@ -41,6 +41,22 @@
     When the operator's topic is followed for 1 s
     Then the store was read again and the feed is running
 
+  Scenario Outline: A check-in without a usable capacity is rejected
+    # The capacity of the check-in before it holds.
+    Given a check-in server of a VM
+    When a check-in arrives whose "Capacity" is <capacity>
+    Then it is rejected with status 400
+
+    Examples:
+      | capacity                                |
+      | missing                                 |
+      | null                                    |
+      | [1000, 64, 0]                           |
+      | {"Cpu": "1000", "MemMb": 64, "Gpu": 0}  |
+      | {"Cpu": 1000.5, "MemMb": 64, "Gpu": 0}  |
+      | {"Cpu": 1000, "MemMb": -1, "Gpu": 0}    |
+      | {"Cpu": 1000, "MemMb": 64, "Gpu": null} |
+
   Scenario Outline: A check-in that names no lifetime is rejected
     # Taken as born at 0 it would be the instance of all such check-ins.
     Given a check-in server of a VM
