Seed the fault of uncounted room where all of its checks read it

The seeded fault no longer made the program do wrong; the check of the oracle was not at fault.

The fault is now that VmLedger counts no room as used, which both places read.

--- a/tests/features/steps/cell_world_steps.py
+++ b/tests/features/steps/cell_world_steps.py
@@ -51,7 +51,7 @@
         TaskRun, "failures", property(lambda self: 0, _no_failures)
     ),
     "room is not counted": lambda: mock.patch.object(
-        VmCandidate, "place", lambda self, spec, step_key: None
+        VmLedger, "used", property(lambda self: Size())
     ),
     "shrunk room counts in full": lambda: mock.patch.object(
         VmLedger,
