Stop reopening connections to peers that nothing is sent to

A connection on which nothing more is sent stayed silent and was reopened each 8 s for ever, as to a VM that has left. It is reopened once and then only after a further message.

--- a/src/yuccapoint/connection/control_channel.py
+++ b/src/yuccapoint/connection/control_channel.py
@@ -126,6 +126,7 @@
         """Send a message; it may get lost."""
         try:
             peer = self._peer(address)
+            peer.in_use = True
             self._send(peer, message)
             self._probe(peer)
         except pynng.NNGException:
@@ -205,7 +206,9 @@
             if now_s < read_until_s:
                 continue
             for peer in list(self._peers.values()):
-                self._check(peer)
+                # A peer that is gone is not dialled for ever.
+                if peer.in_use:
+                    self._check(peer)
 
     def _check(self, peer: ControlPeer) -> None:
         try:
@@ -222,6 +225,7 @@
             return
         try:
             peer = self._peer(probe.sender)
+            peer.in_use = True
             peer.receipts.on_probe(probe, self._clock())
             self._reopen_if_silent(peer)
             self._send(peer, DeliveryReceipt(probe.receiver, probe.number))
--- a/src/yuccapoint/connection/control_peer.py
+++ b/src/yuccapoint/connection/control_peer.py
@@ -23,16 +23,22 @@
     address : str
         IP number and port of the peer.
 
+    Attributes
+    ----------
+    in_use : bool
+        Whether anything was sent since the connection was opened.
+
     Raises
     ------
     pynng.NNGException
         The address is invalid.
     """
 
-    __slots__ = ("_socket", "address", "monitor", "receipts")
+    __slots__ = ("_socket", "address", "in_use", "monitor", "receipts")
 
     def __init__(self, address: str) -> None:
         self.address = address
+        self.in_use = False
         self.monitor = DeliveryMonitor(random.getrandbits(PROBE_NUMBER_BITS))
         self.receipts = SentReceipts(self.monitor)
         self._socket = _connect(address)
@@ -45,6 +51,7 @@
         """Replace the connection; messages that still wait are lost."""
         self._socket.close()
         self._socket = _connect(self.address)
+        self.in_use = False
         self.monitor.on_reopened(now_s)
 
     def close(self) -> None:
--- a/tests/features/connection/delivery.feature
+++ b/tests/features/connection/delivery.feature
@@ -78,6 +78,11 @@
     When all connections opened in the first 3.4 s are silent
     Then a probe is confirmed within a VM's lease
 
+  Scenario: A peer that is gone is not dialled for ever
+    Given two control channels
+    When one sends a message to a peer that is gone, and then nothing for 3.0 s
+    Then it has reopened at most 1 connection
+
   Scenario: Probes and receipts keep their form
     Then a probe is the array "dp", "a:1", "b:2", 3, 4
     And a receipt is the array "dr", "b:2", 3
--- a/tests/features/steps/delivery_steps.py
+++ b/tests/features/steps/delivery_steps.py
@@ -260,6 +260,24 @@
     run(context, exchange())
 
 
+@when(
+    "one sends a message to a peer that is gone, and then nothing for "
+    "{idle_s:f} s"
+)
+def send_to_gone(context: Context, idle_s: float) -> None:
+    async def send() -> None:
+        context.channels[0].send(free_address(), MESSAGE)
+        await asyncio.sleep(idle_s)
+
+    run(context, send())
+
+
+@then("it has reopened at most {count:d} connection")
+def few_reopened(context: Context, count: int) -> None:
+    reopened = context.channels[0].reopened_connections
+    assert reopened <= count, f"{reopened} reopened"
+
+
 @then("it has reopened no connection")
 def none_reopened(context: Context) -> None:
     reopened = context.channels[0].reopened_connections
