--- a/tests/features/cell/disruptions.feature
+++ b/tests/features/cell/disruptions.feature
@@ -42,6 +42,7 @@
       | 23    | capacity_changes and store_slow |
       | 10    | capacity_changes and store_down |
       | 24    | capacity_changes and store_down |
+      | 5-12  | all                          |
 
   Scenario Outline: The checks detect a seeded fault
     Given a cell of 4 VMs and 3 entries for seeds 1-12
