Show that a run which a new instance is stopping is started elsewhere

Callers see a task run twice at the same time (TWICE). A start that the agent meant for a worker's former instance reaches the new one before that has checked in. The agent stops the run there and reports the new instance once the stop is confirmed; the leader takes the claim on the former instance as ended, while the stop takes up to 0.9 s.

The simulated cell did not show it: its new instances checked in before any call of their agents, and its stops took no time.

--- a/tests/cell_world/agent_model.py
+++ b/tests/cell_world/agent_model.py
@@ -95,6 +95,8 @@
 
     def _is_check_in_due(self, now_s: float) -> bool:
         """Return whether an interval has passed or the worker is new."""
+        if not self.worker.has_checked_in(now_s):
+            return False
         if self.worker.instance.born_ms != self._checked_in_born:
             return True
         return now_s - self._checked_in_at_s > 1.0
--- a/tests/cell_world/worker_model.py
+++ b/tests/cell_world/worker_model.py
@@ -44,6 +44,8 @@
         self.guards_capacity = False
         # How long a stopped run still holds its room.
         self.stop_takes_s = 0.0
+        # How long after its start an instance checks in.
+        self.check_in_delay_s = 0.0
         # Former capacities, each with the time at which it ended.
         self._former: list[tuple[float, Size]] = []
         self.labels = ("a", f"r{vm[-1]}")
@@ -81,6 +83,10 @@
     def instance(self) -> WorkerInstance:
         return WorkerInstance(self.vm, f"i-{self.vm}", self._born)
 
+    def has_checked_in(self, now_s: float) -> bool:
+        """Return whether the instance is old enough to have checked in."""
+        return now_s - self._started_s >= self.check_in_delay_s
+
     def resize(self, capacity: Size, now_s: float) -> None:
         """Change the capacity, which the next check-in shows."""
         self._former.append((now_s, self.capacity))
--- a/tests/cell_world/world.py
+++ b/tests/cell_world/world.py
@@ -435,6 +435,22 @@
             lambda: worker.begin_instance(self.now_s),
         )
 
+    def _worker_restarts(self) -> None:
+        """Crash some workers that are soon back under their ids.
+
+        Their agents call the new instances before these have checked in, and
+        a run that is stopped there takes a while to end.
+        """
+        count = self.rng.randint(1, len(self.workers))
+        for worker in self.rng.sample(self.workers, count):
+            worker.stop_takes_s = self.rng.uniform(0.1, 0.9)
+            worker.check_in_delay_s = self.rng.uniform(0.0, 0.3)
+            worker.crash(self.now_s)
+            self.after(
+                self.rng.uniform(0.02, 1.0),
+                lambda worker=worker: worker.begin_instance(self.now_s),
+            )
+
     def _deadly_task(self) -> None:
         """Submit a job whose tasks crash each worker that starts them."""
         self._deadly_jobs += 1
--- a/tests/features/cell/restarted_worker.feature
+++ b/tests/features/cell/restarted_worker.feature
@@ -15,6 +15,17 @@
     And the worker restarts under its id after 2 s
     Then the run is stopped there before the worker is reported
 
+  Scenario: A run that a new instance is stopping is not reported as ended
+    # Load: a start reaches the new instance before that has checked in. A stop
+    # takes up to 0.9 s, in which the leader would start the task elsewhere.
+    Given an agent whose start is executed by the worker's next instance
+    When that instance checks in and confirms the stop of the run
+    Then the worker is not reported
+    When a poll lists the run as running
+    Then the worker is not reported
+    When a poll lists the run as stopped
+    Then the worker is reported with the end of the run
+
   Scenario: A start is not blocked once its late copies are no longer possible
     Given an agent whose worker carries out a start on the second call
     When the run ends as done and the end is acknowledged
--- a/tests/features/steps/restarted_worker_steps.py
+++ b/tests/features/steps/restarted_worker_steps.py
@@ -144,6 +144,43 @@
     answer(context, ends=(EndedRun(1, *FIRST_RUN, "done", ""),))
 
 
+@given("an agent whose start is executed by the worker's next instance")
+def started_on_next_instance(context: Context) -> None:
+    make_agent(context)
+    deliver(context, run=1)
+    [call] = calls(context, StartCall)
+    context.vm_agent.on_start_result(call, CallResult.DONE, "", context.now_s)
+
+
+@when("that instance checks in and confirms the stop of the run")
+def confirm_stop(context: Context) -> None:
+    restart_worker(context, 0)
+    [stop] = calls(context, StopCall)
+    assert (stop.task_id, stop.run) == FIRST_RUN, stop
+    context.now_s += 0.01
+    context.vm_agent.on_stop_result(stop, CallResult.DONE, context.now_s)
+
+
+@when("a poll lists the run as running")
+def list_running(context: Context) -> None:
+    context.now_s += 0.3
+    answer(context, running=(RunningTask(*FIRST_RUN, "", 0, 0.0),))
+
+
+@when("a poll lists the run as stopped")
+def list_stopped(context: Context) -> None:
+    context.now_s += 0.3
+    answer(context, ends=(EndedRun(1, *FIRST_RUN, "stopped", ""),))
+
+
+@then("the worker is reported with the end of the run")
+def reported_with_end(context: Context) -> None:
+    message = context.vm_agent.build_report(context.now_s)
+    assert message.worker is not None
+    assert message.worker.instance.born_ms == context.born_ms
+    assert [(end.task_id, end.run) for end in message.ends] == [FIRST_RUN]
+
+
 @when("the run ends as done and the end is acknowledged")
 def ends_and_acknowledged(context: Context) -> None:
     answer(context, ends=(EndedRun(1, *FIRST_RUN, "done", ""),))
