Report a restarted worker only once what it is stopping has ended

Callers saw a task run twice at the same time: run 2 was at work on a worker that had just restarted under its id, was stopped there, and run 3 began 0.18 s before run 2 had ended (TWICE, users' record at 6.471 s).

Cause: the agent withholds a new instance from its leader while a call meant for the former one may start a run there, and took the confirmation of the stop as the end of that. A stop takes up to 0.9 s at a run that is at work. The instance is now withheld until the end is listed, or a later poll shows that there is no such run; the same for what it lists without an order. Polls wait 50 ms at most meanwhile, so that a worker on which nothing was started is back after one more poll.

Ruled out: an early end of run 2 by a stale list or a decision of the leader; both would leave the scenario of the agent green.

"The run is stopped there before the worker is reported" asked for a report after the confirmation, which is the fault; it now asks for none then and for one after the next poll.

--- a/src/yuccapoint/cell/run_registry.py
+++ b/src/yuccapoint/cell/run_registry.py
@@ -145,9 +145,15 @@
         """
         if now_s <= self._former_acks_until_s:
             return True
+        return any(tracked.is_open_block for tracked in self._runs.values())
+
+    @property
+    def awaits_block(self) -> bool:
+        """Whether a poll is to tell soon that a blocked start has not run."""
+        running = {(task.task_id, task.run) for task in self.running}
         return any(
-            tracked.blocks_former_start and not tracked.stop_acked_at_s
-            for tracked in self._runs.values()
+            tracked.is_open_block and key not in running
+            for key, tracked in self._runs.items()
         )
 
     @property
@@ -289,10 +295,12 @@
         """Stop what runs on an instance that no leader knows of yet.
 
         Only a call meant for a former instance can have started it. Its
-        claim may be released before the leader knows of the instance.
+        claim is released as soon as the leader knows of the instance, so that
+        the run has to end before.
         """
         for task in self.running:
             self.order_stop(task.task_id, task.run)
+            self._runs[(task.task_id, task.run)].blocks_former_start = True
 
     def _has_ended(self, key: RunKey) -> bool:
         return any((e.task_id, e.run) == key for e in self._ends.values())
--- a/src/yuccapoint/cell/tracked_run.py
+++ b/src/yuccapoint/cell/tracked_run.py
@@ -111,6 +111,14 @@
             return True
         return self.stage is RunStage.RUNNING and not self.listed
 
+    @property
+    def is_open_block(self) -> bool:
+        """Whether a start meant for the former instance may still run here.
+
+        A run that the stop finds at work goes on until its end is listed.
+        """
+        return self.blocks_former_start and self.stage is RunStage.STOPPING
+
     def note_listed(self, sent_at_s: float) -> None:
         """Note that the answer to a status request lists the run."""
         self.listed = True
--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -36,6 +36,9 @@
 # The same while best-effort work runs beside services, whose load may rise
 # above what their target allows within a second.
 GUARDED_WAIT_MS = 250
+# The same while the agent waits to learn that a new instance of the worker
+# does not run what was started on the former one.
+BLOCK_WAIT_MS = 50
 # After this many unanswered status requests the worker's lease is no longer
 # renewed.
 MAX_FAILED_STATUS_REQUESTS = 2
@@ -339,6 +342,8 @@
             last_seen = self.registry.unforgotten_ack
         if crash_log.has_unproven_restart(self.registry.tracked_runs):
             wait_ms = crash_log.PROOF_WAIT_MS
+        if self.registry.awaits_block:
+            wait_ms = BLOCK_WAIT_MS
         if last_seen or self._failed_status_requests:
             # An acknowledgement that stays unanswered may reach the worker's
             # next instance, so that its answer is not delayed.
--- a/tests/features/steps/restarted_worker_steps.py
+++ b/tests/features/steps/restarted_worker_steps.py
@@ -253,6 +253,10 @@
     assert [(call.task_id, call.run) for call in stops] == [FIRST_RUN], stops
     context.vm_agent.on_stop_result(stops[0], CallResult.DONE, context.now_s)
     message = context.vm_agent.build_report(context.now_s)
+    assert message.worker is None, message.worker
+    context.now_s += 0.01
+    answer(context)
+    message = context.vm_agent.build_report(context.now_s)
     assert message.worker.instance.born_ms == context.born_ms
 
 
