Tell a worker's next instance by the clock in its answers

A job was shown as failed without cause (LOST): its tasks were counted as having crashed workers that had never run them. A worker that is back under its id executes a call before its agent knows of it, and the agent took the answer as the former instance's, whose crash it then blamed on the run.

Calls are addressed to one instance when they are made, and carry the least time that its clock can show. An answer with an earlier clock comes from a later instance: the run is blocked there and is no suspect of the crash. Also, a call that was made before a new instance checked in is no longer sent under that instance's token.

Not chosen: never to count an answered start, which would let deadly tasks crash more workers.

--- a/src/yuccapoint/cell/run_registry.py
+++ b/src/yuccapoint/cell/run_registry.py
@@ -31,6 +31,13 @@
 # was not answered, with a margin.
 MAX_CALL_DELAY_S = 13.0
 
+# Results after which a start is repeated until it times out.
+NOT_STARTED_YET = (
+    CallResult.UNANSWERED,
+    CallResult.OTHER_INSTANCE,
+    CallResult.NEXT_INSTANCE,
+)
+
 RunKey = tuple[str, int]
 
 
@@ -353,6 +360,8 @@
         tracked.call_pending = False
         if result is CallResult.UNANSWERED:
             tracked.unanswered = True
+        if result is CallResult.NEXT_INSTANCE:
+            tracked.reached_next_instance = True
         if tracked.stage is not RunStage.STARTING:
             return False
         self.has_updates = True
@@ -366,7 +375,7 @@
         tracked.next_call_at_s = now_s + CALL_RETRY_S
         if result is CallResult.REFUSED and reason in ("fence", "late"):
             return False
-        if result in (CallResult.UNANSWERED, CallResult.OTHER_INSTANCE):
+        if result in NOT_STARTED_YET:
             if now_s - tracked.first_call_at_s > START_TIMEOUT_S:
                 tracked.refuse("no answer")
             return False
--- a/src/yuccapoint/cell/tracked_run.py
+++ b/src/yuccapoint/cell/tracked_run.py
@@ -46,6 +46,8 @@
         Whether the worker has listed the run long enough after its start.
     proof_recorded : bool
         Whether the proof has been recorded for the leader.
+    reached_next_instance : bool
+        Whether a later instance of the worker has executed the start.
     refusal_report : int
         Sequence number of the first report that told the leader of the
         refusal; 0 until then.
@@ -63,6 +65,7 @@
         "order",
         "proof_recorded",
         "proven",
+        "reached_next_instance",
         "reason",
         "refusal_report",
         "run",
@@ -87,6 +90,7 @@
         self.order = order
         self.reason = ""
         self.unanswered = False
+        self.reached_next_instance = False
         self.listed = False
         self.proven = False
         self.proof_recorded = False
@@ -107,7 +111,7 @@
         An instance with the id of its predecessor accepts calls that were
         meant for the predecessor.
         """
-        if self.call_pending or self.unanswered:
+        if self.call_pending or self.unanswered or self.reached_next_instance:
             return True
         return self.stage is RunStage.RUNNING and not self.listed
 
@@ -178,7 +182,7 @@
         """
         self.reason = reason
         self.next_call_at_s = 0.0
-        if self.unanswered:
+        if self.unanswered or self.reached_next_instance:
             self.stage = RunStage.STOPPING
             return
         self.stage = RunStage.REFUSED
--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -14,6 +14,7 @@
 from yuccapoint.cell.pace_controller import PaceController
 from yuccapoint.cell.poll_pacer import PollPacer
 from yuccapoint.cell.run_registry import RunRegistry
+from yuccapoint.cell.worker_clock import WorkerClock
 from yuccapoint.cell.worker_events import CallResult
 from yuccapoint.cell.worker_events import PaceCall
 from yuccapoint.cell.worker_events import StartCall
@@ -77,7 +78,8 @@
         self.lease = WorkerLease(now_s)
         self.explanations: list[Explain] = []
         self.registry = RunRegistry(now_s, self._explain)
-        self._room = WorkerRoom(self.registry, self._explain)
+        self._clock = WorkerClock()
+        self._room = WorkerRoom(self.registry, self._clock, self._explain)
         self.crash_log = crash_log.CrashLog(vm)
         self._order_sequence = 0
         self._report_sequence = 0
@@ -105,6 +107,7 @@
     def on_check_in(self, check_in: CheckIn, now_s: float) -> bool:
         """Apply a check-in; return whether it is newer than the last."""
         previous = self.check_in
+        same = False
         if previous is not None:
             older = check_in.instance.born_ms < previous.instance.born_ms
             if older and not self._has_replaced(check_in, now_s):
@@ -125,7 +128,11 @@
             )
             self.registry.has_updates = True
         self.check_in = check_in
-        self._room.on_check_in(check_in, now_s)
+        if same:
+            self._clock.record(check_in.clock_ms, now_s)
+        else:
+            self._clock.set(check_in.clock_ms, now_s)
+        self._room.on_check_in(check_in)
         self._drain_until_s = now_s + check_in.remaining_ms / 1000
         self.lease.record_clock(check_in.clock_ms, now_s)
         return True
@@ -297,12 +304,46 @@
         calls.extend(self.registry.next_calls(self.term, self.lease, now_s))
         calls.extend(self._pace_calls)
         self._pace_calls = []
+        for call in calls:
+            call.address_to(
+                self.check_in.instance, int(self._clock.least_ms(now_s))
+            )
         return calls
 
     def on_start_result(
-        self, call: StartCall, result: CallResult, reason: str, now_s: float
+        self,
+        call: StartCall,
+        result: CallResult,
+        reason: str,
+        now_s: float,
+        clock_ms: int | None = None,
     ) -> None:
-        """Apply the result of a start."""
+        """Apply the result of a start.
+
+        Parameters
+        ----------
+        call : StartCall
+            The call.
+        result : CallResult
+            Its result.
+        reason : str
+            Why the worker refused it; empty if it did not.
+        now_s : float
+            Steady time in seconds.
+        clock_ms : int or None
+            The worker's clock in the answer, in milliseconds.
+        """
+        if result is CallResult.DONE and call.was_answered_by_next(clock_ms):
+            # The next instance answered before it has checked in.
+            result = CallResult.NEXT_INSTANCE
+            self._explain(
+                "run",
+                "started by the next instance of the worker",
+                task=call.order.task_id,
+                run=call.order.run,
+                clock_ms=clock_ms or 0,
+                least_clock_ms=call.least_clock_ms,
+            )
         if self.registry.on_start_result(call, result, reason, now_s):
             self._pace_new_run(call.order.task_id, call.order.run)
 
@@ -398,7 +439,7 @@
             return
         self._failed_status_requests = 0
         self.lease.record_clock(status.clock_ms, now_s)
-        self._room.record_clock(status.clock_ms, now_s)
+        self._clock.set(status.clock_ms, now_s)
         self.registry.on_status(status, sent_at_s)
         if self.crash_log.note_proofs(self.registry.tracked_runs, now_s):
             self.registry.has_updates = True
--- a/src/yuccapoint/cell/worker_events.py
+++ b/src/yuccapoint/cell/worker_events.py
@@ -21,6 +21,34 @@
     UNHEALTHY = "unhealthy"
     OTHER_INSTANCE = "other-life"
     UNANSWERED = "unanswered"
+    # Executed by a later instance than the one that it was meant for.
+    NEXT_INSTANCE = "next-instance"
+
+
+class CallAnswer:
+    """The answer to a call.
+
+    Attributes
+    ----------
+    result : CallResult
+        What became of the call.
+    reason : str
+        Why the worker refused or did not answer it; empty if it was done.
+    clock_ms : int or None
+        The worker's clock in milliseconds; None if the answer has none.
+    """
+
+    __slots__ = ("clock_ms", "reason", "result")
+
+    def __init__(
+        self,
+        result: CallResult,
+        reason: str = "",
+        clock_ms: int | None = None,
+    ) -> None:
+        self.result = result
+        self.reason = reason
+        self.clock_ms = clock_ms
 
 
 class CheckIn:
@@ -114,7 +142,40 @@
         self.wait_ms = wait_ms
 
 
-class StartCall:
+class InstanceCall:
+    """A call that is meant for one instance of the worker.
+
+    A later instance with the same id executes it too, until it has seen a
+    call of its own.
+
+    Attributes
+    ----------
+    instance : WorkerInstance or None
+        The instance; None until the call is addressed.
+    least_clock_ms : int
+        Least time that the instance's clock could show when the call was
+        made, in milliseconds.
+    """
+
+    __slots__ = ("instance", "least_clock_ms")
+
+    def __init__(self) -> None:
+        self.instance: WorkerInstance | None = None
+        self.least_clock_ms = 0
+
+    def address_to(
+        self, instance: WorkerInstance, least_clock_ms: int
+    ) -> None:
+        """Set the instance that the call is meant for, and its clock."""
+        self.instance = instance
+        self.least_clock_ms = least_clock_ms
+
+    def was_answered_by_next(self, clock_ms: int | None) -> bool:
+        """Return whether the clock in the answer is that of a later one."""
+        return clock_ms is not None and clock_ms < self.least_clock_ms
+
+
+class StartCall(InstanceCall):
     """Start a run on the worker."""
 
     __slots__ = ("lease_until_clock_ms", "order", "term")
@@ -122,23 +183,25 @@
     def __init__(
         self, order: StartOrder, term: int, lease_until_clock_ms: int
     ) -> None:
+        super().__init__()
         self.order = order
         self.term = term
         self.lease_until_clock_ms = lease_until_clock_ms
 
 
-class StopCall:
+class StopCall(InstanceCall):
     """Stop a run on the worker, or block its later start."""
 
     __slots__ = ("run", "task_id", "term")
 
     def __init__(self, task_id: str, run: int, term: int) -> None:
+        super().__init__()
         self.task_id = task_id
         self.run = run
         self.term = term
 
 
-class PaceCall:
+class PaceCall(InstanceCall):
     """Limit a run to a percentage of its speed."""
 
     __slots__ = ("percent", "run", "task_id", "term")
@@ -146,6 +209,7 @@
     def __init__(
         self, task_id: str, run: int, percent: int, term: int
     ) -> None:
+        super().__init__()
         self.task_id = task_id
         self.run = run
         self.percent = percent
--- a/src/yuccapoint/cell/worker_room.py
+++ b/src/yuccapoint/cell/worker_room.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from yuccapoint.cell import lease_bounds
 from yuccapoint.cell.cell_messages import REASON_NO_ROOM
 from yuccapoint.cell.cell_messages import REASON_UNREACHABLE
 
@@ -12,6 +11,7 @@
     from collections.abc import Callable
 
     from yuccapoint.cell.run_registry import RunRegistry
+    from yuccapoint.cell.worker_clock import WorkerClock
     from yuccapoint.cell.worker_events import CheckIn
 
 
@@ -28,14 +28,15 @@
     ----------
     registry : RunRegistry
         Runs of the worker.
+    clock : WorkerClock
+        The worker's clock.
     explain : callable
         Logs a decision: its part, text and fields.
     """
 
     __slots__ = (
         "_check_in",
-        "_clock_at_s",
-        "_clock_ms",
+        "_clock",
         "_explain",
         "_has_shrunk",
         "_registry",
@@ -43,29 +44,27 @@
     )
 
     def __init__(
-        self, registry: RunRegistry, explain: Callable[..., None]
+        self,
+        registry: RunRegistry,
+        clock: WorkerClock,
+        explain: Callable[..., None],
     ) -> None:
         self._registry = registry
+        self._clock = clock
         self._explain = explain
         self._check_in: CheckIn | None = None
         self._has_shrunk = False
         # Sequence number of the first report since the worker has shrunk; 0
         # until it is sent.
         self._told = 0
-        # Lower bound of the worker's clock.
-        self._clock_ms = 0.0
-        self._clock_at_s = 0.0
 
-    def on_check_in(self, check_in: CheckIn, now_s: float) -> None:
+    def on_check_in(self, check_in: CheckIn) -> None:
         """Apply a check-in; withdraw unconfirmed starts after a shrink."""
         former, self._check_in = self._check_in, check_in
         if former is None or former.instance != check_in.instance:
             self._has_shrunk = False
             self._told = 0
-            self._clock_ms = check_in.clock_ms
-            self._clock_at_s = now_s
             return
-        self.record_clock(check_in.clock_ms, now_s)
         if former.capacity == check_in.capacity:
             return
         self._registry.has_updates = True
@@ -83,20 +82,11 @@
             withdrawn_starts=withdrawn,
         )
 
-    def record_clock(self, clock_ms: int, now_s: float) -> None:
-        """Record the worker's clock, as read at or before this time."""
-        self._clock_ms = max(clock_ms, self._clock_now_ms(now_s))
-        self._clock_at_s = now_s
-
-    def _clock_now_ms(self, now_s: float) -> float:
-        passed_ms = (now_s - self._clock_at_s) * 1000
-        return self._clock_ms + passed_ms * lease_bounds.MIN_WORKER_CLOCK_RATE
-
     def is_outdated(self, now_s: float) -> bool:
         """Return whether the last check-in is too old to rely on."""
         if self._check_in is None:
             return True
-        age_ms = self._clock_now_ms(now_s) - self._check_in.clock_ms
+        age_ms = self._clock.least_ms(now_s) - self._check_in.clock_ms
         return age_ms > MAX_CHECK_IN_AGE_S * 1000
 
     def withdraw_outdated_starts(self, now_s: float) -> None:
--- a/src/yuccapoint/platform/worker_client.py
+++ b/src/yuccapoint/platform/worker_client.py
@@ -9,6 +9,7 @@
 
 from yuccapoint.cell.cell_messages import EndedRun
 from yuccapoint.cell.cell_messages import RunningTask
+from yuccapoint.cell.worker_events import CallAnswer
 from yuccapoint.cell.worker_events import CallResult
 from yuccapoint.cell.worker_events import PaceCall
 from yuccapoint.cell.worker_events import StartCall
@@ -37,7 +38,7 @@
 
 
 class _CallResponse(msgspec.Struct):
-    clock_ms: int = msgspec.field(name="ClockMs", default=0)
+    clock_ms: int | None = msgspec.field(name="ClockMs", default=None)
     reason: str = msgspec.field(name="Reason", default="")
     born_ms: int = msgspec.field(name="born", default=0)
 
@@ -69,15 +70,8 @@
 
     async def call(
         self, call: WorkerCall, instance: WorkerInstance
-    ) -> tuple[CallResult, str]:
-        """Start, stop or throttle a run on an instance of the worker.
-
-        Returns
-        -------
-        tuple
-            The result, and the reason if the worker refused or did not
-            respond.
-        """
+    ) -> CallAnswer:
+        """Start, stop or throttle a run on an instance of the worker."""
         path, body = _encode_call(call)
         body["FencingToken"] = fencing_token(call.term, instance)
         try:
@@ -89,16 +83,16 @@
                 headers=_headers(instance.worker_id),
             )
         except UnreachableError as error:
-            return CallResult.UNANSWERED, str(error)
+            return CallAnswer(CallResult.UNANSWERED, str(error))
         if response.status == STATUS_OK:
-            return CallResult.DONE, ""
+            return _confirmation(response)
         if response.status in STATUSES_UNHEALTHY:
-            return CallResult.UNHEALTHY, ""
+            return CallAnswer(CallResult.UNHEALTHY)
         if response.status == STATUS_OTHER_INSTANCE:
-            return CallResult.OTHER_INSTANCE, ""
+            return CallAnswer(CallResult.OTHER_INSTANCE)
         if response.status == STATUS_CONFLICT:
             return _refusal(response)
-        return CallResult.REFUSED, f"status {response.status}"
+        return CallAnswer(CallResult.REFUSED, f"status {response.status}")
 
     async def fetch_status(
         self, request: StatusRequest, instance: WorkerInstance
@@ -186,12 +180,22 @@
     return "/yuccapoint/pace", body
 
 
-def _refusal(response: HttpResponse) -> tuple[CallResult, str]:
+def _refusal(response: HttpResponse) -> CallAnswer:
     try:
-        return CallResult.REFUSED, _decode(response, _CallResponse).reason
+        refusal = _decode(response, _CallResponse)
     except MalformedMessageError as error:
         # Without the reason it is not known whether a run goes on.
-        return CallResult.UNANSWERED, str(error)
+        return CallAnswer(CallResult.UNANSWERED, str(error))
+    return CallAnswer(CallResult.REFUSED, refusal.reason, refusal.clock_ms)
+
+
+def _confirmation(response: HttpResponse) -> CallAnswer:
+    try:
+        clock_ms = _decode(response, _CallResponse).clock_ms
+    except MalformedMessageError as error:
+        # The status says that the call was executed.
+        return CallAnswer(CallResult.DONE, str(error))
+    return CallAnswer(CallResult.DONE, clock_ms=clock_ms)
 
 
 def _headers(worker_id: str) -> dict[str, str]:
--- a/src/yuccapoint/process/cell_agent_process.py
+++ b/src/yuccapoint/process/cell_agent_process.py
@@ -27,7 +27,7 @@
     from collections.abc import Callable
 
     from yuccapoint.cell.occurrence_state import WorkerInstance
-    from yuccapoint.cell.worker_events import CallResult
+    from yuccapoint.cell.worker_events import CallAnswer
     from yuccapoint.cell.worker_events import CheckIn
     from yuccapoint.cell.worker_events import StatusRequest
     from yuccapoint.cell.worker_events import WorkerCall
@@ -56,8 +56,8 @@
 
     async def call(
         self, call: WorkerCall, instance: WorkerInstance
-    ) -> tuple[CallResult, str]:
-        """Start, stop or throttle a run; return the result and a reason."""
+    ) -> CallAnswer:
+        """Start, stop or throttle a run on an instance of the worker."""
 
     async def fetch_status(
         self, request: StatusRequest, instance: WorkerInstance
@@ -223,10 +223,11 @@
         )
 
     async def _execute_call(self, call: WorkerCall) -> None:
-        worker, check_in = self._worker, self.vm_agent.check_in
-        if worker is None or check_in is None:
+        worker, instance = self._worker, call.instance
+        if worker is None or instance is None:
             return
-        result, reason = await worker.call(call, check_in.instance)
+        answer = await worker.call(call, instance)
+        result, reason = answer.result, answer.reason
         now_s = steady_s()
         self.metrics.count(
             "worker_calls", kind=type(call).__name__, result=result.value
@@ -239,7 +240,9 @@
                 run=call.order.run,
                 reason=reason,
             )
-            self.vm_agent.on_start_result(call, result, reason, now_s)
+            self.vm_agent.on_start_result(
+                call, result, reason, now_s, answer.clock_ms
+            )
         elif isinstance(call, StopCall):
             self.logger.log(
                 "worker",
--- a/tests/cell_world/agent_model.py
+++ b/tests/cell_world/agent_model.py
@@ -6,6 +6,7 @@
 
 from yuccapoint.cell.lease_bounds import REPORT_INTERVAL_S
 from yuccapoint.cell.vm_agent import VmAgent
+from yuccapoint.cell.worker_events import CallAnswer
 from yuccapoint.cell.worker_events import CallResult
 from yuccapoint.cell.worker_events import StartCall
 from yuccapoint.cell.worker_events import StatusRequest
@@ -66,7 +67,7 @@
             self._checked_in_born = self.worker.instance.born_ms
             self.vm_agent.on_check_in(self.worker.check_in(now_s), now_s)
         for call in self.vm_agent.next_calls(now_s):
-            self._deliver_result(call, *self._call(call, now_s), now_s)
+            self._deliver_answer(call, self._call(call, now_s), now_s)
         self._execute_late_calls(now_s)
         if now_s - self._polled_at_s >= POLL_INTERVAL_S:
             self._polled_at_s = now_s
@@ -115,12 +116,12 @@
             return
         self.vm_agent.on_status(request, status, now_s, now_s)
 
-    def _call(self, call: WorkerCall, now_s: float) -> tuple[CallResult, str]:
+    def _call(self, call: WorkerCall, now_s: float) -> CallAnswer:
         if not self.worker.alive:
-            return CallResult.UNANSWERED, ""
+            return CallAnswer(CallResult.UNANSWERED)
         if self._rng.random() < self.late_share:
             self._send_late(call, now_s)
-            return CallResult.UNANSWERED, ""
+            return CallAnswer(CallResult.UNANSWERED)
         return self.worker.call(call, now_s)
 
     def _send_late(
@@ -143,12 +144,14 @@
             else:
                 self.worker.call(call, now_s)
 
-    def _deliver_result(
-        self, call: WorkerCall, result: CallResult, reason: str, now_s: float
+    def _deliver_answer(
+        self, call: WorkerCall, answer: CallAnswer, now_s: float
     ) -> None:
         if isinstance(call, StartCall):
-            self.vm_agent.on_start_result(call, result, reason, now_s)
+            self.vm_agent.on_start_result(
+                call, answer.result, answer.reason, now_s, answer.clock_ms
+            )
         elif isinstance(call, StopCall):
-            self.vm_agent.on_stop_result(call, result, now_s)
+            self.vm_agent.on_stop_result(call, answer.result, now_s)
         else:
-            self.vm_agent.on_pace_result(call, result)
+            self.vm_agent.on_pace_result(call, answer.result)
--- a/tests/cell_world/worker_model.py
+++ b/tests/cell_world/worker_model.py
@@ -8,6 +8,7 @@
 from yuccapoint.cell.cell_messages import EndedRun
 from yuccapoint.cell.cell_messages import RunningTask
 from yuccapoint.cell.occurrence_state import WorkerInstance
+from yuccapoint.cell.worker_events import CallAnswer
 from yuccapoint.cell.worker_events import CallResult
 from yuccapoint.cell.worker_events import CheckIn
 from yuccapoint.cell.worker_events import PaceCall
@@ -128,7 +129,13 @@
             sequence=self._sequence,
         )
 
-    def call(self, call: WorkerCall, now_s: float) -> tuple[CallResult, str]:
+    def call(self, call: WorkerCall, now_s: float) -> CallAnswer:
+        result, reason = self._execute(call, now_s)
+        return CallAnswer(result, reason, self.clock_ms(now_s))
+
+    def _execute(
+        self, call: WorkerCall, now_s: float
+    ) -> tuple[CallResult, str]:
         if isinstance(call, PaceCall):
             return CallResult.DONE, ""
         if call.term < self._fence:
--- a/tests/features/cell/disruptions.feature
+++ b/tests/features/cell/disruptions.feature
@@ -44,6 +44,7 @@
       | 24    | capacity_changes and store_down |
       | 5-12  | all                          |
       | 1-20  | worker_restarts              |
+      | 8-20  | worker_restarts              |
 
   Scenario Outline: The checks detect a seeded fault
     Given a cell of 4 VMs and 3 entries for seeds 1-12
--- a/tests/features/cell/restarted_worker.feature
+++ b/tests/features/cell/restarted_worker.feature
@@ -26,6 +26,13 @@
     When a poll lists the run as stopped
     Then the worker is reported with the end of the run
 
+  Scenario: A start that the next instance answers crashed no instance
+    # Load: the worker crashes before a start is called, and its next instance
+    # executes the call before it has checked in.
+    Given an agent whose start is executed by the worker's next instance
+    When that instance checks in and confirms the stop of the run
+    Then no run is suspected of the crash
+
   Scenario: A start is not blocked once its late copies are no longer possible
     Given an agent whose worker carries out a start on the second call
     When the run ends as done and the end is acknowledged
--- a/tests/features/cell/worker_crashes.feature
+++ b/tests/features/cell/worker_crashes.feature
@@ -16,6 +16,7 @@
       | 1-2   | deadly_task and agent_kill                           |
       | 1-2   | deadly_task and drain and power_off_all              |
       | 1-2   | deadly_task and link_cut and entry_cut and link_slow |
+      | 2-3   | deadly_task and agent_kill                           |
 
   Scenario: The checks detect crashes that are not counted
     Given a cell of 4 VMs and 3 entries for seeds 1-2
--- a/tests/features/steps/agent_poll_steps.py
+++ b/tests/features/steps/agent_poll_steps.py
@@ -11,6 +11,7 @@
 from yuccapoint.cell.cell_messages import EndedRun
 from yuccapoint.cell.cell_messages import LeaderOrders
 from yuccapoint.cell.occurrence_state import WorkerInstance
+from yuccapoint.cell.worker_events import CallAnswer
 from yuccapoint.cell.worker_events import CallResult
 from yuccapoint.cell.worker_events import CheckIn
 from yuccapoint.cell.worker_events import WorkerStatus
@@ -39,9 +40,9 @@
 
     async def call(
         self, call: WorkerCall, instance: WorkerInstance
-    ) -> tuple[CallResult, str]:
+    ) -> CallAnswer:
         del call, instance
-        return CallResult.DONE, ""
+        return CallAnswer(CallResult.DONE)
 
     async def fetch_status(
         self, request: StatusRequest, instance: WorkerInstance
--- a/tests/features/steps/late_call_steps.py
+++ b/tests/features/steps/late_call_steps.py
@@ -10,6 +10,7 @@
 
 from yuccapoint.cell.cell_messages import StartOrder
 from yuccapoint.cell.occurrence_state import WorkerInstance
+from yuccapoint.cell.worker_events import CallAnswer
 from yuccapoint.cell.worker_events import CallResult
 from yuccapoint.cell.worker_events import StartCall
 from yuccapoint.cell.worker_events import StatusRequest
@@ -91,7 +92,7 @@
 @when("the new instance ends a run")
 def run_ends(context: Context) -> None:
     _start(context, context.term, ENDED_TASK, "new")
-    assert context.answer[0] is CallResult.DONE, context.answer
+    assert context.answer.result is CallResult.DONE, context.answer
     context.worker._end_task(ENDED_TASK, "done")
 
 
@@ -106,7 +107,7 @@
             _read_runs(context, term, 57, which)
         except YuccapointError as error:
             reason = "fence" if "fence" in str(error) else str(error)
-            context.answer = (CallResult.REFUSED, reason)
+            context.answer = CallAnswer(CallResult.REFUSED, reason)
 
 
 @then("it is fenced, and the worker lists the end and runs nothing")
@@ -119,10 +120,11 @@
 
 @then("it is fenced")
 def fenced(context: Context) -> None:
-    assert context.answer == (CallResult.REFUSED, "fence"), context.answer
+    assert context.answer.result is CallResult.REFUSED, context.answer
+    assert context.answer.reason == "fence", context.answer.reason
 
 
 @then("the worker runs it")
 def worker_runs(context: Context) -> None:
-    assert context.answer[0] is CallResult.DONE, context.answer
+    assert context.answer.result is CallResult.DONE, context.answer
     assert LATE_TASK in context.worker._running_tasks
--- a/tests/features/steps/malformed_steps.py
+++ b/tests/features/steps/malformed_steps.py
@@ -107,7 +107,8 @@
     async def start() -> None:
         worker = WorkerClient(context.address)
         instance = WorkerInstance("vm-0", "i-0", 1)
-        context.result, _ = await worker.call(StartCall(order, 1, 1), instance)
+        answer = await worker.call(StartCall(order, 1, 1), instance)
+        context.result = answer.result
 
     run(context, start())
 
--- a/tests/features/steps/restarted_worker_steps.py
+++ b/tests/features/steps/restarted_worker_steps.py
@@ -76,6 +76,7 @@
     run: int = 0,
     acked: int = 0,
     answers: int | None = None,
+    stopped: int = 0,
 ) -> LeaderOrders:
     if answers is None:
         answers = context.vm_agent.build_report(context.now_s).sequence
@@ -94,7 +95,7 @@
         acked_end_number=acked,
         starts=starts,
         awaited=tuple((start.task_id, start.run) for start in starts),
-        stops=(),
+        stops=((TASK_ID, stopped),) if stopped else (),
         traits=(),
         pairs=(),
     )
@@ -149,7 +150,45 @@
     make_agent(context)
     deliver(context, run=1)
     [call] = calls(context, StartCall)
-    context.vm_agent.on_start_result(call, CallResult.DONE, "", context.now_s)
+    # The clock of the new instance has just started.
+    context.vm_agent.on_start_result(
+        call, CallResult.DONE, "", context.now_s, 13
+    )
+
+
+@given("an agent whose start is unanswered and whose run is being stopped")
+def stop_unanswered_start(context: Context) -> None:
+    make_agent(context)
+    deliver(context, run=1)
+    _run_start(context, CallResult.UNANSWERED)
+    deliver(context, stopped=1)
+    [context.stop] = calls(context, StopCall)
+
+
+@when("the former instance confirms the stop")
+def confirm_former_stop(context: Context) -> None:
+    context.vm_agent.on_stop_result(
+        context.stop, CallResult.DONE, context.now_s
+    )
+
+
+@when("the new instance confirms the stop")
+def confirm_new_stop(context: Context) -> None:
+    [stop] = calls(context, StopCall)
+    context.vm_agent.on_stop_result(stop, CallResult.DONE, context.now_s)
+
+
+@when("a poll lists no run")
+def list_nothing(context: Context) -> None:
+    context.now_s += 0.1
+    answer(context)
+
+
+@then("no run is suspected of the crash")
+def no_suspect(context: Context) -> None:
+    agent = context.vm_agent
+    crashes = agent.crash_log.build_report(agent.incarnation, context.now_s)
+    assert crashes is None, crashes
 
 
 @when("that instance checks in and confirms the stop of the run")
