Ignore confirmations of stops by a worker's former instance

A stop that was on its way to the former instance when the worker restarted under its id confirmed the block of the same run at the new one, where nothing had been stopped yet; the agent then reported the new instance though a late start of the run could still be executed there.

The result of a stop now counts only for the instance that the stop was addressed to. No user's report is known to have this cause.

--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -361,6 +361,16 @@
         self, call: StopCall, result: CallResult, now_s: float
     ) -> None:
         """Apply the result of a stop."""
+        if self.check_in is None or call.instance != self.check_in.instance:
+            # A former instance does not block a start at the present one.
+            self._explain(
+                "run",
+                "ignored the confirmation of a stop by a former instance",
+                task=call.task_id,
+                run=call.run,
+                result=result.value,
+            )
+            return
         self.registry.on_stop_result(call, result, now_s)
 
     def on_pace_result(self, call: PaceCall, result: CallResult) -> None:
--- a/tests/features/cell/restarted_worker.feature
+++ b/tests/features/cell/restarted_worker.feature
@@ -33,6 +33,16 @@
     When that instance checks in and confirms the stop of the run
     Then no run is suspected of the crash
 
+  Scenario: A stop confirmed by a former instance blocks nothing at the next
+    Given an agent whose start is unanswered and whose run is being stopped
+    When the worker restarts under its id after 0 s
+    And the former instance confirms the stop
+    And a poll lists no run
+    Then the worker is not reported
+    When the new instance confirms the stop
+    And a poll lists no run
+    Then the worker is reported and no run is stopped there
+
   Scenario: A start is not blocked once its late copies are no longer possible
     Given an agent whose worker carries out a start on the second call
     When the run ends as done and the end is acknowledged
