Use a restarted worker once it has answered a call of its own

The wait kept a late acknowledgement from making the new instance forget ends that nobody had seen. Calls carry the instance's start time in their token, so that an instance with a later start time refuses it after its first answer to a call of its own; the wait ends there. An instance with an earlier start time waits as before.

Workers of the simulated cell now keep the token of term and start time, as the platform's do; they kept the term only.

--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -168,7 +168,13 @@
         suspects = self.crash_log.on_instance_ended(
             self.registry.tracked_runs, now_s, announced=self._is_draining
         )
-        blocked = self.registry.begin_instance(now_s, same_id=same_id)
+        later = (
+            previous is not None
+            and previous.instance.born_ms < check_in.instance.born_ms
+        )
+        blocked = self.registry.begin_instance(
+            now_s, same_id=same_id, later=later
+        )
         self._explain(
             "worker",
             "a new instance started",
@@ -448,6 +454,8 @@
             self._poll_pacer.on_answer(sent_at_s, at_once=True)
             return
         self._failed_status_requests = 0
+        if request.instance == current.instance:
+            self.registry.on_own_call_answered()
         self.lease.record_clock(status.clock_ms, now_s)
         self._clock.set(status.clock_ms, now_s)
         self.registry.on_status(status, sent_at_s)
--- a/tests/cell_world/worker_model.py
+++ b/tests/cell_world/worker_model.py
@@ -75,7 +75,7 @@
         self._blocked: dict[str, int] = {}
         self._ends: list[EndedRun] = []
         self._number = 0
-        self._fence = 0
+        self._fence = (0, 0)
         self._lease_ms = 0
         self._discarded_through = 0
         self._sequence = 0
@@ -138,9 +138,10 @@
     ) -> tuple[CallResult, str]:
         if isinstance(call, PaceCall):
             return CallResult.DONE, ""
-        if call.term < self._fence:
+        token = _token(call.term, call.instance)
+        if token < self._fence:
             return CallResult.REFUSED, "fence"
-        self._fence = call.term
+        self._fence = token
         if isinstance(call, StopCall):
             self._block(call.task_id, call.run)
             current = self.running.get(call.task_id)
@@ -182,9 +183,10 @@
     def status(
         self, request: StatusRequest, now_s: float
     ) -> WorkerStatus | None:
-        if request.term < self._fence:
+        token = _token(request.term, request.instance)
+        if token < self._fence:
             return None
-        self._fence = request.term
+        self._fence = token
         clock_ms = self.clock_ms(now_s)
         if request.lease_until_clock_ms is not None:
             self._lease_ms = max(self._lease_ms, request.lease_until_clock_ms)
@@ -257,3 +259,9 @@
 
     def _block(self, task_id: str, run: int) -> None:
         self._blocked[task_id] = max(run, self._blocked.get(task_id, 0))
+
+
+def _token(term: int, instance: WorkerInstance | None) -> tuple[int, int]:
+    """Return the fencing token of a call to an instance in a term."""
+    assert instance is not None
+    return (term, instance.born_ms)
--- a/tests/features/cell/restarted_worker.feature
+++ b/tests/features/cell/restarted_worker.feature
@@ -59,6 +59,25 @@
     When 10 s pass at the agent
     Then the worker is reported and no run is stopped there
 
+  Scenario: A new instance that answered a call of its own is back at once
+    # It refuses a late acknowledgement, so that no task has to wait for it.
+    Given an agent whose worker lists an end as done
+    When the leader acknowledges it and the poll that says so is unanswered
+    And the worker restarts under its id after 1 s
+    Then the worker is not reported
+    When a poll lists no run
+    Then the worker is reported and no run is stopped there
+
+  Scenario: An instance with an earlier start time waits for late calls
+    # Its token is lower than that of the late acknowledgement.
+    Given an agent whose worker lists an end as done
+    When the leader acknowledges it and the poll that says so is unanswered
+    And the worker restarts under its id with an earlier start time
+    And a poll lists no run
+    Then the worker is not reported
+    When 14 s pass at the agent
+    Then the worker is reported and no run is stopped there
+
   Scenario: Polls acknowledge an end until one is answered, and not again
     Given an agent whose worker lists an end as done
     When the leader acknowledges it
--- a/tests/features/steps/restarted_worker_steps.py
+++ b/tests/features/steps/restarted_worker_steps.py
@@ -235,6 +235,15 @@
     check_in(context)
 
 
+@when("the worker restarts under its id with an earlier start time")
+def restart_earlier(context: Context) -> None:
+    context.born_ms -= 1
+    # The poll is answered by an instance that has not checked in.
+    answer(context)
+    context.sequence = 0
+    check_in(context)
+
+
 @when("{seconds:d} s pass at the agent")
 def wait_at_agent(context: Context, seconds: int) -> None:
     context.now_s += seconds
