List a worker's runs only from an answer to a poll of its own

A poll that was under way when the worker restarted under its id is answered by the new instance, under the token of the former one. The agent took its list as the new instance's and asked for starts there, though that instance had seen no token of its own and would still execute starts meant for its predecessor: a run could be listed as absent and begin afterwards.

Only an answer to a poll that was addressed to the instance counts now; the next poll is made at once. With this a start is bound to one instance: none is sent before the instance has answered a call with its token.

Scenario "The answer to a poll of the former instance lists no runs", red before. Found by reading; no user's report is known to have this cause.

--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -448,14 +448,21 @@
         if request.last_seen:
             same = current is not None and request.instance == current.instance
             self.registry.on_ack_answered(request.last_seen if same else 0)
+        addressed = (
+            current is not None and request.instance == current.instance
+        )
         if current is None or status.born_ms != current.instance.born_ms:
-            if current is not None and request.instance == current.instance:
+            if addressed:
                 self._answered_by_born_ms = status.born_ms
             self._poll_pacer.on_answer(sent_at_s, at_once=True)
             return
+        if not addressed:
+            # It has not seen a token of its own, so that it still executes
+            # calls meant for its predecessor.
+            self._poll_pacer.reset()
+            return
         self._failed_status_requests = 0
-        if request.instance == current.instance:
-            self.registry.on_own_call_answered()
+        self.registry.on_own_call_answered()
         self.lease.record_clock(status.clock_ms, now_s)
         self._clock.set(status.clock_ms, now_s)
         self.registry.on_status(status, sent_at_s)
--- a/tests/features/cell/restarted_worker.feature
+++ b/tests/features/cell/restarted_worker.feature
@@ -68,6 +68,16 @@
     When a poll lists no run
     Then the worker is reported and no run is stopped there
 
+  Scenario: The answer to a poll of the former instance lists no runs
+    # The new instance has not seen a token of its own: it would execute a
+    # start meant for the former one after this answer.
+    Given an agent whose worker lists an end as done
+    When a poll is under way and the worker restarts under its id
+    And the new instance answers that poll
+    Then the worker is reported without its runs
+    When a poll lists no run
+    Then the worker is reported with its runs
+
   Scenario: An instance with an earlier start time waits for late calls
     # Its token is lower than that of the late acknowledgement.
     Given an agent whose worker lists an end as done
--- a/tests/features/steps/restarted_worker_steps.py
+++ b/tests/features/steps/restarted_worker_steps.py
@@ -178,6 +178,35 @@
     context.vm_agent.on_stop_result(stop, CallResult.DONE, context.now_s)
 
 
+@when("a poll is under way and the worker restarts under its id")
+def restart_during_poll(context: Context) -> None:
+    context.poll = context.vm_agent.next_status_request()
+    restart_worker(context, 0)
+
+
+@when("the new instance answers that poll")
+def answer_former_poll(context: Context) -> None:
+    status = WorkerStatus(
+        clock_ms=13, born_ms=context.born_ms, running=(), ends=()
+    )
+    context.now_s += 0.01
+    context.vm_agent.on_status(
+        context.poll, status, context.now_s - 0.02, context.now_s
+    )
+
+
+@then("the worker is reported without its runs")
+def reported_unlisted(context: Context) -> None:
+    message = context.vm_agent.build_report(context.now_s)
+    assert message.worker.instance.born_ms == context.born_ms
+    assert not message.runs_listed
+
+
+@then("the worker is reported with its runs")
+def reported_listed(context: Context) -> None:
+    assert context.vm_agent.build_report(context.now_s).runs_listed
+
+
 @when("a poll lists no run")
 def list_nothing(context: Context) -> None:
     context.now_s += 0.1
