Do not count a former instance's unanswered poll against the next

A poll that was under way when the worker restarted under its id, and failed afterwards, counted as one of the two after which the new instance's lease is no longer renewed and its starts are refused. Only polls addressed to the present instance count. Scenario "Polls that the former instance left unanswered do not count", red before.

--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -423,6 +423,9 @@
         """Count a status request that was not answered."""
         if request.last_seen:
             self.registry.on_ack_unanswered(now_s)
+        if self.check_in is None or request.instance != self.check_in.instance:
+            # A former instance left it unanswered.
+            return
         self._failed_status_requests += 1
         self.registry.has_updates = True
 
--- a/tests/features/cell/restarted_worker.feature
+++ b/tests/features/cell/restarted_worker.feature
@@ -78,6 +78,14 @@
     When a poll lists no run
     Then the worker is reported with its runs
 
+  Scenario: Polls that the former instance left unanswered do not count
+    Given an agent whose worker lists an end as done
+    When a poll is unanswered
+    And a poll is under way and the worker restarts under its id
+    And that poll is unanswered
+    And a poll is unanswered
+    Then the next poll renews the lease
+
   Scenario: An instance with an earlier start time waits for late calls
     # Its token is lower than that of the late acknowledgement.
     Given an agent whose worker lists an end as done
--- a/tests/features/steps/restarted_worker_steps.py
+++ b/tests/features/steps/restarted_worker_steps.py
@@ -297,6 +297,17 @@
     context.vm_agent.on_status_failed(request, context.now_s)
 
 
+@when("that poll is unanswered")
+def former_poll_unanswered(context: Context) -> None:
+    context.vm_agent.on_status_failed(context.poll, context.now_s)
+
+
+@then("the next poll renews the lease")
+def renews_lease(context: Context) -> None:
+    request = context.vm_agent.next_status_request()
+    assert request.lease_until_clock_ms is not None
+
+
 @when("the worker answers that poll")
 def answer_poll(context: Context) -> None:
     status = WorkerStatus(
