Log how long a new instance of a worker was withheld, and what it ran

The logs told that a new instance had started and how many starts were blocked there, not when its leader was told, nor whether something ran there until then: the hypotheses on TWICE differ in just that. One line for each instance.

--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -91,6 +91,9 @@
         self._failed_status_requests = 0
         # Start time of the instance that answered a poll meant for another.
         self._answered_by_born_ms: int | None = None
+        # When the present instance checked in, while the leader has not been
+        # told of it; 0 else.
+        self._withheld_since_s = 0.0
         self._drain_until_s = 0.0
         self._leave_announced = False
         self._poll_pacer = PollPacer()
@@ -187,6 +190,7 @@
         )
         self._failed_status_requests = 0
         self._answered_by_born_ms = None
+        self._withheld_since_s = now_s
         self._leave_announced = False
         self._poll_pacer.reset()
         self.lease.reset_clock()
@@ -537,6 +541,7 @@
             return None
         if self.registry.may_get_former_calls(now_s):
             return None
+        self._explain_reported(now_s)
         return WorkerReport(
             instance=check_in.instance,
             pool=check_in.pool,
@@ -547,6 +552,22 @@
             lease_expired=self._is_lease_expired(now_s),
         )
 
+    def _explain_reported(self, now_s: float) -> None:
+        """Log that the leader is told of a new instance."""
+        if not self._withheld_since_s or self.check_in is None:
+            return
+        self._explain(
+            "worker",
+            "the new instance is reported",
+            worker=self.check_in.instance.worker_id,
+            born_ms=self.check_in.instance.born_ms,
+            withheld_ms=int(1000 * (now_s - self._withheld_since_s)),
+            runs_listed=int(self.registry.runs_listed),
+            running=len(self.registry.running),
+            ends=len(self.registry.report_ends()),
+        )
+        self._withheld_since_s = 0.0
+
     def _is_lease_expired(self, now_s: float) -> bool:
         if self._failed_status_requests < MAX_FAILED_STATUS_REQUESTS:
             return False
