Refuse starts once a later instance of the worker has answered

While check-ins of a restarted worker were lost, polls meant for the former instance were answered by the new one, and starts went on to be sent to it: each ran there unasked and had to be stopped after the check-in. An agent that has got such an answer refuses new starts until the check-in arrives. Scenario "No start is sent once a later instance has answered", red before. Seen by reading; no user's report is known to have this cause.

--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -298,6 +298,9 @@
         if self._failed_status_requests >= MAX_FAILED_STATUS_REQUESTS:
             # A start would stay unanswered until the lease has expired.
             return REASON_UNREACHABLE
+        if self._answered_by_born_ms is not None:
+            # The instance that the leader knows is gone.
+            return REASON_UNREACHABLE
         return ""
 
     @property
--- a/tests/features/cell/restarted_worker.feature
+++ b/tests/features/cell/restarted_worker.feature
@@ -78,6 +78,14 @@
     When a poll lists no run
     Then the worker is reported with its runs
 
+  Scenario: No start is sent once a later instance has answered
+    # Load: check-ins of the new instance are lost for a while.
+    Given an agent whose worker lists an end as done
+    When a poll is answered by an instance that has not checked in
+    And its leader orders a second run
+    Then the worker is not called
+    And the start is refused as "unreachable"
+
   Scenario: Polls that the former instance left unanswered do not count
     Given an agent whose worker lists an end as done
     When a poll is unanswered
--- a/tests/features/steps/restarted_worker_steps.py
+++ b/tests/features/steps/restarted_worker_steps.py
@@ -297,6 +297,24 @@
     context.vm_agent.on_status_failed(request, context.now_s)
 
 
+@when("a poll is answered by an instance that has not checked in")
+def answered_by_unknown(context: Context) -> None:
+    context.born_ms += 1
+    answer(context)
+    context.born_ms -= 1
+
+
+@when("its leader orders a second run")
+def order_second_run(context: Context) -> None:
+    deliver(context, run=2)
+
+
+@then('the start is refused as "{reason}"')
+def refused_as(context: Context, reason: str) -> None:
+    message = context.vm_agent.build_report(context.now_s)
+    assert [run.reason for run in message.refused] == [reason], message
+
+
 @when("that poll is unanswered")
 def former_poll_unanswered(context: Context) -> None:
     context.vm_agent.on_status_failed(context.poll, context.now_s)
