--- a/tests/soak/soak_worker.py
+++ b/tests/soak/soak_worker.py
@@ -17,6 +17,8 @@
 
 # Time after which a call that got no response is executed, in seconds.
 CALL_DELAY_S = (2.0, 12.0)
+# Longest time that a stop takes to end a run, in seconds.
+MAX_STOP_S = 0.9
 
 
 class SoakWorker(PlatformWorker):
@@ -51,6 +53,8 @@
         self._rng = random.Random(worker_id)
         self._open_requests: set[HTTPServerRequest] = set()
         self._late_calls: set[asyncio.Task[None]] = set()
+        self._stop_rng = random.Random(worker_id)
+        self._stopping: set[str] = set()
 
     def start(self) -> None:
         super().start()
@@ -72,6 +76,7 @@
         self.crashed = True
         self._oracle.on_crash(self, list(self._running_tasks))
         self._running_tasks.clear()
+        self._stopping.clear()
         self._highest_closed_runs.clear()
         self._ended_tasks.clear()
         for request in self._open_requests:
@@ -142,10 +147,25 @@
         return answer
 
     def _end_task(self, task: str, how: str) -> None:
+        if how == "stopped":
+            self._begin_stop(task)
+            return
+        if task in self._stopping and how != "lapsed":
+            how = "stopped"
+        self._stopping.discard(task)
         super()._end_task(task, how)
         number, _, run, *_ = self._ended_tasks[-1]
         self._oracle.on_end(task, self, how, (number, run))
 
+    def _begin_stop(self, task: str) -> None:
+        """Let a run end as stopped after a while."""
+        if task in self._stopping:
+            return
+        self._stopping.add(task)
+        run, end_s = self._running_tasks[task]
+        stopped_at_s = time.monotonic() + self._stop_rng.uniform(0, MAX_STOP_S)
+        self._running_tasks[task] = (run, min(end_s, stopped_at_s))
+
     def _forget_ends(self, through: int) -> None:
         self._oracle.on_acknowledged(self, through)
         super()._forget_ends(through)
