Stop late starts that the first list of a restarted worker shows

The answer that ends the wait for a late acknowledgement may list a run that this agent did not start. It was no longer stopped, as the wait was over when that was looked at; the worker was reported, the claim released and the run still at work.

--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -472,13 +472,14 @@
             self._poll_pacer.reset()
             return
         self._failed_status_requests = 0
+        may_run_late_starts = self.registry.may_get_former_calls(now_s)
         self.registry.on_own_call_answered()
         self.lease.record_clock(status.clock_ms, now_s)
         self._clock.set(status.clock_ms, now_s)
         self.registry.on_status(status, sent_at_s)
         if self.crash_log.note_proofs(self.registry.tracked_runs, now_s):
             self.registry.has_updates = True
-        if self.registry.may_get_former_calls(now_s):
+        if may_run_late_starts:
             self.registry.stop_late_starts()
         self._poll_pacer.on_answer(
             sent_at_s, at_once=self.registry.has_unacked_ends
