Order starts again once the worker has answered for its instance

An answer for the present instance ends that. Scenario "Starts go on once the instance answers again", red before.

--- a/src/yuccapoint/cell/run_registry.py
+++ b/src/yuccapoint/cell/run_registry.py
@@ -166,11 +166,12 @@
     @property
     def awaits_block(self) -> bool:
         """Whether a poll is to tell soon that a blocked start has not run."""
-        running = {(task.task_id, task.run) for task in self.running}
-        return any(
-            tracked.is_open_block and key not in running
-            for key, tracked in self._runs.items()
-        )
+        blocked = {
+            key for key, tracked in self._runs.items() if tracked.is_open_block
+        }
+        for task in self.running:
+            blocked.discard((task.task_id, task.run))
+        return bool(blocked)
 
     @property
     def unforgotten_ack(self) -> int:
--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -472,6 +472,7 @@
             self._poll_pacer.reset()
             return
         self._failed_status_requests = 0
+        self._answered_by_born_ms = None
         may_run_late_starts = self.registry.may_get_former_calls(now_s)
         self.registry.on_own_call_answered()
         self.lease.record_clock(status.clock_ms, now_s)
--- a/tests/features/cell/restarted_worker.feature
+++ b/tests/features/cell/restarted_worker.feature
@@ -86,6 +86,14 @@
     Then the worker is not called
     And the start is refused as "unreachable"
 
+  Scenario: Starts go on once the instance answers again
+    # One answer with another start time may be damaged.
+    Given an agent whose worker lists an end as done
+    When a poll is answered by an instance that has not checked in
+    And a poll lists no run
+    And its leader orders a second run
+    Then the worker is called
+
   Scenario: Polls that the former instance left unanswered do not count
     Given an agent whose worker lists an end as done
     When a poll is unanswered
