Keep the age of a check-in apart from the clock that answers are told by

Since both took the worker's clock from each poll. An answer that had waited in a buffer while the agent was suspended set the bound back, so that a check-in from before the suspension passed as recent and a start followed it, for room that may have shrunk. The age goes on by steady time again; the clock of the last message only tells instances apart. Scenario "An answer from before a suspension does not renew a check-in", red before.

--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -79,7 +79,7 @@
         self.explanations: list[Explain] = []
         self.registry = RunRegistry(now_s, self._explain)
         self._clock = WorkerClock()
-        self._room = WorkerRoom(self.registry, self._clock, self._explain)
+        self._room = WorkerRoom(self.registry, self._explain)
         self.crash_log = crash_log.CrashLog(vm)
         self._order_sequence = 0
         self._report_sequence = 0
@@ -110,7 +110,6 @@
     def on_check_in(self, check_in: CheckIn, now_s: float) -> bool:
         """Apply a check-in; return whether it is newer than the last."""
         previous = self.check_in
-        same = False
         if previous is not None:
             older = check_in.instance.born_ms < previous.instance.born_ms
             if older and not self._has_replaced(check_in, now_s):
@@ -131,11 +130,8 @@
             )
             self.registry.has_updates = True
         self.check_in = check_in
-        if same:
-            self._clock.record(check_in.clock_ms, now_s)
-        else:
-            self._clock.set(check_in.clock_ms, now_s)
-        self._room.on_check_in(check_in)
+        self._clock.set(check_in.clock_ms, now_s)
+        self._room.on_check_in(check_in, now_s)
         self._drain_until_s = now_s + check_in.remaining_ms / 1000
         self.lease.record_clock(check_in.clock_ms, now_s)
         return True
@@ -476,6 +472,7 @@
         may_run_late_starts = self.registry.may_get_former_calls(now_s)
         self.registry.on_own_call_answered()
         self.lease.record_clock(status.clock_ms, now_s)
+        self._room.record_clock(status.clock_ms, now_s)
         self._clock.set(status.clock_ms, now_s)
         self.registry.on_status(status, sent_at_s)
         if self.crash_log.note_proofs(self.registry.tracked_runs, now_s):
--- a/src/yuccapoint/cell/worker_clock.py
+++ b/src/yuccapoint/cell/worker_clock.py
@@ -18,7 +18,7 @@
         self._read_at_s = 0.0
 
     def set(self, clock_ms: int, now_s: float) -> None:
-        """Set the clock to what the present instance has just answered.
+        """Set the clock to what the present instance has just told.
 
         It may be behind the bound, as a suspended worker's clock stands
         still.
--- a/src/yuccapoint/cell/worker_room.py
+++ b/src/yuccapoint/cell/worker_room.py
@@ -6,12 +6,12 @@
 
 from yuccapoint.cell.cell_messages import REASON_NO_ROOM
 from yuccapoint.cell.cell_messages import REASON_UNREACHABLE
+from yuccapoint.cell.worker_clock import WorkerClock
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from yuccapoint.cell.run_registry import RunRegistry
-    from yuccapoint.cell.worker_clock import WorkerClock
     from yuccapoint.cell.worker_events import CheckIn
 
 
@@ -28,8 +28,6 @@
     ----------
     registry : RunRegistry
         Runs of the worker.
-    clock : WorkerClock
-        The worker's clock.
     explain : callable
         Logs a decision: its part, text and fields.
     """
@@ -44,13 +42,11 @@
     )
 
     def __init__(
-        self,
-        registry: RunRegistry,
-        clock: WorkerClock,
-        explain: Callable[..., None],
+        self, registry: RunRegistry, explain: Callable[..., None]
     ) -> None:
         self._registry = registry
-        self._clock = clock
+        # Goes on by steady time: an answer may have waited with a check-in.
+        self._clock = WorkerClock()
         self._explain = explain
         self._check_in: CheckIn | None = None
         self._has_shrunk = False
@@ -58,13 +54,15 @@
         # until it is sent.
         self._told = 0
 
-    def on_check_in(self, check_in: CheckIn) -> None:
+    def on_check_in(self, check_in: CheckIn, now_s: float) -> None:
         """Apply a check-in; withdraw unconfirmed starts after a shrink."""
         former, self._check_in = self._check_in, check_in
         if former is None or former.instance != check_in.instance:
             self._has_shrunk = False
             self._told = 0
+            self._clock.set(check_in.clock_ms, now_s)
             return
+        self.record_clock(check_in.clock_ms, now_s)
         if former.capacity == check_in.capacity:
             return
         self._registry.has_updates = True
@@ -82,6 +80,10 @@
             withdrawn_starts=withdrawn,
         )
 
+    def record_clock(self, clock_ms: int, now_s: float) -> None:
+        """Record the worker's clock, as read at or before this time."""
+        self._clock.record(clock_ms, now_s)
+
     def is_outdated(self, now_s: float) -> bool:
         """Return whether the last check-in is too old to rely on."""
         if self._check_in is None:
--- a/tests/features/cell/shrunk_capacity.feature
+++ b/tests/features/cell/shrunk_capacity.feature
@@ -66,6 +66,14 @@
     Then the worker gets no start of the first run
     And the start is reported as refused: "unreachable"
 
+  Scenario: An answer from before a suspension does not renew a check-in
+    # The answer waited in a buffer with the check-in.
+    Given a leader and an agent whose worker has room for a task
+    When a start is ordered and the agent is suspended for 4 s
+    And a check-in and the answer to a poll of the time before arrive
+    Then the worker gets no start of the first run
+    And the start is reported as refused: "unreachable"
+
   Scenario Outline: Room held by a run without a claim is not claimed
     Given a leader with a VM with room for one task, and a waiting job
     When the VM reports that <run>
--- a/tests/features/steps/shrunk_worker_steps.py
+++ b/tests/features/steps/shrunk_worker_steps.py
@@ -11,6 +11,7 @@
 from yuccapoint.cell.worker_events import CallResult
 from yuccapoint.cell.worker_events import StartCall
 from yuccapoint.cell.worker_events import StopCall
+from yuccapoint.cell.worker_events import WorkerStatus
 from yuccapoint.job.size import Size
 
 if TYPE_CHECKING:
@@ -76,6 +77,21 @@
     order_steps.make_calls(context)
 
 
+@when("a check-in and the answer to a poll of the time before arrive")
+def outdated_answer(context: Context) -> None:
+    woken_at_s, context.now_s = context.now_s, context.suspended_at_s
+    order_steps.check_in(context)
+    request = context.vm_agent.next_status_request()
+    status = WorkerStatus(
+        clock_ms=int(context.now_s * 1000), born_ms=1, running=(), ends=()
+    )
+    context.vm_agent.on_status(
+        request, status, context.suspended_at_s, woken_at_s
+    )
+    context.now_s = woken_at_s
+    order_steps.make_calls(context)
+
+
 @when("the start call gets no answer")
 def start_unanswered(context: Context) -> None:
     claim = context.leader.vms[order_steps.VM].claims[order_steps.TASK_ID]
