--- a/review/standins/checker.py
+++ b/review/standins/checker.py
@@ -14,6 +14,7 @@
         self.broken = []
         self.running = {}
         self.starts = 0
+        self.started = set()
         # Ends ``done`` that wait to be taken note of: (worker, number).
         self.waiting_ends = {}
         self.done = {}
@@ -21,6 +22,7 @@
 
     def on_start(self, worker, run):
         self.starts += 1
+        self.started.add(run.task)
         self.world.note(f"start {run.name} on {worker.name}")
         for other in self.running.get(run.task, {}):
             if other is not worker:
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -1,7 +1,7 @@
 """Stand-in of a worker: runs tasks for a fixed time under a lease.
 
 A task's ``Spec`` is a JSON object; ``ms`` is its run time, 0 for a task that
-lasts.
+lasts, and with ``saves`` it checkpoints its progress.
 """
 
 import asyncio
@@ -24,7 +24,9 @@
     def __init__(self, task, run, spec, saved, now_s):
         self.task, self.run, self.saved = task, run, saved
         self.started_s = now_s
-        self.work_ms = json.loads(spec).get("ms", 1000)
+        options = json.loads(spec)
+        self.work_ms = options.get("ms", 1000)
+        self.saves = options.get("saves", False)
         self.stop_at_s = None
 
     @property
@@ -224,6 +226,9 @@
         percent = 100
         if run.work_ms:
             percent = min(99, int(100 * worked_ms / run.work_ms))
+        saved_ms = worked_ms - worked_ms % (1000 * CHECKPOINT_S)
+        if run.saves and saved_ms:
+            run.saved = f"{int(saved_ms):08x}{self.born % 2**32:08x}"
         return [run.task, run.run, run.saved, percent, 100]
 
     def extend(self, body):
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -266,11 +266,12 @@
         self.note(f"{method} {job_id} at {entry}: {shown}")
         return answer
 
-    async def submit(self, steps, ms, entry=None, **fields):
+    async def submit(self, steps, ms, entry=None, saves=False, **fields):
         """Hand a submission in until it is accepted; return its id."""
         self.jobs += 1
         job_id = f"{self.jobs:016x}"
-        body = {"Spec": json.dumps({"ms": ms}), "Steps": steps, **fields}
+        spec = json.dumps({"ms": ms, "saves": saves})
+        body = {"Spec": spec, "Steps": steps, **fields}
         for _ in range(4):
             answer = await self.consume("POST", job_id, body, entry)
             if answer is not None and answer[0] == 200:
