--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -1,7 +1,8 @@
 """Stand-in of a worker: runs tasks for a fixed time under a lease.
 
 A task's ``Spec`` is a JSON object; ``ms`` is its run time, 0 for a task that
-lasts, and with ``saves`` it checkpoints its progress.
+lasts, and with ``saves`` it checkpoints its progress. Tasks of a ``gang`` of
+this size work from when all are present, and all end together.
 """
 
 import asyncio
@@ -16,6 +17,7 @@
 MAX_WAIT_MS = 2_000
 MAX_LISTED_ENDS = 500
 STOP_S = 0.2
+GANG_TIMEOUT_S = 3.0
 CHECKPOINT_S = 0.5
 HEARTBEAT_S = 1.1
 
@@ -27,6 +29,9 @@
         options = json.loads(spec)
         self.work_ms = options.get("ms", 1000)
         self.saves = options.get("saves", False)
+        # Number of tasks of the gang; they work only together.
+        self.gang = options.get("gang", 0)
+        self.works = not self.gang
         self.stop_at_s = None
 
     @property
@@ -54,6 +59,8 @@
         self.up = False
         self.checks_in = True
         self.acked_check_ins = 0
+        # Whether each task fails as soon as it has started.
+        self.fails_all = False
         self.delay = lambda request: (0.0, True)
         self.server = HttpServer(self.serve)
         self.tasks = []
@@ -145,10 +152,17 @@
                 self.world.checker.on_lapse(self)
             for run in list(self.running.values()):
                 worked_s = now_s - run.started_s
+                if run.gang:
+                    self.world.gangs.update(self, run, now_s)
+                    if run.task not in self.running:
+                        continue
                 if lapsed:
                     self.end(run, "lapsed")
                 elif run.stop_at_s is not None and now_s >= run.stop_at_s:
                     self.end(run, "stopped")
+                elif not run.works:
+                    if worked_s >= GANG_TIMEOUT_S:
+                        self.end(run, "alone")
                 elif run.work_ms and worked_s * 1000 >= run.work_ms:
                     self.end(run, "done")
             await asyncio.sleep(TICK_S)
@@ -161,6 +175,8 @@
         self.ended.set()
         self.ended = asyncio.Event()
         self.world.checker.on_end(self, run, how, self.last_end)
+        if run.gang:
+            self.world.gangs.on_end(run, how)
 
     async def serve(self, request):
         if not self.up:
@@ -256,6 +272,10 @@
         )
         self.running[task] = run
         self.world.checker.on_start(self, run)
+        if run.gang:
+            self.world.gangs.on_start(self, run)
+        if self.fails_all:
+            self.end(run, "failed")
         return 200, {}
 
     def run_stop(self, body):
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -13,6 +13,7 @@
 import time
 
 from checker import Checker
+from gangs import Gangs
 from httpio import call
 from store import Store
 from worker import Worker
@@ -61,12 +62,14 @@
 class World:
     """Store, workers and consumers of this process, and the programs."""
 
-    def __init__(self, record, entries=3, agents=4):
+    def __init__(self, record, entries=3, agents=4, **route):
         self.record = open(record, "w", encoding="utf-8")
         self.started_s = time.monotonic()
+        self.route = route
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.checker = Checker(self)
         self.store = Store()
+        self.gangs = Gangs()
         self.entries = [f"entry-{n}" for n in range(1, entries + 1)]
         self.agents = [f"side-{n}" for n in range(1, agents + 1)]
         self.workers = {}
@@ -110,6 +113,7 @@
             "MaxAttempts": 3,
             "SloFactor": 2.0,
             "SloMs": 1000,
+            **self.route,
             **fields,
         }
         return {
@@ -266,11 +270,11 @@
         self.note(f"{method} {job_id} at {entry}: {shown}")
         return answer
 
-    async def submit(self, steps, ms, entry=None, saves=False, **fields):
+    async def submit(self, steps, ms, entry=None, saves=False, gang=0, **fields):
         """Hand a submission in until it is accepted; return its id."""
         self.jobs += 1
         job_id = f"{self.jobs:016x}"
-        spec = json.dumps({"ms": ms, "saves": saves})
+        spec = json.dumps({"ms": ms, "saves": saves, "gang": gang})
         body = {"Spec": spec, "Steps": steps, **fields}
         for _ in range(4):
             answer = await self.consume("POST", job_id, body, entry)
