--- a/review/3/case.py
+++ b/review/3/case.py
@@ -22,7 +22,7 @@
         "EstimateMs": 1000,
         "Gang": True,
     }
-    job_id = await world.submit([step], 1000, gang=MEMBERS)
+    job_id = await world.submit([step], 1000, spec={"gang": MEMBERS})
     await asyncio.sleep(GREY_S)
     grey.fails_all = False
     world.note(f"{grey.name} is sound")
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -29,6 +29,8 @@
         options = json.loads(spec)
         self.work_ms = options.get("ms", 1000)
         self.saves = options.get("saves", False)
+        # Whether each run of the task fails as soon as it has started.
+        self.hopeless = options.get("hopeless", False)
         # Number of tasks of the gang; they work only together.
         self.gang = options.get("gang", 0)
         self.works = not self.gang
@@ -86,6 +88,7 @@
 
     async def start(self):
         await self.server.listen(self.address)
+        self.begin()
         self.up = True
         self.tasks = [
             asyncio.ensure_future(self.check_in_loop()),
@@ -274,7 +277,7 @@
         self.world.checker.on_start(self, run)
         if run.gang:
             self.world.gangs.on_start(self, run)
-        if self.fails_all:
+        if self.fails_all or run.hopeless:
             self.end(run, "failed")
         return 200, {}
 
