--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,9 @@
+#!/bin/sh
+# Exit status: 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
+here=$(cd "$(dirname "$0")" && pwd)
+root=$(cd "$here/../.." && pwd)
+standins="$root/target/review/standins"
+[ -d "$standins" ] && [ -d "$root/target/deps" ] || exit 2
+cd "$root" || exit 2
+PYTHONPATH="$standins" PYTHONDONTWRITEBYTECODE=1 \
+    exec python3 "$here/case.py" "$here/record.txt"
