--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,50 +1,41 @@
-"""A worker crashes just after its start, as its clock is set back."""
+"""A worker fails all that it starts, among them two members of a gang."""
 
 import asyncio
-import time
 
 from world import main
 
-CLOCK_STEP_MS = 2000
-CLOCK_STEP_S = 5.0
-CRASH_AFTER_S, DOWN_S = 0.8, 0.5
-CONTACT_S = 3.0
-FINISH_S = 14.0
-IDLE_S = 3.0
+MAX_ATTEMPTS = 2
+GREY_S = 6.5
+MEMBERS = 14
 
 
 async def case(world):
-    worker = world.workers["side-1"]
-    worker.labels = ["b", "r1"]
-    await asyncio.sleep(2)
-    await worker.start()
-    world.note(f"worker side-1 starts, born {worker.born}")
-    await asyncio.sleep(CRASH_AFTER_S)
-    back_ms = CLOCK_STEP_MS if world.trouble else 0
-    step_at_s = time.monotonic()
-    world.note(f"the clock of side-1 is set back by {back_ms} ms")
-    worker.crash()
-    await asyncio.sleep(DOWN_S)
-    worker.restart()
-    worker.born -= back_ms
-    world.note(f"worker side-1 says born {worker.born}")
-    await asyncio.sleep(step_at_s + CLOCK_STEP_S - time.monotonic())
-    world.note("the clock of side-1 is right again")
-    await asyncio.sleep(2 * CONTACT_S)
+    await asyncio.sleep(2.5)
+    grey = world.workers["side-3"]
+    if world.trouble:
+        grey.fails_all = True
+        world.note(f"{grey.name} fails all that it starts")
     step = {
-        "Count": 2,
-        "Cpu": 1000,
-        "MemMb": 256,
-        "EstimateMs": 500,
-        "Requirements": "b",
+        "Count": MEMBERS,
+        "Cpu": 4000,
+        "MemMb": 1024,
+        "EstimateMs": 1000,
+        "Gang": True,
     }
-    job_id = await world.submit([step], 500)
-    await asyncio.sleep(FINISH_S + IDLE_S)
+    job_id = await world.submit([step], 1000, spec={"gang": MEMBERS})
+    await asyncio.sleep(GREY_S)
+    grey.fails_all = False
+    world.note(f"{grey.name} is sound")
+    await asyncio.sleep(10)
     state = await world.state(job_id)
-    if not any(task.startswith(job_id) for task in world.checker.started):
+    failed = len(world.gangs.failed_runs.get(f"{job_id}.0.0", ()))
+    world.note(f"{failed} runs of the gang have failed")
+    if state == "failed" and failed < MAX_ATTEMPTS:
         world.checker.fail(
-            "LOST", f"{job_id} is {state} and has nothing running"
+            "LOST",
+            f"{job_id} is shown as failed after {failed} failed run(s) of its"
+            f" gang; MaxAttempts is {MAX_ATTEMPTS}",
         )
 
 
-main(case, agents=3, later=("side-1",))
+main(case, agents=7, MaxAttempts=MAX_ATTEMPTS)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,85 +1,76 @@
-"""Two hopeless submissions keep tasks that last from being restarted."""
+"""Check-ins of another writer, with an address that can't be read."""
 
 import asyncio
+import json
 import time
 
+from httpio import call
 from world import main
 
-SUBMISSIONS, HOPELESS = 40, 2
-# Nothing may run for 3 s, from 6 s after the last run of a task that lasts.
-IDLE_S = 6.0 + 3.0
-FAILURES = 20
-FAILURE_GAP_S = 0.9
+ENDS = 3
+MACHINES = 2
+RESTART_S = 0.5
 
 
-class IdleCheck:
-    """Finds tasks that last and have nothing running for too long."""
-
-    def __init__(self, world):
-        self.world = world
-        self.sound_jobs = set()
-        self.ended_at_s = {}
-        self.longest_s = 0.0
-        self.reported = set()
-
-    def look(self):
-        now_s = time.monotonic()
-        running = {
-            run.task
-            for worker in self.world.workers.values()
-            for run in worker.running.values()
-        }
-        for job_id in self.sound_jobs:
-            task = f"{job_id}.0.0.0"
-            if task in running:
-                self.ended_at_s.pop(task, None)
-                continue
-            idle_s = now_s - self.ended_at_s.setdefault(task, now_s)
-            self.longest_s = max(self.longest_s, idle_s)
-            if idle_s > IDLE_S and task not in self.reported:
-                self.reported.add(task)
-                self.world.checker.fail(
-                    "LOST", f"{task} has nothing running for {IDLE_S:.0f} s"
-                )
-
-    async def run(self):
-        while True:
-            self.look()
-            await asyncio.sleep(0.05)
+async def keep_running(world):
+    """Start programs that ended again, as the platform does."""
+    while True:
+        for name, process in list(world.processes.items()):
+            if process.poll() is not None:
+                world.note_exits()
+                await asyncio.sleep(RESTART_S)
+                world.spawn(name)
+        await asyncio.sleep(0.05)
 
 
 async def case(world):
-    await asyncio.sleep(2.5)
-    check = IdleCheck(world)
-    step = {
-        "Count": 1,
-        "Cpu": 1000,
-        "MemMb": 256,
-        "EstimateMs": 1000,
-        "Persistent": True,
+    step = {"Count": 4, "Cpu": 1000, "MemMb": 256, "EstimateMs": 4000}
+    await world.submit([step], 4000)
+    await asyncio.sleep(3)
+    platform = asyncio.ensure_future(keep_running(world))
+    targets = world.agents[:MACHINES]
+    for number in range(ENDS if world.trouble else 0):
+        for name in targets:
+            body = {
+                "Service": "another-service",
+                "Address": "127.0..1:8080",
+                "Zone": "zone-a",
+                "Version": "v1",
+                "Slots": 8,
+                "State": "ready",
+                "ColdRemainingMs": 0,
+                "Capacity": {"Cpu": 16000, "MemMb": 62500, "Gpu": 0},
+                "Labels": ["a", "r1"],
+                "ClockMs": 1000,
+                "Seq": 1,
+                "born": int(time.time() * 1000),
+            }
+            answer = await call(
+                world.workers[name].control,
+                "PUT",
+                f"/yuccapoint/instances/i-other-{number}",
+                json.dumps(body).encode(),
+                {"Content-Type": "application/json"},
+            )
+            world.note(f"check-in of i-other-{number} at {name}: {answer}")
+        await asyncio.sleep(6)
+    if not world.trouble:
+        await asyncio.sleep(6 * ENDS)
+    world.note_exits()
+    platform.cancel()
+    ended = {
+        name: sum(1 for other, _ in world.exits if other == name)
+        for name in targets
     }
-    for number in range(SUBMISSIONS):
-        hopeless = world.trouble and number < HOPELESS
-        job_id = await world.submit([step], 0, spec={"hopeless": hopeless})
-        if not hopeless:
-            check.sound_jobs.add(job_id)
-    looks = asyncio.ensure_future(check.run())
-    await asyncio.sleep(20)
-    for _ in range(FAILURES):
-        worker, run = next(
-            (worker, run)
-            for worker in world.workers.values()
-            for run in worker.running.values()
-            if run.run == 1 and not run.hopeless
+    world.note(f"programs ended by themselves: {ended}")
+    world.checker.broken = [
+        text for text in world.checker.broken if text.startswith("Fault")
+    ]
+    if all(count >= ENDS for count in ended.values()):
+        world.checker.fail(
+            "Fault", f"programs ended by themselves on {MACHINES} machines:"
+            f" {ended}",
         )
-        worker.end(run, "failed")
-        await asyncio.sleep(FAILURE_GAP_S)
-    await asyncio.sleep(IDLE_S + 4)
-    looks.cancel()
-    idle = [worker.name for worker in world.workers.values() if worker.up]
-    world.note(f"workers that are up: {idle}")
-    world.note(f"longest time without a run: {check.longest_s:.1f} s")
-    print(f"longest time without a run: {check.longest_s:.1f} s")
 
 
 main(case)
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -44,8 +44,8 @@
 class Worker:
     """One machine's worker; ``restart`` begins a new lifetime.
 
-    ``delay`` is called with each request to the worker and returns how long
-    its execution takes to begin, in seconds, and whether it is answered.
+    ``keeps`` is called with each request to the worker and returns whether
+    it is left unanswered, to be carried out late by ``execute_late``.
     """
 
     def __init__(self, world, name, service, address, control):
@@ -63,7 +63,7 @@
         self.acked_check_ins = 0
         # Whether each task fails as soon as it has started.
         self.fails_all = False
-        self.delay = lambda request: (0.0, True)
+        self.keeps = lambda request: False
         self.server = HttpServer(self.serve)
         self.tasks = []
         self.begin()
@@ -184,23 +184,19 @@
     async def serve(self, request):
         if not self.up:
             return None
-        delay_s, answered = self.delay(request)
-        if delay_s:
-            # Executed by the lifetime that has this address by then.
-            asyncio.ensure_future(self.execute_late(request, delay_s))
+        if self.keeps(request):
+            # Left unanswered; the case carries it out late.
             await asyncio.sleep(60)
             return None
-        answer = await self.execute(request)
-        return answer if answered else None
+        return await self.execute(request)
 
-    async def execute_late(self, request, delay_s):
-        await asyncio.sleep(delay_s)
-        if self.up:
-            self.world.note(
-                f"worker {self.name} executes late: {request.path} "
-                f"{request.body.decode()}"
-            )
-            await self.execute(request)
+    async def execute_late(self, request):
+        """Carry out a call on the lifetime that has this address by now."""
+        self.world.note(
+            f"worker {self.name} executes late: {request.path} "
+            f"{request.body.decode()}"
+        )
+        await self.execute(request)
 
     async def execute(self, request):
         body = request.json()
