--- a/review/3/case.py
+++ b/review/3/case.py
@@ -47,4 +47,4 @@
         )
 
 
-main(case, agents=3, later=("side-1",))
+main(case, agents=7, later=("side-1",))
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -66,6 +66,7 @@
         self.keeps = lambda request: False
         self.server = HttpServer(self.serve)
         self.tasks = []
+        self.due = asyncio.Event()
         self.begin()
 
     def begin(self):
@@ -111,8 +112,10 @@
         self.server.cut()
 
     def restart(self):
+        """Begin the next lifetime, which checks in at once."""
         self.begin()
         self.up = True
+        self.due.set()
         self.world.note(f"worker {self.name} is back, born {self.born}")
 
     def check_in(self):
@@ -145,7 +148,11 @@
                 )
                 if answer is not None and answer[0] == 200:
                     self.acked_check_ins += 1
-            await asyncio.sleep(HEARTBEAT_S)
+            self.due.clear()
+            try:
+                await asyncio.wait_for(self.due.wait(), HEARTBEAT_S)
+            except TimeoutError:
+                continue
 
     async def tick_loop(self):
         while True:
