--- a/review/3/case.py
+++ b/review/3/case.py
@@ -13,23 +13,27 @@
 IDLE_S = 3.0
 
 
-async def case(world):
-    worker = world.workers["side-1"]
-    worker.labels = ["b", "r1"]
-    await asyncio.sleep(2)
-    await worker.start()
-    world.note(f"worker side-1 starts, born {worker.born}")
-    await asyncio.sleep(CRASH_AFTER_S)
-    back_ms = CLOCK_STEP_MS if world.trouble else 0
+async def restart_in_the_past(world, worker):
     step_at_s = time.monotonic()
-    world.note(f"the clock of side-1 is set back by {back_ms} ms")
+    world.note(f"the clock of side-1 is set back by {CLOCK_STEP_MS} ms")
     worker.crash()
     await asyncio.sleep(DOWN_S)
     worker.restart()
-    worker.born -= back_ms
+    worker.born -= CLOCK_STEP_MS
     world.note(f"worker side-1 says born {worker.born}")
     await asyncio.sleep(step_at_s + CLOCK_STEP_S - time.monotonic())
     world.note("the clock of side-1 is right again")
+
+
+async def case(world):
+    worker = world.workers["side-1"]
+    worker.labels = ["b", "r1"]
+    await asyncio.sleep(2)
+    await worker.start()
+    world.note(f"worker side-1 starts, born {worker.born}")
+    await asyncio.sleep(CRASH_AFTER_S)
+    if world.trouble:
+        await restart_in_the_past(world, worker)
     await asyncio.sleep(2 * CONTACT_S)
     step = {
         "Count": 2,
