Count one failed run of a gang as one failed attempt

Cause: RunEndHandler._fail compared the sum of the failures of all members with MaxAttempts, so that a worker that fails two members used up two attempts in one run. The same ends blamed the VM twice: if the first one began a quarantine, the second one began the next, twice as long.

Now the step counts failed runs, whichever members and reports tell of them, and stores the count with the newest failed run, so that a new leader counts the later ends of that run as the same attempt. All members of a run have ended before the next is claimed, so that one number tells them apart. The field is appended and is written only if a gang has failed: all other records keep their bytes. A record of an earlier build has only the failures of each member; their maximum counts, as no member may start after MaxAttempts failures of its own.

Ruled out: the largest number of failures of a single member. It needs no stored field, but a gang whose members fail in turn would get far more attempts than MaxAttempts.

--- a/src/yuccapoint/cell/cell_records.py
+++ b/src/yuccapoint/cell/cell_records.py
@@ -110,9 +110,11 @@
 
 def encode(record: CellRecord) -> bytes:
     """Encode the value of a record."""
-    if isinstance(record, OccurrenceState) and not record.crashes:
+    if isinstance(record, OccurrenceState) and not record.gang_failures:
         # Versions that did not store the later fields wrote these forms.
         fields = (record.outcome, record.instances, record.steps)
+        if record.crashes:
+            return _encoder.encode((*fields, record.begun, record.crashes))
         if not record.begun:
             return _encoder.encode(fields)
         return _encoder.encode((*fields, record.begun))
--- a/src/yuccapoint/cell/job_run.py
+++ b/src/yuccapoint/cell/job_run.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 
 from yuccapoint.cell.crash_history import CrashHistory
+from yuccapoint.cell.gang_history import GangHistory
+from yuccapoint.cell.occurrence_state import GangFailures
 from yuccapoint.cell.occurrence_state import OccurrenceState
 from yuccapoint.cell.occurrence_state import Outcome
 from yuccapoint.cell.occurrence_state import Phase
@@ -159,7 +161,7 @@
 class StepRun:
     """A step of an occurrence."""
 
-    __slots__ = ("done", "number", "occurrence", "spec", "tasks")
+    __slots__ = ("done", "gang", "number", "occurrence", "spec", "tasks")
 
     def __init__(
         self, occurrence: OccurrenceRun, number: int, spec: StepSpec
@@ -168,6 +170,7 @@
         self.number = number
         self.spec = spec
         self.done = 0
+        self.gang = GangHistory()
         self.tasks = [TaskRun(self, index) for index in range(spec.tasks)]
 
     @property
@@ -175,6 +178,13 @@
         """Whether all tasks are done."""
         return self.done == len(self.tasks)
 
+    @property
+    def gang_failures(self) -> int:
+        """How many runs of the gang have failed."""
+        # Earlier builds stored the failures of each member only.
+        most = max(task.failures for task in self.tasks)
+        return max(most, self.gang.failures)
+
     def share_checkpoint(self) -> None:
         """Set the same checkpoint for all members of a gang.
 
@@ -281,6 +291,10 @@
             task = self.steps[crashed.step].tasks[crashed.index]
             task.crashes.runs = list(crashed.runs)
             task.crashes.known = crashed.known
+        for failed in state.gang_failures:
+            gang = self.steps[failed.step].gang
+            gang.failures = failed.failures
+            gang.failed_run = failed.run
 
     def snapshot(self) -> OccurrenceState:
         """Return the state to store."""
@@ -317,8 +331,13 @@
             for task in self.tasks
             if task.is_suspect
         ]
+        gang_failures = [
+            GangFailures(step.number, step.gang.failures, step.gang.failed_run)
+            for step in self.steps
+            if step.gang.failures
+        ]
         return OccurrenceState(
-            self.outcome, instances, steps, self.begun, crashes
+            self.outcome, instances, steps, self.begun, crashes, gang_failures
         )
 
 
--- a/src/yuccapoint/cell/occurrence_state.py
+++ b/src/yuccapoint/cell/occurrence_state.py
@@ -68,12 +68,24 @@
     known: int
 
 
+class GangFailures(msgspec.Struct, array_like=True):
+    """How many runs of a gang have failed, and the newest of them.
+
+    A run has failed if at least one member has.
+    """
+
+    step: int
+    failures: int
+    run: int
+
+
 class OccurrenceState(msgspec.Struct, array_like=True):
     """State of one occurrence, with its tasks by step.
 
     ``begun`` tells whether a worker ever ran one of them; a claimed run may
     still be refused. ``crashes`` has an entry for each task that is suspected
-    of crashing the workers that start it.
+    of crashing the workers that start it, ``gang_failures`` for each gang
+    that has failed.
     """
 
     outcome: Outcome
@@ -81,3 +93,4 @@
     steps: list[list[TaskState]]
     begun: bool = False
     crashes: list[TaskCrashes] = []
+    gang_failures: list[GangFailures] = []
--- a/src/yuccapoint/cell/run_end_handler.py
+++ b/src/yuccapoint/cell/run_end_handler.py
@@ -194,22 +194,22 @@
     def _fail(
         self, vm: VmLedger, task: TaskRun, checkpoint: str, now_s: float
     ) -> None:
-        occurrence = task.step.occurrence
+        step = task.step
+        occurrence = step.occurrence
         submission = occurrence.job.submission
         task.failed_on.add(vm.name)
-        if vm.record_failure(submission.job_id, now_s):
+        # A failed run of a gang is one failure, however many members tell it.
+        blames_vm = not step.spec.gang or step.gang.note_failed_member(
+            task.run, vm.name
+        )
+        if blames_vm and vm.record_failure(submission.job_id, now_s):
             self._leader.explain("vm", "quarantined", vm=vm.name)
         task.failures += 1
         self._requeue(task, checkpoint, now_s)
         task.not_before_s = now_s + RETRY_DELAY_S
-        if (
-            task.step.spec.long_running
-            or occurrence.outcome is not Outcome.OPEN
-        ):
+        if step.spec.long_running or occurrence.outcome is not Outcome.OPEN:
             return
-        failures = task.failures
-        if task.step.spec.gang:
-            failures = sum(t.failures for t in task.step.tasks)
+        failures = step.gang_failures if step.spec.gang else task.failures
         if failures >= submission.queue.max_attempts:
             self._leader.end_occurrence(occurrence, Outcome.FAILED, now_s)
 
