Wait before a gang with a failed member starts again

A worker that fails all that it starts could use up a gang's attempts in a moment: the delay before a retry was set for the failed member only, and a gang is placed as soon as any of its members may start.

Now all members wait.

--- a/src/yuccapoint/cell/run_end_handler.py
+++ b/src/yuccapoint/cell/run_end_handler.py
@@ -206,7 +206,9 @@
             self._leader.explain("vm", "quarantined", vm=vm.name)
         task.failures += 1
         self._requeue(task, checkpoint, now_s)
-        task.not_before_s = now_s + RETRY_DELAY_S
+        # A gang starts as a whole.
+        for member in step.tasks if step.spec.gang else [task]:
+            member.not_before_s = now_s + RETRY_DELAY_S
         if step.spec.long_running or occurrence.outcome is not Outcome.OPEN:
             return
         failures = step.gang_failures if step.spec.gang else task.failures
--- a/tests/features/cell/gang_failures.feature
+++ b/tests/features/cell/gang_failures.feature
@@ -58,3 +58,10 @@
     And a task of another job has failed on "vm-0"
     When the members on "vm-0" fail in one report, and the others break
     Then "vm-0" is in quarantine for 2 s
+
+  Scenario: A gang with a failed member waits before it is started again
+    Given a gang of 4 tasks on 2 VMs, with 2 attempts
+    When member 0 fails, and the others break
+    Then the gang is not started within 90 ms
+    When the gang is started again
+    Then the gang's job is open
--- a/tests/features/steps/gang_failure_steps.py
+++ b/tests/features/steps/gang_failure_steps.py
@@ -183,3 +183,10 @@
     ledger = context.leader.vms[vm]
     found_s = ledger.quarantined_until_s - context.failed_at_s
     assert abs(found_s - seconds) < 0.01, found_s
+
+
+@then("the gang is not started within {wait_ms:d} ms")
+def not_started(context: Context, wait_ms: int) -> None:
+    context.now_s += wait_ms / 1000
+    _work(context)
+    assert all(t.phase is Phase.WAITING for t in _members(context))
