Reject deeply nested values like other malformed input

The same value in a check-in was not answered.

Cause: from some 1,000 levels on msgspec raises RecursionError, which is no DecodeError, also for fields that no type names. The places that decode caught DecodeError alone, so the exception left the loop that followed the records.

Evidence: of the 27 new rows of bad_input.feature 25 failed before, 24 of them with "RecursionError('maximum recursion depth exceeded while deserializing an object')", the row of frames because its sample was unsound then. All pass now.

Why it works: one module decodes what other processes, callers and operators wrote, and raises one error of the package; each place turns it into its own, as before.

Ruled out: a lower recursion limit or a scan for brackets before decoding; both would depend on the depth of the stack or read each message twice.

--- a/src/yuccapoint/bench/run_records.py
+++ b/src/yuccapoint/bench/run_records.py
@@ -5,8 +5,8 @@
 import pathlib
 from typing import Any
 
-import msgspec
-
+from yuccapoint.decoding import decode_json
+from yuccapoint.exceptions import DecodingError
 from yuccapoint.exceptions import YuccapointError
 
 SHOWN_LOG_PARTS = ("place", "guard", "lease", "route", "caller", "tables")
@@ -71,8 +71,8 @@
 
     def _add_line(self, name: str, line: str) -> bool:
         try:
-            values = msgspec.json.decode(line)
-        except msgspec.DecodeError:
+            values = decode_json(line.encode(), object)
+        except DecodingError:
             return False
         if not isinstance(values, dict):
             return False
--- a/src/yuccapoint/cell/cell_records.py
+++ b/src/yuccapoint/cell/cell_records.py
@@ -11,9 +11,11 @@
 
 import msgspec
 
+from yuccapoint import decoding
 from yuccapoint.cell.exceptions import DamagedRecordError
 from yuccapoint.cell.occurrence_state import OccurrenceState
 from yuccapoint.cell.submission import Submission
+from yuccapoint.exceptions import DecodingError
 from yuccapoint.job.interference.pair_report import PairEstimate
 
 SUBMISSION = "s:"
@@ -131,7 +133,7 @@
     if decoder is None:
         raise DamagedRecordError(f"unknown record key {key!r}")
     try:
-        record: CellRecord = decoder.decode(value)
-    except msgspec.DecodeError as error:
+        record: CellRecord = decoding.decode(decoder, value)
+    except DecodingError as error:
         raise DamagedRecordError(f"record {key!r}: {error}") from None
     return record
--- a/src/yuccapoint/connection/control_channel.py
+++ b/src/yuccapoint/connection/control_channel.py
@@ -16,6 +16,8 @@
 from yuccapoint.connection.delivery_messages import DeliveryProbe
 from yuccapoint.connection.delivery_messages import DeliveryReceipt
 from yuccapoint.connection.messages import ControlMessage
+from yuccapoint.decoding import decode
+from yuccapoint.exceptions import DecodingError
 from yuccapoint.exceptions import ListenError
 
 if TYPE_CHECKING:
@@ -262,8 +264,8 @@
     def _handle(self, data: bytes) -> None:
         self.received_bytes += len(data)
         try:
-            message = self._decoder.decode(data)
-        except msgspec.DecodeError:
+            message = decode(self._decoder, data)
+        except DecodingError:
             self.malformed_messages += 1
             return
         try:
--- a/src/yuccapoint/connection/frame_stream.py
+++ b/src/yuccapoint/connection/frame_stream.py
@@ -8,6 +8,8 @@
 import msgspec
 
 from yuccapoint.connection.frames import Frame
+from yuccapoint.decoding import decode
+from yuccapoint.exceptions import DecodingError
 from yuccapoint.exceptions import ProtocolError
 
 if TYPE_CHECKING:
@@ -101,7 +103,7 @@
 
     def _decode(self, body: memoryview) -> Frame:
         try:
-            frame: Frame = self._decoder.decode(body)
-        except msgspec.DecodeError as error:
+            frame: Frame = decode(self._decoder, body)
+        except DecodingError as error:
             raise ProtocolError(f"malformed frame: {error}") from None
         return frame
--- a/src/yuccapoint/connection/http_log.py
+++ b/src/yuccapoint/connection/http_log.py
@@ -11,6 +11,8 @@
 from yuccapoint.connection.log_port import LogRecordsExpiredError
 from yuccapoint.connection.log_port import LogResponseLostError
 from yuccapoint.connection.log_port import LogUnavailableError
+from yuccapoint.decoding import decode
+from yuccapoint.exceptions import DecodingError
 
 READ_WAIT_S = 1.0
 STATUS_EXPIRED = 410
@@ -75,13 +77,13 @@
         )
         try:
             response = await self._client.fetch(request)
-            return self._page_decoder.decode(response.body)
+            return decode(self._page_decoder, response.body)
         except HTTPClientError as error:
             if error.code == STATUS_EXPIRED and error.response is not None:
                 earliest = int(error.response.body)
                 raise LogRecordsExpiredError(earliest) from None
             raise LogUnavailableError(f"can't read the log: {error}") from None
-        except (OSError, ValueError) as error:
+        except (DecodingError, OSError, ValueError) as error:
             raise LogUnavailableError(f"can't read the log: {error}") from None
 
     def close(self) -> None:
--- a/src/yuccapoint/connection/http_worker.py
+++ b/src/yuccapoint/connection/http_worker.py
@@ -12,6 +12,8 @@
 
 from yuccapoint.connection.worker_port import WorkerError
 from yuccapoint.connection.worker_port import WorkerUnreachableError
+from yuccapoint.decoding import decode_json
+from yuccapoint.exceptions import DecodingError
 from yuccapoint.job.size import Size
 from yuccapoint.job.worker_events import Inventory
 from yuccapoint.job.worker_events import UsageSample
@@ -109,8 +111,8 @@
     async def _get(self, path: str, kind: type[ResponseT]) -> ResponseT:
         data = await self._call("GET", path, None)
         try:
-            return msgspec.json.decode(data, type=kind)
-        except msgspec.DecodeError as error:
+            return decode_json(data, kind)
+        except DecodingError as error:
             raise WorkerError(f"worker response is invalid: {error}") from None
 
     async def _call(self, method: str, path: str, body: bytes | None) -> bytes:
--- a/src/yuccapoint/console/commands/watch.py
+++ b/src/yuccapoint/console/commands/watch.py
@@ -4,7 +4,6 @@
 
 from typing import Annotated
 
-import msgspec
 import typer
 
 from yuccapoint.console import exit_codes
@@ -13,6 +12,8 @@
 from yuccapoint.console.options import Entry
 from yuccapoint.console.options import Json
 from yuccapoint.console.options import Token
+from yuccapoint.decoding import decode_json
+from yuccapoint.exceptions import DecodingError
 from yuccapoint.process.operator_messages import DecisionView
 
 
@@ -46,7 +47,11 @@
 
 
 def _print_if_matching(line: bytes, where: list[str], *, json: bool) -> None:
-    decision = msgspec.json.decode(line, type=DecisionView)
+    try:
+        decision = decode_json(line, DecisionView)
+    except DecodingError as error:
+        typer.echo(f"skipped an invalid decision: {error}", err=True)
+        return
     for condition in where:
         field, _, value = condition.partition("=")
         actual = decision.fields.get(field, "")
--- a/src/yuccapoint/console/entry_client.py
+++ b/src/yuccapoint/console/entry_client.py
@@ -13,6 +13,8 @@
 
 from yuccapoint.console.exceptions import CommandError
 from yuccapoint.console.exceptions import RefusedError
+from yuccapoint.decoding import decode_json
+from yuccapoint.exceptions import DecodingError
 from yuccapoint.exceptions import UnreachableError
 from yuccapoint.process.operator_messages import EditAnswer
 from yuccapoint.process.operator_messages import ErrorBody
@@ -66,8 +68,8 @@
         data = None if body is None else msgspec.json.encode(body)
         response = asyncio.run(self._fetch(method, path, data))
         try:
-            return msgspec.json.decode(response, type=response_type)
-        except msgspec.DecodeError as error:
+            return decode_json(response, response_type)
+        except DecodingError as error:
             raise CommandError(
                 f"can't decode the entry's response: {error}"
             ) from None
@@ -128,12 +130,12 @@
 def _refused_error(code: int, body: bytes) -> CommandError:
     if code == STATUS_CONFLICT:
         try:
-            answer = msgspec.json.decode(body, type=EditAnswer)
+            answer = decode_json(body, EditAnswer)
             return RefusedError(_conflict_text(answer))
-        except msgspec.DecodeError:
+        except DecodingError:
             pass
     try:
-        fault = msgspec.json.decode(body, type=ErrorBody)
-    except msgspec.DecodeError:
+        fault = decode_json(body, ErrorBody)
+    except DecodingError:
         return RefusedError(f"the entry answered {code}")
     return RefusedError(fault.error, Verdict(fault.verdict))
--- a/src/yuccapoint/console/saved_logs.py
+++ b/src/yuccapoint/console/saved_logs.py
@@ -8,6 +8,8 @@
 import msgspec
 
 from yuccapoint.console.exceptions import SavedLogError
+from yuccapoint.decoding import decode
+from yuccapoint.exceptions import DecodingError
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -39,8 +41,8 @@
     for path in paths:
         for line in _lines_containing(path, name.encode()):
             try:
-                message = _decoder.decode(line)
-            except msgspec.DecodeError:
+                message = decode(_decoder, line)
+            except DecodingError:
                 continue
             if _mentions_id(message, name):
                 # The same output may be passed twice.
--- a/src/yuccapoint/console/table_commands.py
+++ b/src/yuccapoint/console/table_commands.py
@@ -12,6 +12,8 @@
 import typer
 
 from yuccapoint.console.exceptions import CommandError
+from yuccapoint.decoding import decode_json
+from yuccapoint.exceptions import DecodingError
 from yuccapoint.exceptions import YuccapointError
 from yuccapoint.process.operator_messages import EditAnswer
 from yuccapoint.process.operator_messages import EditBody
@@ -163,6 +165,6 @@
 
 def _parse_value(text: str) -> object:
     try:
-        return msgspec.json.decode(text.encode())
-    except msgspec.DecodeError:
+        return decode_json(text.encode(), object)
+    except DecodingError:
         return text
--- a/src/yuccapoint/exceptions.py
+++ b/src/yuccapoint/exceptions.py
@@ -38,3 +38,7 @@
     """A peer sent bytes that are not a valid message."""
 
     verdict = Verdict.MAY_HAVE_RUN
+
+
+class DecodingError(YuccapointError):
+    """Bytes can't be decoded into the expected type."""
--- a/src/yuccapoint/platform/adviser_client.py
+++ b/src/yuccapoint/platform/adviser_client.py
@@ -5,6 +5,8 @@
 import msgspec
 
 from yuccapoint.connection.http_client import HttpClient
+from yuccapoint.decoding import decode_json
+from yuccapoint.exceptions import DecodingError
 from yuccapoint.exceptions import UnreachableError
 from yuccapoint.platform.exceptions import MalformedMessageError
 
@@ -55,8 +57,8 @@
                 f"adviser responded with status {response.status}"
             )
         try:
-            advice = msgspec.json.decode(response.body, type=_Advice)
-        except msgspec.DecodeError as error:
+            advice = decode_json(response.body, _Advice)
+        except DecodingError as error:
             raise MalformedMessageError(
                 f"adviser response is invalid: {error}"
             ) from None
--- a/src/yuccapoint/platform/check_in_server.py
+++ b/src/yuccapoint/platform/check_in_server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import re
-from typing import Any
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -11,6 +10,8 @@
 
 from yuccapoint.cell.occurrence_state import WorkerInstance
 from yuccapoint.cell.worker_events import CheckIn
+from yuccapoint.decoding import decode_json
+from yuccapoint.exceptions import DecodingError
 from yuccapoint.job.size import Size
 from yuccapoint.platform.exceptions import MalformedMessageError
 from yuccapoint.platform.http_response import send_response
@@ -118,8 +119,8 @@
         no start time or has a value that can't be used.
     """
     try:
-        wire: Any = msgspec.json.decode(body, type=_CheckIn)
-    except msgspec.DecodeError as error:
+        wire = decode_json(body, _CheckIn)
+    except DecodingError as error:
         raise MalformedMessageError(f"check-in is invalid: {error}") from None
     if wire.state not in ("ready", "draining"):
         raise MalformedMessageError(
--- a/src/yuccapoint/platform/job_body.py
+++ b/src/yuccapoint/platform/job_body.py
@@ -8,6 +8,8 @@
 
 from yuccapoint.cell.step_spec import StepSpec
 from yuccapoint.cell.submission import Submission
+from yuccapoint.decoding import decode
+from yuccapoint.exceptions import DecodingError
 from yuccapoint.job.size import Size
 from yuccapoint.platform.exceptions import MalformedMessageError
 
@@ -69,8 +71,8 @@
         The job can never run as specified.
     """
     try:
-        job = _decoder.decode(body)
-    except msgspec.DecodeError as error:
+        job = decode(_decoder, body)
+    except DecodingError as error:
         raise MalformedMessageError(f"job body is invalid: {error}") from None
     submission = Submission(
         job_id=job_id,
--- a/src/yuccapoint/platform/node_settings.py
+++ b/src/yuccapoint/platform/node_settings.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from yuccapoint.decoding import decode_json
+from yuccapoint.exceptions import DecodingError
 from yuccapoint.exceptions import SettingsError
 
 SETTINGS_VARIABLE = "YUCCAPOINT_NODE_FILE"
@@ -101,12 +103,12 @@
         The file can't be read, is not valid JSON or lacks a key.
     """
     try:
-        return msgspec.json.decode(path.read_bytes(), type=NodeSettings)
+        return decode_json(path.read_bytes(), NodeSettings)
     except OSError as error:
         raise SettingsError(
             f"can't read settings file {path}: {error}"
         ) from None
-    except msgspec.DecodeError as error:
+    except DecodingError as error:
         raise SettingsError(
             f"settings file {path} is invalid: {error}"
         ) from None
--- a/src/yuccapoint/platform/operator_config.py
+++ b/src/yuccapoint/platform/operator_config.py
@@ -5,6 +5,8 @@
 import msgspec
 
 from yuccapoint.cell.queue_rules import QueueRules
+from yuccapoint.decoding import decode_json
+from yuccapoint.exceptions import DecodingError
 from yuccapoint.platform.exceptions import MalformedMessageError
 from yuccapoint.version.queue_table import QueueRoute
 from yuccapoint.version.queue_table import QueueTable
@@ -50,8 +52,8 @@
         The record is not valid JSON or lacks a field.
     """
     try:
-        config = msgspec.json.decode(value, type=_Config)
-    except msgspec.DecodeError as error:
+        config = decode_json(value, _Config)
+    except DecodingError as error:
         raise MalformedMessageError(
             f"config record is invalid: {error}"
         ) from None
--- a/src/yuccapoint/platform/store_partition.py
+++ b/src/yuccapoint/platform/store_partition.py
@@ -19,6 +19,8 @@
 from yuccapoint.connection.http_client import HttpClient
 from yuccapoint.connection.http_client import NotSentError
 from yuccapoint.connection.http_client import ResponseLostError
+from yuccapoint.decoding import decode_json
+from yuccapoint.exceptions import DecodingError
 from yuccapoint.platform.exceptions import MalformedMessageError
 
 if TYPE_CHECKING:
@@ -233,8 +235,8 @@
 
 def _decode_json(body: bytes, kind: type[DecodedT]) -> DecodedT:
     try:
-        return msgspec.json.decode(body, type=kind)
-    except msgspec.DecodeError as error:
+        return decode_json(body, kind)
+    except DecodingError as error:
         raise StoreResponseLostError(
             f"store response is invalid: {error}"
         ) from None
--- a/src/yuccapoint/platform/worker_client.py
+++ b/src/yuccapoint/platform/worker_client.py
@@ -16,6 +16,8 @@
 from yuccapoint.cell.worker_events import StopCall
 from yuccapoint.cell.worker_events import WorkerStatus
 from yuccapoint.connection.http_client import HttpClient
+from yuccapoint.decoding import decode_json
+from yuccapoint.exceptions import DecodingError
 from yuccapoint.exceptions import UnreachableError
 from yuccapoint.platform.exceptions import MalformedMessageError
 
@@ -214,8 +216,8 @@
 
 def _decode(response: HttpResponse, kind: type[Any]) -> Any:
     try:
-        return msgspec.json.decode(response.body, type=kind)
-    except msgspec.DecodeError as error:
+        return decode_json(response.body, kind)
+    except DecodingError as error:
         raise MalformedMessageError(
             f"worker response is invalid: {error}"
         ) from None
--- a/src/yuccapoint/process/announce_api.py
+++ b/src/yuccapoint/process/announce_api.py
@@ -5,10 +5,11 @@
 import time
 from typing import TYPE_CHECKING
 
-import msgspec
 from tornado.web import Application
 from tornado.web import RequestHandler
 
+from yuccapoint.decoding import decode_json
+from yuccapoint.exceptions import DecodingError
 from yuccapoint.process.endpoint_registry import Announcement
 
 if TYPE_CHECKING:
@@ -33,10 +34,8 @@
     def post(self) -> None:
         """Register or update an endpoint."""
         try:
-            announcement = msgspec.json.decode(
-                self.request.body, type=Announcement
-            )
-        except msgspec.DecodeError as error:
+            announcement = decode_json(self.request.body, Announcement)
+        except DecodingError as error:
             self.set_status(STATUS_BAD_REQUEST)
             self.finish(f"{error}\n")
             return
--- a/src/yuccapoint/process/cell_state.py
+++ b/src/yuccapoint/process/cell_state.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from yuccapoint.decoding import decode
+from yuccapoint.exceptions import DecodingError
 from yuccapoint.exceptions import ProtocolError
 from yuccapoint.job.job_board import JobBoard
 from yuccapoint.job.records import AppendBatch
@@ -76,8 +78,8 @@
             The bytes are not a batch of records.
         """
         try:
-            return _DECODER.decode(data)
-        except msgspec.DecodeError as error:
+            return decode(_DECODER, data)
+        except DecodingError as error:
             raise ProtocolError(f"damaged log record: {error}") from None
 
     def apply(
--- a/src/yuccapoint/process/operator_api.py
+++ b/src/yuccapoint/process/operator_api.py
@@ -12,6 +12,8 @@
 from tornado.web import RequestHandler
 
 from yuccapoint.connection.messages import DrainVm
+from yuccapoint.decoding import decode_json
+from yuccapoint.exceptions import DecodingError
 from yuccapoint.exceptions import YuccapointError
 from yuccapoint.job.job import Job
 from yuccapoint.job.records import JobCancelled
@@ -81,8 +83,8 @@
     def decode_body(self, kind: type[BodyT]) -> BodyT | None:
         """Decode the body; respond and return None if it is invalid."""
         try:
-            return msgspec.json.decode(self.request.body, type=kind)
-        except msgspec.DecodeError as error:
+            return decode_json(self.request.body, kind)
+        except DecodingError as error:
             self.respond_error(STATUS_BAD_REQUEST, str(error), Verdict.NOT_RUN)
             return None
 
--- a/src/yuccapoint/process/settings/checker.py
+++ b/src/yuccapoint/process/settings/checker.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from yuccapoint.decoding import decode_json
+from yuccapoint.exceptions import DecodingError
 from yuccapoint.exceptions import SettingsError
 from yuccapoint.process.settings.loader import load_agent_settings
 from yuccapoint.process.settings.loader import load_entry_settings
@@ -33,8 +35,8 @@
     """
     try:
         data = pathlib.Path(path).read_bytes()
-        tables = msgspec.json.decode(data, type=TablesFile)
-    except (OSError, msgspec.DecodeError) as error:
+        tables = decode_json(data, TablesFile)
+    except (OSError, DecodingError) as error:
         raise SettingsError(str(error)) from None
     faults = _row_faults(tables)
     if faults:
--- a/src/yuccapoint/process/snapshot_chunks.py
+++ b/src/yuccapoint/process/snapshot_chunks.py
@@ -7,6 +7,8 @@
 import msgspec
 import xxhash
 
+from yuccapoint.decoding import decode
+from yuccapoint.exceptions import DecodingError
 from yuccapoint.job.records import SnapshotChunk
 
 if TYPE_CHECKING:
@@ -96,6 +98,6 @@
     if xxhash.xxh64_digest(data) != digest:
         return None
     try:
-        return _DECODER.decode(data)
-    except msgspec.DecodeError:
+        return decode(_DECODER, data)
+    except DecodingError:
         return None
--- a/src/yuccapoint/process/snapshot_image.py
+++ b/src/yuccapoint/process/snapshot_image.py
@@ -16,6 +16,8 @@
 
 import msgspec
 
+from yuccapoint.decoding import decode
+from yuccapoint.exceptions import DecodingError
 from yuccapoint.exceptions import YuccapointError
 from yuccapoint.job.job import Job
 from yuccapoint.job.job_board import VmLeadership
@@ -105,6 +107,18 @@
 
 _ENCODER = msgspec.msgpack.Encoder(enc_hook=_encode_object)
 _SLICE_DECODER = msgspec.msgpack.Decoder(StateSlice)
+_ITEMS_DECODER: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder()
+
+
+# What decoded values of other types than expected lead to.
+_DAMAGE = (
+    DecodingError,
+    msgspec.ValidationError,
+    AttributeError,
+    LookupError,
+    TypeError,
+    ValueError,
+)
 
 
 def encode_slices(path: str, part: object) -> Iterator[bytes]:
@@ -140,11 +154,11 @@
     jobs: dict[str, JobEntry] = {}
     try:
         for data in encoded:
-            encoded_slice = _SLICE_DECODER.decode(data)
+            encoded_slice = decode(_SLICE_DECODER, data)
             if encoded_slice.path.startswith(path + "."):
                 _apply_slice(part, encoded_slice, path, jobs)
-    except (msgspec.MsgspecError, AttributeError, KeyError) as error:
-        raise SnapshotDamagedError(f"damaged snapshot: {error}") from None
+    except _DAMAGE as error:
+        raise SnapshotDamagedError(f"damaged snapshot: {error!r}") from None
     _rebuild(part)
 
 
@@ -235,7 +249,7 @@
     *nested, name = encoded_slice.path[len(path) + 1 :].split(".")
     for step in nested:
         part = getattr(part, step)
-    items = msgspec.msgpack.decode(encoded_slice.items)
+    items = decode(_ITEMS_DECODER, encoded_slice.items)
     if encoded_slice.kind == "value":
         setattr(part, name, items)
         return
--- a/tests/features/proof/bad_input.feature
+++ b/tests/features/proof/bad_input.feature
@@ -16,3 +16,39 @@
   Scenario: entry and agent keep serving after hostile HTTP heads
     Given the deployment caribfert with 1 VMs and 1 entries
     When 300 hostile heads are sent to all HTTP ports
+
+  Scenario Outline: deeply nested values in <site> are rejected
+    # Decoders raise RecursionError, which is no DecodeError: entries and
+    # agents ended, or followed nothing more.
+    When <site> with deeply nested values are decoded
+    Then only errors of their own are raised
+
+    Examples:
+      | site                |
+      | submissions         |
+      | check-ins           |
+      | worker lists        |
+      | worker answers      |
+      | store answers       |
+      | store conflicts     |
+      | store pages         |
+      | advice              |
+      | config records      |
+      | node settings       |
+      | tables files        |
+      | saved logs          |
+      | operator calls      |
+      | entry responses     |
+      | console values      |
+      | stored submissions  |
+      | stored states       |
+      | stored leaderships  |
+      | stored members      |
+      | log records         |
+      | log pages           |
+      | frames              |
+      | reports             |
+      | orders              |
+      | snapshot slices     |
+      | snapshot items      |
+      | usage samples       |
