Reject check-ins with an address, name or number that can't be one

Cause: any text before the port was taken for an address and called at once. Resolving it raises UnicodeError or OverflowError, which the HTTP client didn't turn into an error of its own; the poll loop ended, and the agent with it. An exception while a check-in was handled left it without a response.

Why it works: PROTOCOL.md and DEPLOY.md have IPv4 addresses without name lookups, so that a check-in names exactly such an address and a port from 1 to 65535, printable names of at most 255 characters and numbers in range, or gets 400 with field, value and what was expected. A call that can't be sent, whatever the address or header, is NotSentError.

Ruled out: resolving names with a time limit; no page names a host by name.

--- a/src/yuccapoint/connection/http_client.py
+++ b/src/yuccapoint/connection/http_client.py
@@ -124,14 +124,8 @@
             The peer may have executed the request.
         """
         deadline_s = time.monotonic() + timeout_s
+        head = self._encode_head(method, target, len(body), headers or {})
         stream = await self._connect(deadline_s)
-        lines = [
-            f"{method} {target} HTTP/1.1",
-            f"Content-Length: {len(body)}",
-        ]
-        for name, value in {"Host": self.address, **(headers or {})}.items():
-            lines.append(f"{name}: {value}")
-        head = "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
         reusable = False
         self._due_at_s[stream] = time.monotonic() + wait_s
         try:
@@ -164,6 +158,26 @@
             self._idle.popleft().stream.close()
         return response
 
+    def _encode_head(
+        self,
+        method: str,
+        target: str,
+        body_bytes: int,
+        headers: dict[str, str],
+    ) -> bytes:
+        lines = [
+            f"{method} {target} HTTP/1.1",
+            f"Content-Length: {body_bytes}",
+        ]
+        for name, value in {"Host": self.address, **headers}.items():
+            lines.append(f"{name}: {value}")
+        try:
+            return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
+        except UnicodeEncodeError as error:
+            raise NotSentError(
+                f"can't send the request to {self.address}: {error}"
+            ) from None
+
     def close(self) -> None:
         """Close the idle connections."""
         while self._idle:
@@ -213,7 +227,15 @@
         try:
             async with asyncio.timeout(left_s):
                 stream = await self._connector.connect(self._host, self._port)
-        except (OSError, TimeoutError, StreamClosedError) as error:
+        except (
+            OSError,
+            OverflowError,
+            StreamClosedError,
+            TimeoutError,
+            ValueError,
+        ) as error:
+            # Resolving an address that can't be one raises ValueError or
+            # OverflowError.
             raise NotSentError(
                 f"can't connect to {self.address}: {error!r}"
             ) from None
--- a/src/yuccapoint/platform/check_in_server.py
+++ b/src/yuccapoint/platform/check_in_server.py
@@ -2,50 +2,22 @@
 
 from __future__ import annotations
 
-import re
 from typing import TYPE_CHECKING
 
-import msgspec
 from tornado.httpserver import HTTPServer
 
-from yuccapoint.cell.occurrence_state import WorkerInstance
-from yuccapoint.cell.worker_events import CheckIn
-from yuccapoint.decoding import decode_json
-from yuccapoint.exceptions import DecodingError
-from yuccapoint.job.size import Size
+from yuccapoint.platform.check_in_body import decode_check_in
 from yuccapoint.platform.exceptions import MalformedMessageError
 from yuccapoint.platform.http_response import send_response
-from yuccapoint.platform.job_body import MEBIBYTE
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from tornado.httputil import HTTPServerRequest
 
-CHECK_IN_PATH = "/yuccapoint/instances/"
-ADDRESS_PATTERN = re.compile(r"[^:\s]+:[0-9]{1,5}\Z")
-# Leaves room for memory in bytes within the 64 bits of a message.
-MAX_NUMBER = 2**42
-
-
-class _Capacity(msgspec.Struct, rename="pascal"):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    from yuccapoint.cell.worker_events import CheckIn
 
-
-class _CheckIn(msgspec.Struct, rename="pascal", kw_only=True):
-    # Name of the pool whose jobs the worker runs.
-    service: str
-    address: str
-    state: str
-    seq: int
-    clock_ms: int
-    capacity: _Capacity
-    labels: list[str] = msgspec.field(default_factory=list)
-    remaining_ms: int = 0
-    # When the worker was started, in Unix milliseconds.
-    born: int = msgspec.field(name="born")
+CHECK_IN_PATH = "/yuccapoint/instances/"
 
 
 class CheckInServer:
@@ -88,7 +60,12 @@
         status = 404
         worker_id = request.path.removeprefix(CHECK_IN_PATH)
         if request.path.startswith(CHECK_IN_PATH) and worker_id:
-            status = self._handle(request, worker_id)
+            try:
+                status = self._handle(request, worker_id)
+            except Exception as error:  # noqa: BLE001
+                # Without a response the worker would wait for its timeout.
+                self._on_rejected(f"check-in can't be applied: {error!r}")
+                status = 500
         if not send_response(request, status):
             self._on_rejected(
                 "worker closed the connection before the check-in response"
@@ -107,57 +84,3 @@
             return 400
         self._on_check_in(check_in)
         return 200
-
-
-def decode_check_in(vm: str, worker_id: str, body: bytes) -> CheckIn:
-    """Decode a check-in.
-
-    Raises
-    ------
-    MalformedMessageError
-        The body is not valid JSON, lacks a field, has an unknown state, names
-        no start time or has a value that can't be used.
-    """
-    try:
-        wire = decode_json(body, _CheckIn)
-    except DecodingError as error:
-        raise MalformedMessageError(f"check-in is invalid: {error}") from None
-    if wire.state not in ("ready", "draining"):
-        raise MalformedMessageError(
-            f"check-in has unknown state {wire.state!r}"
-        )
-    if wire.born <= 0:
-        raise MalformedMessageError(
-            f"check-in has born {wire.born}, expected Unix milliseconds"
-        )
-    capacity = wire.capacity
-    numbers = (
-        wire.born,
-        wire.seq,
-        wire.clock_ms,
-        # Less than none is left of a drain that takes longer than announced.
-        abs(wire.remaining_ms),
-        capacity.cpu,
-        capacity.mem_mb,
-        capacity.gpu,
-    )
-    if min(numbers) < 0 or max(numbers) > MAX_NUMBER:
-        raise MalformedMessageError(
-            f"check-in has a number outside of 0 to {MAX_NUMBER}"
-        )
-    if not wire.service or not ADDRESS_PATTERN.match(wire.address):
-        raise MalformedMessageError(
-            f"check-in has service {wire.service!r} and address"
-            f" {wire.address!r}, expected a name and HOST:PORT"
-        )
-    return CheckIn(
-        instance=WorkerInstance(vm, worker_id, wire.born),
-        pool=wire.service,
-        address=wire.address,
-        capacity=Size(capacity.cpu, capacity.mem_mb * MEBIBYTE, capacity.gpu),
-        labels=tuple(wire.labels),
-        draining=wire.state == "draining",
-        remaining_ms=wire.remaining_ms,
-        clock_ms=wire.clock_ms,
-        sequence=wire.seq,
-    )
--- a/tests/features/platform/malformed.feature
+++ b/tests/features/platform/malformed.feature
@@ -97,3 +97,72 @@
       | Address  | "10.0.0.1"                  |
       | Address  | "10.0.0.1:http"             |
       | Service  | ""                          |
+      | RemainingMs | 99999999999999999999     |
+
+  Scenario Outline: A check-in with an address that can't be one is rejected
+    # The agent called it at once: "127.0..1" ended its process, and a port out
+    # of range was taken for the address of its worker.
+    Given a check-in server of a VM
+    When a check-in arrives whose "Address" is <value>
+    Then it is rejected with status 400
+    And the reason names "Address", the value and what was expected
+
+    Examples:
+      | value                |
+      | "127.0..1:8080"      |
+      | "127.0.0.1:0"        |
+      | "127.0.0.1:65536"    |
+      | "127.0.0.1:70000"    |
+      | "127.0.0.1:99999"    |
+      | "127.0.0.1:8080²"    |
+      | "127.0.0.1:+80"      |
+      | "127.0.0.1:-1"       |
+      | "127.1:8080"         |
+      | "0.0.0.0:8080"       |
+      | "224.0.0.1:8080"     |
+      | "127.0.0.01:8080"    |
+      | "[::1]:8080"         |
+      | "worker:8080"        |
+      | "127.0.0.1\u0000:80" |
+      | " 127.0.0.1:8080"    |
+
+  Scenario Outline: A check-in of a long or unprintable <part> is rejected
+    Given a check-in server of a VM
+    When a check-in arrives with <part>
+    Then it is rejected with status 400
+
+    Examples:
+      | part                     |
+      | a host label of 70 bytes |
+      | a service of 300 bytes   |
+      | a label of 300 bytes     |
+      | 65 labels                |
+      | an id of 300 bytes       |
+      | an id with a slash       |
+      | an id with a wide letter |
+      | a service with a NUL     |
+
+  Scenario: A check-in that the agent fails on is answered
+    # The exception was lost in the server and the worker got no answer.
+    Given a check-in server whose agent fails
+    When a check-in arrives
+    Then it is answered with status 500
+
+  Scenario Outline: A call to an address that can't be one is not sent
+    # Name resolution raises other errors than a failed connect, which ended
+    # the agent.
+    When "<address>" is called
+    Then the call fails as "not-run"
+
+    Examples:
+      | address                |
+      | 127.0..1:8080          |
+      | 127.0.0.1:70000        |
+      | 127.0.0.1:99999        |
+      | 127.0.0.1:0            |
+      | 127.0.0.1\0:80        |
+
+  Scenario: A header that can't be sent fails the call
+    Given a peer that answers "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+    When it is called with a header of wide letters
+    Then the call fails as "not-run"
--- a/tests/features/steps/malformed_steps.py
+++ b/tests/features/steps/malformed_steps.py
@@ -24,8 +24,12 @@
 from yuccapoint.process.process_logger import ProcessLogger
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from behave.runner import Context
 
+    from yuccapoint.cell.worker_events import CheckIn
+
 
 def _serve(context: Context, response: bytes) -> None:
     """Answer each request on a loopback port with the same bytes."""
@@ -185,10 +189,17 @@
 
 @given("a check-in server of a VM")
 def check_in_server(context: Context) -> None:
-    context.check_ins, context.rejections = [], []
+    context.check_ins = []
+    _start_check_in_server(context, context.check_ins.append)
+
+
+def _start_check_in_server(
+    context: Context, on_check_in: Callable[[CheckIn], None]
+) -> None:
+    context.rejections = []
     server = CheckInServer(
         "vm-0",
-        context.check_ins.append,
+        on_check_in,
         lambda _: None,
         context.rejections.append,
     )
@@ -203,9 +214,10 @@
     context.cleanups.append(server.stop)
 
 
-@when('a check-in arrives whose "{field}" is {value}')
-def check_in_arrives(context: Context, field: str, value: str) -> None:
-    body = {
+def _send_check_in(
+    context: Context, changes: dict[str, object], worker_id: str = "i-0"
+) -> None:
+    body: dict[str, object] = {
         "Service": "pool",
         "Address": "127.0.0.1:1",
         "State": "ready",
@@ -214,29 +226,109 @@
         "Capacity": {"Cpu": 1000, "MemMb": 64, "Gpu": 0},
         "born": 1_796_383_902_006,
     }
-    del body[field]
-    if value != "missing":
-        body[field] = msgspec.Raw(value.encode())
+    body.update(changes)
+    sent = {name: value for name, value in body.items() if value is not None}
+    # Written as bytes, as the client refuses some of the ids.
+    data = msgspec.json.encode(sent)
+    head = (
+        f"PUT /yuccapoint/instances/{worker_id} HTTP/1.1\r\n"
+        f"Host: agent\r\nContent-Length: {len(data)}\r\n\r\n"
+    )
 
     async def send() -> None:
-        context.response = await HttpClient(context.address).call(
-            "PUT",
-            "/yuccapoint/instances/i-0",
-            msgspec.json.encode(body),
-            timeout_s=1.0,
-        )
+        host, _, port = context.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(head.encode("latin-1") + data)
+        async with asyncio.timeout(1.0):
+            status_line = await reader.readline()
+        writer.close()
+        context.status = int(status_line.split()[1])
 
     run(context, send())
 
 
+@when('a check-in arrives whose "{field}" is {value}')
+def check_in_arrives(context: Context, field: str, value: str) -> None:
+    context.field, context.value = field, value
+    changed = None if value == "missing" else msgspec.Raw(value.encode())
+    _send_check_in(context, {field: changed})
+
+
+@when("a check-in arrives")
+def plain_check_in_arrives(context: Context) -> None:
+    _send_check_in(context, {})
+
+
+ODD_PARTS: dict[str, dict[str, object]] = {
+    "a host label of 70 bytes": {"Address": "h" * 70 + ":8080"},
+    "a service of 300 bytes": {"Service": "s" * 300},
+    "a service with a NUL": {"Service": "pool\0"},
+    "a label of 300 bytes": {"Labels": ["x" * 300]},
+    "65 labels": {"Labels": [f"x{number}" for number in range(65)]},
+}
+ODD_IDS = {
+    "an id of 300 bytes": "i" * 300,
+    "an id with a slash": "i-0/i-1",
+    "an id with a wide letter": "i-\u00e9",
+}
+
+
+@when("a check-in arrives with {part}")
+def odd_check_in_arrives(context: Context, part: str) -> None:
+    _send_check_in(context, ODD_PARTS.get(part, {}), ODD_IDS.get(part, "i-0"))
+
+
+@given("a check-in server whose agent fails")
+def failing_agent(context: Context) -> None:
+    def fail(check_in: object) -> None:
+        raise KeyError(check_in)
+
+    _start_check_in_server(context, fail)
+
+
+@when('"{address}" is called')
+def call_address(context: Context, address: str) -> None:
+    context.address = address.replace("\\0", "\0")
+    called(context)
+
+
+@when("it is called with a header of wide letters")
+def call_with_header(context: Context) -> None:
+    async def call() -> None:
+        client = HttpClient(context.address)
+        try:
+            await client.call(
+                "GET", "/", timeout_s=0.5, headers={"Name": "\u0107"}
+            )
+        except YuccapointError as error:
+            context.error = error
+
+    run(context, call())
+
+
 @then("it is rejected with status {status:d}")
 def check_in_rejected(context: Context, status: int) -> None:
-    assert context.response.status == status, context.response.status
+    assert context.status == status, context.status
     assert not context.check_ins, context.check_ins
     assert len(context.rejections) == 1, context.rejections
 
 
+@then('the reason names "{field}", the value and what was expected')
+def reason_names(context: Context, field: str) -> None:
+    (reason,) = context.rejections
+    value = msgspec.json.decode(context.value)
+    assert field in reason, reason
+    assert repr(value) in reason, reason
+    assert "expected" in reason, reason
+
+
+@then("it is answered with status {status:d}")
+def check_in_answered(context: Context, status: int) -> None:
+    assert context.status == status, context.status
+    assert len(context.rejections) == 1, context.rejections
+
+
 @then("it is accepted")
 def check_in_accepted(context: Context) -> None:
-    assert context.response.status == 200, context.response.status
+    assert context.status == 200, context.status
     assert len(context.check_ins) == 1, context.rejections
--- a/tests/fuzzing/decode_sites.py
+++ b/tests/fuzzing/decode_sites.py
@@ -43,7 +43,7 @@
 from yuccapoint.exceptions import ProtocolError
 from yuccapoint.exceptions import SettingsError
 from yuccapoint.platform.adviser_client import AdviserClient
-from yuccapoint.platform.check_in_server import decode_check_in
+from yuccapoint.platform.check_in_body import decode_check_in
 from yuccapoint.platform.exceptions import MalformedMessageError
 from yuccapoint.platform.job_body import decode_job
 from yuccapoint.platform.node_settings import load_node_settings
