Read numbers from text without failing on other digits

Callers saw nothing of it yet: a worker that lists a task with an id like ID.².0.0 had the whole report of its agent dropped by the leader, and a stored key p:ID.² ended each entry that read it. A deadline of such digits was answered with 500.

Cause: str.isdigit() is true for superscripts and other digits, which int() refuses, and int() refuses texts of over 4,300 digits.

Why it works: one function reads up to 19 ASCII digits or returns None, and all places that checked isdigit() use it. Arithmetic with a deadline of 400 digits (OverflowError) isn't reached any more.

--- a/src/yuccapoint/bench/run_records.py
+++ b/src/yuccapoint/bench/run_records.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from yuccapoint.decoding import decode_json
+from yuccapoint.decoding import parse_number
 from yuccapoint.exceptions import DecodingError
 from yuccapoint.exceptions import YuccapointError
 
@@ -93,9 +94,9 @@
 
     def _add_version(self, time_s: float, text: str) -> None:
         first_word, _, rest = text.partition(" ")
-        number = rest.partition(" ")[0]
-        if first_word == "version" and number.isdigit():
-            self.versions.append(VersionTime(time_s, int(number)))
+        number = parse_number(rest.partition(" ")[0])
+        if first_word == "version" and number is not None:
+            self.versions.append(VersionTime(time_s, number))
 
 
 def flatten_figures(
--- a/src/yuccapoint/cell/cell_leader.py
+++ b/src/yuccapoint/cell/cell_leader.py
@@ -22,6 +22,7 @@
 from yuccapoint.cell.ticket_cache import TicketCache
 from yuccapoint.cell.vm_checks import VmChecks
 from yuccapoint.cell.vm_ledger import VmLedger
+from yuccapoint.decoding import parse_number
 from yuccapoint.job.actions import Explain
 
 if TYPE_CHECKING:
@@ -394,12 +395,12 @@
         """Return the task with an id, or None."""
         job_id, _, rest = task_id.partition(".")
         job = self.jobs.get(job_id)
-        numbers = rest.split(".")
+        numbers = [parse_number(number) for number in rest.split(".")]
         if job is None or len(numbers) != 3:
             return None
-        if not all(number.isdigit() for number in numbers):
+        occurrence, step, index = numbers
+        if occurrence is None or step is None or index is None:
             return None
-        occurrence, step, index = (int(number) for number in numbers)
         found = job.occurrences.get(occurrence)
         if found is None or step >= len(found.steps):
             return None
--- a/src/yuccapoint/cell/cell_view.py
+++ b/src/yuccapoint/cell/cell_view.py
@@ -14,6 +14,7 @@
 from yuccapoint.cell.occurrence_state import Outcome
 from yuccapoint.cell.occurrence_state import Phase
 from yuccapoint.cell.submission import Submission
+from yuccapoint.decoding import parse_number
 
 if TYPE_CHECKING:
     from yuccapoint.cell.cell_records import CellRecord
@@ -236,8 +237,9 @@
             if job.cancelled_offset is None:
                 job.cancelled_offset = offset
             return
-        if isinstance(record, OccurrenceState) and occurrence.isdigit():
-            job.set_occurrence(int(occurrence), record, offset)
+        number = parse_number(occurrence)
+        if isinstance(record, OccurrenceState) and number is not None:
+            job.set_occurrence(number, record, offset)
 
     def _drop(self, key: str) -> None:
         name = key[2:]
--- a/src/yuccapoint/connection/entry_directory.py
+++ b/src/yuccapoint/connection/entry_directory.py
@@ -8,6 +8,7 @@
 
 from yuccapoint.connection.failure_detector import FailureDetector
 from yuccapoint.connection.failure_detector import MemberState
+from yuccapoint.decoding import parse_number
 
 if TYPE_CHECKING:
     from yuccapoint.connection.messages import EntryHeartbeat
@@ -109,4 +110,4 @@
 def split_entry_id(entry: str) -> tuple[str, int]:
     """Split an entry id into name and incarnation."""
     name, _, incarnation = entry.partition("@")
-    return name, int(incarnation) if incarnation.isdigit() else 0
+    return name, parse_number(incarnation) or 0
--- a/src/yuccapoint/decoding.py
+++ b/src/yuccapoint/decoding.py
@@ -9,6 +9,8 @@
 from yuccapoint.exceptions import DecodingError
 
 DecodedT = TypeVar("DecodedT")
+# Holds the numbers of 64 bits.
+MAX_DIGITS = 19
 
 
 def decode_json(data: bytes, kind: type[DecodedT]) -> DecodedT:
@@ -42,3 +44,14 @@
     except RecursionError:
         # Not a DecodeError; fields that no type names are nested as well.
         raise DecodingError("the value is nested too deeply") from None
+
+
+def parse_number(text: str) -> int | None:
+    """Return the number that ASCII digits stand for, or None.
+
+    ``str.isdigit`` is true for more digits than ``int`` reads, and ``int``
+    refuses texts of some thousand digits.
+    """
+    if len(text) > MAX_DIGITS or not text.isascii() or not text.isdigit():
+        return None
+    return int(text)
--- a/src/yuccapoint/platform/job_api.py
+++ b/src/yuccapoint/platform/job_api.py
@@ -12,6 +12,7 @@
 
 from yuccapoint.cell.exceptions import InvalidJobError
 from yuccapoint.cell.job_gateway import GatewayResult
+from yuccapoint.decoding import parse_number
 from yuccapoint.exceptions import YuccapointError
 from yuccapoint.platform.exceptions import MalformedMessageError
 from yuccapoint.platform.http_response import send_response
@@ -203,5 +204,7 @@
 
 def _deadline_s(request: HTTPServerRequest) -> float:
     text = request.headers.get(DEADLINE_HEADER, "")
-    wait_ms = int(text) if text.isdigit() else DEFAULT_DEADLINE_MS
+    wait_ms = parse_number(text)
+    if wait_ms is None:
+        wait_ms = DEFAULT_DEADLINE_MS
     return time.monotonic() + wait_ms / 1000 - RESPONSE_MARGIN_S
--- a/src/yuccapoint/process/caller_server.py
+++ b/src/yuccapoint/process/caller_server.py
@@ -15,6 +15,7 @@
 from tornado.httputil import ResponseStartLine
 from tornado.iostream import StreamClosedError
 
+from yuccapoint.decoding import parse_number
 from yuccapoint.exceptions import YuccapointError
 from yuccapoint.request.exceptions import BadRequestError
 from yuccapoint.request.exceptions import EndpointFailedError
@@ -133,8 +134,8 @@
         )
         if entry.stopping:
             raise OverloadedError("the entry is stopping", retry_after_s=1.0)
-        length = headers.get("Content-Length", "0")
-        if length.isdigit() and int(length) > entry.max_body_bytes:
+        length = content_length(headers)
+        if length is not None and length > entry.max_body_bytes:
             raise self._too_large()
         received = [Header(name, value) for name, value in headers.get_all()]
         request = ServiceRequest(
@@ -306,3 +307,8 @@
             return
         self._admitted = False
         self._entry.in_flight_limit.release(self._customer)
+
+
+def content_length(headers: HTTPHeaders) -> int | None:
+    """Return the length that a request announces, or None."""
+    return parse_number(headers.get("Content-Length", "0"))
--- a/src/yuccapoint/process/settings/sections.py
+++ b/src/yuccapoint/process/settings/sections.py
@@ -8,6 +8,8 @@
 
 import pydantic
 
+from yuccapoint.decoding import parse_number
+
 MAX_PORT = 65_535
 
 
@@ -17,7 +19,8 @@
         ipaddress.ip_address(host.strip("[]"))
     except ValueError:
         raise ValueError("should be an IP address and a port") from None
-    if not port.isdigit() or not 0 <= int(port) <= MAX_PORT:
+    number = parse_number(port)
+    if number is None or number > MAX_PORT:
         raise ValueError(f"should have a port between 0 and {MAX_PORT}")
     return text
 
--- a/tests/features/proof/bad_input.feature
+++ b/tests/features/proof/bad_input.feature
@@ -52,3 +52,20 @@
       | snapshot slices     |
       | snapshot items      |
       | usage samples       |
+
+  Scenario Outline: text that only looks like a number in <place> is rejected
+    # str.isdigit() is true for more than int() reads, and int() refuses texts
+    # of over 4,300 digits: a report with such a task id was dropped whole, and
+    # a stored key ended each entry that read it.
+    When <place> has digits that are no number
+    Then only errors of their own are raised
+
+    Examples:
+      | place                  |
+      | the id of a task       |
+      | the key of a state     |
+      | a deadline             |
+      | the id of an entry     |
+      | the length of a body   |
+      | the address of a peer  |
+      | a saved table version  |
--- a/tests/features/steps/decode_steps.py
+++ b/tests/features/steps/decode_steps.py
@@ -10,20 +10,32 @@
 sys.path.append(str(pathlib.Path(__file__).parents[2]))
 
 from fuzzing.hostile_messages import feed_nested  # noqa: E402
+from fuzzing.odd_numbers import feed_odd_numbers  # noqa: E402
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from behave.runner import Context
 
 
-@when("{site} with deeply nested values are decoded")
-def decode_nested(context: Context, site: str) -> None:
+def _feed(context: Context, feed: Callable[[str], int], name: str) -> None:
     context.error = None
     try:
-        context.fed_messages = feed_nested(site)
+        context.fed_messages = feed(name)
     except AssertionError as error:
         context.error = error
 
 
+@when("{site} with deeply nested values are decoded")
+def decode_nested(context: Context, site: str) -> None:
+    _feed(context, feed_nested, site)
+
+
+@when("{place} has digits that are no number")
+def read_odd_numbers(context: Context, place: str) -> None:
+    _feed(context, feed_odd_numbers, place)
+
+
 @then("only errors of their own are raised")
 def own_errors(context: Context) -> None:
     assert context.error is None, context.error
--- a/tests/fuzzing/decode_sites.py
+++ b/tests/fuzzing/decode_sites.py
@@ -334,7 +334,8 @@
     return {"Spec": "text", "Steps": [step, later], "Repeats": 0}
 
 
-def _submission() -> Submission:
+def sample_submission() -> Submission:
+    """Return an accepted job."""
     data = json.dumps(_job()).encode()
     return decode_job(data, JOB_ID, RULES, 1)
 
@@ -495,7 +496,7 @@
     "console values": DecodeSite("json", {"a": 1}, _feed_console_value),
     "stored submissions": DecodeSite(
         "msgpack",
-        _builtins(_submission()),
+        _builtins(sample_submission()),
         _record_feed(f"s:{JOB_ID}"),
         DamagedRecordError,
     ),
