--- a/src/yuccapoint/bench/run_records.py
+++ b/src/yuccapoint/bench/run_records.py
@@ -5,8 +5,9 @@
 import pathlib
 from typing import Any
 
-import msgspec
-
+from yuccapoint.decoding import decode_json
+from yuccapoint.decoding import parse_number
+from yuccapoint.exceptions import DecodingError
 from yuccapoint.exceptions import YuccapointError
 
 SHOWN_LOG_PARTS = ("place", "guard", "lease", "route", "caller", "tables")
@@ -71,8 +72,8 @@
 
     def _add_line(self, name: str, line: str) -> bool:
         try:
-            values = msgspec.json.decode(line)
-        except msgspec.DecodeError:
+            values = decode_json(line.encode(), object)
+        except DecodingError:
             return False
         if not isinstance(values, dict):
             return False
@@ -93,9 +94,9 @@
 
     def _add_version(self, time_s: float, text: str) -> None:
         first_word, _, rest = text.partition(" ")
-        number = rest.partition(" ")[0]
-        if first_word == "version" and number.isdigit():
-            self.versions.append(VersionTime(time_s, int(number)))
+        number = parse_number(rest.partition(" ")[0])
+        if first_word == "version" and number is not None:
+            self.versions.append(VersionTime(time_s, number))
 
 
 def flatten_figures(
