Log why tasks that last wait, by the reason of each VM

The conditions that leave a VM out now return an `Obstacle` in place of a bool, and the same code answers the log. A task is logged once it has waited for 3 s, then at most each 5 s, two tasks a second; the line has its age and the number of VMs for each reason, and `yuccapoint explain` shows it.

The wait of a task of a scheduled occurrence counts from its due time; it was not set before.

--- a/src/yuccapoint/cell/cell_leader.py
+++ b/src/yuccapoint/cell/cell_leader.py
@@ -22,6 +22,7 @@
 from yuccapoint.cell.ticket_cache import TicketCache
 from yuccapoint.cell.vm_checks import VmChecks
 from yuccapoint.cell.vm_ledger import VmLedger
+from yuccapoint.cell.waiting_log import WaitingLog
 from yuccapoint.job.actions import Explain
 
 if TYPE_CHECKING:
@@ -77,6 +78,7 @@
         self._report_handler = ReportHandler(self, self._end_handler)
         self.crash_counter = CrashCounter(self)
         self._vm_checks = VmChecks(self, self._report_handler)
+        self._waiting_log = WaitingLog(self)
         self.maintenance = StoreMaintenance(self)
         self.adviser_queries = AdviserQueries(self)
 
@@ -205,7 +207,7 @@
     def tick(self, now_s: float, wall_ms: int) -> None:
         """Release expired VMs, stop runs that stall or move, and claim."""
         self._vm_checks.run(now_s)
-        self._add_due_occurrences(wall_ms)
+        self._add_due_occurrences(now_s, wall_ms)
         self._plan(now_s, wall_ms)
         if now_s - self._progress_written_at_s >= PROGRESS_WRITE_INTERVAL_S:
             self._progress_written_at_s = now_s
@@ -243,6 +245,7 @@
                 max_per_vm=task.step.spec.max_per_vm,
                 waited_ms=int(waited_s * 1000),
             )
+        self._waiting_log.run(planner, now_s)
         for task in find_preemptions(
             planner, self.vms.values(), self.interference, now_s
         ):
@@ -274,7 +277,7 @@
                 ):
                     self.mark_dirty(occurrence)
 
-    def _add_due_occurrences(self, wall_ms: int) -> None:
+    def _add_due_occurrences(self, now_s: float, wall_ms: int) -> None:
         for job in self.jobs.values():
             submission = job.submission
             if not submission.repeats or job.cancelled:
@@ -284,7 +287,9 @@
                 due_ms = submission.due_at_ms(next_number)
                 if due_ms > wall_ms + SCHEDULE_LEAD_MS:
                     break
-                job.occurrence(next_number)
+                occurrence = job.occurrence(next_number)
+                for task in occurrence.tasks:
+                    task.waiting_since_s = now_s + (due_ms - wall_ms) / 1000
                 next_number = job.next_occurrence
 
     def stop(self, task: TaskRun, why: str, now_s: float) -> None:
--- a/src/yuccapoint/cell/claim_planner.py
+++ b/src/yuccapoint/cell/claim_planner.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from yuccapoint.cell import crash_trials
+from yuccapoint.cell.obstacle import Obstacle
 from yuccapoint.cell.occurrence_state import Outcome
 from yuccapoint.cell.occurrence_state import Phase
 from yuccapoint.cell.placement_costs import total_cost
@@ -327,7 +328,7 @@
         overcommit: bool = False,
     ) -> float | None:
         """Return the cost of placing a task on a VM; None if it can't."""
-        if not crash_trials.may_start(task, candidate):
+        if crash_trials.find_obstacle(task, candidate) is not None:
             return None
         return self._cost_beside(task, candidate, overcommit=overcommit)
 
@@ -339,24 +340,61 @@
         overcommit: bool = False,
     ) -> float | None:
         """Return the cost of a task beside runs that are starting."""
+        obstacle = self._find_obstacle_beside(
+            task, candidate, overcommit=overcommit
+        )
+        return None if obstacle else total_cost(task, candidate)
+
+    def _find_obstacle_beside(
+        self,
+        task: TaskRun,
+        candidate: VmCandidate,
+        *,
+        overcommit: bool = False,
+    ) -> Obstacle | None:
+        """Return why a VM can't run a task, runs that start aside."""
         spec = task.step.spec
-        if not candidate.can_run(spec):
-            return None
+        misfit = candidate.find_misfit(spec)
+        if misfit is not None:
+            return misfit
         count = candidate.step_counts.get(id(task.step), 0)
         if spec.max_per_vm and count >= spec.max_per_vm:
-            return None
+            return Obstacle.MAX_PER_VM
         if (
             spec.best_effort
             and not overcommit
             and candidate.would_overload(spec)
         ):
-            return None
+            return Obstacle.OVERLOAD
         on_probation = candidate.ledger.is_on_probation(self._now_s)
         if on_probation and (candidate.step_counts or spec.long_running):
-            return None
+            return Obstacle.PROBATION
         instance = candidate.ledger.instance
         if instance is None:
-            return None
+            return Obstacle.NO_WORKER
         if not self._ticket_cache.allows(task.step, instance, self._now_s):
-            return None
-        return total_cost(task, candidate)
+            return Obstacle.NO_TICKET
+        return None
+
+    def reasons_by_vm(self, task: TaskRun) -> dict[str, str]:
+        """Return why the VMs of a task's pool get no run of it now.
+
+        The reason is ``open`` for a VM that could, but for the limit of the
+        VMs that suspects may keep. VMs without a worker belong to any pool.
+        """
+        pool = task.step.occurrence.job.submission.queue.pool
+        reasons: dict[str, str] = {}
+        for vm in self._vms:
+            if vm.worker is not None and vm.worker.pool != pool:
+                continue
+            reasons[vm.name] = self._find_obstacle(task, vm) or "open"
+        return reasons
+
+    def _find_obstacle(self, task: TaskRun, vm: VmLedger) -> Obstacle | None:
+        closed = vm.find_obstacle(self._now_s)
+        if closed is not None:
+            return closed
+        candidate = VmCandidate(vm, self._interference)
+        crash_trials.assess(candidate, self._now_s)
+        obstacle = self._find_obstacle_beside(task, candidate)
+        return obstacle or crash_trials.find_obstacle(task, candidate)
--- a/src/yuccapoint/cell/crash_trials.py
+++ b/src/yuccapoint/cell/crash_trials.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from yuccapoint.cell.obstacle import Obstacle
+
 if TYPE_CHECKING:
     from yuccapoint.cell.job_run import TaskRun
     from yuccapoint.cell.vm_candidate import VmCandidate
@@ -36,13 +38,15 @@
         candidate.reserved_for = ledger.reserved_for
 
 
-def may_start(task: TaskRun, candidate: VmCandidate) -> bool:
-    """Return whether a start would leave a suspect alone."""
-    if not task.is_suspect:
-        return not candidate.on_trial
-    if candidate.starting_runs:
-        return False
-    return not candidate.on_trial or candidate.reserved_for == task.task_id
+def find_obstacle(task: TaskRun, candidate: VmCandidate) -> Obstacle | None:
+    """Return why a start would not leave a suspect alone, or None."""
+    if task.is_suspect and candidate.starting_runs:
+        return Obstacle.STARTING_RUNS
+    if not candidate.on_trial:
+        return None
+    if task.is_suspect and candidate.reserved_for == task.task_id:
+        return None
+    return Obstacle.KEPT_FOR_SUSPECT
 
 
 def note_start(task: TaskRun, candidate: VmCandidate) -> None:
--- a/src/yuccapoint/cell/job_run.py
+++ b/src/yuccapoint/cell/job_run.py
@@ -75,6 +75,7 @@
         "stopping",
         "stored_checkpoint",
         "task_id",
+        "wait_logged_at_s",
         "waiting_since_s",
     )
 
@@ -98,6 +99,7 @@
         self.moves = 0
         self.not_before_s = 0.0
         self.waiting_since_s = 0.0
+        self.wait_logged_at_s = 0.0
         self._reset_run()
 
     def _reset_run(self) -> None:
--- a/src/yuccapoint/cell/vm_candidate.py
+++ b/src/yuccapoint/cell/vm_candidate.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from yuccapoint.cell.interference_model import NEIGHBOUR_CPU_SHARE
+from yuccapoint.cell.obstacle import Obstacle
 from yuccapoint.cell.pace_controller import FULL_PERCENT
 from yuccapoint.cell.pace_controller import SETPOINT_SHARE_OF_TARGET
 from yuccapoint.job.size import Size
@@ -113,9 +114,15 @@
 
     def can_run(self, spec: StepSpec) -> bool:
         """Return whether a task fits and the VM has the required label."""
+        return self.find_misfit(spec) is None
+
+    def find_misfit(self, spec: StepSpec) -> Obstacle | None:
+        """Return whether a task lacks a label or room, or None."""
         if spec.label and spec.label not in self.labels:
-            return False
-        return spec.committed.fits(self.free)
+            return Obstacle.LABEL
+        if not spec.committed.fits(self.free):
+            return Obstacle.NO_ROOM
+        return None
 
     def would_overload(self, spec: StepSpec) -> bool:
         """Return whether a best-effort task more would slow others down."""
--- a/src/yuccapoint/cell/vm_ledger.py
+++ b/src/yuccapoint/cell/vm_ledger.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from yuccapoint.cell import lease_bounds
+from yuccapoint.cell.obstacle import Obstacle
 from yuccapoint.cell.run_registry import MAX_CALL_DELAY_S
 from yuccapoint.job.size import Size
 
@@ -219,16 +220,30 @@
 
     def is_open(self, now_s: float) -> bool:
         """Return whether the VM accepts new work now."""
+        return self.find_obstacle(now_s) is None
+
+    def find_obstacle(self, now_s: float) -> Obstacle | None:
+        """Return why the VM accepts no new work now, or None if it does."""
         worker = self.worker
-        if worker is None or worker.lease_expired or worker.draining:
-            return False
-        if not self.follows_leader or not self.runs_listed:
-            return False
-        if now_s < self.quarantined_until_s or now_s < self.full_until_s:
-            return False
+        if worker is None:
+            return Obstacle.NO_WORKER
+        if worker.lease_expired:
+            return Obstacle.LEASE_EXPIRED
+        if worker.draining:
+            return Obstacle.DRAINING
+        if not self.follows_leader:
+            return Obstacle.OTHER_LEADER
+        if not self.runs_listed:
+            return Obstacle.RUNS_NOT_LISTED
+        if now_s < self.full_until_s:
+            return Obstacle.REFUSED_FOR_ROOM
         if self.unconfirmed_s(now_s) >= lease_bounds.UNCONFIRMED_AFTER_S:
-            return False
-        return now_s - self.heard_at_s < lease_bounds.STALE_AFTER_S
+            return Obstacle.CONFIRMS_NO_ORDERS
+        if now_s - self.heard_at_s >= lease_bounds.STALE_AFTER_S:
+            return Obstacle.SILENT
+        if now_s < self.quarantined_until_s:
+            return Obstacle.QUARANTINE
+        return None
 
     def is_on_probation(self, now_s: float) -> bool:
         """Return whether the VM is limited to one run after a quarantine."""
--- a/tests/features/console/commands.feature
+++ b/tests/features/console/commands.feature
@@ -67,6 +67,7 @@
       | entry-0 place: claimed            |
       | vm-1 worker: start done           |
       | entry-0 run: given up             |
+      | waited_ms=3050, quarantine=2      |
       | vm-0 worker: start done           |
       | entry-0 job: occurrence completed |
     And the command's output does not have "0000000000000bbb"
--- a/tests/features/steps/saved_log_steps.py
+++ b/tests/features/steps/saved_log_steps.py
@@ -22,6 +22,13 @@
     ("vm-1", 1.2, "worker", "start done", {"task": TASK, "run": 1}),
     ("entry-0", 1.3, "job", "submitted", {"job": "0000000000000bbb"}),
     ("entry-0", 7.0, "run", "given up", {"task": TASK, "why": "lease"}),
+    (
+        "entry-0",
+        7.05,
+        "place",
+        "still waits; left out VMs by reason",
+        {"task": TASK, "waited_ms": 3050, "quarantine": 2},
+    ),
     ("vm-0", 7.1, "worker", "start done", {"task": TASK, "run": 2}),
     ("entry-0", 8.0, "job", "occurrence completed", {"job": JOB}),
 )
