Soak: check that long-running tasks run again

The soak had no long-running jobs, so it could not show this.

The check takes its bounds from the users' rule LOST: 3 s with nothing running, from 6 s after the last run, with room for the task twice over, where the 3 s and the 4 s before them are calm. It goes by what workers and callers saw. Not calm are: the time of a fault, calls that have yet to be executed late, and times in which the soak itself stood still, since its workers did too. A connection that falls silent counts at that moment only, as new ones work. Each seed is observed for 17 s after its last disturbance (the 14 s of finish_s and the 3 s). An error in a background check now fails the seed; before, it ended the check without a word.

Not changed: the scheduler.

--- a/src/yuccapoint_standins/platform_worker.py
+++ b/src/yuccapoint_standins/platform_worker.py
@@ -20,6 +20,7 @@
 TICK_INTERVAL_S = 0.01
 # A longer lease is shortened to this.
 MAX_HOLD_MS = 6_000
+CAPACITY_CPU_MILLI = 8_000
 
 
 class PlatformWorker:
@@ -97,7 +98,11 @@
             "Slots": 8,
             "State": "draining" if self.draining else "ready",
             "ColdRemainingMs": 0,
-            "Capacity": {"Cpu": 8000, "MemMb": 16384, "Gpu": 0},
+            "Capacity": {
+                "Cpu": CAPACITY_CPU_MILLI,
+                "MemMb": 16384,
+                "Gpu": 0,
+            },
             "Labels": ["a", "r1"],
             "ClockMs": self._clock_ms,
             "Seq": self._check_in_sequence,
@@ -174,7 +179,7 @@
             self._forget_ends(body["LastSeen"])
             await self._wait_for_end(body)
             running = [
-                [task, run, "", 50, 0]
+                [task, run, "", self._progress_percent(task), 0]
                 for task, (run, _) in self._running_tasks.items()
             ]
             lists = {"Running": running, "Finished": self._ended_tasks}
@@ -182,6 +187,10 @@
             return
         self._respond(request, 200, {})
 
+    def _progress_percent(self, task: str) -> int:
+        del task
+        return 50
+
     def _forget_ends(self, through: int) -> None:
         self._ended_tasks = [e for e in self._ended_tasks if e[0] > through]
 
--- a/tests/features/proof/soak.feature
+++ b/tests/features/proof/soak.feature
@@ -13,6 +13,10 @@
     When the soak runs seed 2 for 12 s with the faults "control_silent"
     Then no guarantee is violated and tasks were started
 
+  Scenario: Jobs run on beside long-running tasks that fail at once
+    When the soak runs seed 1 for 12 s with the faults "worker_crash"
+    Then no guarantee is violated and tasks were started
+
   Scenario Outline: A proxy silences open connections and serves new ones
     Given a proxy before a server that answers each line
     When a connection from 127.0.0.9 is silenced for its <way>
@@ -60,6 +64,53 @@
       | start 0.0 at a, counted 0 at entry                                      |
       | counted 1 at entry                                                      |
 
+  Scenario Outline: the soak reports a long-running task that waits
+    Given a soak job of one long-running task and two workers with room
+    When a calm soak goes on as "<events>"
+    Then the soak oracle reports a violation of "LOST"
+
+    Examples:
+      | events                                               |
+      | accepted, 3.1 s                                      |
+      | accepted, start, 20 s, failed, 9.1 s                 |
+      | accepted, start, 2 s, failed, 1 s, start, failed, 9.1 s |
+      | accepted, start, failed, disturbed, 9.1 s            |
+      | accepted, start, failed, 20 s, disturbed, 7.1 s      |
+      | accepted, one worker down, 3.1 s                     |
+      | full, accepted, 20 s, room, 3.2 s                    |
+      | accepted, start, reported failed                     |
+
+  Scenario Outline: the soak allows a long-running task to wait
+    Given a soak job of one long-running task and two workers with room
+    When a calm soak goes on as "<events>"
+    Then the soak oracle reports no violation
+
+    Examples:
+      | events                                        |
+      | 20 s                                          |
+      | accepted, 2.8 s                               |
+      | accepted, start, 20 s                         |
+      | accepted, start, failed, 8.8 s                |
+      | accepted, start, failed, 8.8 s, start, 20 s   |
+      | accepted, 2.8 s, disturbed, 6.8 s             |
+      | accepted, start, failed, 8.8 s, held up, 6.8 s |
+      | accepted, cancelled, 20 s                     |
+      | accepted, both workers down, 20 s             |
+      | full, accepted, 20 s                          |
+      | full, accepted, 20 s, room, 2.8 s             |
+      | full but for one, accepted, 20 s              |
+
+  Scenario: The soak reports long-running tasks that no entry starts again
+    Given real entries and agents behind proxies
+    And a long-running job whose tasks fail at once was accepted
+    When all entries are paused for 12 s unknown to the check
+    Then the soak oracle reports a violation of "LOST"
+
+  Scenario: A long-running task of the soak fails, and is not done
+    Given a worker of the soak that runs a task that fails at once
+    When the task ends
+    Then its end is listed as failed
+
   Scenario: A restarted worker of the soak knows nothing of its former instance
     Given a worker of the soak that ended a run and runs another
     When it restarts without having crashed
--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -21,9 +21,9 @@
 from soak import soak_worker  # noqa: E402
 from soak.oracle import Oracle  # noqa: E402
 from soak.oracle import PENDING_DELAY_S  # noqa: E402
-from soak.oracle import SoakJob  # noqa: E402
 from soak.oracle import VISIBILITY_TIMEOUT_S  # noqa: E402
 from soak.seed_run import run_seed  # noqa: E402
+from soak.soak_job import SoakJob  # noqa: E402
 from soak.soak_worker import SoakWorker  # noqa: E402
 from soak.world import FRONT_PORT  # noqa: E402
 from soak.world import ROUTE_HOST  # noqa: E402
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -4,6 +4,12 @@
 
 import time
 from typing import Any
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from soak.soak_job import SoakJob
 
 # Without faults, no task starts later than this after its job's cancellation
 # was acknowledged; the allowance covers the longest faults of the soak.
@@ -15,33 +21,23 @@
 PENDING_DELAY_S = 2.0
 
 
-class SoakJob:
-    """A job and what its caller observed of it."""
-
-    def __init__(self, job_id: str, payload: str, steps: list[int]) -> None:
-        self.job_id = job_id
-        self.payload = payload
-        self.steps = steps
-        self.accepted_at_s: float | None = None
-        self.may_be_accepted = False
-        # Entries that reported the job as completed.
-        self.completed_at: set[str] = set()
-        self.cancelled_at_s: float | None = None
-        self.cancel_attempted = False
-
-    @property
-    def accepted(self) -> bool:
-        return self.accepted_at_s is not None
-
-
 class Oracle:
-    """Collects violations of the guarantees."""
+    """Collects violations of the guarantees.
+
+    Parameters
+    ----------
+    clock : callable, optional
+        Monotonic time in seconds.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self.clock = clock
         self.jobs: dict[str, SoakJob] = {}
         self.violations: list[str] = []
         self.starts = 0
         self._running: dict[str, object] = {}
+        # When the last run of a task ended.
+        self._last_run_ended_at_s: dict[str, float] = {}
         self._done: set[str] = set()
         self._acknowledged_done: set[str] = set()
         self._begun: set[str] = set()
@@ -71,20 +67,18 @@
         """
         task = body["Task"]
         self.starts += 1
-        job = self.jobs.get(task.partition(".")[0])
+        job = self.job_of(task)
         if job is None:
-            self._record_violation(
-                "UNASKED", f"{task}: no caller submitted it"
-            )
+            self.record_violation("UNASKED", f"{task}: no caller submitted it")
             return
         if body["Spec"] != job.payload:
-            self._record_violation(
+            self.record_violation(
                 "UNASKED", f"{task}: started with another payload"
             )
         if task in self._running:
-            self._record_violation("TWICE", f"{task} runs on two workers")
+            self.record_violation("TWICE", f"{task} runs on two workers")
         if task in self._acknowledged_done:
-            self._record_violation(
+            self.record_violation(
                 "TWICE", f"{task} starts after its end was acknowledged"
             )
         self._begun.add(job.job_id)
@@ -94,13 +88,13 @@
         step = int(task.split(".")[2])
         for index in range(job.steps[step - 1] if step else 0):
             if f"{job.job_id}.0.{step - 1}.{index}" not in self._done:
-                self._record_violation(
+                self.record_violation(
                     "ORDER", f"{task} starts before step {step - 1}"
                 )
         if job.cancelled_at_s is not None:
-            late_s = (sent_at_s or time.monotonic()) - job.cancelled_at_s
+            late_s = (sent_at_s or self.clock()) - job.cancelled_at_s
             if late_s > CANCEL_TIMEOUT_S + FAULT_ALLOWANCE_S:
-                self._record_violation(
+                self.record_violation(
                     "UNASKED", f"{task}: cancelled {late_s:.1f} s ago"
                 )
         self._running[task] = worker
@@ -115,6 +109,7 @@
         """Record the end of a task run."""
         if self._running.get(task) is worker:
             del self._running[task]
+            self._last_run_ended_at_s[task] = self.clock()
         if how == "done":
             self._done.add(task)
         if end is not None:
@@ -143,7 +138,7 @@
                 continue
             self._acknowledged_done.add(task)
             if key in self._restarted_ends:
-                self._record_violation(
+                self.record_violation(
                     "TWICE", f"{task} started before its end was acknowledged"
                 )
 
@@ -155,9 +150,9 @@
     ) -> None:
         """Check a job state that an entry reported to a caller."""
         if status == 410 and job.accepted_at_s is not None:
-            age_s = time.monotonic() - job.accepted_at_s
+            age_s = self.clock() - job.accepted_at_s
             if age_s > VISIBILITY_TIMEOUT_S:
-                self._record_violation(
+                self.record_violation(
                     "LOST", f"{job.job_id}, {age_s:.1f} s old, is unknown"
                 )
         # Another entry may lag, but the state at one entry never reverts.
@@ -166,7 +161,7 @@
         if lags:
             before = entry in job.completed_at
         if before and status == 200 and state != "completed":
-            self._record_violation(
+            self.record_violation(
                 "MIXED", f"{job.job_id} was completed and is now {state}"
             )
         if state == "completed":
@@ -175,22 +170,48 @@
                 for index in range(tasks):
                     task = f"{job.job_id}.0.{step}.{index}"
                     if task not in self._done:
-                        self._record_violation(
+                        self.record_violation(
                             "MIXED",
                             f"{task} is not done but its job completed",
                         )
         if state == "cancelled" and not job.cancel_attempted:
-            self._record_violation(
+            self.record_violation(
                 "LOST", f"{job.job_id} was cancelled without a request"
             )
         if state == "failed":
-            self._record_violation(
-                "LOST", f"{job.job_id} failed without a failed run"
-            )
+            why = "without a failed run"
+            if job.long_running:
+                why = "though long-running jobs are not given up"
+            self.record_violation("LOST", f"{job.job_id} failed {why}")
+
+    def ending_jobs(self) -> list[SoakJob]:
+        """Return the jobs whose tasks end by themselves."""
+        return [job for job in self.jobs.values() if not job.long_running]
+
+    def job_of(self, task: str) -> SoakJob | None:
+        """Return the job of a task, if a caller submitted it."""
+        return self.jobs.get(task.partition(".")[0])
+
+    def is_running(self, task: str) -> bool:
+        """Whether a worker runs a task."""
+        return task in self._running
+
+    def last_run_ended_at_s(self, task: str) -> float | None:
+        """Return when the last run of a task ended, if one has."""
+        return self._last_run_ended_at_s.get(task)
+
+    def cpu_in_use_milli(self, worker: object) -> int:
+        """Return the CPU that the running tasks of a worker requested."""
+        jobs = [
+            self.job_of(task)
+            for task, runs_at in self._running.items()
+            if runs_at is worker
+        ]
+        return sum(job.cpu_milli for job in jobs if job is not None)
 
     def waiting_jobs(self) -> int:
         """Count the jobs that an entry has to report as pending by now."""
-        until_s = time.monotonic() - VISIBILITY_TIMEOUT_S - PENDING_DELAY_S
+        until_s = self.clock() - VISIBILITY_TIMEOUT_S - PENDING_DELAY_S
         return sum(
             job.accepted_at_s is not None
             and job.accepted_at_s < until_s
@@ -212,26 +233,27 @@
             The count that it reported.
         """
         if 2 * pending < waiting:
-            self._record_violation(
+            self.record_violation(
                 "MIXED", f"{entry} counts {pending} of {waiting} pending jobs"
             )
 
     def on_unreadable(self, what: str, status: int) -> None:
         """Record an answer that tells a caller nothing."""
-        self._record_violation("MIXED", f"{what} got status {status}")
+        self.record_violation("MIXED", f"{what} got status {status}")
 
     def check_refusals(self) -> None:
         """Check that no job runs whose submissions were all refused."""
         for task in [*self._running, *self._done]:
-            job = self.jobs.get(task.partition(".")[0])
+            job = self.job_of(task)
             if (
                 job is not None
                 and not job.accepted
                 and not job.may_be_accepted
             ):
-                self._record_violation(
+                self.record_violation(
                     "REFUSED", f"{task} runs though it was refused"
                 )
 
-    def _record_violation(self, rule: str, what: str) -> None:
+    def record_violation(self, rule: str, what: str) -> None:
+        """Record a violation of a rule."""
         self.violations.append(f"{rule}: {what}")
--- a/tests/soak/seed_run.py
+++ b/tests/soak/seed_run.py
@@ -7,6 +7,8 @@
 from typing import TYPE_CHECKING
 
 from soak.faults import FAULTS
+from soak.long_running_check import MAX_WAIT_S
+from soak.long_running_load import LongRunningLoad
 from soak.world import World
 
 if TYPE_CHECKING:
@@ -20,6 +22,10 @@
 # After the last fault all accepted jobs must end within this time, which
 # covers the guaranteed recovery time, a lease and the backlog of jobs.
 RECOVERY_TIMEOUT_S = 30.0
+# How long long-running tasks are observed after the last disturbance: the
+# time at which the users ask for their jobs, and a wait that they don't allow.
+OBSERVATION_S = 14.0 + MAX_WAIT_S
+SAMPLE_INTERVAL_S = 0.1
 
 
 class SeedReport:
@@ -48,7 +54,7 @@
 async def _poll_job_states(world: World) -> None:
     while True:
         await asyncio.sleep(STATUS_POLL_INTERVAL_S)
-        jobs = list(world.oracle.jobs.values())
+        jobs = world.oracle.ending_jobs()
         if jobs:
             job = world.rng.choice(jobs)
             await world.query_state(job, world.rng.choice(world.entries))
@@ -57,7 +63,7 @@
 
 async def _wait_for_accepted_jobs(world: World) -> None:
     end_s = time.monotonic() + RECOVERY_TIMEOUT_S
-    unfinished = [job for job in world.oracle.jobs.values() if job.accepted]
+    unfinished = [job for job in world.oracle.ending_jobs() if job.accepted]
     while unfinished and time.monotonic() < end_s:
         for job in list(unfinished):
             state = await world.query_state(
@@ -85,6 +91,40 @@
         )
 
 
+async def _inject(world: World, name: str) -> None:
+    try:
+        await FAULTS[name](world)
+    finally:
+        world.long_running_check.on_disturbance()
+
+
+async def sample_long_running(
+    world: World, faults: list[asyncio.Task[None]]
+) -> None:
+    """Check the long-running tasks periodically.
+
+    Parameters
+    ----------
+    world : World
+        The deployment.
+    faults : list of asyncio.Task
+        The faults injected so far, which may be extended.
+    """
+    while True:
+        if any(not fault.done() for fault in faults) or any(
+            worker.has_late_calls for worker in world.workers
+        ):
+            world.long_running_check.on_disturbance()
+        world.long_running_check.sample(world.usable_workers())
+        await asyncio.sleep(SAMPLE_INTERVAL_S)
+
+
+async def _observe(world: World) -> None:
+    """Wait until long-running tasks have been observed for long enough."""
+    while world.long_running_check.calm_s < OBSERVATION_S:
+        await asyncio.sleep(SAMPLE_INTERVAL_S)
+
+
 async def run_seed(
     seed: int,
     directory: pathlib.Path,
@@ -109,29 +149,43 @@
         Names of the faults to choose from; all by default.
     """
     world = World(directory, seed, entries, vms)
+    long_running = LongRunningLoad(world, seed)
     names: list[str] = []
+    running: list[asyncio.Task[None]] = []
     background_tasks: list[asyncio.Task[None]] = []
     try:
         await world.start()
         background_tasks = [
             asyncio.ensure_future(job)
-            for job in (_submit_load(world), _poll_job_states(world))
+            for job in (
+                _submit_load(world),
+                _poll_job_states(world),
+                long_running.submit_all(),
+                long_running.poll_states(),
+                sample_long_running(world, running),
+            )
         ]
-        running = []
         end_s = time.monotonic() + seconds
         while time.monotonic() < end_s:
             await asyncio.sleep(world.rng.uniform(0.1, MAX_FAULT_INTERVAL_S))
             name = world.rng.choice(faults or [*FAULTS])
             names.append(name)
-            running.append(asyncio.ensure_future(FAULTS[name](world)))
+            running.append(asyncio.ensure_future(_inject(world, name)))
         await asyncio.gather(*running)
         for name in (*world.entries, *world.agents):
             # Overlapping faults may leave a process stopped.
             world.spawn(name)
+        world.long_running_check.on_disturbance()
         background_tasks.pop(0).cancel()
         await _wait_for_accepted_jobs(world)
         await _wait_for_leases(world)
+        await _observe(world)
+        await long_running.check_states()
         world.oracle.check_refusals()
+        for task in background_tasks:
+            if task.done():
+                # A load or check that ended with an error is an error.
+                task.result()
     finally:
         for task in background_tasks:
             task.cancel()
--- a/tests/soak/soak_worker.py
+++ b/tests/soak/soak_worker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import time
 from typing import Any
@@ -19,6 +20,8 @@
 CALL_DELAY_S = (2.0, 12.0)
 # Longest time that a stop takes to end a run, in seconds.
 MAX_STOP_S = 0.9
+# A run of a long-running task that fails at once ends within this time.
+MAX_HOPELESS_RUN_S = 0.2
 
 
 class SoakWorker(PlatformWorker):
@@ -55,6 +58,7 @@
         self._late_calls: set[asyncio.Task[None]] = set()
         self._stop_rng = random.Random(worker_id)
         self._stopping: set[str] = set()
+        self._run_rng = random.Random(worker_id)
 
     def start(self) -> None:
         super().start()
@@ -71,6 +75,11 @@
         """Whether the worker may run tasks now."""
         return not self.crashed and self._clock_ms <= self._lease_until_ms
 
+    @property
+    def has_late_calls(self) -> bool:
+        """Whether calls have yet to be executed late."""
+        return bool(self._late_calls)
+
     def crash(self) -> None:
         """Drop all state; calls are cut off until ``restart``."""
         self.crashed = True
@@ -144,8 +153,27 @@
         answer = super()._start(body)
         if len(self.started) > started_before:
             self._oracle.on_start(body, self, self._sent_at_s)
+            self._draw_run_time(body["Task"])
         return answer
 
+    def _draw_run_time(self, task: str) -> None:
+        job = self._oracle.job_of(task)
+        if job is None or job.mean_run_s is None:
+            return
+        run_s = self._run_rng.uniform(0.0, MAX_HOPELESS_RUN_S)
+        if job.mean_run_s == math.inf:
+            run_s = math.inf
+        elif job.mean_run_s:
+            run_s = self._run_rng.expovariate(1 / job.mean_run_s)
+        run, _ = self._running_tasks[task]
+        self._running_tasks[task] = (run, time.monotonic() + run_s)
+
+    def _progress_percent(self, task: str) -> int:
+        job = self._oracle.job_of(task)
+        if job is not None and job.long_running:
+            return 100
+        return super()._progress_percent(task)
+
     def _end_task(self, task: str, how: str) -> None:
         if how == "stopped":
             self._begin_stop(task)
@@ -153,6 +181,10 @@
         if task in self._stopping and how != "lapsed":
             how = "stopped"
         self._stopping.discard(task)
+        job = self._oracle.job_of(task)
+        if how == "done" and job is not None and job.long_running:
+            # A long-running task never ends by itself but by a failure.
+            how = "failed"
         super()._end_task(task, how)
         number, _, run, *_ = self._ended_tasks[-1]
         self._oracle.on_end(task, self, how, (number, run))
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -10,13 +10,15 @@
 import subprocess
 import sys
 import time
+from typing import Any
 from typing import TYPE_CHECKING
 
 import msgspec
 
+from soak.long_running_check import LongRunningCheck
 from soak.oracle import Oracle
-from soak.oracle import SoakJob
 from soak.proxy import Proxy
+from soak.soak_job import SoakJob
 from soak.soak_worker import SoakWorker
 from yuccapoint.connection.http_client import HttpClient
 from yuccapoint.exceptions import YuccapointError
@@ -67,6 +69,7 @@
     ) -> None:
         self.rng = random.Random(seed)
         self.oracle = Oracle()
+        self.long_running_check = LongRunningCheck(self.oracle)
         self.store = PlatformStore()
         self.entries = [f"entry-{n}" for n in range(entries)]
         self.agents = [f"vm-{n}" for n in range(vms)]
@@ -192,6 +195,14 @@
         if self.alive(name):
             self._processes[name].send_signal(number)
 
+    def usable_workers(self) -> list[SoakWorker]:
+        """Return the workers that may run tasks, whose agents are up."""
+        return [
+            worker
+            for name, worker in zip(self.agents, self.workers, strict=True)
+            if self.alive(name) and not worker.crashed and not worker.draining
+        ]
+
     async def call(self, entry: str, method: str, path: str, body: bytes):
         try:
             return await self._clients[entry].call(
@@ -205,7 +216,7 @@
             return None
 
     async def submit(self) -> None:
-        """Submit a random job, retrying while it is not acknowledged."""
+        """Submit a random job whose tasks end by themselves."""
         self._jobs += 1
         steps = [self.rng.randint(1, 3) for _ in range(self.rng.randint(1, 2))]
         job = SoakJob(f"{self._jobs:016x}", f"payload {self._jobs}", steps)
@@ -220,9 +231,15 @@
             }
             for number, tasks in enumerate(steps)
         ]
-        body = msgspec.json.encode({"Spec": job.payload, "Steps": step_bodies})
+        await self.submit_job(job, step_bodies, self.rng)
+
+    async def submit_job(
+        self, job: SoakJob, steps: list[dict[str, Any]], rng: random.Random
+    ) -> None:
+        """Submit a job, retrying while it is not acknowledged."""
+        body = msgspec.json.encode({"Spec": job.payload, "Steps": steps})
         for _ in range(4):
-            entry = self.rng.choice(self.entries)
+            entry = rng.choice(self.entries)
             answer = await self.call(entry, "POST", f"/q/{job.job_id}", body)
             if answer is not None and answer.status == 200:
                 job.accepted_at_s = time.monotonic()
@@ -233,12 +250,14 @@
 
     async def cancel(self) -> None:
         """Cancel a random accepted job."""
-        accepted = [j for j in self.oracle.jobs.values() if j.accepted]
-        if not accepted:
-            return
-        job = self.rng.choice(accepted)
+        accepted = [j for j in self.oracle.ending_jobs() if j.accepted]
+        if accepted:
+            await self.cancel_job(self.rng.choice(accepted), self.rng)
+
+    async def cancel_job(self, job: SoakJob, rng: random.Random) -> None:
+        """Cancel a job at a random entry."""
         job.cancel_attempted = True
-        entry = self.rng.choice(self.entries)
+        entry = rng.choice(self.entries)
         answer = await self.call(entry, "DELETE", f"/q/{job.job_id}", b"")
         if answer is not None and answer.status == 200:
             job.cancelled_at_s = time.monotonic()
