Reject a worker's lists with a value of another type or out of range

Callers saw nothing of it yet: a load of 400 digits in one row of a worker's list ended its agent, and so did a run beyond 64 bits once it was reported. A checkpoint that is no text made the leader drop the agent's whole report.

Cause: rows were converted with int() and float(), which raise OverflowError too, and other fields weren't checked before they went into a message.

Evidence: a new outline of bad_input.feature puts each of some 40 odd values in each place of a sound message, then draws 300 more with two of them, cut off or with changed bytes.

Why it works: rows are converted to the types of the message, and numbers have a range that leaves room for later sums. A malformed list fails the poll, as one that lacks a field did.

--- a/src/yuccapoint/platform/worker_client.py
+++ b/src/yuccapoint/platform/worker_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import Annotated
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -32,6 +33,9 @@
 CALL_TIMEOUT_S = 0.6
 # Room for a start time in Unix milliseconds, until the year 2039.
 BORN_BITS = 41
+# Leaves room for later sums within the 64 bits of a message.
+MAX_NUMBER = 2**62
+_Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 INSTANCE_HEADER = "Yuccapoint-Expect-Instance"
 STATUS_OK = 200
 STATUS_CONFLICT = 409
@@ -40,14 +44,14 @@
 
 
 class _CallResponse(msgspec.Struct):
-    clock_ms: int | None = msgspec.field(name="ClockMs", default=None)
+    clock_ms: _Number | None = msgspec.field(name="ClockMs", default=None)
     reason: str = msgspec.field(name="Reason", default="")
-    born_ms: int = msgspec.field(name="born", default=0)
+    born_ms: _Number = msgspec.field(name="born", default=0)
 
 
 class _HoldResponse(msgspec.Struct):
-    clock_ms: int = msgspec.field(name="ClockMs")
-    born_ms: int = msgspec.field(name="born", default=0)
+    clock_ms: _Number = msgspec.field(name="ClockMs")
+    born_ms: _Number = msgspec.field(name="born", default=0)
     # Each row: task, run, checkpoint, percent, load.
     running: list[list[Any]] = msgspec.field(
         name="Running", default_factory=list
@@ -139,7 +143,7 @@
                 running=tuple(_decode_running(row) for row in status.running),
                 ends=tuple(_decode_end(row) for row in status.finished),
             )
-        except (ValueError, TypeError, IndexError) as error:
+        except (OverflowError, ValueError) as error:
             raise MalformedMessageError(
                 f"worker status is malformed: {error!r}"
             ) from None
@@ -205,13 +209,26 @@
 
 
 def _decode_running(row: list[Any]) -> RunningTask:
-    load = float(row[4]) if len(row) > 4 else 0.0
-    return RunningTask(str(row[0]), int(row[1]), row[2], int(row[3]), load)
+    task_id, run, checkpoint, percent = row[:4]
+    load = row[4] if len(row) > 4 else 0.0
+    if isinstance(percent, float):
+        percent = int(percent)
+    fields = (task_id, run, checkpoint, percent, load)
+    task = msgspec.convert(fields, RunningTask)
+    _check_range(task.run, task.percent, task.load)
+    return task
 
 
 def _decode_end(row: list[Any]) -> EndedRun:
-    number, task_id, run, outcome, checkpoint = row[:5]
-    return EndedRun(int(number), str(task_id), int(run), outcome, checkpoint)
+    end = msgspec.convert(row[:5], EndedRun)
+    _check_range(end.number, end.run)
+    return end
+
+
+def _check_range(*numbers: float) -> None:
+    for number in numbers:
+        if not 0 <= number <= MAX_NUMBER:
+            raise ValueError(f"{number!r:.80} is not from 0 to {MAX_NUMBER}")
 
 
 def _decode(response: HttpResponse, kind: type[Any]) -> Any:
--- a/tests/features/proof/bad_input.feature
+++ b/tests/features/proof/bad_input.feature
@@ -69,3 +69,38 @@
       | the length of a body   |
       | the address of a peer  |
       | a saved table version  |
+
+  Scenario Outline: <site> with one odd value harm nothing
+    # Each value takes each place of a sound message: a number beyond 64 bits
+    # in a worker's lists ended its agent, and a checkpoint that is no text made
+    # the leader drop the whole report.
+    When <site> with odd values are decoded
+    Then only errors of their own are raised
+
+    Examples:
+      | site                |
+      | submissions         |
+      | check-ins           |
+      | worker lists        |
+      | worker answers      |
+      | store answers       |
+      | store conflicts     |
+      | advice              |
+      | node settings       |
+      | tables files        |
+      | saved logs          |
+      | operator calls      |
+      | entry responses     |
+      | console values      |
+      | stored submissions  |
+      | stored states       |
+      | stored leaderships  |
+      | stored members      |
+      | log records         |
+      | log pages           |
+      | frames              |
+      | reports             |
+      | orders              |
+      | snapshot slices     |
+      | snapshot items      |
+      | usage samples       |
--- a/tests/features/steps/decode_steps.py
+++ b/tests/features/steps/decode_steps.py
@@ -10,6 +10,7 @@
 sys.path.append(str(pathlib.Path(__file__).parents[2]))
 
 from fuzzing.hostile_messages import feed_nested  # noqa: E402
+from fuzzing.hostile_messages import feed_values  # noqa: E402
 from fuzzing.odd_numbers import feed_odd_numbers  # noqa: E402
 
 if TYPE_CHECKING:
@@ -17,6 +18,8 @@
 
     from behave.runner import Context
 
+DRAWN_MESSAGES = 300
+
 
 def _feed(context: Context, feed: Callable[[str], int], name: str) -> None:
     context.error = None
@@ -31,6 +34,11 @@
     _feed(context, feed_nested, site)
 
 
+@when("{site} with odd values are decoded")
+def decode_odd_values(context: Context, site: str) -> None:
+    _feed(context, lambda name: feed_values(name, DRAWN_MESSAGES), site)
+
+
 @when("{place} has digits that are no number")
 def read_odd_numbers(context: Context, place: str) -> None:
     _feed(context, feed_odd_numbers, place)
--- a/tests/fuzzing/decode_sites.py
+++ b/tests/fuzzing/decode_sites.py
@@ -14,7 +14,9 @@
 
 from yuccapoint.cell import cell_records
 from yuccapoint.cell.cell_messages import CellMessage
+from yuccapoint.cell.cell_messages import EndedRun
 from yuccapoint.cell.cell_messages import LeaderOrders
+from yuccapoint.cell.cell_messages import RunningTask
 from yuccapoint.cell.cell_messages import VmReport
 from yuccapoint.cell.cell_records import Leadership
 from yuccapoint.cell.cell_records import Member
@@ -107,7 +109,11 @@
         """Encode a message of this place."""
         if self.codec == "json":
             return json.dumps(value).encode()
-        return msgspec.msgpack.encode(value)
+        try:
+            return msgspec.msgpack.encode(value)
+        except OverflowError:
+            # A number beyond 64 bits has no encoding.
+            return msgspec.msgpack.encode(None)
 
 
 def _await(job: Any) -> Any:
@@ -193,8 +199,11 @@
     request = StatusRequest(INSTANCE, 1, 0, None, 0)
     client = _worker_client(200, data)
     status = _await(client.fetch_status(request, INSTANCE))
-    # The agent sends this to the leader.
-    msgspec.msgpack.encode((status.clock_ms, status.running, status.ends))
+    # The agent sends this to the leader, which rejects other types.
+    report = msgspec.msgpack.encode((status.running, status.ends))
+    lists = tuple[tuple[RunningTask, ...], tuple[EndedRun, ...]]
+    msgspec.msgpack.decode(report, type=lists)
+    assert 0 <= status.clock_ms < 2**63, status.clock_ms
 
 
 def _feed_worker_answer(data: bytes) -> None:
@@ -234,6 +243,14 @@
     _await(adviser.ask("s", ["i-0"]))
 
 
+def _feed_config(data: bytes) -> None:
+    for prefixes in decode_config(data)._by_host.values():
+        for route in prefixes.values():
+            # Stored with each job of the route.
+            rules = msgspec.msgpack.encode(route.rules)
+            msgspec.msgpack.decode(rules, type=QueueRules)
+
+
 def _with_file(
     suffix: str, read: Callable[[pathlib.Path], object]
 ) -> Callable[[bytes], None]:
@@ -463,7 +480,7 @@
         MalformedMessageError,
     ),
     "config records": DecodeSite(
-        "json", _CONFIG, decode_config, MalformedMessageError
+        "json", _CONFIG, _feed_config, MalformedMessageError
     ),
     "node settings": DecodeSite(
         "json",
