Skip config records with numbers that can't be stored

Callers saw nothing of it yet: a config record with a number beyond 64 bits would have been installed, and each submission on its route answered with 500.

Cause: the numbers of a route are stored with each job, and encoding them raised OverflowError only then.

Evidence: the row "config records" of bad_input.feature failed before, with "OverflowError("can't serialize ints < -2**63 or > 2**64 - 1")".

Why it works: a record with a number out of range is skipped with a line, as any other malformed one, and the config before it holds.

--- a/src/yuccapoint/platform/operator_config.py
+++ b/src/yuccapoint/platform/operator_config.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
 from yuccapoint.cell.queue_rules import QueueRules
@@ -14,10 +16,14 @@
 CONFIG_TOPIC = "op"
 CONFIG_KEY = "config"
 DEFAULT_MAX_BODY_BYTES = 262_144
+# Stored with each job, in 64 bits; deadlines are computed from it.
+MAX_NUMBER = 2**42
+_Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+_Factor = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 
 
 class _Advisor(msgspec.Struct, rename="pascal"):
-    validity_ms: int = 0
+    validity_ms: _Number = 0
 
 
 class _Route(msgspec.Struct, rename="pascal"):
@@ -26,19 +32,19 @@
     path_prefix: str
     # Name of the pool whose workers run the queue's tasks.
     service: str
-    priority: int = 0
-    max_attempts: int = 1
-    slo_factor: float = 1.0
-    slo_ms: int = 0
+    priority: _Number = 0
+    max_attempts: _Number = 1
+    slo_factor: _Factor = 1.0
+    slo_ms: _Number = 0
     advisor: _Advisor | None = None
 
 
 class _Limits(msgspec.Struct, rename="pascal"):
-    max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
+    max_body_bytes: _Number = DEFAULT_MAX_BODY_BYTES
 
 
 class _Config(msgspec.Struct, rename="pascal"):
-    version: int
+    version: _Number
     routes: list[_Route] = msgspec.field(default_factory=list)
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
--- a/tests/features/proof/bad_input.feature
+++ b/tests/features/proof/bad_input.feature
@@ -86,6 +86,7 @@
       | store answers       |
       | store conflicts     |
       | advice              |
+      | config records      |
       | node settings       |
       | tables files        |
       | saved logs          |
