Stop reading pages of newest records that repeat

Callers saw nothing of it yet: an answer of the store that says that more follows, but repeats its page, was read without end.

Cause: the key to continue with was taken from each page, also if it was that of the page before.

Why it works: a page that ends with the key that the last one ended with is a failed read, which is logged and tried again after a pause.

--- a/src/yuccapoint/platform/store_partition.py
+++ b/src/yuccapoint/platform/store_partition.py
@@ -157,6 +157,11 @@
                 records.append(StoredRecord(item.offset, item.key, value))
             if not page.has_more or not page.items:
                 return records, next_offset
+            if page.items[-1].key == after:
+                # It would be read without end.
+                raise StoreResponseLostError(
+                    f"page of newest records repeats key {after[:80]!r}"
+                )
             after = page.items[-1].key
 
     async def _call(
--- a/tests/features/proof/bad_input.feature
+++ b/tests/features/proof/bad_input.feature
@@ -85,6 +85,7 @@
       | worker answers      |
       | store answers       |
       | store conflicts     |
+      | store pages         |
       | advice              |
       | config records      |
       | node settings       |
