--- a/src/yuccapoint/cell/job_run.py
+++ b/src/yuccapoint/cell/job_run.py
@@ -51,6 +51,10 @@
         Mean share of its processors, 0 to 1, that the run used of late.
     crashes : CrashHistory
         Crashes of workers that the task may have caused.
+    lasted : bool
+        Whether the run has worked for long enough to speak for its VM.
+    short_runs : int
+        Number of failed runs since one that lasted.
     """
 
     __slots__ = (
@@ -61,6 +65,7 @@
         "failures",
         "index",
         "instance",
+        "lasted",
         "left_vm",
         "load",
         "moves",
@@ -71,6 +76,7 @@
         "progressed_at_s",
         "run",
         "seen_running",
+        "short_runs",
         "speed",
         "started_at_s",
         "step",
@@ -99,6 +105,7 @@
         self.crashes = CrashHistory()
         self.left_vm = ""
         self.moves = 0
+        self.short_runs = 0
         self.not_before_s = 0.0
         self.waiting_since_s = 0.0
         self.wait_logged_at_s = 0.0
@@ -108,6 +115,7 @@
         self.durable = False
         self.ordered_at_s = 0.0
         self.seen_running = False
+        self.lasted = False
         self.speed = 1.0
         self.stopping = ""
         self.started_at_s = 0.0
@@ -344,10 +352,18 @@
 
 
 class JobRun:
-    """A job that the cell's leader schedules."""
+    """A job that the cell's leader schedules.
+
+    Attributes
+    ----------
+    blamed_vm : bool
+        Whether a failure of the job has counted against a VM since one of
+        its runs last succeeded.
+    """
 
     __slots__ = (
         "_next_occurrence",
+        "blamed_vm",
         "cancelled",
         "critical_path_ms",
         "occurrences",
@@ -356,6 +372,7 @@
 
     def __init__(self, submission: Submission) -> None:
         self.submission = submission
+        self.blamed_vm = False
         self.cancelled = False
         self.occurrences: dict[int, OccurrenceRun] = {}
         self.critical_path_ms = _critical_path_of(submission)
