Raise a worker's fencing token with each instance, whatever its start time

It refused all calls of its agent with `fence`.

Cause: the token was the term and the instance's start time. Before the agent knows of the new instance it polls it with the token of the former one; the worker keeps that as the highest it has seen. All calls of its own then had a lower one. The failed polls were reported as an expired lease.

Now an agent numbers the instances that it follows: the number is the start time or one more than that of the instance before, whichever is higher. An instance with an earlier start time therefore refuses late calls to its predecessor after the first call of its own, as all others did before. It needs no wait of 13 s for late acknowledgements any more; a poll only counts as its own if it has the present number. A later term starts anew, as its tokens are higher in any case.

An agent that restarted in between doesn't know the numbers of its predecessor, nor does the worker tell what it has seen.

The scenario "An instance with an earlier start time waits for late calls" rested on its lower token and is replaced: the worker is still not reported before it has answered a call of its own, and its token has to be higher than those before. That a fenced hold is told as such is checked by its type instead of its text.

Ruled out: the time of day of the agent, which is set back with the worker's, and the lower bits of its incarnation, which may be below a start time from before the step. To count only polls as refused that name the former instance: the calls of a restarted agent's predecessor would still fence it for good.

--- a/src/yuccapoint/cell/run_registry.py
+++ b/src/yuccapoint/cell/run_registry.py
@@ -85,15 +85,11 @@
         self._late_ack_until_s = 0.0
         # The same for acknowledgements meant for the former instance.
         self._former_acks_until_s = 0.0
-        # Whether the instance refuses former calls after one of its own.
-        self._is_fenced_by_calls = False
         self._ends: dict[int, EndedRun] = {}
         # Whether the worker may have more ends than it listed.
         self._ends_truncated = False
 
-    def begin_instance(
-        self, now_s: float, *, same_id: bool, later: bool = True
-    ) -> int:
+    def begin_instance(self, now_s: float, *, same_id: bool) -> int:
         """Drop all runs, as a new instance of the worker has started.
 
         Parameters
@@ -102,11 +98,8 @@
             Steady time in seconds.
         same_id : bool
             Whether the new instance has the id of its predecessor. Starts
-            meant for the predecessor may then reach it and are blocked.
-        later : bool
-            Whether it has a later start time than its predecessor. It then
-            refuses calls meant for the predecessor once it has answered one
-            of its own.
+            meant for the predecessor may then reach it and are blocked,
+            until it refuses them as it has answered a call of its own.
 
         Returns
         -------
@@ -135,7 +128,6 @@
         self.acked_end_number = 0
         self.forgotten_end_number = 0
         self._former_acks_until_s = self._late_ack_until_s
-        self._is_fenced_by_calls = later
         self.has_updates = True
         return len(self._runs)
 
@@ -182,8 +174,7 @@
 
     def on_own_call_answered(self) -> None:
         """Note that the present instance answered a call meant for it."""
-        if self._is_fenced_by_calls:
-            self._former_acks_until_s = 0.0
+        self._former_acks_until_s = 0.0
 
     def on_ack_sent(self) -> None:
         """Note that an acknowledgement is sent."""
--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -20,6 +20,7 @@
 from yuccapoint.cell.worker_events import StartCall
 from yuccapoint.cell.worker_events import StatusRequest
 from yuccapoint.cell.worker_events import StopCall
+from yuccapoint.cell.worker_fence import WorkerFence
 from yuccapoint.cell.worker_lease import WorkerLease
 from yuccapoint.cell.worker_room import WorkerRoom
 from yuccapoint.job.actions import Explain
@@ -79,6 +80,7 @@
         self.explanations: list[Explain] = []
         self.registry = RunRegistry(now_s, self._explain)
         self._clock = WorkerClock()
+        self._fence = WorkerFence()
         self._room = WorkerRoom(self.registry, self._explain)
         self.crash_log = crash_log.CrashLog(vm)
         self._order_sequence = 0
@@ -129,6 +131,7 @@
                 "worker", "checked in", worker=check_in.instance.worker_id
             )
             self.registry.has_updates = True
+            self._fence.begin_instance(check_in.instance.born_ms)
         self.check_in = check_in
         self._clock.set(check_in.clock_ms, now_s)
         self._room.on_check_in(check_in, now_s)
@@ -167,19 +170,15 @@
         suspects = self.crash_log.on_instance_ended(
             self.registry.tracked_runs, now_s, announced=self._is_draining
         )
-        later = (
-            previous is not None
-            and previous.instance.born_ms < check_in.instance.born_ms
-        )
-        blocked = self.registry.begin_instance(
-            now_s, same_id=same_id, later=later
-        )
+        self._fence.begin_instance(check_in.instance.born_ms)
+        blocked = self.registry.begin_instance(now_s, same_id=same_id)
         self._explain(
             "worker",
             "a new instance started",
             worker=check_in.instance.worker_id,
             born_ms=check_in.instance.born_ms,
             same_id=int(same_id),
+            fence=self._fence.number,
             blocked_starts=blocked,
             announced=int(self._is_draining),
             suspects=suspects,
@@ -203,6 +202,8 @@
                 term=orders.term,
             )
             self.term = orders.term
+            if self.check_in is not None:
+                self._fence.begin_term(self.check_in.instance.born_ms)
             self._order_sequence = 0
             self.registry.has_updates = True
         self.leader_address = orders.address
@@ -315,7 +316,9 @@
         self._pace_calls = []
         for call in calls:
             call.address_to(
-                self.check_in.instance, int(self._clock.least_ms(now_s))
+                self.check_in.instance,
+                self._fence.number,
+                int(self._clock.least_ms(now_s)),
             )
         return calls
 
@@ -412,6 +415,7 @@
             self.registry.on_ack_sent()
         return StatusRequest(
             self.check_in.instance,
+            self._fence.number,
             self.term,
             last_seen,
             lease_until_ms,
@@ -422,16 +426,43 @@
         """Return the time in seconds until the worker is to be polled."""
         return self._poll_pacer.delay_s(now_s)
 
-    def on_status_failed(self, request: StatusRequest, now_s: float) -> None:
-        """Count a status request that was not answered."""
+    def on_status_failed(
+        self, request: StatusRequest, now_s: float, *, fenced: bool = False
+    ) -> None:
+        """Count a status request that was not answered.
+
+        Parameters
+        ----------
+        request : StatusRequest
+            The request.
+        now_s : float
+            Steady time in seconds.
+        fenced : bool
+            Whether the worker refused it, as it has seen a higher token.
+        """
         if request.last_seen:
             self.registry.on_ack_unanswered(now_s)
         if self.check_in is None or request.instance != self.check_in.instance:
             # A former instance left it unanswered.
             return
         self._failed_status_requests += 1
+        if fenced and request.term == self.term:
+            self._raise_fence(request.fence)
         self.registry.has_updates = True
 
+    def _raise_fence(self, refused: int) -> None:
+        """Raise the token, as an unknown call had a higher one."""
+        if refused != self._fence.number:
+            return
+        self._fence.on_refused()
+        self._explain(
+            "worker",
+            "has seen a higher token; the next calls have a raised one",
+            refused=refused,
+            raised=self._fence.number,
+            term=self.term,
+        )
+
     def on_status(
         self,
         request: StatusRequest,
@@ -451,18 +482,15 @@
             When the request was sent, and steady time in seconds.
         """
         current = self.check_in
+        same = current is not None and request.instance == current.instance
         if request.last_seen:
-            same = current is not None and request.instance == current.instance
             self.registry.on_ack_answered(request.last_seen if same else 0)
-        addressed = (
-            current is not None and request.instance == current.instance
-        )
         if current is None or status.born_ms != current.instance.born_ms:
-            if addressed:
+            if same:
                 self._answered_by_born_ms = status.born_ms
             self._poll_pacer.on_answer(sent_at_s, at_once=True)
             return
-        if not addressed:
+        if not same or request.fence != self._fence.number:
             # It has not seen a token of its own, so that it still executes
             # calls meant for its predecessor.
             self._poll_pacer.reset()
--- a/src/yuccapoint/cell/worker_events.py
+++ b/src/yuccapoint/cell/worker_events.py
@@ -117,9 +117,12 @@
     instance : WorkerInstance
         Instance of the worker that the request is meant for; a later one
         with the same id answers it too.
+    fence : int
+        Number of the instance in the fencing token.
     """
 
     __slots__ = (
+        "fence",
         "instance",
         "last_seen",
         "lease_until_clock_ms",
@@ -130,12 +133,14 @@
     def __init__(
         self,
         instance: WorkerInstance,
+        fence: int,
         term: int,
         last_seen: int,
         lease_until_clock_ms: int | None,
         wait_ms: int,
     ) -> None:
         self.instance = instance
+        self.fence = fence
         self.term = term
         self.last_seen = last_seen
         self.lease_until_clock_ms = lease_until_clock_ms
@@ -152,22 +157,26 @@
     ----------
     instance : WorkerInstance or None
         The instance; None until the call is addressed.
+    fence : int
+        Number of the instance in the fencing token.
     least_clock_ms : int
         Least time that the instance's clock could show when the call was
         made, in milliseconds.
     """
 
-    __slots__ = ("instance", "least_clock_ms")
+    __slots__ = ("fence", "instance", "least_clock_ms")
 
     def __init__(self) -> None:
         self.instance: WorkerInstance | None = None
+        self.fence = 0
         self.least_clock_ms = 0
 
     def address_to(
-        self, instance: WorkerInstance, least_clock_ms: int
+        self, instance: WorkerInstance, fence: int, least_clock_ms: int
     ) -> None:
         """Set the instance that the call is meant for, and its clock."""
         self.instance = instance
+        self.fence = fence
         self.least_clock_ms = least_clock_ms
 
     def was_answered_by_next(self, clock_ms: int | None) -> bool:
--- a/src/yuccapoint/exceptions.py
+++ b/src/yuccapoint/exceptions.py
@@ -30,6 +30,10 @@
     """A process could not be reached."""
 
 
+class FencedError(YuccapointError):
+    """A peer has seen a call with a higher fencing token."""
+
+
 class ListenError(YuccapointError):
     """A process can't listen on an address from its settings."""
 
--- a/src/yuccapoint/platform/worker_client.py
+++ b/src/yuccapoint/platform/worker_client.py
@@ -15,7 +15,9 @@
 from yuccapoint.cell.worker_events import StartCall
 from yuccapoint.cell.worker_events import StopCall
 from yuccapoint.cell.worker_events import WorkerStatus
+from yuccapoint.cell.worker_fence import FENCE_BITS
 from yuccapoint.connection.http_client import HttpClient
+from yuccapoint.exceptions import FencedError
 from yuccapoint.exceptions import UnreachableError
 from yuccapoint.platform.exceptions import MalformedMessageError
 
@@ -28,13 +30,12 @@
 # The worker is on the same VM and usually responds in about a millisecond; a
 # busy one may take longer.
 CALL_TIMEOUT_S = 0.6
-# Room for a start time in Unix milliseconds, until the year 2039.
-BORN_BITS = 41
 INSTANCE_HEADER = "Yuccapoint-Expect-Instance"
 STATUS_OK = 200
 STATUS_CONFLICT = 409
 STATUS_OTHER_INSTANCE = 421
 STATUSES_UNHEALTHY = (429, 503)
+REASON_FENCE = "fence"
 
 
 class _CallResponse(msgspec.Struct):
@@ -73,7 +74,7 @@
     ) -> CallAnswer:
         """Start, stop or throttle a run on an instance of the worker."""
         path, body = _encode_call(call)
-        body["FencingToken"] = fencing_token(call.term, instance)
+        body["FencingToken"] = fencing_token(call.term, call.fence)
         try:
             response = await self._client.call(
                 "POST",
@@ -106,11 +107,13 @@
         ------
         UnreachableError
             The worker did not respond.
+        FencedError
+            The worker has seen a higher token.
         MalformedMessageError
             The worker responded with an error status or a malformed body.
         """
         body: dict[str, int] = {
-            "FencingToken": fencing_token(request.term, instance),
+            "FencingToken": fencing_token(request.term, request.fence),
             "LastSeen": request.last_seen,
             "WaitMs": request.wait_ms,
         }
@@ -124,6 +127,10 @@
             wait_s=request.wait_ms / 1000,
             headers=_headers(instance.worker_id),
         )
+        if response.status == STATUS_CONFLICT:
+            answer = _refusal(response)
+            if answer.reason == REASON_FENCE:
+                raise FencedError("worker hold is fenced")
         if response.status != STATUS_OK:
             text = response.body[:200].decode("utf-8", "replace")
             raise MalformedMessageError(
@@ -147,14 +154,9 @@
         self._client.close()
 
 
-def fencing_token(term: int, instance: WorkerInstance) -> int:
-    """Return the token of calls to an instance of the worker in a term.
-
-    A call without a response may be executed seconds later, by a worker that
-    has restarted under the same id. Once the new instance has seen a call of
-    its own, it refuses those meant for its predecessor.
-    """
-    return (term << BORN_BITS) + instance.born_ms % (1 << BORN_BITS)
+def fencing_token(term: int, fence: int) -> int:
+    """Return the token of calls to an instance of the worker in a term."""
+    return (term << FENCE_BITS) + fence
 
 
 def _encode_call(call: WorkerCall) -> tuple[str, dict[str, Any]]:
--- a/src/yuccapoint/process/cell_agent_process.py
+++ b/src/yuccapoint/process/cell_agent_process.py
@@ -19,6 +19,7 @@
 from yuccapoint.cell.worker_events import StartCall
 from yuccapoint.cell.worker_events import StopCall
 from yuccapoint.connection.control_channel import ControlChannel
+from yuccapoint.exceptions import FencedError
 from yuccapoint.exceptions import YuccapointError
 from yuccapoint.process.steady_clock import steady_s
 from yuccapoint.process.supervised_task import supervise
@@ -287,7 +288,9 @@
         try:
             status = await worker.fetch_status(request, check_in.instance)
         except YuccapointError as error:
-            self.vm_agent.on_status_failed(request, steady_s())
+            self.vm_agent.on_status_failed(
+                request, steady_s(), fenced=isinstance(error, FencedError)
+            )
             self.logger.log(
                 "worker",
                 "poll failed, retrying",
--- a/src/yuccapoint_standins/platform_worker.py
+++ b/src/yuccapoint_standins/platform_worker.py
@@ -50,7 +50,14 @@
         self._address = address
         self._agent_address = agent_address
         self._run_s = run_s
-        self._started_at_ms = time.time_ns() // 1_000_000
+        self._begin_instance(time.time_ns() // 1_000_000)
+        self._server = HTTPServer(self._on_request)
+        self._client = AsyncHTTPClient(force_instance=True)
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def _begin_instance(self, started_at_ms: int) -> None:
+        """Begin with empty state and a clock that starts anew."""
+        self._started_at_ms = started_at_ms
         self._clock_start_s = time.monotonic()
         self._lease_until_ms = 0
         self._fencing_token = 0
@@ -60,9 +67,6 @@
         # Starts of a task are refused up to this run.
         self._highest_closed_runs: dict[str, int] = {}
         self._ended_tasks: list[list[Any]] = []
-        self._server = HTTPServer(self._on_request)
-        self._client = AsyncHTTPClient(force_instance=True)
-        self._tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
         """Serve calls and check in periodically."""
--- a/tests/cell_world/agent_model.py
+++ b/tests/cell_world/agent_model.py
@@ -107,12 +107,14 @@
         if request is None:
             return
         status = None
+        fenced = False
         if self._rng.random() < self.late_share / 2:
             self._send_late(request, now_s)
         elif self.worker.alive:
             status = self.worker.status(request, now_s)
+            fenced = status is None
         if status is None or self._rng.random() < self.late_share / 2:
-            self.vm_agent.on_status_failed(request, now_s)
+            self.vm_agent.on_status_failed(request, now_s, fenced=fenced)
             return
         self.vm_agent.on_status(request, status, now_s, now_s)
 
--- a/tests/cell_world/worker_model.py
+++ b/tests/cell_world/worker_model.py
@@ -58,13 +58,19 @@
         self.back_at_s = math.inf
         self._oracle = oracle
         self._rng = rng
+        # Whether the machine's time of day is set back.
+        self.clock_is_back = False
         self._born = 0
+        self._former_borns: set[int] = set()
         self.begin_instance(now_s)
 
     def begin_instance(self, now_s: float) -> None:
         """Start a new instance with the same id and no state."""
         self._oracle.on_crash(self, now_s)
-        self._born += 1
+        step = -1 if self.clock_is_back else 1
+        while not self._born or self._born in self._former_borns:
+            self._born += step
+        self._former_borns.add(self._born)
         self._started_s = now_s
         self._rate = self._rng.choice((0.98, 1.0, 1.0))
         self.alive = True
@@ -138,7 +144,7 @@
     ) -> tuple[CallResult, str]:
         if isinstance(call, PaceCall):
             return CallResult.DONE, ""
-        token = _token(call.term, call.instance)
+        token = (call.term, call.fence)
         if token < self._fence:
             return CallResult.REFUSED, "fence"
         self._fence = token
@@ -183,7 +189,7 @@
     def status(
         self, request: StatusRequest, now_s: float
     ) -> WorkerStatus | None:
-        token = _token(request.term, request.instance)
+        token = (request.term, request.fence)
         if token < self._fence:
             return None
         self._fence = token
@@ -259,9 +265,3 @@
 
     def _block(self, task_id: str, run: int) -> None:
         self._blocked[task_id] = max(run, self._blocked.get(task_id, 0))
-
-
-def _token(term: int, instance: WorkerInstance | None) -> tuple[int, int]:
-    """Return the fencing token of a call to an instance in a term."""
-    assert instance is not None
-    return (term, instance.born_ms)
--- a/tests/cell_world/world.py
+++ b/tests/cell_world/world.py
@@ -451,6 +451,16 @@
                 lambda worker=worker: worker.begin_instance(self.now_s),
             )
 
+    def _clock_back(self) -> None:
+        """Let some workers' next instances have earlier start times."""
+        for worker in self.workers:
+            worker.clock_is_back = self.rng.random() < 0.5
+        self.after(self.rng.uniform(3.0, 12.0), self._correct_worker_clocks)
+
+    def _correct_worker_clocks(self) -> None:
+        for worker in self.workers:
+            worker.clock_is_back = False
+
     def _deadly_task(self) -> None:
         """Submit a job whose tasks crash each worker that starts them."""
         self._deadly_jobs += 1
@@ -558,7 +568,7 @@
         return left
 
     def _unfollowed_vms(self) -> list[str]:
-        """List the VMs whose reports the newest leader does not apply."""
+        """List the VMs that the newest leader does not follow or use."""
         leaders = [e.leader for e in self.entries if e.leader is not None]
         if not leaders:
             return ["no entry leads"]
@@ -571,4 +581,6 @@
                 or self.now_s - ledger.heard_at_s > 3 * REPORT_INTERVAL_S
             ):
                 left.append(f"{vm} is not followed by {leader.name}")
+            elif ledger.worker is None or ledger.worker.lease_expired:
+                left.append(f"{vm} has a worker that {leader.name} can't use")
         return left
--- a/tests/features/cell/restarted_worker.feature
+++ b/tests/features/cell/restarted_worker.feature
@@ -102,16 +102,52 @@
     And a poll is unanswered
     Then the next poll renews the lease
 
-  Scenario: An instance with an earlier start time waits for late calls
-    # Its token is lower than that of the late acknowledgement.
+  Scenario: An instance with an earlier start time refuses former calls
+    # Load: the time of day is set back and the worker restarts.
     Given an agent whose worker lists an end as done
     When the leader acknowledges it and the poll that says so is unanswered
     And the worker restarts under its id with an earlier start time
-    And a poll lists no run
     Then the worker is not reported
-    When 14 s pass at the agent
+    And the next poll has a higher token than all calls before
+    When a poll lists no run
     Then the worker is reported and no run is stopped there
 
+  Scenario: Each further instance refuses the calls to all former ones
+    Given an agent whose worker lists an end as done
+    When the worker restarts under its id with an earlier start time
+    Then the next poll has a higher token than all calls before
+    When the worker restarts under its id with an earlier start time
+    Then the next poll has a higher token than all calls before
+    When the worker restarts under its id after 1 s
+    Then the next poll has a higher token than all calls before
+
+  Scenario Outline: A restarted agent is not refused for good
+    # Load: the former agent's polls have reached the instance, with the later
+    # start time of the one before.
+    Given an agent whose worker lists an end as done
+    When the agent restarts and the worker has seen the token of <ahead_s> s later
+    Then a poll is taken after at most <refusals> refused ones
+    And the refusals are logged
+
+    Examples:
+      | ahead_s | refusals |
+      | 2       | 2        |
+      | 60      | 6        |
+      | 86400   | 17       |
+
+  Scenario: A poll from before a later call to another instance lists no runs
+    # Its token is lower than that of a call which may still be executed.
+    Given an agent whose worker lists an end as done
+    When a poll is under way, and a delayed check-in and the worker's follow
+    And the worker answers the poll under way
+    Then the worker is reported without its runs
+
+  Scenario: Calls of a later term have higher tokens
+    Given an agent whose worker lists an end as done
+    When the worker restarts under its id with an earlier start time
+    And a leader of a later term sends orders
+    Then the next poll has a higher token than all calls before
+
   Scenario: Polls acknowledge an end until one is answered, and not again
     Given an agent whose worker lists an end as done
     When the leader acknowledges it
--- a/tests/features/platform/path.feature
+++ b/tests/features/platform/path.feature
@@ -33,6 +33,13 @@
     And each agent is restarted
     Then the job is "completed" within 15 s at each entry
 
+  Scenario: A worker that is back with an earlier start time gets work
+    # Load: the time of day is set back and the workers restart.
+    When each worker restarts with a start time 5 s earlier
+    And a caller submits a job of 2 steps with 3 tasks each
+    Then the job is "completed" within 8 s at each entry
+    And each of its 6 tasks was started once, the first step first
+
   Scenario: A refusal of the store is reported to the caller at once
     When the store refuses all calls
     And a caller submits a job of 1 steps with 1 tasks each
--- a/tests/features/steps/late_call_steps.py
+++ b/tests/features/steps/late_call_steps.py
@@ -15,7 +15,7 @@
 from yuccapoint.cell.worker_events import StartCall
 from yuccapoint.cell.worker_events import StatusRequest
 from yuccapoint.cell.worker_events import StopCall
-from yuccapoint.exceptions import YuccapointError
+from yuccapoint.exceptions import FencedError
 from yuccapoint.platform import worker_client
 from yuccapoint.platform.worker_client import WorkerClient
 from yuccapoint_standins.platform_worker import PlatformWorker
@@ -60,7 +60,9 @@
 
 def _read_runs(context: Context, term: int, last_seen: int, which: str):
     instance = context.instances[which]
-    request = StatusRequest(instance, term, last_seen, LEASE_MS, 0)
+    request = StatusRequest(
+        instance, instance.born_ms, term, last_seen, LEASE_MS, 0
+    )
 
     async def read():
         return await context.client.fetch_status(request, instance)
@@ -75,10 +77,11 @@
 
 
 def _call(context: Context, call: StartCall | StopCall, which: str) -> None:
+    instance = context.instances[which]
+    call.address_to(instance, instance.born_ms, 0)
+
     async def send() -> None:
-        context.answer = await context.client.call(
-            call, context.instances[which]
-        )
+        context.answer = await context.client.call(call, instance)
 
     run(context, send())
 
@@ -105,9 +108,8 @@
     else:
         try:
             _read_runs(context, term, 57, which)
-        except YuccapointError as error:
-            reason = "fence" if "fence" in str(error) else str(error)
-            context.answer = CallAnswer(CallResult.REFUSED, reason)
+        except FencedError:
+            context.answer = CallAnswer(CallResult.REFUSED, "fence")
 
 
 @then("it is fenced, and the worker lists the end and runs nothing")
--- a/tests/features/steps/platform_path_steps.py
+++ b/tests/features/steps/platform_path_steps.py
@@ -268,6 +268,18 @@
     run(context, restart())
 
 
+@when("each worker restarts with a start time {seconds:d} s earlier")
+def restart_workers(context: Context, seconds: int) -> None:
+    for worker in context.deployment.workers:
+        worker._begin_instance(worker._started_at_ms - 1000 * seconds)
+
+    async def wait() -> None:
+        # Polls of the former instances reach the new ones first.
+        await asyncio.sleep(1.0)
+
+    run(context, wait())
+
+
 @when("the store refuses all calls")
 def refuse_calls(context: Context) -> None:
     context.deployment.store.refuse = True
--- a/tests/features/steps/restarted_worker_steps.py
+++ b/tests/features/steps/restarted_worker_steps.py
@@ -22,9 +22,11 @@
 from yuccapoint.cell.worker_events import CallResult
 from yuccapoint.cell.worker_events import CheckIn
 from yuccapoint.cell.worker_events import StartCall
+from yuccapoint.cell.worker_events import StatusRequest
 from yuccapoint.cell.worker_events import StopCall
 from yuccapoint.cell.worker_events import WorkerStatus
 from yuccapoint.job.size import Size
+from yuccapoint.platform.worker_client import fencing_token
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -105,12 +107,13 @@
     context.vm_agent.on_orders(_orders(context, **orders), context.now_s)
 
 
-def make_agent(context: Context) -> None:
+def make_agent(context: Context, born_ms: int = 1) -> None:
     # Past the time in which calls of a former agent may be executed.
     context.now_s = 100.0
-    context.born_ms = 1
+    context.born_ms = born_ms
     context.sequence = 0
     context.order_sequence = 0
+    context.tokens = []
     context.vm_agent = VmAgent(VM, VM, 1, 0.0)
     check_in(context)
     deliver(context)
@@ -258,6 +261,7 @@
 
 @when("the worker restarts under its id after {seconds:d} s")
 def restart_worker(context: Context, seconds: int) -> None:
+    context.former_poll = context.vm_agent.next_status_request()
     context.now_s += seconds
     context.born_ms += 1
     context.sequence = 0
@@ -266,6 +270,7 @@
 
 @when("the worker restarts under its id with an earlier start time")
 def restart_earlier(context: Context) -> None:
+    context.former_poll = context.vm_agent.next_status_request()
     context.born_ms -= 1
     # The poll is answered by an instance that has not checked in.
     answer(context)
@@ -273,6 +278,85 @@
     check_in(context)
 
 
+def _token(request: StatusRequest) -> int:
+    return fencing_token(request.term, request.fence)
+
+
+@then("the next poll has a higher token than all calls before")
+def higher_token(context: Context) -> None:
+    request = context.vm_agent.next_status_request()
+    assert request.instance.born_ms == context.born_ms
+    former = [*context.tokens, _token(context.former_poll)]
+    assert _token(request) > max(former), former
+    context.tokens.append(_token(request))
+
+
+@when(
+    "the agent restarts and the worker has seen the token of {ahead_s:d} s"
+    " later"
+)
+def agent_restarts(context: Context, ahead_s: int) -> None:
+    born_ms = context.born_ms
+    make_agent(context, born_ms)
+    context.seen_token = fencing_token(1, born_ms + 1000 * ahead_s)
+
+
+@then("a poll is taken after at most {refusals:d} refused ones")
+def poll_taken(context: Context, refusals: int) -> None:
+    agent = context.vm_agent
+    context.refused = 0
+    request = agent.next_status_request()
+    while _token(request) < context.seen_token:
+        context.refused += 1
+        agent.on_status_failed(request, context.now_s, fenced=True)
+        request = agent.next_status_request()
+    assert 0 < context.refused <= refusals, context.refused
+    answer(context)
+    assert agent.build_report(context.now_s).runs_listed
+
+
+@then("the refusals are logged")
+def refusals_logged(context: Context) -> None:
+    logged = [
+        explained
+        for explained in context.vm_agent.explanations
+        if "raised" in explained.fields
+    ]
+    assert len(logged) == context.refused, logged
+
+
+@when("a poll is under way, and a delayed check-in and the worker's follow")
+def poll_between(context: Context) -> None:
+    context.poll = context.vm_agent.next_status_request()
+    worker_born_ms = context.born_ms
+    context.born_ms += 1
+    check_in(context)
+    context.born_ms = worker_born_ms
+    answer(context)
+    check_in(context)
+
+
+@when("the worker answers the poll under way")
+def answer_poll_under_way(context: Context) -> None:
+    status = WorkerStatus(
+        clock_ms=int(1000 * context.now_s),
+        born_ms=context.born_ms,
+        running=(),
+        ends=(),
+    )
+    context.vm_agent.on_status(
+        context.poll, status, context.now_s - 0.01, context.now_s
+    )
+
+
+@when("a leader of a later term sends orders")
+def later_term(context: Context) -> None:
+    orders = _orders(context)
+    context.vm_agent.on_orders(
+        msgspec.structs.replace(orders, term=2), context.now_s
+    )
+
+
 @when("{seconds:d} s pass at the agent")
 def wait_at_agent(context: Context, seconds: int) -> None:
     context.now_s += seconds
--- a/tests/soak/soak_worker.py
+++ b/tests/soak/soak_worker.py
@@ -88,13 +88,9 @@
         self.crash()
         self.crashed = False
         self.draining = False
-        self._started_at_ms = max(
-            self._started_at_ms + 1, time.time_ns() // 1_000_000
+        self._begin_instance(
+            max(self._started_at_ms + 1, time.time_ns() // 1_000_000)
         )
-        self._clock_start_s = time.monotonic()
-        self._lease_until_ms = self._fencing_token = (
-            self._check_in_sequence
-        ) = self._last_end_number = 0
 
     async def _send_check_in(self) -> None:
         if self.sends_check_ins and not self.crashed:
