--- a/tests/features/cell/disruptions.feature
+++ b/tests/features/cell/disruptions.feature
@@ -48,6 +48,7 @@
       | 13-20 | worker_restarts and late_orders |
       | 1-12  | worker_restarts and late_orders |
       | 1-4   | hopeless_lasting and failing_runs |
+      | 1-9   | worker_restarts and clock_back |
 
   Scenario Outline: Tasks that last are restarted beside others that fail
     Given a cell of 4 VMs and 3 entries that gets only tasks that last for seeds <seeds>
