Count a run that ends between two checks as a task's last run

A start and a crash within 0.1 s were not seen by the oracle of tasks that last, so that their 6 s were counted from an earlier run.

The fields of the line on waiting tasks are plain text.

--- a/src/yuccapoint/cell/waiting_log.py
+++ b/src/yuccapoint/cell/waiting_log.py
@@ -75,7 +75,7 @@
     ) -> None:
         counts: dict[str, int] = {}
         for reason in planner.reasons_by_vm(task).values():
-            counts[reason] = counts.get(reason, 0) + 1
+            counts[str(reason)] = counts.get(str(reason), 0) + 1
         self._leader.explain(
             "place",
             "still waits; left out VMs by reason",
--- a/tests/cell_world/oracle.py
+++ b/tests/cell_world/oracle.py
@@ -76,6 +76,9 @@
         job = self.jobs.get(job_id)
         before = self._runs_started.get(task_id, 0)
         self._runs_started[task_id] = before + 1
+        if task_id in self._ran_at_s:
+            # The run may end before the next check.
+            self._ran_at_s[task_id] = now_s
         if job is None or job.payload != payload:
             self.record_violation("UNASKED", task_id, "no job has this task")
             return
