Let suspects that last start on any VM once they have waited

Callers saw: after workers crashed under deadly submissions, tasks that last "don't run, with room" (LOST).

Cause: a suspect of a crash starts alone, on half of a pool at most, each trial takes some 1.2 s, and they took turns in the order of their jobs. The line on waiting tasks showed it: `suspect` 1, `starting_runs` on two or three of four VMs, `open` 1 or 2.

The fix: a suspect that lasts and has waited for 2 s may start alone on any VM, and of steps that last the one that waits longest goes first. It still starts alone, so that a crash tells as much as before.

--- a/src/yuccapoint/cell/claim_planner.py
+++ b/src/yuccapoint/cell/claim_planner.py
@@ -32,6 +32,9 @@
 # A long-running task that waits for this long may start on VMs that are
 # blamed for failures, if no other has room. It is to run within 6 s.
 BLAME_WAIT_LIMIT_S = 4.0
+# After this time such a task that is suspected of crashing workers may start
+# on any VM, however many are kept for others: trials take a second each.
+TRIAL_WAIT_LIMIT_S = 2.0
 
 
 class ClaimPlanner:
@@ -134,7 +137,7 @@
             return False
         return task.not_before_s <= self._now_s
 
-    def _urgency(self, step: StepRun) -> tuple[int, int, float]:
+    def _urgency(self, step: StepRun) -> tuple[int, int, float, float]:
         """Return a step's sort key, by what its callers can still gain.
 
         Jobs that can still meet their objective go first, those with the
@@ -146,9 +149,14 @@
         if step.spec.long_running:
             # Tasks limited per VM are placed before those that may run on
             # any VM, which could otherwise fill the VMs they need.
-            return (0, 0, step.spec.max_per_vm or math.inf)
+            since_s = min(
+                task.waiting_since_s
+                for task in step.tasks
+                if self._is_waiting(task)
+            )
+            return (0, 0, step.spec.max_per_vm or math.inf, since_s)
         remaining_work = step.occurrence.remaining_work()
-        return (self.lateness(step), queue.priority, remaining_work)
+        return (self.lateness(step), queue.priority, remaining_work, 0.0)
 
     def lateness(self, step: StepRun) -> int:
         """Classify how late a step's job will be.
@@ -231,7 +239,11 @@
             reserved = [
                 c for c in candidates if c.reserved_for == task.task_id
             ]
-            if not reserved and not crash_trials.has_vm_left(candidates):
+            if (
+                not reserved
+                and not self._has_waited(task, TRIAL_WAIT_LIMIT_S)
+                and not crash_trials.has_vm_left(candidates)
+            ):
                 continue
             overcommit = idle and not chosen
             candidate = self._choose(
@@ -400,11 +412,16 @@
             on_probation = candidate.blame is Obstacle.PROBATION
             return not on_probation or bool(candidate.step_counts)
         return not any(
-            self._is_waiting(other)
-            and self._now_s - other.waiting_since_s >= BLAME_WAIT_LIMIT_S
+            self._has_waited(other, BLAME_WAIT_LIMIT_S)
             for other in task.step.tasks
         )
 
+    def _has_waited(self, task: TaskRun, limit_s: float) -> bool:
+        """Return whether a long-running task has waited for some time."""
+        if not task.step.spec.long_running or not self._is_waiting(task):
+            return False
+        return self._now_s - task.waiting_since_s >= limit_s
+
     def reasons_by_vm(self, task: TaskRun) -> dict[str, str]:
         """Return why the VMs of a task's pool get no run of it now.
 
--- a/tests/features/cell/disruptions.feature
+++ b/tests/features/cell/disruptions.feature
@@ -51,14 +51,15 @@
 
   Scenario Outline: Tasks that last are restarted beside others that fail
     Given a cell of 4 VMs and 3 entries that gets only tasks that last for seeds <seeds>
-    When jobs are submitted for 40 s with disruptions "hopeless_lasting and failing_runs"
+    When jobs are submitted for 40 s with disruptions "<troubles>"
     And the cell is undisturbed for 45 s
     Then no guarantee of the cell is violated
     And all jobs of the cell have ended or are running
 
     Examples:
-      | seeds |
-      | 1-8   |
+      | seeds | troubles                          |
+      | 1-8   | hopeless_lasting and failing_runs |
+      | 9-14  | deadly_task                       |
 
   Scenario Outline: The checks detect a seeded fault
     Given a cell of 4 VMs and 3 entries for seeds 1-12
--- a/tests/features/cell/lasting_tasks.feature
+++ b/tests/features/cell/lasting_tasks.feature
@@ -82,3 +82,11 @@
     And 1 jobs that last, of which 1 are hopeless
     When 20 s pass in rounds
     Then 10 to 16 starts were claimed
+
+  Scenario: Suspects of a crash that last don't wait for half of a small pool
+    Given a leader with 2 VMs of 8 processors
+    And 12 jobs that last, of which 0 are hopeless
+    And all sound jobs are suspected of a crash until they have run for 1 s
+    When 15 s pass in rounds
+    Then each sound job that failed ran again within 9 s
+    And all sound jobs run
--- a/tests/features/steps/lasting_task_steps.py
+++ b/tests/features/steps/lasting_task_steps.py
@@ -52,6 +52,10 @@
             ends.append(EndedRun(number, task.task_id, task.run, "failed", ""))
             continue
         running.append(RunningTask(task.task_id, task.run, "", 50, 0.0))
+        if not task.is_suspect or not task.seen_running:
+            continue
+        if context.now_s - task.started_at_s >= context.proven_after_s:
+            task.crashes.note_proven(task.run)
     message = report(
         vm,
         ledger.report_sequence + 1,
@@ -256,3 +260,15 @@
         line for line in context.leader.explanations if line.text == "claimed"
     ]
     assert low <= len(starts) <= high, len(starts)
+
+
+@given(
+    "all sound jobs are suspected of a crash until they have run for"
+    " {seconds:d} s"
+)
+def suspects(context: Context, seconds: int) -> None:
+    context.proven_after_s = seconds
+    for task_id in context.sound:
+        task = context.leader.find_task(task_id)
+        task.run = 1
+        task.crashes.note_crash(1, started=True)
