Ask the adviser about VMs in quarantine for tasks that last

A task that lasts may start on a VM in quarantine once it has waited for 4 s, but in an advised queue it needs a ticket, and tickets were asked for open VMs only: it waited until the quarantine was over (LOST, "doesn't run, with room").

Evidence: "A task that lasts gets a ticket for a blamed VM in time" failed (the task has no VM after 6 s) and passes. Such VMs are asked about last, and only for steps that last, so that other steps' queries stay as they are; advice.feature passes.

--- a/src/yuccapoint/cell/adviser_queries.py
+++ b/src/yuccapoint/cell/adviser_queries.py
@@ -4,12 +4,14 @@
 
 from typing import TYPE_CHECKING
 
+from yuccapoint.cell.obstacle import Obstacle
 from yuccapoint.cell.ticket_cache import step_id
 
 if TYPE_CHECKING:
     from yuccapoint.cell.cell_leader import CellLeader
     from yuccapoint.cell.job_run import StepRun
     from yuccapoint.cell.occurrence_state import WorkerInstance
+    from yuccapoint.cell.vm_ledger import VmLedger
 
 
 class AdviserQueries:
@@ -44,9 +46,14 @@
                 for vm in self._leader.vms.values()
                 if vm.worker is not None
                 and vm.worker.pool == queue.pool
-                and vm.is_open(now_s)
+                and _may_get(step, vm, now_s)
             ]
-            vms.sort(key=lambda vm: -vm.available.millicores)
+            vms.sort(
+                key=lambda vm: (
+                    now_s < vm.quarantined_until_s,
+                    -vm.available.millicores,
+                )
+            )
             instances = [vm.instance for vm in vms if vm.instance is not None]
             asked = self._leader.ticket_cache.to_query(step, instances, now_s)
             if asked:
@@ -83,3 +90,14 @@
             asked=len(asked),
             allowed=len(tickets),
         )
+
+
+def _may_get(step: StepRun, vm: VmLedger, now_s: float) -> bool:
+    """Return whether a VM may get a task of a step, perhaps later.
+
+    A long-running task that waits may start on a VM in quarantine.
+    """
+    obstacle = vm.find_obstacle(now_s)
+    if obstacle is Obstacle.QUARANTINE:
+        return step.spec.long_running
+    return obstacle is None
--- a/tests/features/cell/lasting_tasks.feature
+++ b/tests/features/cell/lasting_tasks.feature
@@ -90,3 +90,13 @@
     When 15 s pass in rounds
     Then each sound job that failed ran again within 9 s
     And all sound jobs run
+
+  Scenario: A task that lasts gets a ticket for a blamed VM in time
+    Given a leader with 2 VMs of 8 processors
+    And "vm-0" is full of long-running work
+    And "vm-1" is in quarantine for 60 s
+    And a job that lasts in an advised queue whose adviser allows all workers
+    When 3 s pass in rounds
+    Then no sound job runs
+    When 3 s pass in rounds
+    Then all sound jobs run
--- a/tests/features/steps/lasting_task_steps.py
+++ b/tests/features/steps/lasting_task_steps.py
@@ -73,6 +73,13 @@
     context.now_s += STEP_S
     for vm in context.leader.vms:
         _report(context, vm)
+    query = context.leader.adviser_queries.next_query(context.now_s, WALL_MS)
+    if query is not None:
+        step, instances = query
+        tickets = {instance.worker_id: "ticket" for instance in instances}
+        context.leader.adviser_queries.on_advice(
+            step, instances, tickets, context.now_s
+        )
     context.leader.tick(context.now_s, WALL_MS)
     context.leader.commit(context.leader.collect_batch())
     context.leader.collect_orders(context.now_s, may_grant=True)
@@ -159,12 +166,15 @@
 
 
 @given("{jobs:d} jobs that last, of which {hopeless:d} are hopeless")
-def lasting_jobs(context: Context, jobs: int, hopeless: int) -> None:
+def lasting_jobs(
+    context: Context, jobs: int, hopeless: int, **rules: int
+) -> None:
     context.hopeless = set()
     context.sound = []
     for number in range(jobs):
         step = StepSpec(1, ONE, long_running=True)
-        job = add_job(context.leader, _job_id(f"b{number:02x}"), step)
+        job_id = _job_id(f"b{number:02x}")
+        job = add_job(context.leader, job_id, step, **rules)
         task_id = f"{job.job_id}.0.0.0"
         if number < hopeless:
             context.hopeless.add(task_id)
@@ -272,3 +282,8 @@
         task = context.leader.find_task(task_id)
         task.run = 1
         task.crashes.note_crash(1, started=True)
+
+
+@given("a job that lasts in an advised queue whose adviser allows all workers")
+def advised_lasting_job(context: Context) -> None:
+    lasting_jobs(context, 1, 0, advice_valid_ms=10_000)
