--- a/tests/features/cell/lasting_tasks.feature
+++ b/tests/features/cell/lasting_tasks.feature
@@ -82,3 +82,21 @@
     And 1 jobs that last, of which 1 are hopeless
     When 20 s pass in rounds
     Then 10 to 16 starts were claimed
+
+  Scenario: Suspects of a crash that last don't wait for half of a small pool
+    Given a leader with 2 VMs of 8 processors
+    And 12 jobs that last, of which 0 are hopeless
+    And all sound jobs are suspected of a crash until they have run for 1 s
+    When 15 s pass in rounds
+    Then each sound job that failed ran again within 9 s
+    And all sound jobs run
+
+  Scenario: A task that lasts gets a ticket for a blamed VM in time
+    Given a leader with 2 VMs of 8 processors
+    And "vm-0" is full of long-running work
+    And "vm-1" is in quarantine for 60 s
+    And a job that lasts in an advised queue whose adviser allows all workers
+    When 3 s pass in rounds
+    Then no sound job runs
+    When 3 s pass in rounds
+    Then all sound jobs run
