Don't give up tasks for crashes that their runs have probably not caused

A start that met a worker that was down counted as a crash that the task may have caused; three of them, or two of runs that the worker had answered, gave the submission up.

- The start's repeated call is executed by the next instance, before its check-in, and that instance answers a poll half a second later.
A task that crashes what starts it would have crashed this one.
It is proof: the agent tells the instance by its clock and reports the run as proven.
- The worker had left a poll unanswered before the first call of the start, or it had listed the run 0.2 s after its start.
No proof, but such a crash is doubtful and counts only towards the limit of four crashes, which bounds BUDGET and stays.

The suspects of a crash report and the stored crashes get a field with a default each; earlier builds skip them and count as before.

Ruled out: to prove a run after 0.2 s, or not to count doubtful crashes, as a task that crashes its worker a third of a second after its start would run for good.

A leader's reports in worker_crash_steps.py now carry its term; those of the next leader were taken for reports of agents that don't follow it.

--- a/src/yuccapoint/cell/crash_counter.py
+++ b/src/yuccapoint/cell/crash_counter.py
@@ -18,7 +18,7 @@
 MAX_KNOWN_CRASHES = 2
 # The same with workers that may have crashed before the start arrived.
 MAX_CRASHES_ALONE = 3
-# It is given up in any case after this many.
+# It is given up in any case after this many, doubtful or not.
 MAX_CRASHES = 4
 
 
@@ -77,8 +77,10 @@
             run=suspect.run,
             vm=vm,
             started=int(suspect.started),
+            doubtful=int(suspect.doubtful),
             crashes=len(task.crashes.runs),
             known_crashes=task.crashes.known,
+            doubtful_crashes=task.crashes.doubtful,
             alone=int(alone),
         )
 
@@ -105,13 +107,17 @@
     """Return whether a crash counts that was not counted before."""
     if task.phase is Phase.DONE or suspect.run > task.run:
         return False
-    return task.crashes.note_crash(suspect.run, started=suspect.started)
+    return task.crashes.note_crash(
+        suspect.run, started=suspect.started, doubtful=suspect.doubtful
+    )
 
 
 def _is_hopeless(task: TaskRun, *, alone: bool) -> bool:
     crashes = len(task.crashes.runs)
+    if crashes >= MAX_CRASHES:
+        return True
     if not alone:
-        return crashes >= MAX_CRASHES
+        return False
     if task.crashes.known >= MAX_KNOWN_CRASHES:
         return True
-    return crashes >= MAX_CRASHES_ALONE
+    return crashes - task.crashes.doubtful >= MAX_CRASHES_ALONE
--- a/src/yuccapoint/cell/crash_log.py
+++ b/src/yuccapoint/cell/crash_log.py
@@ -6,6 +6,7 @@
 
 from yuccapoint.cell.crash_messages import CrashReport
 from yuccapoint.cell.crash_messages import CrashSuspect
+from yuccapoint.cell.next_starts import NextStarts
 from yuccapoint.cell.tracked_run import RunStage
 
 if TYPE_CHECKING:
@@ -45,10 +46,11 @@
         Name of the VM.
     """
 
-    __slots__ = ("_crashes", "_proofs", "_vm")
+    __slots__ = ("_crashes", "_proofs", "_vm", "next_starts")
 
     def __init__(self, vm: str) -> None:
         self._vm = vm
+        self.next_starts = NextStarts()
         # With the time until which each is reported.
         self._crashes: list[tuple[float, tuple[CrashSuspect, ...]]] = []
         self._proofs: dict[RunKey, float] = {}
@@ -75,7 +77,12 @@
         if announced:
             return ""
         suspects = tuple(
-            CrashSuspect(tracked.task_id, tracked.run, tracked.known_started)
+            CrashSuspect(
+                tracked.task_id,
+                tracked.run,
+                tracked.known_started,
+                tracked.is_doubtful_suspect,
+            )
             for tracked in runs
             if tracked.may_have_crashed_worker
         )
@@ -83,9 +90,23 @@
             self._crashes.append((now_s + REPORTED_FOR_S, suspects))
         return " ".join(f"{s.task_id}/{s.run}" for s in suspects)
 
-    def note_proofs(self, runs: Iterable[TrackedRun], now_s: float) -> bool:
-        """Record proven runs; return whether there are new ones."""
+    def note_proofs(
+        self, runs: Iterable[TrackedRun], sent_at_s: float, now_s: float
+    ) -> bool:
+        """Record proven runs; return whether there are new ones.
+
+        Parameters
+        ----------
+        runs : iterable of TrackedRun
+            All runs of the present instance.
+        sent_at_s, now_s : float
+            When the poll was sent that it has answered, and steady time in
+            seconds.
+        """
         has_new = False
+        for key in self.next_starts.take_outlived(sent_at_s):
+            self._proofs[key] = now_s + REPORTED_FOR_S
+            has_new = True
         for tracked in runs:
             key = (tracked.task_id, tracked.run)
             if not tracked.proven or tracked.run == FIRST_RUN:
--- a/src/yuccapoint/cell/crash_messages.py
+++ b/src/yuccapoint/cell/crash_messages.py
@@ -10,11 +10,14 @@
 
     ``started`` is set if the worker answered the start or listed the run;
     otherwise the worker may have crashed before the start arrived.
+    ``doubtful`` is set if it had left a poll unanswered before the start, or
+    had listed the run some time after.
     """
 
     task_id: str
     run: int
     started: bool
+    doubtful: bool = False
 
 
 class CrashReport(
--- a/src/yuccapoint/cell/job_run.py
+++ b/src/yuccapoint/cell/job_run.py
@@ -291,6 +291,7 @@
             task = self.steps[crashed.step].tasks[crashed.index]
             task.crashes.runs = list(crashed.runs)
             task.crashes.known = crashed.known
+            task.crashes.doubtful = crashed.doubtful
         for failed in state.gang_failures:
             gang = self.steps[failed.step].gang
             gang.failures = failed.failures
@@ -327,6 +328,7 @@
                 task.index,
                 list(task.crashes.runs),
                 task.crashes.known,
+                task.crashes.doubtful,
             )
             for task in self.tasks
             if task.is_suspect
--- a/src/yuccapoint/cell/occurrence_state.py
+++ b/src/yuccapoint/cell/occurrence_state.py
@@ -59,13 +59,15 @@
 class TaskCrashes(msgspec.Struct, array_like=True):
     """Runs of a task that may have crashed their workers.
 
-    ``known`` of them are known to have started on these workers.
+    ``doubtful`` of them have probably not, ``known`` of the others are known
+    to have started on these workers.
     """
 
     step: int
     index: int
     runs: list[int]
     known: int
+    doubtful: int = 0
 
 
 class GangFailures(msgspec.Struct, array_like=True):
--- a/src/yuccapoint/cell/run_registry.py
+++ b/src/yuccapoint/cell/run_registry.py
@@ -319,18 +319,38 @@
         return any((e.task_id, e.run) == key for e in self._ends.values())
 
     def next_calls(
-        self, term: int, lease: WorkerLease, now_s: float
+        self,
+        term: int,
+        lease: WorkerLease,
+        now_s: float,
+        *,
+        worker_is_silent: bool = False,
     ) -> list[StartCall | StopCall]:
-        """Return the starts and stops to send now."""
+        """Return the starts and stops to send now.
+
+        Parameters
+        ----------
+        term : int
+            Term of the leader.
+        lease : WorkerLease
+            Lease of the worker.
+        now_s : float
+            Steady time in seconds.
+        worker_is_silent : bool
+            Whether it left the last poll unanswered.
+        """
         calls = []
         for tracked in self._runs.values():
             if now_s < tracked.next_call_at_s:
                 continue
             if tracked.call_pending and not tracked.blocks_former_start:
                 continue
+            is_first = not tracked.first_call_at_s
             call = self._next_call(tracked, term, lease, now_s)
             if call is None:
                 continue
+            if is_first:
+                tracked.called_in_silence = worker_is_silent
             tracked.call_pending = True
             if tracked.blocks_former_start:
                 tracked.delay_next_block(now_s)
@@ -418,6 +438,7 @@
             self.has_updates = True
         running = {(task.task_id, task.run) for task in status.running}
         for key, tracked in list(self._runs.items()):
+            tracked.called_in_silence = False
             if key in ended:
                 del self._runs[key]
             elif key in running:
--- a/src/yuccapoint/cell/tracked_run.py
+++ b/src/yuccapoint/cell/tracked_run.py
@@ -14,6 +14,8 @@
 MAX_BLOCK_REPEAT_S = 0.8
 # A run that the worker lists this long after its start has not crashed it.
 SUSPECT_RUN_S = 0.5
+# One that it lists this long after its start has hardly done so.
+DOUBTED_RUN_S = 0.2
 # Longest time from a status request to the listing that answers it.
 LISTING_DELAY_S = 0.5
 
@@ -38,10 +40,15 @@
         Whether the intended instance of the worker has listed the run.
     alive_since_s : float
         When the run was first known to work; 0 until then.
+    called_in_silence : bool
+        Whether the worker had left a poll unanswered before the first call of
+        the start, and has answered none since.
     blocks_former_start : bool
         Whether it blocks a start meant for the worker's former instance.
     stop_acked_at_s : float
         When the worker confirmed the stop; 0 until then.
+    outlived_start : bool
+        Whether the worker has listed the run some time after its start.
     proven : bool
         Whether the worker has listed the run long enough after its start.
     proof_recorded : bool
@@ -59,10 +66,12 @@
         "alive_since_s",
         "blocks_former_start",
         "call_pending",
+        "called_in_silence",
         "first_call_at_s",
         "listed",
         "next_call_at_s",
         "order",
+        "outlived_start",
         "proof_recorded",
         "proven",
         "reached_next_instance",
@@ -92,10 +101,12 @@
         self.unanswered = False
         self.reached_next_instance = False
         self.listed = False
+        self.outlived_start = False
         self.proven = False
         self.proof_recorded = False
         self.blocks_former_start = False
         self.call_pending = False
+        self.called_in_silence = False
         self.next_call_at_s = 0.0
         self.first_call_at_s = 0.0
         self.started_at_s = 0.0
@@ -130,7 +141,10 @@
             self.alive_since_s = self.started_at_s or (
                 sent_at_s + LISTING_DELAY_S
             )
-        if sent_at_s - self.alive_since_s >= SUSPECT_RUN_S:
+        alive_s = sent_at_s - self.alive_since_s
+        if alive_s >= DOUBTED_RUN_S:
+            self.outlived_start = True
+        if alive_s >= SUSPECT_RUN_S:
             self.proven = True
 
     @property
@@ -149,6 +163,13 @@
         """Whether the worker answered the start or listed the run."""
         return self.listed or self.started_at_s > 0.0
 
+    @property
+    def is_doubtful_suspect(self) -> bool:
+        """Whether the worker's crash has probably another cause."""
+        if self.known_started:
+            return self.outlived_start
+        return self.called_in_silence
+
     def is_refusal_known(self, answered_report: int) -> bool:
         """Return whether a leader that answers a report has the refusal."""
         if self.stage is not RunStage.REFUSED or not self.refusal_report:
--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -170,6 +170,7 @@
         suspects = self.crash_log.on_instance_ended(
             self.registry.tracked_runs, now_s, announced=self._is_draining
         )
+        self.crash_log.next_starts.begin_instance(check_in.clock_ms, now_s)
         self._fence.begin_instance(check_in.instance.born_ms)
         blocked = self.registry.begin_instance(now_s, same_id=same_id)
         self._explain(
@@ -311,7 +312,14 @@
             return []
         self._room.withdraw_outdated_starts(now_s)
         calls: list[WorkerCall] = []
-        calls.extend(self.registry.next_calls(self.term, self.lease, now_s))
+        calls.extend(
+            self.registry.next_calls(
+                self.term,
+                self.lease,
+                now_s,
+                worker_is_silent=self._failed_status_requests > 0,
+            )
+        )
         calls.extend(self._pace_calls)
         self._pace_calls = []
         for call in calls:
@@ -348,6 +356,9 @@
         if result is CallResult.DONE and call.was_answered_by_next(clock_ms):
             # The next instance answered before it has checked in.
             result = CallResult.NEXT_INSTANCE
+            self.crash_log.next_starts.note_executed(
+                (call.order.task_id, call.order.run), clock_ms or 0, now_s
+            )
             self._explain(
                 "run",
                 "started by the next instance of the worker",
@@ -503,7 +514,9 @@
         self._room.record_clock(status.clock_ms, now_s)
         self._clock.set(status.clock_ms, now_s)
         self.registry.on_status(status, sent_at_s)
-        if self.crash_log.note_proofs(self.registry.tracked_runs, now_s):
+        if self.crash_log.note_proofs(
+            self.registry.tracked_runs, sent_at_s, now_s
+        ):
             self.registry.has_updates = True
         if may_run_late_starts:
             self.registry.stop_late_starts()
--- a/tests/features/cell/disruptions.feature
+++ b/tests/features/cell/disruptions.feature
@@ -47,7 +47,7 @@
       | 8-20  | worker_restarts              |
       | 13-20 | worker_restarts and late_orders |
       | 1-12  | worker_restarts and late_orders |
-      | 1-9   | worker_restarts and clock_back |
+      | 1-12  | worker_restarts and clock_back |
 
   Scenario Outline: The checks detect a seeded fault
     Given a cell of 4 VMs and 3 entries for seeds 1-12
--- a/tests/features/cell/worker_crashes.feature
+++ b/tests/features/cell/worker_crashes.feature
@@ -148,3 +148,107 @@
     Given 2 VMs on which runs of 3 jobs stall, the worker gone
     When the workers are back as new instances
     Then a long-running job of 2 tasks is claimed at once
+
+  Scenario: A start that the worker's next instance outlives crashed no worker
+    # Load: all workers crash again and again. Each start meets one that is
+    # down, and the call that is repeated reaches its next instance.
+    Given an agent whose start is lost and then executed by the next instance
+    When that instance checks in 100 ms after the start
+    Then the run is suspected of the crash
+    When it answers a poll that was sent 490 ms after the start
+    Then the run is not proven
+    When it answers a poll that was sent 500 ms after the start
+    Then the run is proven not to have crashed its worker
+
+  Scenario: A start that crashed the next instance too stays suspected
+    Given an agent whose start is lost and then executed by the next instance
+    When an instance that began after the start checks in 100 ms after it
+    Then the run is suspected of the crash
+    When it answers a poll that was sent 900 ms after the start
+    Then the run is not proven
+
+  Scenario: A start that crashed the next instance after its check-in
+    Given an agent whose start is lost and then executed by the next instance
+    When that instance checks in 100 ms after the start
+    And an instance that began after the start checks in 200 ms after it
+    And it answers a poll that was sent 900 ms after the start
+    Then the run is not proven
+
+  Scenario: Instances are not told apart by clocks that may have drifted
+    Given an agent whose start is lost and then executed by the next instance
+    When that instance checks in 1100 ms after the start
+    And it answers a poll that was sent 1900 ms after the start
+    Then the run is not proven
+
+  Scenario: A start that is called after a poll was unanswered is doubtful
+    Given an agent whose worker has listed run "a" 2 s after
+    And a poll is unanswered
+    And the start of "b" was lost 100 ms ago
+    When the worker is back after 1 s under its id
+    Then the agent doubts that "b" crashed the worker
+
+  Scenario: A run that was listed some time after its start is doubtful
+    # It has not crashed the worker at once, but is not proven either.
+    Given an agent whose worker has listed run "a" 2 s after
+    And the start of "b" was answered 250 ms ago
+    And the worker has listed "a b" at once
+    When the worker is back after 1 s under its id
+    Then the agent doubts that "b" crashed the worker
+
+  Scenario: A run that was only listed at its start is not doubtful
+    Given an agent whose worker has listed run "a" 2 s after
+    And the start of "b" was answered 150 ms ago
+    And the worker has listed "a b" at once
+    When the worker is back after 1 s under its id
+    Then the agent does not doubt that "b" crashed the worker
+
+  Scenario Outline: A start that may have reached its worker is not doubtful
+    Given an agent whose worker has listed run "a" 2 s after
+    And a poll is unanswered
+    And the start of "b" was <result> 100 ms ago
+    And the worker has listed "<listed>" at once
+    When the worker is back after 1 s under its id
+    Then the agent does not doubt that "b" crashed the worker
+
+    Examples:
+      | result   | listed |
+      | lost     | a      |
+      | answered | a b    |
+
+  Scenario: Starts that hardly reached their workers count less
+    # Load: all workers crash again and again, and each start meets one that is
+    # down.
+    Given 4 VMs on which a plain job of 1 tasks is claimed
+    When the worker of task 0 crashes, with it as the only suspect
+    And its worker is silent, and the start of task 0 is unanswered
+    And its worker is silent, and the start of task 0 is unanswered
+    Then the job is open
+    When its worker is silent, and the start of task 0 is unanswered
+    Then the job is failed
+
+  Scenario: Starts that hardly reached their workers count less at the next leader
+    Given 4 VMs on which a plain job of 1 tasks is claimed
+    When the worker of task 0 crashes, with it as the only suspect
+    And its worker is silent, and the start of task 0 is unanswered
+    And another leader takes over from the store
+    And all crashes are reported again
+    And its worker is silent, and the start of task 0 is unanswered
+    Then the job is open
+    When its worker is silent, and the start of task 0 is unanswered
+    Then the job is failed
+
+  Scenario: Crashes some time after the start count less
+    Given 4 VMs on which a plain job of 1 tasks is claimed
+    When the worker of task 0 crashes some time after the start
+    And the worker of task 0 crashes some time after the start
+    And the worker of task 0 crashes some time after the start
+    Then the job is open
+    When the worker of task 0 crashes some time after the start
+    Then the job is failed
+
+  Scenario: A task that crashed two workers is given up, whatever came between
+    Given 4 VMs on which a plain job of 1 tasks is claimed
+    When the worker of task 0 crashes, with it as the only suspect
+    And its worker is silent, and the start of task 0 is unanswered
+    And the worker of task 0 crashes, with it as the only suspect
+    Then the job is failed
--- a/tests/features/steps/crash_suspect_steps.py
+++ b/tests/features/steps/crash_suspect_steps.py
@@ -141,6 +141,25 @@
     assert found == [{name: known == "known"}], found
 
 
+def _doubtful(context: Context, name: str) -> bool:
+    agent = context.vm_agent
+    message = agent.crash_log.build_report(agent.incarnation, context.now_s)
+    assert message is not None
+    [suspects] = message.crashes
+    [doubtful] = [s.doubtful for s in suspects if s.task_id[0] == name]
+    return doubtful
+
+
+@then('the agent doubts that "{name}" crashed the worker')
+def crash_doubtful(context: Context, name: str) -> None:
+    assert _doubtful(context, name)
+
+
+@then('the agent does not doubt that "{name}" crashed the worker')
+def crash_not_doubtful(context: Context, name: str) -> None:
+    assert not _doubtful(context, name)
+
+
 @then("the agent suspects no run of a crash")
 def none_suspected(context: Context) -> None:
     assert not _crashes(context), _crashes(context)
--- a/tests/features/steps/restarted_worker_steps.py
+++ b/tests/features/steps/restarted_worker_steps.py
@@ -375,6 +375,7 @@
     context.vm_agent.on_status_failed(request, context.now_s)
 
 
+@given("a poll is unanswered")
 @when("a poll is unanswered")
 def poll_unanswered(context: Context) -> None:
     request = context.vm_agent.next_status_request()
--- a/tests/features/steps/worker_crash_steps.py
+++ b/tests/features/steps/worker_crash_steps.py
@@ -73,7 +73,12 @@
             RunningTask(task.task_id, task.run, "", 5, 0.0)
             for task in vm.claims.values()
         )
-        message = report(name, context.sequence, running=running)
+        message = report(
+            name,
+            context.sequence,
+            running=running,
+            term=context.leader.term,
+        )
         worker = msgspec.structs.replace(message.worker, instance=vm.instance)
         deliver_report(
             context.leader,
@@ -92,12 +97,14 @@
     tasks: list[TaskRun],
     *,
     started: bool = True,
+    doubtful: bool = False,
     beside: tuple[CrashSuspect, ...] = (),
 ) -> None:
     """Report a crash of a VM's worker and its new instance."""
     [vm] = {task.instance.vm for task in tasks}
     suspects = tuple(
-        CrashSuspect(task.task_id, task.run, started) for task in tasks
+        CrashSuspect(task.task_id, task.run, started, doubtful)
+        for task in tasks
     )
     suspects += beside
     crash = CrashReport(vm=vm, incarnation=1, crashes=(suspects,), proven=())
@@ -150,6 +157,31 @@
     _plan(context)
 
 
+@when("the worker of task {index:d} crashes some time after the start")
+def crash_after_a_while(context: Context, index: int) -> None:
+    _crash(
+        context,
+        ["crash", "restart"],
+        [_tasks(context)[index]],
+        doubtful=True,
+    )
+    context.now_s += 3.0
+    _plan(context)
+
+
+@when("its worker is silent, and the start of task {index:d} is unanswered")
+def crash_in_silence(context: Context, index: int) -> None:
+    _crash(
+        context,
+        ["crash", "restart"],
+        [_tasks(context)[index]],
+        started=False,
+        doubtful=True,
+    )
+    context.now_s += 3.0
+    _plan(context)
+
+
 @when("the worker of task {index:d} crashes, and the claim is released first")
 def crash_reported_late(context: Context, index: int) -> None:
     _crash(context, ["restart", "crash"], [_tasks(context)[index]])
