Follow a worker only once it has answered under its id

The leader released its claims, tasks started elsewhere, and the first runs went on until their lease lapsed.

Cause: an agent took whatever check-in had a later start time for its worker's, and called the address that it names.

Why it works: a check-in of another id or address, also the first one, is held back until a call to that address under that id is answered with its start time. The call has no token and no deadline, so it changes nothing at any worker. An instance that changes its pool is ignored.

Decisions in vm_agent.py are unchanged.

--- a/src/yuccapoint/platform/worker_client.py
+++ b/src/yuccapoint/platform/worker_client.py
@@ -148,6 +148,35 @@
                 f"worker status is malformed: {error!r}"
             ) from None
 
+    async def answers_as(self, instance: WorkerInstance) -> bool:
+        """Return whether an instance answers at the worker's address.
+
+        The call has no token and no deadline, so that it changes nothing.
+
+        Raises
+        ------
+        UnreachableError
+            The worker did not respond.
+        MalformedMessageError
+            The response body is malformed.
+        """
+        response = await self._client.call(
+            "POST",
+            "/yuccapoint/hold",
+            msgspec.json.encode({"FencingToken": 0, "LastSeen": 0}),
+            timeout_s=CALL_TIMEOUT_S,
+            headers=_headers(instance.worker_id),
+        )
+        if response.status == STATUS_OK:
+            return bool(
+                _decode(response, _HoldResponse).born_ms == instance.born_ms
+            )
+        if response.status != STATUS_CONFLICT:
+            return False
+        # Refused for its token, which comes after the check of the id.
+        born_ms = _decode(response, _CallResponse).born_ms
+        return born_ms in (0, instance.born_ms)
+
     def close(self) -> None:
         """Close the idle connections."""
         self._client.close()
--- a/src/yuccapoint/process/cell_agent_process.py
+++ b/src/yuccapoint/process/cell_agent_process.py
@@ -16,6 +16,9 @@
 from yuccapoint.cell.cell_messages import LeaderOrders
 from yuccapoint.cell.cell_records import Member
 from yuccapoint.cell.vm_agent import VmAgent
+from yuccapoint.cell.worker_candidates import contradicts
+from yuccapoint.cell.worker_candidates import needs_answer
+from yuccapoint.cell.worker_candidates import WorkerCandidates
 from yuccapoint.cell.worker_events import StartCall
 from yuccapoint.cell.worker_events import StopCall
 from yuccapoint.connection.control_channel import ControlChannel
@@ -39,6 +42,8 @@
 TICK_S = 0.05
 # Pause after a failed poll, in seconds.
 POLL_RETRY_S = 0.1
+# Calls to a worker that is not known yet, until its next check-in.
+CANDIDATE_CALLS = 8
 # Longest wait for a leader or a check-in before the next look, in seconds.
 NO_LEADER_WAIT_S = 1.0
 # Events within this time are combined into one report, in seconds.
@@ -64,6 +69,9 @@
     ) -> WorkerStatus:
         """Renew the worker's lease and list its running and ended runs."""
 
+    async def answers_as(self, instance: WorkerInstance) -> bool:
+        """Return whether an instance answers at the worker's address."""
+
     def close(self) -> None:
         """Close the connections."""
 
@@ -109,6 +117,8 @@
         self._connect_worker = connect_worker
         self._worker: CellWorkerPort | None = None
         self._worker_address = ""
+        self._candidates = WorkerCandidates()
+        self._candidate_tasks: set[asyncio.Task[None]] = set()
         self._control_channel = ControlChannel(
             address,
             self._on_message,
@@ -142,12 +152,69 @@
             await self._poll_once(self._worker, request)
         self._report(steady_s())
         await asyncio.sleep(REPORT_COALESCE_S)
-        for task in self._tasks:
+        for task in (*self._tasks, *self._candidate_tasks):
             task.cancel()
         self._control_channel.close()
 
     def on_check_in(self, check_in: CheckIn) -> None:
-        """Process a check-in of the worker."""
+        """Process a check-in, of the worker or of another writer."""
+        current = self.vm_agent.check_in
+        if contradicts(current, check_in):
+            self.logger.log(
+                "worker",
+                "check-in for another pool ignored",
+                worker=check_in.instance.worker_id,
+                pool=check_in.pool,
+            )
+            return
+        if not needs_answer(current, check_in):
+            self._apply_check_in(check_in)
+            return
+        if self._candidates.offer(check_in):
+            task = asyncio.ensure_future(self._try_candidate(check_in))
+            self._candidate_tasks.add(task)
+            task.add_done_callback(self._candidate_tasks.discard)
+
+    async def _try_candidate(self, check_in: CheckIn) -> None:
+        """Apply a check-in once its worker has answered under its id."""
+        worker = self._connect_worker(check_in.address)
+        try:
+            reason = await self._call_candidate(worker, check_in.instance)
+        except Exception as error:  # noqa: BLE001
+            # The present worker is still driven.
+            reason = repr(error)
+        finally:
+            worker.close()
+            newest = self._candidates.take(check_in)
+        if not reason:
+            self._apply_check_in(newest)
+            return
+        self.metrics.count("unanswered_check_ins")
+        self.logger.log(
+            "worker",
+            "check-in ignored: its worker does not answer",
+            worker=check_in.instance.worker_id,
+            address=check_in.address,
+            pool=check_in.pool,
+            reason=reason,
+        )
+
+    async def _call_candidate(
+        self, worker: CellWorkerPort, instance: WorkerInstance
+    ) -> str:
+        """Return why an instance is not used; empty if it answers."""
+        reason = ""
+        for _ in range(CANDIDATE_CALLS):
+            try:
+                if await worker.answers_as(instance):
+                    return ""
+                reason = "another instance answers"
+            except YuccapointError as error:
+                reason = str(error)
+            await asyncio.sleep(POLL_RETRY_S)
+        return reason
+
+    def _apply_check_in(self, check_in: CheckIn) -> None:
         if not self.vm_agent.on_check_in(check_in, steady_s()):
             self.logger.log(
                 "worker",
--- a/tests/features/steps/agent_poll_steps.py
+++ b/tests/features/steps/agent_poll_steps.py
@@ -57,6 +57,9 @@
             clock_ms=1_000, born_ms=self.born_ms, running=(), ends=ends
         )
 
+    async def answers_as(self, instance: WorkerInstance) -> bool:
+        return instance.born_ms == self.born_ms
+
     def close(self) -> None:
         """Close nothing."""
 
--- /dev/null
+++ b/tests/features/steps/odd_entry_steps.py
@@ -0,0 +1,164 @@
+from __future__ import annotations
+
+import asyncio
+import itertools
+import time
+from typing import Any
+from typing import TYPE_CHECKING
+
+from behave import given
+from behave import then
+from behave import when
+import msgspec
+from platform_path_steps import free_address
+from platform_path_steps import run
+from platform_path_steps import wait_until
+
+from yuccapoint.connection.http_client import HttpClient
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+    from yuccapoint_standins.platform_worker import PlatformWorker
+
+# Sent so often that some arrive before those of the worker, which are sent
+# once a second, after each restart of an agent.
+SEND_INTERVAL_S = 0.05
+# Placed on the wire as such, as no encoder produces it.
+NESTED = b"[" * 20_000 + b"]" * 20_000
+
+
+def _check_in(worker: PlatformWorker, number: int) -> dict[str, Any]:
+    """Return what another writer says, well-formed and born later."""
+    return {
+        "Service": "another-service",
+        "Address": free_address(),
+        "Zone": "zone",
+        "Version": "v1",
+        "Slots": 8,
+        "State": "ready",
+        "ColdRemainingMs": 0,
+        "Capacity": {"Cpu": 8000, "MemMb": 16384, "Gpu": 0},
+        "Labels": ["a", "r1"],
+        "ClockMs": 1_000,
+        "Seq": 1_000_000 + number,
+        "RemainingMs": 0,
+        "born": int(time.time() * 1000) + 1_000,
+    }
+
+
+def _own_check_in(worker: PlatformWorker, number: int) -> dict[str, Any]:
+    """Return what the present instance may be said to be."""
+    return {
+        **_check_in(worker, number),
+        "Service": "pool",
+        "Address": worker._address,
+        "Seq": worker._check_in_sequence + 1,
+        "born": worker._started_at_ms,
+    }
+
+
+def _odd_check_in(
+    context: Context, kind: str, worker: PlatformWorker, number: int
+) -> tuple[str, bytes]:
+    """Return the id and the body of an odd check-in."""
+    worker_id, body = "i-other", _check_in(worker, number)
+    if kind == "of another id at the worker's address":
+        body["Address"] = worker._address
+    elif kind == "of another id at the store's address":
+        body["Address"] = context.deployment.store_address
+    elif kind == "that move the worker to another address":
+        worker_id = worker.worker_id
+        body = {**_own_check_in(worker, number), "Address": free_address()}
+    elif kind == "that move the worker to another service":
+        worker_id = worker.worker_id
+        body = {**_own_check_in(worker, number), "Service": "other"}
+    elif kind == "with port 70000":
+        body["Address"] = "127.0.0.1:70000"
+    elif kind == "with an address that can't be read":
+        body["Address"] = "127.0..1:8080"
+    data = msgspec.json.encode(body)
+    if kind == "nested deeply":
+        data = data[:-1] + b',"Unread":' + NESTED + b"}"
+    return worker_id, data
+
+
+async def _send_check_ins(context: Context, kind: str, vm: int) -> None:
+    deployment = context.deployment
+    client = HttpClient(deployment.check_in_addresses[vm])
+    for number in itertools.count():
+        worker = deployment.workers[vm]
+        worker_id, data = _odd_check_in(context, kind, worker, number)
+        response = await client.call(
+            "PUT",
+            f"/yuccapoint/instances/{worker_id}",
+            data,
+            timeout_s=1.0,
+        )
+        context.statuses.append(response.status)
+        await asyncio.sleep(SEND_INTERVAL_S)
+
+
+@given("tasks that take {seconds:d} s")
+def slow_tasks(context: Context, seconds: int) -> None:
+    for worker in context.deployment.workers:
+        worker._run_s = float(seconds)
+
+
+@when("each agent gets check-ins {kind}")
+def send_check_ins(context: Context, kind: str) -> None:
+    context.statuses = []
+    context.senders = []
+
+    async def start() -> None:
+        deployment = context.deployment
+
+        def all_run() -> bool:
+            return sum(len(w.started) for w in deployment.workers) >= 4
+
+        # Without a job there is nothing to wait for.
+        if getattr(context, "body", None):
+            assert await wait_until(all_run, 5)
+        for vm in range(len(deployment.agents)):
+            sender = asyncio.ensure_future(_send_check_ins(context, kind, vm))
+            context.senders.append(sender)
+            context.cleanups.append(sender.cancel)
+        await asyncio.sleep(0.5)
+
+    run(context, start())
+
+
+@when("each worker restarts under a new id")
+def restart_workers(context: Context) -> None:
+    async def restart() -> None:
+        deployment = context.deployment
+        for vm, worker in enumerate(deployment.workers):
+            worker.stop()
+            await worker._server.close_all_connections()
+            fresh = type(worker)(
+                f"{worker.worker_id}-new",
+                "pool",
+                worker._address,
+                deployment.check_in_addresses[vm],
+                worker._run_s,
+            )
+            fresh.start()
+            deployment.workers[vm] = fresh
+
+    run(context, restart())
+
+
+@then("each agent still follows its own worker")
+def follows_own_worker(context: Context) -> None:
+    deployment = context.deployment
+    for sender in getattr(context, "senders", ()):
+        assert not sender.done(), sender
+        assert context.statuses, "no check-in was sent"
+    for agent, worker in zip(
+        deployment.agents, deployment.workers, strict=True
+    ):
+        assert not agent.failed.is_set(), "the agent failed"
+        check_in = agent.vm_agent.check_in
+        assert check_in.instance.worker_id == worker.worker_id, check_in
+        assert check_in.pool == "pool", check_in.pool
+        assert check_in.address == worker._address, check_in.address
