Skip a record that a component fails on, and exit with an error after a failure

Callers saw entries end with status 0 again and again for one record: the exception left the loop that reads the records, each restarted entry read the record again, and the exit looked like a planned stop.

Cause: the config feed and the reads of the cell passed on what one record raised; a leader loaded jobs without the check of accepted ones, so that one of 2^20 tasks took its memory, and an estimate of interference with a deviation of 0 raised ZeroDivisionError; the agent's polls passed on all but the package's errors; the roles returned no exit code.

Why it works: each record is applied on its own and skipped with a line that has its offset, key and error. A leader checks stored jobs as accepted ones and skips estimates that it can't use. An unexpected error of a poll counts as one that wasn't answered. A process whose component failed exits with status 1.

Ruled out: restarting a failed component within its process; its state may be partly changed, and the platform starts a process again within a second.

--- a/src/yuccapoint/cell/cell_leader.py
+++ b/src/yuccapoint/cell/cell_leader.py
@@ -10,6 +10,7 @@
 from yuccapoint.cell.claim_planner import ClaimPlanner
 from yuccapoint.cell.commit_batch import CommitBatch
 from yuccapoint.cell.crash_counter import CrashCounter
+from yuccapoint.cell.exceptions import InvalidJobError
 from yuccapoint.cell.interference_model import InterferenceModel
 from yuccapoint.cell.job_run import JobRun
 from yuccapoint.cell.occurrence_state import Outcome
@@ -34,12 +35,22 @@
     from yuccapoint.cell.job_run import OccurrenceRun
     from yuccapoint.cell.job_run import TaskRun
     from yuccapoint.cell.occurrence_state import WorkerInstance
+    from yuccapoint.job.interference.pair_report import PairEstimate
 
 # Interval at which checkpoints of running tasks are written, together with
 # a leadership renewal. It bounds the work lost when all machines fail.
 PROGRESS_WRITE_INTERVAL_S = 1.0
 # Scheduled occurrences are created this long before they are due.
 SCHEDULE_LEAD_MS = 1_000
+# What a job raises whose stored state is inconsistent.
+_INCONSISTENT = (
+    ArithmeticError,
+    AttributeError,
+    InvalidJobError,
+    LookupError,
+    TypeError,
+    ValueError,
+)
 
 
 class CellLeader:
@@ -86,18 +97,32 @@
         for member in view.members.values():
             self.on_member(member)
         if view.pairs is not None:
-            self.interference.load_estimates(view.pairs.pairs)
+            self._load_estimates(view.pairs.pairs)
         for job in view.jobs.values():
             self.try_add_job(job, now_s)
 
+    def _load_estimates(self, pairs: tuple[PairEstimate, ...]) -> None:
+        for pair in pairs:
+            try:
+                self.interference.load_estimates((pair,))
+            except (ArithmeticError, ValueError) as error:
+                self.explain(
+                    "interference",
+                    "stored estimate skipped",
+                    service=pair.service,
+                    job_class=pair.job_class,
+                    error=repr(error),
+                )
+
     def try_add_job(self, view: JobView, now_s: float) -> None:
         """Add a job, or skip it if its stored state is inconsistent.
 
         One such job would otherwise fail every leader that loads it.
         """
         try:
+            view.submission.check()
             self.on_job(view, now_s)
-        except (AttributeError, LookupError, TypeError, ValueError) as error:
+        except _INCONSISTENT as error:
             job_id = view.submission.job_id
             self.jobs.pop(job_id, None)
             self.explain(
--- a/src/yuccapoint/platform/__main__.py
+++ b/src/yuccapoint/platform/__main__.py
@@ -22,13 +22,13 @@
 @application.command()
 def entry() -> None:
     """Run an entry: accept jobs, and lead the cell when needed."""
-    asyncio.run(run_entry())
+    raise typer.Exit(asyncio.run(run_entry()))
 
 
 @application.command()
 def agent() -> None:
     """Run an agent: drive the worker of its VM."""
-    asyncio.run(run_agent())
+    raise typer.Exit(asyncio.run(run_agent()))
 
 
 if __name__ == "__main__":
--- a/src/yuccapoint/platform/config_feed.py
+++ b/src/yuccapoint/platform/config_feed.py
@@ -90,9 +90,16 @@
         try:
             self._install(decode_config(record.value))
         except MalformedMessageError as error:
-            self._logger.log(
-                "config",
-                "skipped an invalid config record",
-                offset=record.offset,
-                error=str(error),
-            )
+            self._log_skipped(record, str(error))
+        except Exception as error:  # noqa: BLE001
+            # One record must not end the feed, nor each one that reads it.
+            self._log_skipped(record, repr(error))
+
+    def _log_skipped(self, record: StoredRecord, error: str) -> None:
+        self._logger.log(
+            "config",
+            "skipped an invalid config record",
+            offset=record.offset,
+            key=record.key,
+            error=error,
+        )
--- a/src/yuccapoint/platform/roles.py
+++ b/src/yuccapoint/platform/roles.py
@@ -31,6 +31,7 @@
     from yuccapoint.process.cell_entry_process import CellEntryProcess
 
 CELL_TOPIC = "cell"
+EXIT_COMPONENT_FAILED = 1
 # Metrics are served here on any path; deploy/system.toml names the port too.
 METRICS_PORT = 9_611
 # The settings file may change without a signal, so its mtime is polled.
@@ -124,8 +125,14 @@
             self.logger.log("metrics", "client closed the connection")
 
 
-async def run_entry() -> None:
-    """Run an entry until a signal stops it."""
+async def run_entry() -> int:
+    """Run an entry until a signal stops it.
+
+    Returns
+    -------
+    int
+        The exit code; an error if a component failed.
+    """
     from yuccapoint.platform.adviser_client import AdviserClient
     from yuccapoint.platform.job_api import JobApi
     from yuccapoint.process.cell_entry_process import CellEntryProcess
@@ -162,6 +169,11 @@
         task.cancel()
     runtime.logger.log("entry", "stopped", cut=job_api.in_flight)
     runtime.log_output.stop()
+    return _exit_code(entry.failed)
+
+
+def _exit_code(failed: asyncio.Event) -> int:
+    return EXIT_COMPONENT_FAILED if failed.is_set() else 0
 
 
 async def _drain(entry: CellEntryProcess, job_api: JobApi) -> None:
@@ -182,8 +194,14 @@
         await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
 
 
-async def run_agent() -> None:
-    """Run an agent until a signal stops it."""
+async def run_agent() -> int:
+    """Run an agent until a signal stops it.
+
+    Returns
+    -------
+    int
+        The exit code; an error if a component failed.
+    """
     from yuccapoint.platform.check_in_server import CheckInServer
     from yuccapoint.platform.worker_client import WorkerClient
     from yuccapoint.process.cell_agent_process import CellAgentProcess
@@ -213,3 +231,4 @@
     watch.cancel()
     runtime.logger.log("agent", "stopped")
     runtime.log_output.stop()
+    return _exit_code(agent.failed)
--- a/src/yuccapoint/process/cell_agent_process.py
+++ b/src/yuccapoint/process/cell_agent_process.py
@@ -353,13 +353,14 @@
         sent_at_s = steady_s()
         try:
             status = await worker.fetch_status(request, check_in.instance)
-        except YuccapointError as error:
+        except Exception as error:  # noqa: BLE001
+            # One answer must not end the agent, which drives other runs.
             self.vm_agent.on_status_failed(request, steady_s())
             self.logger.log(
                 "worker",
                 "poll failed, retrying",
                 last_seen=request.last_seen,
-                error=str(error),
+                error=str(error) or repr(error),
             )
             return False
         self.vm_agent.on_status(request, status, sent_at_s, steady_s())
--- a/src/yuccapoint/process/cell_tail.py
+++ b/src/yuccapoint/process/cell_tail.py
@@ -160,20 +160,29 @@
 
     def _apply(self, records: list[StoredRecord]) -> None:
         for stored in records:
-            record = None
-            if stored.value is not None:
-                try:
-                    record = cell_records.decode(stored.key, stored.value)
-                except DamagedRecordError as error:
-                    self._logger.log(
-                        "store",
-                        "damaged record skipped",
-                        offset=stored.offset,
-                        error=str(error),
-                    )
-                    continue
-            if self._view.apply(stored.key, record, stored.offset):
-                self._on_record(record)
+            try:
+                self._apply_record(stored)
+            except DamagedRecordError as error:
+                self._log_skipped(stored, str(error))
+            except Exception as error:  # noqa: BLE001
+                # One record must not end the reads, nor each reader's.
+                self._log_skipped(stored, repr(error))
+
+    def _apply_record(self, stored: StoredRecord) -> None:
+        record = None
+        if stored.value is not None:
+            record = cell_records.decode(stored.key, stored.value)
+        if self._view.apply(stored.key, record, stored.offset):
+            self._on_record(record)
+
+    def _log_skipped(self, stored: StoredRecord, error: str) -> None:
+        self._logger.log(
+            "store",
+            "damaged record skipped",
+            offset=stored.offset,
+            key=stored.key,
+            error=error,
+        )
 
     def _log_failure(self, error: YuccapointError) -> None:
         if self._failing:
