--- a/src/yuccapoint/cell/run_end_handler.py
+++ b/src/yuccapoint/cell/run_end_handler.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from yuccapoint.cell.blame import counts_against_vm
+from yuccapoint.cell.blame import next_retry_factor
 from yuccapoint.cell.cell_messages import REASON_NO_ROOM
 from yuccapoint.cell.cell_messages import REASON_UNREACHABLE
 from yuccapoint.cell.occurrence_state import Outcome
@@ -169,6 +171,7 @@
 
     def _finish(self, vm: VmLedger, task: TaskRun, now_s: float) -> None:
         vm.record_success()
+        task.step.occurrence.job.blamed_vm = False
         step = task.step
         occurrence = step.occurrence
         if step.spec.long_running:
@@ -199,16 +202,20 @@
         submission = occurrence.job.submission
         task.failed_on.add(vm.name)
         # A failed run of a gang is one failure, however many members tell it.
-        blames_vm = not step.spec.gang or step.gang.note_failed_member(
+        is_first = not step.spec.gang or step.gang.note_failed_member(
             task.run, vm.name
         )
+        blames_vm = is_first and counts_against_vm(task)
         if blames_vm and vm.record_failure(submission.job_id, now_s):
             self._leader.explain("vm", "quarantined", vm=vm.name)
         task.failures += 1
+        retry_delay_s = RETRY_DELAY_S * next_retry_factor(task)
         self._requeue(task, checkpoint, now_s)
         # A gang starts as a whole.
         for member in step.tasks if step.spec.gang else [task]:
-            member.not_before_s = now_s + RETRY_DELAY_S
+            member.not_before_s = max(
+                member.not_before_s, now_s + retry_delay_s
+            )
         if step.spec.long_running or occurrence.outcome is not Outcome.OPEN:
             return
         failures = step.gang_failures if step.spec.gang else task.failures
--- a/tests/features/cell/disruptions.feature
+++ b/tests/features/cell/disruptions.feature
@@ -47,6 +47,18 @@
       | 8-20  | worker_restarts              |
       | 13-20 | worker_restarts and late_orders |
       | 1-12  | worker_restarts and late_orders |
+      | 1-4   | hopeless_lasting and failing_runs |
+
+  Scenario Outline: Tasks that last are restarted beside others that fail
+    Given a cell of 4 VMs and 3 entries that gets only tasks that last for seeds <seeds>
+    When jobs are submitted for 40 s with disruptions "hopeless_lasting and failing_runs"
+    And the cell is undisturbed for 45 s
+    Then no guarantee of the cell is violated
+    And all jobs of the cell have ended or are running
+
+    Examples:
+      | seeds |
+      | 1-8   |
 
   Scenario Outline: The checks detect a seeded fault
     Given a cell of 4 VMs and 3 entries for seeds 1-12
@@ -66,3 +78,4 @@
       | unanswered jobs are refused | REFUSED | store_lost and entry_cut |
       | leases of lost VMs ignored  | TWICE   | reports_cut |
       | reported ends count as acknowledged | TWICE | reports_cut |
+      | failed runs are retried late | LOST   | hopeless_lasting and failing_runs |
