Create the occurrences of a schedule as earlier ones end

Callers saw nothing of it yet: a job of 2^40 occurrences without an interval is accepted, and each leader makes all of them in its first round until its memory is used up (a run with 2 GB ended so in the loop of _add_due_occurrences).

Cause: all occurrences that were due were made at once, whatever their number.

Evidence: "A schedule that is due all at once leaves the leader room" failed before with "all occurrences are made at once".

Why it works: the tasks of a job's open occurrences are at most those that one job may have (20,000), and at least one occurrence is open; the others follow as these end. No schedule of fewer tasks changes.

--- a/src/yuccapoint/cell/cell_leader.py
+++ b/src/yuccapoint/cell/cell_leader.py
@@ -305,11 +305,18 @@
             submission = job.submission
             if not submission.repeats or job.cancelled:
                 continue
+            room: int | None = None
             next_number = job.next_occurrence
             while next_number < submission.repeats:
                 due_ms = submission.due_at_ms(next_number)
                 if due_ms > wall_ms + SCHEDULE_LEAD_MS:
                     break
+                if room is None:
+                    room = job.occurrence_room
+                if room <= 0:
+                    # The others follow as these end.
+                    break
+                room -= 1
                 job.occurrence(next_number)
                 next_number = job.next_occurrence
 
--- a/src/yuccapoint/cell/job_run.py
+++ b/src/yuccapoint/cell/job_run.py
@@ -10,6 +10,7 @@
 from yuccapoint.cell.occurrence_state import Phase
 from yuccapoint.cell.occurrence_state import TaskCrashes
 from yuccapoint.cell.occurrence_state import TaskState
+from yuccapoint.cell.submission import MAX_TASKS
 
 if TYPE_CHECKING:
     from yuccapoint.cell.occurrence_state import WorkerInstance
@@ -351,6 +352,19 @@
             self._next_occurrence += 1
         return self._next_occurrence
 
+    @property
+    def occurrence_room(self) -> int:
+        """How many more occurrences fit into the tasks of one job.
+
+        Any number of occurrences may be due at once.
+        """
+        tasks = sum(step.tasks for step in self.submission.steps)
+        open_count = sum(
+            occurrence.outcome is Outcome.OPEN
+            for occurrence in self.occurrences.values()
+        )
+        return max(1, MAX_TASKS // tasks) - open_count
+
     def occurrence(self, number: int) -> OccurrenceRun:
         """Return an occurrence, created on first use."""
         occurrence = self.occurrences.get(number)
--- a/tests/features/platform/odd_records.feature
+++ b/tests/features/platform/odd_records.feature
@@ -41,3 +41,10 @@
       | role  |
       | entry |
       | agent |
+
+  Scenario: A schedule that is due all at once leaves the leader room
+    # A job of 2^40 occurrences without an interval was accepted; the leader,
+    # and each after it, made them all in one round until its memory was used up.
+    When a leader schedules a job of 1099511627776 occurrences without interval
+    Then at most 20000 tasks of it are open
+    And it schedules more of it once these are done
--- a/tests/features/steps/odd_record_steps.py
+++ b/tests/features/steps/odd_record_steps.py
@@ -21,6 +21,7 @@
 
 from fuzzing.decode_sites import INSTANCE  # noqa: E402
 from fuzzing.decode_sites import JOB_ID  # noqa: E402
+from fuzzing.decode_sites import RULES  # noqa: E402
 from fuzzing.decode_sites import sample_submission  # noqa: E402
 from yuccapoint.cell import cell_records  # noqa: E402
 from yuccapoint.cell.cell_leader import CellLeader  # noqa: E402
@@ -29,16 +30,20 @@
 from yuccapoint.cell.cell_records import Member  # noqa: E402
 from yuccapoint.cell.cell_records import StoredPairs  # noqa: E402
 from yuccapoint.cell.cell_view import CellView  # noqa: E402
+from yuccapoint.cell.occurrence_state import Outcome  # noqa: E402
 from yuccapoint.connection.cell_store import StoredRecord  # noqa: E402
 from yuccapoint.job.interference.pair_report import PairEstimate  # noqa: E402
 from yuccapoint.job.size import Size  # noqa: E402
 from yuccapoint.platform.config_feed import ConfigFeed  # noqa: E402
+from yuccapoint.platform.job_body import decode_job  # noqa: E402
 from yuccapoint.process.cell_tail import CellTail  # noqa: E402
 
 if TYPE_CHECKING:
     from behave.runner import Context
 
     from yuccapoint.cell.cell_records import CellRecord
+    from yuccapoint.cell.job_run import JobRun
+    from yuccapoint.cell.job_run import OccurrenceRun
 
 OTHER_ID = "00000000000000dd"
 # Loopback addresses that no other process of a test listens on.
@@ -170,6 +175,61 @@
         leader.collect_orders(number * 0.5, may_grant=True)
 
 
+@when("a leader schedules a job of {count:d} occurrences without interval")
+def schedule_all(context: Context, count: int) -> None:
+    body = {
+        "Steps": [{"Count": 1_500, "Cpu": 500}],
+        "Repeats": count,
+        "StartAtMs": 1,
+    }
+    job = decode_job(json.dumps(body).encode(), JOB_ID, RULES, 1)
+    view = CellView()
+    view.apply(f"s:{JOB_ID}", job, 1)
+    context.leader = CellLeader("e-0", "127.0.0.1:1", 1, 0.0)
+    context.leader.load(view, 0.0)
+    # Bounds the memory that a failure takes.
+    made = 0
+    job_run = context.leader.jobs[JOB_ID]
+    original = type(job_run).occurrence
+
+    def occurrence(job: JobRun, number: int) -> OccurrenceRun:
+        nonlocal made
+        made += 1
+        assert made < 100, "all occurrences are made at once"
+        return original(job, number)
+
+    context.cleanups.append(
+        lambda: setattr(type(job_run), "occurrence", original)
+    )
+    type(job_run).occurrence = occurrence  # type: ignore[method-assign]
+    for number in range(3):
+        context.leader.tick(0.1 * number, 1_000)
+
+
+def _open_tasks(context: Context) -> int:
+    occurrences = context.leader.jobs[JOB_ID].occurrences.values()
+    return sum(
+        len(list(occurrence.tasks))
+        for occurrence in occurrences
+        if occurrence.outcome is Outcome.OPEN
+    )
+
+
+@then("at most {count:d} tasks of it are open")
+def open_tasks_bounded(context: Context, count: int) -> None:
+    assert 1_500 <= _open_tasks(context) <= count, _open_tasks(context)
+
+
+@then("it schedules more of it once these are done")
+def schedules_more(context: Context) -> None:
+    job = context.leader.jobs[JOB_ID]
+    before = len(job.occurrences)
+    for occurrence in list(job.occurrences.values())[:2]:
+        occurrence.outcome = Outcome.COMPLETED
+    context.leader.tick(1.0, 1_000)
+    assert len(job.occurrences) == before + 2, len(job.occurrences)
+
+
 @then("it schedules the sound job")
 def schedules(context: Context) -> None:
     assert list(context.leader.jobs) == [JOB_ID], context.leader.jobs
