--- a/tests/features/platform/odd_entries.feature
+++ b/tests/features/platform/odd_entries.feature
@@ -46,3 +46,12 @@
     And a caller submits a job of 1 steps with 4 tasks each
     Then the job is "completed" within 9 s at each entry
     And each agent still follows its own worker
+
+  Scenario: Entries serve and start anew beside records nested deeply
+    # Each entry that read one of them ended, and ended again.
+    Given a platform with 1 entries and 1 VMs
+    When another writer appends records nested deeply
+    And the entry is replaced by a new one
+    And a caller submits a job of 1 steps with 4 tasks each
+    Then the job is "completed" within 9 s at each entry
+    And no process has failed
--- a/tests/features/steps/odd_entry_steps.py
+++ b/tests/features/steps/odd_entry_steps.py
@@ -10,6 +10,7 @@
 from behave import then
 from behave import when
 import msgspec
+from platform_path_steps import config
 from platform_path_steps import free_address
 from platform_path_steps import run
 from platform_path_steps import wait_until
@@ -128,6 +129,41 @@
     run(context, start())
 
 
+@when("another writer appends records nested deeply")
+def append_nested(context: Context) -> None:
+    async def append() -> None:
+        store = context.deployment.store
+        nested = b"\x91" * 20_000 + b"\xc0"
+        for key in ("s:xx", "c:xx", "p:1.0", "m:vm-9", "e:e-9", "pairs"):
+            # The extra element of a sound record is nested.
+            store.put("keyed.cell", key, b"\x99" + b"\xc0" * 8 + nested)
+            store.put("keyed.cell", f"{key}.0", nested)
+        store.put("keyed.op", "config", b'{"Unread":' + NESTED + b"}")
+        await asyncio.sleep(1.0)
+        store.put("keyed.op", "config", config(3))
+
+    run(context, append())
+
+
+@when("the entry is replaced by a new one")
+def replace_entry(context: Context) -> None:
+    async def replace() -> None:
+        deployment = context.deployment
+        first = deployment.entries[0]
+        assert not first.failed.is_set(), "the entry failed"
+        feeds = deployment._feed_tasks
+        assert not any(feed.done() for feed in feeds), feeds
+        deployment.kill(first)
+        deployment._add_entry(1)
+        del deployment.entries[0]
+        del deployment.job_addresses[0]
+        fresh = deployment.entries[0]
+        assert await wait_until(lambda: fresh.leader is not None, 15)
+        assert await wait_until(lambda: fresh.job_gateway.ready, 5)
+
+    run(context, replace())
+
+
 @when("each worker restarts under a new id")
 def restart_workers(context: Context) -> None:
     async def restart() -> None:
