--- a/tests/features/cell/disruptions.feature
+++ b/tests/features/cell/disruptions.feature
@@ -49,6 +49,8 @@
       | 1-12  | worker_restarts and late_orders |
       | 1-4   | hopeless_lasting and failing_runs |
       | 1-12  | worker_restarts and clock_back |
+      | 4-8   | worker_restarts and late_orders |
+      | 10-18 | worker_restarts and late_orders |
 
   Scenario Outline: Tasks that last are restarted beside others that fail
     Given a cell of 4 VMs and 3 entries that gets only tasks that last for seeds <seeds>
