--- a/src/yuccapoint/cell/claim_planner.py
+++ b/src/yuccapoint/cell/claim_planner.py
@@ -10,6 +10,7 @@
 from yuccapoint.cell.occurrence_state import Outcome
 from yuccapoint.cell.occurrence_state import Phase
 from yuccapoint.cell.placement_costs import total_cost
+from yuccapoint.cell.placement_rules import PlacementRules
 from yuccapoint.cell.step_ranking import StepRanking
 from yuccapoint.cell.vm_candidate import VmCandidate
 
@@ -29,11 +30,9 @@
 # A job expected to take this many times the span of its objective is worth
 # nothing to its caller and is scheduled last.
 EXPIRED_AFTER_OBJECTIVES = 3.0
-# A long-running task that waits for this long may start on VMs that are
-# blamed for failures, if no other has room. It is to run within 6 s.
-BLAME_WAIT_LIMIT_S = 4.0
-# After this time such a task that is suspected of crashing workers may start
-# on any VM, however many are kept for others: trials take a second each.
+# After this time a long-running task that is suspected of crashing workers
+# may start on any VM, however many are kept for others: trials take a second
+# each.
 TRIAL_WAIT_LIMIT_S = 2.0
 
 
@@ -68,7 +67,7 @@
         wall_ms: int,
     ) -> None:
         self._vms = vms
-        self._ticket_cache = ticket_cache
+        self._rules = PlacementRules(ticket_cache, now_s)
         self._interference = interference
         self._now_s = now_s
         self._wall_ms = wall_ms
@@ -129,14 +128,11 @@
                 for step in occurrence.steps:
                     if step.finished or not occurrence.is_ready(step):
                         continue
-                    if any(self._is_waiting(task) for task in step.tasks):
+                    if any(
+                        self._rules.is_waiting(task) for task in step.tasks
+                    ):
                         yield step
 
-    def _is_waiting(self, task: TaskRun) -> bool:
-        if task.phase is not Phase.WAITING:
-            return False
-        return task.not_before_s <= self._now_s
-
     def _urgency(self, step: StepRun) -> tuple[int, int, float, float]:
         """Return a step's sort key, by what its callers can still gain.
 
@@ -152,7 +148,7 @@
             since_s = min(
                 task.waiting_since_s
                 for task in step.tasks
-                if self._is_waiting(task)
+                if self._rules.is_waiting(task)
             )
             return (0, 0, step.spec.max_per_vm or math.inf, since_s)
         remaining_work = step.occurrence.remaining_work()
@@ -201,7 +197,7 @@
         chosen.extend(self._place_suspects(step, candidates, idle=idle))
         ranking: StepRanking | None = None
         for task in step.tasks:
-            if task.is_suspect or not self._is_waiting(task):
+            if task.is_suspect or not self._rules.is_waiting(task):
                 continue
             if idle and not chosen:
                 candidate = self._choose(task, candidates, overcommit=True)
@@ -234,14 +230,14 @@
         """
         chosen: list[tuple[TaskRun, VmLedger]] = []
         for task in step.tasks:
-            if not task.is_suspect or not self._is_waiting(task):
+            if not task.is_suspect or not self._rules.is_waiting(task):
                 continue
             reserved = [
                 c for c in candidates if c.reserved_for == task.task_id
             ]
             if (
                 not reserved
-                and not self._has_waited(task, TRIAL_WAIT_LIMIT_S)
+                and not self._rules.has_waited(task, TRIAL_WAIT_LIMIT_S)
                 and not crash_trials.has_vm_left(candidates)
             ):
                 continue
@@ -367,61 +363,11 @@
         overcommit: bool = False,
     ) -> float | None:
         """Return the cost of a task beside runs that are starting."""
-        obstacle = self._find_obstacle_beside(
+        obstacle = self._rules.find_obstacle(
             task, candidate, overcommit=overcommit
         )
         return None if obstacle else total_cost(task, candidate)
 
-    def _find_obstacle_beside(
-        self,
-        task: TaskRun,
-        candidate: VmCandidate,
-        *,
-        overcommit: bool = False,
-    ) -> Obstacle | None:
-        """Return why a VM can't run a task, runs that start aside."""
-        spec = task.step.spec
-        misfit = candidate.find_misfit(spec)
-        if misfit is not None:
-            return misfit
-        count = candidate.step_counts.get(id(task.step), 0)
-        if spec.max_per_vm and count >= spec.max_per_vm:
-            return Obstacle.MAX_PER_VM
-        if (
-            spec.best_effort
-            and not overcommit
-            and candidate.would_overload(spec)
-        ):
-            return Obstacle.OVERLOAD
-        if candidate.blame and self._keeps_off(task, candidate):
-            return candidate.blame
-        instance = candidate.ledger.instance
-        if instance is None:
-            return Obstacle.NO_WORKER
-        if not self._ticket_cache.allows(task.step, instance, self._now_s):
-            return Obstacle.NO_TICKET
-        return None
-
-    def _keeps_off(self, task: TaskRun, candidate: VmCandidate) -> bool:
-        """Return whether the blame for failures keeps a task off a VM.
-
-        On probation a VM gets one run that ends. The waits of all tasks of a
-        step count together, as its tasks are placed alike.
-        """
-        if not task.step.spec.long_running:
-            on_probation = candidate.blame is Obstacle.PROBATION
-            return not on_probation or bool(candidate.step_counts)
-        return not any(
-            self._has_waited(other, BLAME_WAIT_LIMIT_S)
-            for other in task.step.tasks
-        )
-
-    def _has_waited(self, task: TaskRun, limit_s: float) -> bool:
-        """Return whether a long-running task has waited for some time."""
-        if not task.step.spec.long_running or not self._is_waiting(task):
-            return False
-        return self._now_s - task.waiting_since_s >= limit_s
-
     def reasons_by_vm(self, task: TaskRun) -> dict[str, str]:
         """Return why the VMs of a task's pool get no run of it now.
 
@@ -441,5 +387,5 @@
         if closed is not None:
             return closed
         candidate = self._candidate(vm)
-        obstacle = self._find_obstacle_beside(task, candidate)
+        obstacle = self._rules.find_obstacle(task, candidate)
         return obstacle or crash_trials.find_obstacle(task, candidate)
--- a/src/yuccapoint/cell/obstacle.py
+++ b/src/yuccapoint/cell/obstacle.py
@@ -13,7 +13,7 @@
     DRAINING = "draining"
     OTHER_LEADER = "other_leader"
     RUNS_NOT_LISTED = "runs_not_listed"
-    REFUSED_FOR_ROOM = "refused_for_room"
+    REFUSED_LATELY = "refused_lately"
     CONFIRMS_NO_ORDERS = "confirms_no_orders"
     SILENT = "silent"
     QUARANTINE = "quarantine"
--- a/src/yuccapoint/cell/vm_ledger.py
+++ b/src/yuccapoint/cell/vm_ledger.py
@@ -239,7 +239,7 @@
         if not self.runs_listed:
             return Obstacle.RUNS_NOT_LISTED
         if now_s < self.full_until_s:
-            return Obstacle.REFUSED_FOR_ROOM
+            return Obstacle.REFUSED_LATELY
         if self.unconfirmed_s(now_s) >= lease_bounds.UNCONFIRMED_AFTER_S:
             return Obstacle.CONFIRMS_NO_ORDERS
         if now_s - self.heard_at_s >= lease_bounds.STALE_AFTER_S:
