Count the wait of a refused start from the last run

A task that lasts, whose only VM with room is blamed for failures, had nothing running for 8 s or more if its start there was refused: after BLAME_WAIT_LIMIT_S it was claimed, and the refusal began its wait anew, though nothing had run. It is to run again within 6 s of its last run.

Cause: each release of a claim reset waiting_since_s. A refusal now keeps it, unless the claim had been seen running or is to be stopped, as such a claim may stand for a run on a former instance.

Ruled out: the pause of 0.5 s after a refusal, which ends before. Abandoned claims still begin the wait anew, as their runs may have worked.

--- a/src/yuccapoint/cell/run_end_handler.py
+++ b/src/yuccapoint/cell/run_end_handler.py
@@ -142,7 +142,11 @@
             vm.full_until_s = now_s + NO_ROOM_PAUSE_S
         if refused.reason == "ticket":
             self._leader.ticket_cache.discard_step(task.step)
+        # A claim that is to be stopped may stand for an earlier run.
+        may_have_run = task.seen_running or bool(task.stopping)
+        waiting_since_s = now_s if may_have_run else task.waiting_since_s
         self._requeue(task, "", now_s)
+        task.waiting_since_s = waiting_since_s
         if not task.step.spec.gang:
             return
         # The other members would wait for this one in vain.
--- a/tests/features/cell/lasting_tasks.feature
+++ b/tests/features/cell/lasting_tasks.feature
@@ -49,6 +49,19 @@
     When 3 s pass in rounds
     Then all sound jobs run
 
+  Scenario: A refused start doesn't prolong the wait for a blamed VM
+    # LOST: nothing has run, but the wait began anew.
+    Given a leader with 2 VMs of 8 processors
+    And "vm-0" is full of long-running work
+    And "vm-1" is in quarantine for 60 s
+    And 1 jobs that last, of which 0 are hopeless
+    And "vm-1" refuses its first start for lack of room
+    When 3 s pass in rounds
+    Then no sound job runs
+    When 3 s pass in rounds
+    Then "vm-1" has refused a start
+    And all sound jobs run
+
   Scenario: A task that lasts prefers other VMs to one that is blamed
     Given a leader with 2 VMs of 8 processors
     And "vm-0" is in quarantine for 60 s
--- a/tests/features/steps/lasting_task_steps.py
+++ b/tests/features/steps/lasting_task_steps.py
@@ -13,6 +13,8 @@
 import msgspec
 
 from yuccapoint.cell.cell_messages import EndedRun
+from yuccapoint.cell.cell_messages import REASON_NO_ROOM
+from yuccapoint.cell.cell_messages import RefusedRun
 from yuccapoint.cell.cell_messages import RunningTask
 from yuccapoint.cell.step_spec import StepSpec
 from yuccapoint.job.size import Size
@@ -46,8 +48,14 @@
     ledger = context.leader.vms[vm]
     running = []
     ends = []
+    refused = []
     number = ledger.applied_end_number
     for task in ledger.claims.values():
+        if vm in getattr(context, "refusing_once", ()):
+            context.refusing_once.remove(vm)
+            context.have_refused.add(vm)
+            refused.append(RefusedRun(task.task_id, task.run, REASON_NO_ROOM))
+            continue
         if _fails(context, task, vm):
             number += 1
             ends.append(EndedRun(number, task.task_id, task.run, "failed", ""))
@@ -62,6 +70,7 @@
         ledger.report_sequence + 1,
         running=tuple(running),
         ends=tuple(ends),
+        refused=tuple(refused),
     )
     if vm in getattr(context, "draining", ()):
         worker = msgspec.structs.replace(message.worker, draining=True)
@@ -189,6 +198,17 @@
     context.to_fail = set()
 
 
+@given('"{vm}" refuses its first start for lack of room')
+def refuses_first_start(context: Context, vm: str) -> None:
+    context.refusing_once = {vm}
+    context.have_refused = set()
+
+
+@then('"{vm}" has refused a start')
+def has_refused(context: Context, vm: str) -> None:
+    assert vm in context.have_refused, context.have_refused
+
+
 @given('"{vm}" fails all that it starts')
 def failing_vm(context: Context, vm: str) -> None:
     context.failing_vms = {vm}
