Report a log without an earliest offset as unavailable

An entry ended by itself once the log service answered a read with status 410 and a body that isn't a number: ValueError ended the supervised task that follows the log. A negative number was read from without end.

Cause: the number is parsed within one "except" clause, which the next one, for ValueError, doesn't cover.

Ruled out: the platform's store, whose status 410 is not parsed.

--- a/src/yuccapoint/connection/http_log.py
+++ b/src/yuccapoint/connection/http_log.py
@@ -12,6 +12,7 @@
 from yuccapoint.connection.log_port import LogResponseLostError
 from yuccapoint.connection.log_port import LogUnavailableError
 from yuccapoint.decoding import decode
+from yuccapoint.decoding import parse_number
 from yuccapoint.exceptions import DecodingError
 
 READ_WAIT_S = 1.0
@@ -80,8 +81,10 @@
             return decode(self._page_decoder, response.body)
         except HTTPClientError as error:
             if error.code == STATUS_EXPIRED and error.response is not None:
-                earliest = int(error.response.body)
-                raise LogRecordsExpiredError(earliest) from None
+                body = error.response.body.strip().decode("ascii", "replace")
+                earliest = parse_number(body)
+                if earliest is not None:
+                    raise LogRecordsExpiredError(earliest) from None
             raise LogUnavailableError(f"can't read the log: {error}") from None
         except (DecodingError, OSError, ValueError) as error:
             raise LogUnavailableError(f"can't read the log: {error}") from None
--- a/tests/features/platform/malformed.feature
+++ b/tests/features/platform/malformed.feature
@@ -20,6 +20,19 @@
     When it is ordered to start a run as a worker
     Then the result of the start is "unanswered"
 
+  Scenario Outline: A log service that names no earliest offset is unavailable
+    # The error ended the task that follows the log.
+    Given a peer that answers "HTTP/1.1 410 Gone\r\nContent-Length: 4\r\n\r\n<body>"
+    When it is read as a log service
+    Then the log is unavailable
+
+    Examples:
+      | body   |
+      | none   |
+      | -100   |
+      | 1_00   |
+      | 12.5   |
+
   Scenario: A value that is not base64 affects one record
     Given a store whose newest records are "a:YQ==" and "b:Yg=" and "c:Yw=="
     When its newest records are read
--- a/tests/features/steps/malformed_steps.py
+++ b/tests/features/steps/malformed_steps.py
@@ -15,6 +15,9 @@
 from yuccapoint.cell.occurrence_state import WorkerInstance
 from yuccapoint.cell.worker_events import StartCall
 from yuccapoint.connection.http_client import HttpClient
+from yuccapoint.connection.http_log import HttpLog
+from yuccapoint.connection.log_port import LogRecordsExpiredError
+from yuccapoint.connection.log_port import LogUnavailableError
 from yuccapoint.exceptions import YuccapointError
 from yuccapoint.platform.check_in_server import CheckInServer
 from yuccapoint.platform.config_feed import ConfigFeed
@@ -117,6 +120,26 @@
     run(context, start())
 
 
+@when("it is read as a log service")
+def read_log(context: Context) -> None:
+    async def read() -> None:
+        log = HttpLog(context.address, "stream", 0.5)
+        try:
+            await log.read(0)
+        except (LogUnavailableError, LogRecordsExpiredError) as error:
+            context.error = error
+        finally:
+            log.close()
+
+    run(context, read())
+
+
+@then("the log is unavailable")
+def log_unavailable(context: Context) -> None:
+    error = context.error
+    assert isinstance(error, LogUnavailableError), repr(error)
+
+
 @when("its newest records are read")
 def read_newest(context: Context) -> None:
     async def read() -> None:
