Keep room to raise the fencing token for later instances

A call meant for a worker's former instance could be executed by the next one, while its agent took the call for fenced and reported the worker as free of it, once the fence had reached its limit: after 29 refused polls in one term, some three seconds, or after a check-in with a start time from 2**41 ms on, which check-ins accept.

Cause: start times and refusals raised the fence up to its limit, and the numbers of later instances ended there too. They now raise it to 2**24 below the limit; what is left is for instances. The size of the token and its place after the term are unchanged. The raise itself no longer grows without limit (36,010 bits after 36,000 refusals).

Ruled out: a later term, whose tokens are higher whatever the fence.

--- a/src/yuccapoint/cell/worker_fence.py
+++ b/src/yuccapoint/cell/worker_fence.py
@@ -5,6 +5,9 @@
 # A fence is a start time in Unix milliseconds or above it; until 2039.
 FENCE_BITS = 41
 MAX_FENCE = 2**FENCE_BITS - 1
+# Start times and refusals raise it no further, so that later instances can
+# still get higher ones.
+MAX_RAISED_FENCE = MAX_FENCE - 2**24
 # After a refusal the fence is raised by this, doubled with each further one,
 # as it isn't known which one the worker has seen.
 FIRST_RAISE_MS = 1_000
@@ -33,6 +36,7 @@
 
     def begin_instance(self, born_ms: int) -> None:
         """Take a number above those of all former instances."""
+        born_ms = min(born_ms, MAX_RAISED_FENCE)
         self.number = min(max(born_ms, self.number + 1), MAX_FENCE)
         self._raise_ms = FIRST_RAISE_MS
 
@@ -47,5 +51,6 @@
         An agent that has restarted doesn't know the numbers of its
         predecessor.
         """
-        self.number = min(self.number + self._raise_ms, MAX_FENCE)
-        self._raise_ms *= 2
+        raised = min(self.number + self._raise_ms, MAX_RAISED_FENCE)
+        self.number = min(max(raised, self.number + 1), MAX_FENCE)
+        self._raise_ms = min(2 * self._raise_ms, MAX_FENCE)
--- a/tests/features/cell/restarted_worker.feature
+++ b/tests/features/cell/restarted_worker.feature
@@ -135,6 +135,22 @@
       | 60      | 6        |
       | 86400   | 17       |
 
+  Scenario: Instances are told apart after any number of refused polls
+    # Load: an agent follows a former leader while its worker follows the next.
+    Given an agent whose worker lists an end as done
+    When 60 polls are refused for their token
+    And the worker restarts under its id after 1 s
+    Then the next poll has a higher token than all calls before
+
+  Scenario: Instances are told apart whatever their start times
+    Given an agent whose worker lists an end as done
+    When the worker restarts under its id with start time 4398046511103
+    Then the next poll has a higher token than all calls before
+    When the worker restarts under its id after 1 s
+    Then the next poll has a higher token than all calls before
+    When a leader of a later term sends orders
+    Then the next poll has a higher token than all calls before
+
   Scenario: A poll from before a later call to another instance lists no runs
     # Its token is lower than that of a call which may still be executed.
     Given an agent whose worker lists an end as done
--- a/tests/features/steps/restarted_worker_steps.py
+++ b/tests/features/steps/restarted_worker_steps.py
@@ -278,6 +278,19 @@
     check_in(context)
 
 
+@when("the worker restarts under its id with start time {born_ms:d}")
+def restart_at(context: Context, born_ms: int) -> None:
+    context.born_ms = born_ms - 1
+    restart_worker(context, 1)
+
+
+@when("{polls:d} polls are refused for their token")
+def polls_refused(context: Context, polls: int) -> None:
+    for _ in range(polls):
+        request = context.vm_agent.next_status_request()
+        context.vm_agent.on_status_failed(request, context.now_s, fenced=True)
+
+
 def _token(request: StatusRequest) -> int:
     return fencing_token(request.term, request.fence)
 
