Count gang failures that an earlier build stored with later ones

After an update a gang that had failed was started once more than its queue allows (BUDGET), if another member failed the next run.

Cause: earlier builds stored the failures of each member, and no run of the gang. The count of runs began at 0 beside them, and the larger of the two was compared with the limit, not their sum. The members' failures now set the count that later runs add to; a member that waits after a failure tells that its newest run is counted already.

The scenario "... stored count with later ones" failed before: "ASSERT FAILED: " (open, where failed is expected). The one on ends that are told again passed before and after; it guards against counting a run twice.

Ruled out: takeovers between leaders of this build, which store the count. Stored bytes are unchanged; compatibility.feature passes.

--- a/src/yuccapoint/cell/gang_history.py
+++ b/src/yuccapoint/cell/gang_history.py
@@ -2,6 +2,13 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
+from yuccapoint.cell.occurrence_state import Phase
+
+if TYPE_CHECKING:
+    from yuccapoint.cell.job_run import TaskRun
+
 
 class GangHistory:
     """Counts the runs of a gang that have failed.
@@ -23,6 +30,16 @@
         # VMs on which members of this run have failed.
         self._failed_on: set[str] = set()
 
+    def load_members(self, members: list[TaskRun]) -> None:
+        """Derive the failed runs from those of the members.
+
+        A member that waits after a failure tells that its newest run failed.
+        """
+        for member in members:
+            self.failures = max(self.failures, member.failures)
+            if member.failures and member.phase is Phase.WAITING:
+                self.failed_run = max(self.failed_run, member.run)
+
     def note_failed_member(self, run: int, vm: str) -> bool:
         """Note that a member has failed.
 
--- a/src/yuccapoint/cell/job_run.py
+++ b/src/yuccapoint/cell/job_run.py
@@ -298,6 +298,9 @@
                     # A former leader may have sent the start already.
                     task.ordered_at_s = -1.0
             step.done = sum(t.phase is Phase.DONE for t in step.tasks)
+            if step.spec.gang:
+                # Earlier builds stored the failures of each member only.
+                step.gang.load_members(step.tasks)
         for crashed in state.crashes:
             task = self.steps[crashed.step].tasks[crashed.index]
             task.crashes.runs = list(crashed.runs)
--- a/tests/features/cell/gang_failures.feature
+++ b/tests/features/cell/gang_failures.feature
@@ -53,6 +53,22 @@
     And member 0 fails, and the others break
     Then the gang's job is failed
 
+  Scenario: Failures that an earlier build has stored count with later ones
+    # BUDGET: another member failed the second run, and a third was started.
+    Given a gang of 4 tasks on 2 VMs, with 2 attempts
+    When member 0 fails, and the others break
+    And a new leader takes over the gang from the store of an earlier build
+    And the gang is started again
+    And member 3 fails, and the others break
+    Then the gang's job is failed
+
+  Scenario: Ends of a run that an earlier build has counted count once
+    Given a gang of 4 tasks on 2 VMs, with 2 attempts
+    When the members on "vm-0" fail, each in a report of its own
+    And a new leader takes over the gang from the store of an earlier build
+    And the members on "vm-1" fail, each in a report of its own
+    Then the gang's job is open
+
   Scenario: A VM is blamed once for a failed run of a gang
     Given a gang of 4 tasks on 2 VMs, with 2 attempts
     And a task of another job has failed on "vm-0"
