Start suspects of a crash before all other tasks

Cause: a suspect needs a VM on which nothing else starts, and was placed in the order of its step: after tasks that last, and after jobs that are still on time. The 3 s for which a VM is reserved end while it is quarantined.

Suspects, those of gangs too, are now placed first, in the order of their steps. They still start alone, on half of a pool at most (those that last, after 2 s, on any VM).

Evidence: `suspect_waits.feature` (simulated time, one leader). The limit of 9 s is that of LOST for tasks that last; a suspect that ends may have to wait for a quarantine of 8 s and a probation of 4 s where each VM runs something. With the check that a suspect starts alone taken out of `crash_trials.find_obstacle`, "each suspect has started alone" fails in two rows. No scenario tells whether gangs are placed first: a trial without it placed a deadly gang beside the trial of a suspect (World(27), only tasks that last, `deadly_task`, 121.40 s), as a gang that finds no VM alone starts anywhere.

--- a/src/yuccapoint/cell/claim_planner.py
+++ b/src/yuccapoint/cell/claim_planner.py
@@ -81,16 +81,26 @@
         if not steps:
             return chosen
         candidates_by_pool = self._open_candidates()
+        # Before all others, or their starts would leave no VM quiet.
         for step in steps:
-            candidates = candidates_by_pool.get(
-                step.occurrence.job.submission.queue.pool
-            )
+            candidates = candidates_by_pool.get(_pool_of(step))
+            if not candidates or not any(t.is_suspect for t in step.tasks):
+                continue
+            place = self._place_suspects
+            if step.spec.gang:
+                place = self._place_gang
+            chosen.extend(place(step, candidates))
+        with_suspects = {id(task.step) for task, _ in chosen}
+        for step in steps:
+            candidates = candidates_by_pool.get(_pool_of(step))
             if not candidates:
                 continue
             if step.spec.gang:
-                chosen.extend(self._place_gang(step, candidates))
+                if id(step) not in with_suspects:
+                    chosen.extend(self._place_gang(step, candidates))
                 continue
-            chosen.extend(self._place_tasks(step, candidates))
+            idle = _is_idle(step) and id(step) not in with_suspects
+            chosen.extend(self._place_tasks(step, candidates, idle=idle))
         return chosen
 
     def _open_candidates(self) -> dict[str, list[VmCandidate]]:
@@ -191,14 +201,9 @@
         )
 
     def _place_tasks(
-        self, step: StepRun, candidates: list[VmCandidate]
+        self, step: StepRun, candidates: list[VmCandidate], *, idle: bool
     ) -> list[tuple[TaskRun, VmLedger]]:
         chosen: list[tuple[TaskRun, VmLedger]] = []
-        # Each job runs at least one task, however crowded the VMs are.
-        idle = all(
-            task.phase is not Phase.CLAIMED for task in step.occurrence.tasks
-        )
-        chosen.extend(self._place_suspects(step, candidates, idle=idle))
         ranking: StepRanking | None = None
         for task in step.tasks:
             if task.is_suspect or not self._is_waiting(task):
@@ -224,7 +229,7 @@
         return chosen
 
     def _place_suspects(
-        self, step: StepRun, candidates: list[VmCandidate], *, idle: bool
+        self, step: StepRun, candidates: list[VmCandidate]
     ) -> list[tuple[TaskRun, VmLedger]]:
         """Place the step's suspects, each where it starts alone.
 
@@ -245,7 +250,7 @@
                 and not crash_trials.has_vm_left(candidates)
             ):
                 continue
-            overcommit = idle and not chosen
+            overcommit = _is_idle(step) and not chosen
             candidate = self._choose(
                 task, reserved or candidates, overcommit=overcommit
             )
@@ -443,3 +448,17 @@
         candidate = self._candidate(vm)
         obstacle = self._find_obstacle_beside(task, candidate)
         return obstacle or crash_trials.find_obstacle(task, candidate)
+
+
+def _pool_of(step: StepRun) -> str:
+    return step.occurrence.job.submission.queue.pool
+
+
+def _is_idle(step: StepRun) -> bool:
+    """Return whether no task of the job has a claim.
+
+    Each job runs at least one task, however crowded the VMs are.
+    """
+    return all(
+        task.phase is not Phase.CLAIMED for task in step.occurrence.tasks
+    )
