--- a/src/yuccapoint/cell/claim_planner.py
+++ b/src/yuccapoint/cell/claim_planner.py
@@ -83,15 +83,20 @@
         # Before all others, or their starts would leave no VM quiet.
         for step in steps:
             candidates = candidates_by_pool.get(_pool_of(step))
-            if candidates and not step.spec.gang:
-                chosen.extend(self._place_suspects(step, candidates))
+            if not candidates or not any(t.is_suspect for t in step.tasks):
+                continue
+            place = self._place_suspects
+            if step.spec.gang:
+                place = self._place_gang
+            chosen.extend(place(step, candidates))
         with_suspects = {id(task.step) for task, _ in chosen}
         for step in steps:
             candidates = candidates_by_pool.get(_pool_of(step))
             if not candidates:
                 continue
             if step.spec.gang:
-                chosen.extend(self._place_gang(step, candidates))
+                if id(step) not in with_suspects:
+                    chosen.extend(self._place_gang(step, candidates))
                 continue
             idle = _is_idle(step) and id(step) not in with_suspects
             chosen.extend(self._place_tasks(step, candidates, idle=idle))
