--- a/tests/fuzzing/decode_sites.py
+++ b/tests/fuzzing/decode_sites.py
@@ -196,7 +196,7 @@
 
 
 def _feed_worker_lists(data: bytes) -> None:
-    request = StatusRequest(INSTANCE, 1, 0, None, 0)
+    request = StatusRequest(INSTANCE, 1, 1, 0, None, 0)
     client = _worker_client(200, data)
     status = _await(client.fetch_status(request, INSTANCE))
     # The agent sends this to the leader, which rejects other types.
