Follow a new start of a worker only once it has answered with its start time

Callers saw tasks run twice, and jobs shown as `failed`, after a well-formed check-in with the worker's own id and address and a later `born`, which the worker had not sent.

After a restart of the agent the first check-in was reported to the leader before any call was answered, as a worker that refuses the token doesn't tell its start time.

Why it works: the probe has the token of the present calls, which the present instance and a restarted one both accept, so that its answer tells the start time. A refusal without one no longer confirms a new instance of the same id. A restarted agent reports its worker once a poll was answered under the start time of the check-in; until then the leader grants no lease and keeps its claims until the last one has expired.

Ruled out: to let the leader release claims only once the new instance has listed its runs. It would order starts of these claims at the new instance meanwhile.

--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -93,6 +93,10 @@
         self._failed_status_requests = 0
         # Start time of the instance that answered a poll meant for another.
         self._answered_by_born_ms: int | None = None
+        # Whether a worker has answered a poll under its start time. The first
+        # check-in may be from another writer, and the leader releases the
+        # claims of an instance once a later one is reported.
+        self._has_answered = False
         # When the present instance checked in, while the leader has not been
         # told of it; 0 else.
         self._withheld_since_s = 0.0
@@ -107,6 +111,11 @@
         """Whether there are changes to report to the leader."""
         return self.registry.has_updates
 
+    @property
+    def fence(self) -> int:
+        """Number of the worker's instance in the tokens of its calls."""
+        return self._fence.number
+
     # Check-ins of the worker ---------------------------------------------
 
     def on_check_in(self, check_in: CheckIn, now_s: float) -> bool:
@@ -513,6 +522,7 @@
         self.lease.record_clock(status.clock_ms, now_s)
         self._room.record_clock(status.clock_ms, now_s)
         self._clock.set(status.clock_ms, now_s)
+        self._has_answered = True
         self.registry.on_status(status, sent_at_s)
         if self.crash_log.note_proofs(
             self.registry.tracked_runs, sent_at_s, now_s
@@ -580,7 +590,7 @@
 
     def _worker_report(self, now_s: float) -> WorkerReport | None:
         check_in = self.check_in
-        if check_in is None:
+        if check_in is None or not self._has_answered:
             return None
         if self.registry.may_get_former_calls(now_s):
             return None
--- a/src/yuccapoint/cell/worker_candidates.py
+++ b/src/yuccapoint/cell/worker_candidates.py
@@ -42,14 +42,35 @@
 
 
 def needs_answer(current: CheckIn | None, check_in: CheckIn) -> bool:
-    """Return whether a check-in's worker has to answer before it is used.
-
-    A new instance under the same id and address answers the calls that are
-    meant for the former one.
-    """
+    """Return whether a check-in's worker has to answer before it is used."""
     if current is None or check_in.address != current.address:
         return True
-    return check_in.instance.worker_id != current.instance.worker_id
+    return check_in.instance != current.instance
+
+
+def is_confirmed(
+    current: CheckIn | None, check_in: CheckIn, answered_born_ms: int | None
+) -> bool:
+    """Return whether an answer shows that a check-in is from its worker.
+
+    Parameters
+    ----------
+    current : CheckIn or None
+        Newest check-in of the worker that is followed.
+    check_in : CheckIn
+        Check-in of another instance or address.
+    answered_born_ms : int or None
+        Start time of the instance that answered under the check-in's id, in
+        Unix milliseconds; 0 if it did not tell, None if none answered.
+    """
+    if answered_born_ms == 0:
+        # The id alone can't tell a later instance from the present one.
+        same_id = (
+            current is not None
+            and check_in.instance.worker_id == current.instance.worker_id
+        )
+        return not same_id
+    return check_in.instance.born_ms == answered_born_ms
 
 
 def contradicts(current: CheckIn | None, check_in: CheckIn) -> bool:
--- a/src/yuccapoint/platform/worker_client.py
+++ b/src/yuccapoint/platform/worker_client.py
@@ -155,10 +155,26 @@
                 f"worker status is malformed: {error!r}"
             ) from None
 
-    async def answers_as(self, instance: WorkerInstance) -> bool:
-        """Return whether an instance answers at the worker's address.
-
-        The call has no token and no deadline, so that it changes nothing.
+    async def fetch_born_ms(
+        self, worker_id: str, term: int, fence: int
+    ) -> int | None:
+        """Return the start time of the worker's present instance.
+
+        The call renews no lease and acknowledges nothing.
+
+        Parameters
+        ----------
+        worker_id : str
+            Id of the worker.
+        term, fence : int
+            Term of the leader and number of the instance that is followed; a
+            worker that has seen a higher token doesn't tell its start time.
+
+        Returns
+        -------
+        int or None
+            Start time in Unix milliseconds; 0 if the worker refused the
+            token, None if another one answered.
 
         Raises
         ------
@@ -167,22 +183,20 @@
         MalformedMessageError
             The response body is malformed.
         """
+        body = {"FencingToken": fencing_token(term, fence), "LastSeen": 0}
         response = await self._client.call(
             "POST",
             "/yuccapoint/hold",
-            msgspec.json.encode({"FencingToken": 0, "LastSeen": 0}),
+            msgspec.json.encode(body),
             timeout_s=CALL_TIMEOUT_S,
-            headers=_headers(instance.worker_id),
+            headers=_headers(worker_id),
         )
         if response.status == STATUS_OK:
-            return bool(
-                _decode(response, _HoldResponse).born_ms == instance.born_ms
-            )
+            return _decode(response, _HoldResponse).born_ms or None
         if response.status != STATUS_CONFLICT:
-            return False
+            return None
         # Refused for its token, which comes after the check of the id.
-        born_ms = _decode(response, _CallResponse).born_ms
-        return born_ms in (0, instance.born_ms)
+        return int(_decode(response, _CallResponse).born_ms)
 
     def close(self) -> None:
         """Close the idle connections."""
--- a/src/yuccapoint/process/cell_agent_process.py
+++ b/src/yuccapoint/process/cell_agent_process.py
@@ -17,6 +17,7 @@
 from yuccapoint.cell.cell_records import Member
 from yuccapoint.cell.vm_agent import VmAgent
 from yuccapoint.cell.worker_candidates import contradicts
+from yuccapoint.cell.worker_candidates import is_confirmed
 from yuccapoint.cell.worker_candidates import needs_answer
 from yuccapoint.cell.worker_candidates import WorkerCandidates
 from yuccapoint.cell.worker_events import StartCall
@@ -70,8 +71,10 @@
     ) -> WorkerStatus:
         """Renew the worker's lease and list its running and ended runs."""
 
-    async def answers_as(self, instance: WorkerInstance) -> bool:
-        """Return whether an instance answers at the worker's address."""
+    async def fetch_born_ms(
+        self, worker_id: str, term: int, fence: int
+    ) -> int | None:
+        """Return when the worker's present instance was started."""
 
     def close(self) -> None:
         """Close the connections."""
@@ -180,7 +183,7 @@
         """Apply a check-in once its worker has answered under its id."""
         worker = self._connect_worker(check_in.address)
         try:
-            reason = await self._call_candidate(worker, check_in.instance)
+            reason = await self._call_candidate(worker, check_in)
         except Exception as error:  # noqa: BLE001
             # The present worker is still driven.
             reason = repr(error)
@@ -201,15 +204,19 @@
         )
 
     async def _call_candidate(
-        self, worker: CellWorkerPort, instance: WorkerInstance
+        self, worker: CellWorkerPort, check_in: CheckIn
     ) -> str:
-        """Return why an instance is not used; empty if it answers."""
+        """Return why a check-in is not used; empty if its worker answers."""
         reason = ""
         for _ in range(CANDIDATE_CALLS):
+            agent = self.vm_agent
             try:
-                if await worker.answers_as(instance):
+                born_ms = await worker.fetch_born_ms(
+                    check_in.instance.worker_id, agent.term, agent.fence
+                )
+                if is_confirmed(agent.check_in, check_in, born_ms):
                     return ""
-                reason = "another instance answers"
+                reason = f"answered by the instance started at {born_ms}"
             except YuccapointError as error:
                 reason = str(error)
             await asyncio.sleep(POLL_RETRY_S)
--- a/src/yuccapoint_standins/platform_worker.py
+++ b/src/yuccapoint_standins/platform_worker.py
@@ -186,7 +186,11 @@
                 [task, run, "", self._progress_percent(task), 0]
                 for task, (run, _) in self._running_tasks.items()
             ]
-            lists = {"Running": running, "Finished": self._ended_tasks}
+            lists = {
+                "Running": running,
+                "Finished": self._ended_tasks,
+                "born": self._started_at_ms,
+            }
             self._respond(request, 200, lists)
             return
         self._respond(request, 200, {})
@@ -220,7 +224,7 @@
     def _respond(
         self, request: HTTPServerRequest, status: int, body: dict[str, Any]
     ) -> None:
-        body = {"ClockMs": self._clock_ms, "born": self._started_at_ms, **body}
+        body = {"ClockMs": self._clock_ms, **body}
         data = msgspec.json.encode(body)
         start = ResponseStartLine("HTTP/1.1", status, "")
         headers = HTTPHeaders({"Content-Length": str(len(data))})
--- a/tests/features/platform/odd_entries.feature
+++ b/tests/features/platform/odd_entries.feature
@@ -20,6 +20,9 @@
       | of another id at the store's address     |
       | that move the worker to another address  |
       | that move the worker to another service  |
+      | of a later start of the worker           |
+      | of an earlier start of the worker        |
+      | of a later start in another service      |
       | with port 70000                          |
       | with an address that can't be read       |
       | nested deeply                            |
@@ -39,6 +42,20 @@
       | of another id at the worker's address    |
       | of another id at the store's address     |
       | with an address that can't be read       |
+      | of a later start of the worker           |
+      | of an earlier start of the worker        |
+      | of a later start in another service      |
+
+  Scenario Outline: A worker that leaves is noticed beside check-ins <kind>
+    Given a platform with 1 entries and 2 VMs
+    When a caller submits a job of 1 steps with 4 tasks each
+    And each agent gets check-ins <kind>
+    And each worker announces that it leaves
+    Then each agent knows within 3 s that its worker leaves
+
+    Examples:
+      | kind                                     |
+      | of a later start of the worker           |
 
   Scenario: A worker that restarts under a new id is followed
     Given a platform with 1 entries and 2 VMs
--- a/tests/features/steps/agent_poll_steps.py
+++ b/tests/features/steps/agent_poll_steps.py
@@ -57,8 +57,11 @@
             clock_ms=1_000, born_ms=self.born_ms, running=(), ends=ends
         )
 
-    async def answers_as(self, instance: WorkerInstance) -> bool:
-        return instance.born_ms == self.born_ms
+    async def fetch_born_ms(
+        self, worker_id: str, term: int, fence: int
+    ) -> int | None:
+        del worker_id, term, fence
+        return self.born_ms
 
     def close(self) -> None:
         """Close nothing."""
--- a/tests/features/steps/odd_entry_steps.py
+++ b/tests/features/steps/odd_entry_steps.py
@@ -64,7 +64,14 @@
 ) -> tuple[str, bytes]:
     """Return the id and the body of an odd check-in."""
     worker_id, body = "i-other", _check_in(worker, number)
-    if kind == "of another id at the worker's address":
+    if kind.endswith("start of the worker"):
+        worker_id = worker.worker_id
+        body = {**_own_check_in(worker, number), "Seq": number}
+        body["born"] += -1_000 if "earlier" in kind else 1_000
+    elif kind == "of a later start in another service":
+        worker_id = worker.worker_id
+        body["Address"] = worker._address
+    elif kind == "of another id at the worker's address":
         body["Address"] = worker._address
     elif kind == "of another id at the store's address":
         body["Address"] = context.deployment.store_address
@@ -196,5 +203,22 @@
         assert not agent.failed.is_set(), "the agent failed"
         check_in = agent.vm_agent.check_in
         assert check_in.instance.worker_id == worker.worker_id, check_in
+        born_ms = worker._started_at_ms
+        assert check_in.instance.born_ms == born_ms, (check_in, born_ms)
         assert check_in.pool == "pool", check_in.pool
         assert check_in.address == worker._address, check_in.address
+
+
+@when("each worker announces that it leaves")
+def announce_leave(context: Context) -> None:
+    for worker in context.deployment.workers:
+        worker.draining = True
+
+
+@then("each agent knows within {seconds:d} s that its worker leaves")
+def knows_leave(context: Context, seconds: int) -> None:
+    def all_know() -> bool:
+        agents = context.deployment.agents
+        return all(agent.vm_agent.check_in.draining for agent in agents)
+
+    assert run(context, wait_until(all_know, seconds))
