Order the check-ins of an instance by the worker's clock

Callers saw starts go to a worker that had announced its end: a check-in from another writer with the worker's id, start time and a far higher `Seq` hid all later check-ins of the worker, its draining and its capacity among them.

A sequence number was believed, and nothing bounds how far one may be ahead.

Evidence: "A worker that leaves is noticed beside check-ins with a far higher Seq" and "... with a clock that is far ahead" failed on; the agents did not learn of the draining within 3 s. They pass now.

Why it works: polls tell the agent what the worker's clock can show at most. A check-in ahead of that is ignored, and so is the one before, if it turns out to have been ahead. Among the others the later clock counts, so that a foreign check-in hides the worker's for one beat at most. Equal clocks are ordered by sequence number as before.

Ruled out: a limit on the gap between sequence numbers. PROTOCOL.md says only that they increase, and an agent that was away has missed many.

--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -126,7 +126,7 @@
             if older and not self._has_replaced(check_in, now_s):
                 return False
             same = check_in.instance == previous.instance
-            if same and check_in.sequence <= previous.sequence:
+            if same and self._is_outdated(check_in, previous, now_s):
                 return False
             if not same:
                 self._begin_instance(check_in, now_s)
@@ -148,6 +148,22 @@
         self.lease.record_clock(check_in.clock_ms, now_s)
         return True
 
+    def _is_outdated(
+        self, check_in: CheckIn, previous: CheckIn, now_s: float
+    ) -> bool:
+        """Return whether a check-in is older than that of the same instance.
+
+        The worker's clock orders them, as polls bound it. A sequence number
+        of another writer would hide all later check-ins.
+        """
+        if self._clock.is_ahead(check_in.clock_ms, now_s):
+            return True
+        if self._clock.is_ahead(previous.clock_ms, now_s):
+            return False
+        if check_in.clock_ms != previous.clock_ms:
+            return check_in.clock_ms < previous.clock_ms
+        return check_in.sequence <= previous.sequence
+
     def _has_replaced(self, check_in: CheckIn, now_s: float) -> bool:
         """Return whether an instance born earlier is the worker's newest.
 
@@ -199,6 +215,7 @@
         self._leave_announced = False
         self._poll_pacer.reset()
         self.lease.reset_clock()
+        self._clock.reset_bound()
 
     def on_orders(self, orders: LeaderOrders, now_s: float) -> None:
         """Apply orders of the newest leader."""
@@ -522,6 +539,7 @@
         self.lease.record_clock(status.clock_ms, now_s)
         self._room.record_clock(status.clock_ms, now_s)
         self._clock.set(status.clock_ms, now_s)
+        self._clock.bound(status.clock_ms, sent_at_s)
         self._has_answered = True
         self.registry.on_status(status, sent_at_s)
         if self.crash_log.note_proofs(
--- a/tests/features/platform/odd_entries.feature
+++ b/tests/features/platform/odd_entries.feature
@@ -23,6 +23,7 @@
       | of a later start of the worker           |
       | of an earlier start of the worker        |
       | of a later start in another service      |
+      | with a far higher Seq                    |
       | with port 70000                          |
       | with an address that can't be read       |
       | nested deeply                            |
@@ -47,6 +48,7 @@
       | of a later start in another service      |
 
   Scenario Outline: A worker that leaves is noticed beside check-ins <kind>
+    # Check-ins with a higher sequence number hid those of the worker.
     Given a platform with 1 entries and 2 VMs
     When a caller submits a job of 1 steps with 4 tasks each
     And each agent gets check-ins <kind>
@@ -55,6 +57,8 @@
 
     Examples:
       | kind                                     |
+      | with a far higher Seq                    |
+      | with a clock that is far ahead           |
       | of a later start of the worker           |
 
   Scenario: A worker that restarts under a new id is followed
--- a/tests/features/steps/odd_entry_steps.py
+++ b/tests/features/steps/odd_entry_steps.py
@@ -71,6 +71,13 @@
     elif kind == "of a later start in another service":
         worker_id = worker.worker_id
         body["Address"] = worker._address
+    elif kind == "with a far higher Seq":
+        worker_id = worker.worker_id
+        body = {**_own_check_in(worker, number), "Seq": 1_000_000 + number}
+    elif kind == "with a clock that is far ahead":
+        worker_id = worker.worker_id
+        body = {**_own_check_in(worker, number), "Seq": 1_000_000 + number}
+        body["ClockMs"] = 1_000_000 + number
     elif kind == "of another id at the worker's address":
         body["Address"] = worker._address
     elif kind == "of another id at the store's address":
