Find a member again that restarted with its clock set back

Callers of the older deployments would see an entry's VMs left without that entry for up to 10 minutes: after a restart with the time of day set back an entry's heartbeats were ignored as those of an earlier start, for as long as its former start was known (MEMBER_TTL_S).

Evidence: "A member that restarts with its clock set back is found again" failed before ("ASSERT FAILED: []", no live entry, 6 s after the last heartbeat of the former start), and passes now.

Why it works: a lower start time counts once the former one has been silent for as long as makes a member dead. A late heartbeat of an earlier start is still ignored while the later one sends heartbeats.

Ruled out: other orders by the time of day, by reading. Agents raise their own incarnation above the one that their leader follows, entries compare terms, a worker back under another id is followed after its lease at the latest.

--- a/src/yuccapoint/connection/failure_detector.py
+++ b/src/yuccapoint/connection/failure_detector.py
@@ -69,7 +69,8 @@
         member : str
             Name of the member without its incarnation.
         incarnation : int
-            Increases with each start of the member.
+            Start time of the member. It is lower than that of the start before
+            if the member's time of day was set back.
         now_s : float
             Monotonic time in seconds.
         """
@@ -78,7 +79,12 @@
             self._members[member] = MemberTiming(incarnation, now_s)
             return True
         if known.incarnation > incarnation:
-            return False
+            silent_s = now_s - known.last_heartbeat_s
+            if silent_s < known.dead_after_s:
+                return False
+            # The later start time is that of an incarnation that has ended.
+            self._members[member] = MemberTiming(incarnation, now_s)
+            return True
         interval_s = max(0.0, now_s - known.last_heartbeat_s)
         error_s = abs(interval_s - known.interval_s)
         known.interval_s += INTERVAL_EWMA_WEIGHT * (
--- a/tests/features/connection/membership.feature
+++ b/tests/features/connection/membership.feature
@@ -6,6 +6,16 @@
     And the directory receives a heartbeat of "e1@5" at 1.1 s from "1.1.1.1:1"
     Then the directory's live entries at 1.2 s are "e1@9"
 
+  Scenario: A member that restarts with its clock set back is found again
+    # Its heartbeats were ignored for as long as its former start was known.
+    Given an entry directory with a heartbeat of "e1@9" at 0.0 s from "1.1.1.1:1"
+    When the directory receives a heartbeat of "e1@5" at 1.0 s from "1.1.1.1:2"
+    Then the directory's live entries at 1.1 s are "e1@9"
+    When the directory receives a heartbeat of "e1@5" at 6.0 s from "1.1.1.1:2"
+    Then the directory's live entries at 6.1 s are "e1@5"
+    When the directory receives a heartbeat of "e1@5" at 6.5 s from "1.1.1.1:2"
+    Then the directory's live entries at 6.6 s are "e1@5"
+
   Scenario: A pause of the own process does not make other members dead
     Given an entry directory with a heartbeat of "e1@5" at 0.0 s from "1.1.1.1:1"
     When the directory ticks every 0.05 s from 0.0 s to 0.9 s
