Let long-running suspects of a large crash share trials

Cause: after a crash each suspect started alone, one after the other on each VM, some 1.2 s each. The wait grew with the number of suspects for each VM and had no bound.

Evidence: the three rows of suspect_waits.feature, "Suspects of a large crash share trials", failed before with waits of 7.85, 9.95 and 12.6 s (16 suspects on 2 VMs, 40 on 4, 135 on 11).

Why it works: while more long-running suspects of a single crash wait than the pool has VMs, one that has waited for 3 s may start beside up to three others. A crash accuses the group again; a suspect of two crashes starts alone as before, so that a task that crashes its worker is given up after the third crash, where a chance crash would not have been enough. Of the 9 s of the rule some 3 pass until a crash is noticed.

Ruled out: shared trials in all pools, also with few suspects: rows of "each suspect has started alone" then fail, as a sound task may be accused twice for no gain.

--- a/src/yuccapoint/cell/claim_planner.py
+++ b/src/yuccapoint/cell/claim_planner.py
@@ -34,6 +34,8 @@
 # may start on any VM, however many are kept for others: trials take a second
 # each.
 TRIAL_WAIT_LIMIT_S = 2.0
+# After this time it may also start beside other suspects, if many wait.
+SHARED_TRIAL_WAIT_S = 3.0
 
 
 class ClaimPlanner:
@@ -72,6 +74,7 @@
         self._now_s = now_s
         self._wall_ms = wall_ms
         self.unplaced: list[StepRun] = []
+        self._crowded_pools: set[str] = set()
 
     def plan(self, jobs: Iterable[JobRun]) -> list[tuple[TaskRun, VmLedger]]:
         """Choose tasks and their VMs, the most urgent first."""
@@ -80,28 +83,52 @@
         if not steps:
             return chosen
         candidates_by_pool = self._open_candidates()
+        with_suspects = [
+            step for step in steps if any(t.is_suspect for t in step.tasks)
+        ]
+        self._note_crowded_pools(with_suspects, candidates_by_pool)
         # Before all others, or their starts would leave no VM quiet.
-        for step in steps:
+        for step in with_suspects:
             candidates = candidates_by_pool.get(_pool_of(step))
-            if not candidates or not any(t.is_suspect for t in step.tasks):
+            if not candidates:
                 continue
             place = self._place_suspects
             if step.spec.gang:
                 place = self._place_gang
             chosen.extend(place(step, candidates))
-        with_suspects = {id(task.step) for task, _ in chosen}
+        begun = {id(task.step) for task, _ in chosen}
         for step in steps:
             candidates = candidates_by_pool.get(_pool_of(step))
             if not candidates:
                 continue
             if step.spec.gang:
-                if id(step) not in with_suspects:
+                if id(step) not in begun:
                     chosen.extend(self._place_gang(step, candidates))
                 continue
-            idle = _is_idle(step) and id(step) not in with_suspects
+            idle = _is_idle(step) and id(step) not in begun
             chosen.extend(self._place_tasks(step, candidates, idle=idle))
         return chosen
 
+    def _note_crowded_pools(
+        self,
+        with_suspects: list[StepRun],
+        candidates_by_pool: dict[str, list[VmCandidate]],
+    ) -> None:
+        """Note the pools in which trials one by one would take too long."""
+        waiting: dict[str, int] = {}
+        for step in with_suspects:
+            if not step.spec.long_running:
+                continue
+            pool = _pool_of(step)
+            waiting[pool] = waiting.get(pool, 0) + sum(
+                task.is_suspect and self._rules.is_waiting(task)
+                for task in step.tasks
+            )
+        for pool, count in waiting.items():
+            vms = len(candidates_by_pool.get(pool, ()))
+            if count > crash_trials.MAX_QUEUED_TRIALS * vms:
+                self._crowded_pools.add(pool)
+
     def _open_candidates(self) -> dict[str, list[VmCandidate]]:
         """Return the VMs that accept work, by pool."""
         candidates: dict[str, list[VmCandidate]] = {}
@@ -356,10 +383,22 @@
         overcommit: bool = False,
     ) -> float | None:
         """Return the cost of placing a task on a VM; None if it can't."""
-        if crash_trials.find_obstacle(task, candidate) is not None:
+        if self._find_trial(task, candidate) is not None:
             return None
         return self._cost_beside(task, candidate, overcommit=overcommit)
 
+    def _find_trial(
+        self, task: TaskRun, candidate: VmCandidate
+    ) -> Obstacle | None:
+        """Return why the start of a suspect rules out a placement, or None."""
+        if (
+            _pool_of(task.step) in self._crowded_pools
+            and self._rules.has_waited(task, SHARED_TRIAL_WAIT_S)
+            and crash_trials.may_join(task, candidate)
+        ):
+            return None
+        return crash_trials.find_obstacle(task, candidate)
+
     def _cost_beside(
         self,
         task: TaskRun,
@@ -393,7 +432,7 @@
             return closed
         candidate = self._candidate(vm)
         obstacle = self._rules.find_obstacle(task, candidate)
-        return obstacle or crash_trials.find_obstacle(task, candidate)
+        return obstacle or self._find_trial(task, candidate)
 
 
 def _pool_of(step: StepRun) -> str:
--- a/src/yuccapoint/cell/crash_trials.py
+++ b/src/yuccapoint/cell/crash_trials.py
@@ -20,6 +20,12 @@
 RESERVATION_S = 3.0
 # Share of the VMs of a pool that suspects may keep from other starts.
 MAX_TRIAL_SHARE = 0.5
+# Long-running suspects of a single crash start beside each other while more
+# than this many for each VM wait. Trials take a second each, and three of the
+# 9 s in which a task is to run again pass until a crash is noticed.
+MAX_QUEUED_TRIALS = 1
+# A crash accuses all suspects of a trial again; they then start alone.
+MAX_SHARED_TRIAL = 4
 
 
 def assess(candidate: VmCandidate, now_s: float) -> None:
@@ -30,6 +36,7 @@
         if task.is_suspect and run_s < TRIAL_TIMEOUT_S:
             candidate.on_trial = True
             candidate.starting_runs += 1
+            candidate.sharing_suspects += _can_share(task)
         elif run_s < STARTING_S:
             candidate.starting_runs += 1
     candidate.starting_runs += len(ledger.unclaimed_runs)
@@ -38,6 +45,22 @@
         candidate.reserved_for = ledger.reserved_for
 
 
+def _can_share(task: TaskRun) -> bool:
+    """Return whether a suspect may start beside others like it."""
+    return task.step.spec.long_running and len(task.crashes.runs) == 1
+
+
+def may_join(task: TaskRun, candidate: VmCandidate) -> bool:
+    """Return whether a suspect that has waited may join those that start."""
+    if not task.is_suspect or not _can_share(task):
+        return False
+    if candidate.reserved_for or not candidate.starting_runs:
+        return False
+    if candidate.sharing_suspects < candidate.starting_runs:
+        return False
+    return candidate.starting_runs < MAX_SHARED_TRIAL
+
+
 def find_obstacle(task: TaskRun, candidate: VmCandidate) -> Obstacle | None:
     """Return why a start would not leave a suspect alone, or None."""
     if task.is_suspect and candidate.starting_runs:
@@ -55,6 +78,7 @@
     if not task.is_suspect:
         return
     candidate.on_trial = True
+    candidate.sharing_suspects += _can_share(task)
     candidate.reserved_for = ""
     if candidate.ledger.reserved_for == task.task_id:
         candidate.ledger.reserved_for = ""
--- a/src/yuccapoint/cell/vm_candidate.py
+++ b/src/yuccapoint/cell/vm_candidate.py
@@ -47,6 +47,8 @@
     starting_runs : int
         Runs that started so shortly before that they may yet crash the
         worker.
+    sharing_suspects : int
+        How many of them are suspects beside which others may start.
     on_trial : bool
         Whether the VM is kept for the start of a suspect.
     reserved_for : str
@@ -69,6 +71,7 @@
         "on_trial",
         "reserved_for",
         "serving_images",
+        "sharing_suspects",
         "starting_runs",
         "step_counts",
     )
@@ -90,6 +93,7 @@
         self.expected_speed = 1.0
         self.blame: Obstacle | None = None
         self.starting_runs = 0
+        self.sharing_suspects = 0
         self.on_trial = False
         self.reserved_for = ""
         for task in ledger.claims.values():
--- a/tests/features/cell/suspect_waits.feature
+++ b/tests/features/cell/suspect_waits.feature
@@ -43,3 +43,20 @@
     And 20 s pass with them
     Then no suspect has waited for over 9 s
     And each suspect has started alone
+
+  # Of the 9 s in which a task is to run again, three pass until a crash is
+  # noticed.
+  Scenario Outline: Suspects of a large crash share trials
+    # LOST: the last of many suspects, each started alone, did not run in time.
+    Given <vms> VMs and 0 hopeless jobs that fail after 50 ms, and a sound one on each VM
+    When 5 s pass with them
+    And a long-running job of <suspects> tasks may have crashed a worker
+    And 20 s pass with them
+    Then no suspect has waited for over 6 s
+    And at most 4 suspects have started together
+
+    Examples:
+      | vms | suspects |
+      | 2   | 16       |
+      | 4   | 40       |
+      | 11  | 135      |
--- a/tests/features/steps/suspect_wait_steps.py
+++ b/tests/features/steps/suspect_wait_steps.py
@@ -30,6 +30,7 @@
 ONE = Size(500, 2**20, 0)
 SUSPECT_JOB = "c" * 16
 SOUND_JOB = "d" * 16
+OTHER_JOB = "b" * 16
 UNCLAIMED = f"{SOUND_JOB}.0.0.1"
 
 
@@ -50,6 +51,8 @@
     context.longest_wait_s = 0.0
     context.shared_starts = []
     context.suspects = []
+    context.others = []
+    context.longest_other_wait_s = 0.0
     for number in range(hopeless):
         step = StepSpec(1, ONE, long_running=True)
         add_job(context.leader, f"{number:016x}", step)
@@ -79,10 +82,19 @@
         task.waiting_since_s = context.now_s
 
 
+@when("a long-running job of {tasks:d} tasks has lost its worker")
+def lost_its_worker(context: Context, tasks: int) -> None:
+    add_job(context.leader, OTHER_JOB, StepSpec(tasks, ONE, long_running=True))
+    context.others = context.leader.jobs[OTHER_JOB].occurrences[0].tasks
+    for task in context.others:
+        task.run = 1
+        task.waiting_since_s = context.now_s
+
+
 def _end_of(context: Context, task: TaskRun) -> str:
     """Return how a run has ended by now; empty if it works."""
     run_s = context.now_s - context.started_at_s[task.task_id, task.run]
-    if task.task_id.startswith(SOUND_JOB):
+    if task.task_id.startswith((SOUND_JOB, OTHER_JOB)):
         return ""
     if task not in context.suspects:
         return "failed" if run_s >= context.fails_after_s else ""
@@ -159,11 +171,25 @@
         leader.tick(context.now_s, WALL_MS)
         leader.commit(leader.collect_batch())
         _note_starts(context)
-        for task in context.suspects:
-            if task.phase is not Phase.WAITING:
-                continue
-            wait_s = context.now_s - task.waiting_since_s
-            context.longest_wait_s = max(context.longest_wait_s, wait_s)
+        context.longest_wait_s = max(
+            context.longest_wait_s, _longest_wait_s(context, context.suspects)
+        )
+        context.longest_other_wait_s = max(
+            context.longest_other_wait_s,
+            _longest_wait_s(context, context.others),
+        )
+
+
+def _longest_wait_s(context: Context, tasks: list[TaskRun]) -> float:
+    """Return for how long the tasks that wait now have waited at most."""
+    return max(
+        (
+            context.now_s - task.waiting_since_s
+            for task in tasks
+            if task.phase is Phase.WAITING
+        ),
+        default=0.0,
+    )
 
 
 @then("no suspect has waited for over {seconds:d} s")
@@ -181,3 +207,19 @@
 @then("each suspect has started alone")
 def started_alone(context: Context) -> None:
     assert not context.shared_starts, context.shared_starts
+
+
+@then("at most {count:d} suspects have started together")
+def started_together(context: Context, count: int) -> None:
+    most = max(map(len, context.shared_starts), default=1)
+    assert most <= count, context.shared_starts
+    for tasks in context.shared_starts:
+        assert all(task.startswith(SUSPECT_JOB) for task in tasks), tasks
+
+
+@then("no other task has waited for over {seconds:d} s")
+def bounded_other_wait(context: Context, seconds: int) -> None:
+    longest_s = round(context.longest_other_wait_s, 2)
+    assert longest_s <= seconds, longest_s
+    phases = [task.phase for task in context.others]
+    assert Phase.WAITING not in phases, phases
