Start long-running tasks that have waited for long before suspects

Callers of long-running jobs saw tasks wait that had nothing to do with a crash, while suspects of it started on all VMs in turn (LOST).

Cause: suspects are placed before all other tasks, and a VM with a trial gets no other start. After 2 s long-running suspects may use all VMs, and the next trial begins as soon as one ends.

Evidence: "Tasks that last take turns with the suspects of a large crash" failed before with a wait of 9.05 s.

Why it works: a long-running task that is no suspect and has waited for 3 s is placed first, on one VM without a trial, which is then not quiet for a second. Overdue tasks gather there, so that the other VMs are left to suspects.

Ruled out: to place them beside trials, as a crash would accuse them too.

--- a/src/yuccapoint/cell/claim_planner.py
+++ b/src/yuccapoint/cell/claim_planner.py
@@ -34,8 +34,9 @@
 # may start on any VM, however many are kept for others: trials take a second
 # each.
 TRIAL_WAIT_LIMIT_S = 2.0
-# After this time it may also start beside other suspects, if many wait.
-SHARED_TRIAL_WAIT_S = 3.0
+# A long-running task that waits for this long starts before suspects do, on a
+# VM where no trial is under way. It is to run within 6 s.
+TURN_WAIT_LIMIT_S = 3.0
 
 
 class ClaimPlanner:
@@ -74,6 +75,8 @@
         self._now_s = now_s
         self._wall_ms = wall_ms
         self.unplaced: list[StepRun] = []
+        # Tasks, by identity, that have got a VM before the suspects.
+        self._placed: set[int] = set()
         self._crowded_pools: set[str] = set()
 
     def plan(self, jobs: Iterable[JobRun]) -> list[tuple[TaskRun, VmLedger]]:
@@ -86,6 +89,12 @@
         with_suspects = [
             step for step in steps if any(t.is_suspect for t in step.tasks)
         ]
+        if with_suspects:
+            # Trials that follow each other would keep all VMs from them.
+            for step in steps:
+                candidates = candidates_by_pool.get(_pool_of(step))
+                if candidates and not step.spec.gang:
+                    chosen.extend(self._place_overdue(step, candidates))
         self._note_crowded_pools(with_suspects, candidates_by_pool)
         # Before all others, or their starts would leave no VM quiet.
         for step in with_suspects:
@@ -105,8 +114,13 @@
                 if id(step) not in begun:
                     chosen.extend(self._place_gang(step, candidates))
                 continue
+            tasks = [
+                task for task in step.tasks if id(task) not in self._placed
+            ]
             idle = _is_idle(step) and id(step) not in begun
-            chosen.extend(self._place_tasks(step, candidates, idle=idle))
+            chosen.extend(
+                self._place_tasks(step, tasks, candidates, idle=idle)
+            )
         return chosen
 
     def _note_crowded_pools(
@@ -129,6 +143,34 @@
             if count > crash_trials.MAX_QUEUED_TRIALS * vms:
                 self._crowded_pools.add(pool)
 
+    def _place_overdue(
+        self, step: StepRun, candidates: list[VmCandidate]
+    ) -> list[tuple[TaskRun, VmLedger]]:
+        """Place the step's long-running tasks that have waited for long.
+
+        They share a VM as far as it has room, which leaves the others to
+        suspects.
+        """
+        tasks = [
+            task
+            for task in step.tasks
+            if self._rules.has_waited(task, TURN_WAIT_LIMIT_S)
+        ]
+        if not tasks:
+            return []
+        open_vms = [
+            candidate
+            for candidate in candidates
+            if not candidate.on_trial and candidate.can_run(step.spec)
+        ]
+        # A VM with other starts is of no use to a suspect.
+        open_vms.sort(key=lambda candidate: not candidate.starting_runs)
+        chosen = self._place_tasks(
+            step, tasks, open_vms[:1], idle=_is_idle(step), is_first=True
+        )
+        self._placed.update(id(task) for task, _ in chosen)
+        return chosen
+
     def _open_candidates(self) -> dict[str, list[VmCandidate]]:
         """Return the VMs that accept work, by pool."""
         candidates: dict[str, list[VmCandidate]] = {}
@@ -224,11 +266,17 @@
         )
 
     def _place_tasks(
-        self, step: StepRun, candidates: list[VmCandidate], *, idle: bool
+        self,
+        step: StepRun,
+        tasks: list[TaskRun],
+        candidates: list[VmCandidate],
+        *,
+        idle: bool,
+        is_first: bool = False,
     ) -> list[tuple[TaskRun, VmLedger]]:
         chosen: list[tuple[TaskRun, VmLedger]] = []
         ranking: StepRanking | None = None
-        for task in step.tasks:
+        for task in tasks:
             if task.is_suspect or not self._rules.is_waiting(task):
                 continue
             if idle and not chosen:
@@ -241,7 +289,7 @@
                 candidate = ranking.best()
             if candidate is None:
                 # The step's other tasks have the same size.
-                if not self.lateness(step):
+                if not is_first and not self.lateness(step):
                     self.unplaced.append(step)
                 break
             candidate.place(step.spec, id(step))
@@ -393,7 +441,7 @@
         """Return why the start of a suspect rules out a placement, or None."""
         if (
             _pool_of(task.step) in self._crowded_pools
-            and self._rules.has_waited(task, SHARED_TRIAL_WAIT_S)
+            and self._rules.has_waited(task, TURN_WAIT_LIMIT_S)
             and crash_trials.may_join(task, candidate)
         ):
             return None
--- a/tests/features/cell/suspect_waits.feature
+++ b/tests/features/cell/suspect_waits.feature
@@ -60,3 +60,14 @@
       | 2   | 16       |
       | 4   | 40       |
       | 11  | 135      |
+
+  Scenario: Tasks that last take turns with the suspects of a large crash
+    # LOST: trials that followed each other kept all VMs from other tasks.
+    Given 2 VMs and 0 hopeless jobs that fail after 50 ms, and a sound one on each VM
+    When 5 s pass with them
+    And a long-running job of 24 tasks may have crashed a worker
+    And 3 s pass with them
+    And a long-running job of 3 tasks has lost its worker
+    And 20 s pass with them
+    Then no other task has waited for over 6 s
+    And at most 4 suspects have started together
