Rename a built package into place

Processes that started while deploy/build.sh ran ended with "No module named yuccapoint.platform", as the script deleted the package and copied it anew.

Between the two renames the name is still missing for a moment; a symbolic link would close that, but not every copy of target/ need keep links.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -8,6 +8,14 @@
         --target target/deps -r requirements/runtime.txt
     touch target/.libraries
 fi
-rm -rf target/deps/yuccapoint
-cp -r src/yuccapoint target/deps/yuccapoint
-python3 -m compileall -q target/deps/yuccapoint
+# Processes that start meanwhile import the former copy or the new one.
+new="target/new-$$"
+rm -rf "$new"
+cp -r src/yuccapoint "$new"
+python3 -m compileall -q -s "$new" -p target/deps/yuccapoint "$new"
+former="target/former-$$"
+if [ -e target/deps/yuccapoint ]; then
+    mv target/deps/yuccapoint "$former"
+fi
+mv "$new" target/deps/yuccapoint
+rm -rf "$former"
