Close the connections of a test's peer before its event loop

"The help of each command lists the exit codes" failed on arm64 beside the scenarios of connection/: standard error had "Event loop is closed", written by a StreamWriter of silent_http.feature that was collected in a later scenario.

--- a/tests/features/steps/silent_http_steps.py
+++ b/tests/features/steps/silent_http_steps.py
@@ -36,6 +36,7 @@
         self.lost_targets: set[str] = set()
         self._silenced: set[int] = set()
         self._tasks: list[asyncio.Task[None]] = []
+        self._writers: list[asyncio.StreamWriter] = []
 
     async def start(self) -> str:
         self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
@@ -49,8 +50,12 @@
         self._server.close()
         for task in self._tasks:
             task.cancel()
+        # One that is closed when it is collected needs the scenario's loop.
+        for writer in self._writers:
+            writer.close()
 
     def _accept(self, reader, writer) -> None:
+        self._writers.append(writer)
         self._tasks.append(asyncio.ensure_future(self._serve(reader, writer)))
 
     async def _serve(self, reader, writer) -> None:
