Ask only the worker that is followed with a token

A check-in may name any worker: one that has seen the token of another VM's agent would refuse the calls of its own until that agent has raised its own.

Evidence: two of the three rows of "Only the worker that is followed is sent a token" (agent_polls.feature) failed before, for another worker and for another address. They pass now: these are asked without a token, as before.

--- a/src/yuccapoint/cell/worker_candidates.py
+++ b/src/yuccapoint/cell/worker_candidates.py
@@ -43,9 +43,16 @@
 
 def needs_answer(current: CheckIn | None, check_in: CheckIn) -> bool:
     """Return whether a check-in's worker has to answer before it is used."""
-    if current is None or check_in.address != current.address:
+    if not names_present_worker(current, check_in):
         return True
-    return check_in.instance != current.instance
+    return current is None or check_in.instance != current.instance
+
+
+def names_present_worker(current: CheckIn | None, check_in: CheckIn) -> bool:
+    """Return whether a check-in has the id and address that are followed."""
+    if current is None or check_in.address != current.address:
+        return False
+    return check_in.instance.worker_id == current.instance.worker_id
 
 
 def is_confirmed(
@@ -63,14 +70,12 @@
         Start time of the instance that answered under the check-in's id, in
         Unix milliseconds; 0 if it did not tell, None if none answered.
     """
-    if answered_born_ms == 0:
-        # The id alone can't tell a later instance from the present one.
-        same_id = (
-            current is not None
-            and check_in.instance.worker_id == current.instance.worker_id
-        )
-        return not same_id
-    return check_in.instance.born_ms == answered_born_ms
+    if answered_born_ms != 0:
+        return check_in.instance.born_ms == answered_born_ms
+    # The id alone can't tell a later instance from the present one.
+    if current is None:
+        return True
+    return check_in.instance.worker_id != current.instance.worker_id
 
 
 def contradicts(current: CheckIn | None, check_in: CheckIn) -> bool:
--- a/src/yuccapoint/process/cell_agent_process.py
+++ b/src/yuccapoint/process/cell_agent_process.py
@@ -18,6 +18,7 @@
 from yuccapoint.cell.vm_agent import VmAgent
 from yuccapoint.cell.worker_candidates import contradicts
 from yuccapoint.cell.worker_candidates import is_confirmed
+from yuccapoint.cell.worker_candidates import names_present_worker
 from yuccapoint.cell.worker_candidates import needs_answer
 from yuccapoint.cell.worker_candidates import WorkerCandidates
 from yuccapoint.cell.worker_events import StartCall
@@ -210,13 +211,18 @@
         reason = ""
         for _ in range(CANDIDATE_CALLS):
             agent = self.vm_agent
+            term = fence = 0
+            # Another worker must not see the token: it would refuse the
+            # calls of its own agent.
+            if names_present_worker(agent.check_in, check_in):
+                term, fence = agent.term, agent.fence
             try:
                 born_ms = await worker.fetch_born_ms(
-                    check_in.instance.worker_id, agent.term, agent.fence
+                    check_in.instance.worker_id, term, fence
                 )
                 if is_confirmed(agent.check_in, check_in, born_ms):
                     return ""
-                reason = f"answered by the instance started at {born_ms}"
+                reason = f"the worker gives its start time as {born_ms}"
             except YuccapointError as error:
                 reason = str(error)
             await asyncio.sleep(POLL_RETRY_S)
--- a/tests/features/process/agent_polls.feature
+++ b/tests/features/process/agent_polls.feature
@@ -19,3 +19,16 @@
     Given an agent whose worker lists an end
     When the worker answers as an instance that has not checked in for 1 s
     Then the worker was polled between 3 and 20 times
+
+  Scenario Outline: Only the worker that is followed is sent a token: <what>
+    # Another worker would refuse the calls of its own agent after it.
+    Given an agent whose worker lists an end
+    When no leader acknowledges the end for 1 s
+    And a check-in names <what>
+    Then it is asked <how> token
+
+    Examples:
+      | what                        | how              |
+      | another worker              | without a        |
+      | another address             | without a        |
+      | a later start of the worker | with the present |
--- a/tests/features/steps/agent_poll_steps.py
+++ b/tests/features/steps/agent_poll_steps.py
@@ -37,6 +37,7 @@
     def __init__(self) -> None:
         self.born_ms = 1
         self.polled_at_s: list[float] = []
+        self.asked_with: list[tuple[int, int]] = []
 
     async def call(
         self, call: WorkerCall, instance: WorkerInstance
@@ -60,7 +61,8 @@
     async def fetch_born_ms(
         self, worker_id: str, term: int, fence: int
     ) -> int | None:
-        del worker_id, term, fence
+        del worker_id
+        self.asked_with.append((term, fence))
         return self.born_ms
 
     def close(self) -> None:
@@ -95,6 +97,20 @@
     )
 
 
+def _check_in(instance: WorkerInstance, address: str) -> CheckIn:
+    return CheckIn(
+        instance=instance,
+        pool="pool",
+        address=address,
+        capacity=Size(8_000, 2**35, 0),
+        labels=(),
+        draining=False,
+        remaining_ms=0,
+        clock_ms=1_000,
+        sequence=1,
+    )
+
+
 @given("an agent whose worker lists an end")
 def agent(context: Context) -> None:
     context.worker = QuickWorker()
@@ -111,19 +127,7 @@
             Metrics(),
         )
         context.agent.start()
-        context.agent.on_check_in(
-            CheckIn(
-                instance=INSTANCE,
-                pool="pool",
-                address="worker",
-                capacity=Size(8_000, 2**35, 0),
-                labels=(),
-                draining=False,
-                remaining_ms=0,
-                clock_ms=1_000,
-                sequence=1,
-            )
-        )
+        context.agent.on_check_in(_check_in(INSTANCE, "worker"))
 
     context.loop.run_until_complete(start())
 
@@ -179,3 +183,33 @@
 def polled_soon(context: Context, bound_ms: int) -> None:
     delay_s = context.worker.polled_at_s[0] - context.acked_at_s
     assert delay_s * 1000 <= bound_ms, delay_s
+
+
+@when("a check-in names {what}")
+def named(context: Context, what: str) -> None:
+    instance, address = INSTANCE, "worker"
+    if what == "another worker":
+        instance = WorkerInstance(VM, "i-1", 2)
+    elif what == "another address":
+        address = "other"
+    else:
+        assert what == "a later start of the worker", what
+        instance = WorkerInstance(VM, INSTANCE.worker_id, 2)
+
+    async def play() -> None:
+        context.worker.asked_with.clear()
+        context.agent.on_check_in(_check_in(instance, address))
+        await asyncio.sleep(0.05)
+
+    context.loop.run_until_complete(play())
+
+
+@then("it is asked {how} token")
+def asked(context: Context, how: str) -> None:
+    agent = context.agent.vm_agent
+    expected = {
+        "without a": (0, 0),
+        "with the present": (agent.term, agent.fence),
+    }
+    assert agent.term and agent.fence, (agent.term, agent.fence)
+    assert context.worker.asked_with[0] == expected[how]
