Reject a foreign check-in once its worker has told another start time

A worker that had restarted was not followed beside a flood of check-ins of other start times: each was tried eight times over 0.8 s, and eight of them took all places, so that the worker's own were dropped.

Cause: an answer with another start time was retried like a worker that does not answer, though it settles that the check-in is not from the one that answers.

"Foreign check-ins don't keep the worker's own from being tried" replays it and failed before ("ASSERT FAILED: 1").

--- a/src/yuccapoint/process/cell_agent_process.py
+++ b/src/yuccapoint/process/cell_agent_process.py
@@ -222,7 +222,10 @@
                 )
                 if is_confirmed(agent.check_in, check_in, born_ms):
                     return ""
-                reason = f"the worker gives its start time as {born_ms}"
+                if born_ms:
+                    # Retries would keep the worker's own check-ins waiting.
+                    return f"the worker was started at {born_ms}"
+                reason = "the worker doesn't tell when it was started"
             except YuccapointError as error:
                 reason = str(error)
             await asyncio.sleep(POLL_RETRY_S)
--- a/tests/features/process/agent_polls.feature
+++ b/tests/features/process/agent_polls.feature
@@ -32,3 +32,10 @@
       | another worker              | without a        |
       | another address             | without a        |
       | a later start of the worker | with the present |
+
+  Scenario: Foreign check-ins don't keep the worker's own from being tried
+    # Load: 20 check-ins a second, each with another start time.
+    Given an agent whose worker lists an end
+    When no leader acknowledges the end for 1 s
+    And 20 check-ins name other starts of the worker before its own
+    Then the agent follows the worker's own
--- a/tests/features/steps/agent_poll_steps.py
+++ b/tests/features/steps/agent_poll_steps.py
@@ -213,3 +213,23 @@
     }
     assert agent.term and agent.fence, (agent.term, agent.fence)
     assert context.worker.asked_with[0] == expected[how]
+
+
+@when("{count:d} check-ins name other starts of the worker before its own")
+def flooded(context: Context, count: int) -> None:
+    context.worker.born_ms = 2
+
+    async def play() -> None:
+        for born_ms in (*range(100, 100 + count), context.worker.born_ms):
+            instance = WorkerInstance(VM, INSTANCE.worker_id, born_ms)
+            context.agent.on_check_in(_check_in(instance, "worker"))
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.3)
+
+    context.loop.run_until_complete(play())
+
+
+@then("the agent follows the worker's own")
+def follows_own(context: Context) -> None:
+    born_ms = context.agent.vm_agent.check_in.instance.born_ms
+    assert born_ms == context.worker.born_ms, born_ms
