Answer an agent's first poll at once

Cause: since a worker is reported, and its lease renewed, only once it has answered a poll. The first poll of a restarted agent waited for an end, for up to 0.5 s. With the agent's own absence that comes near the lease of 5 s.

Evidence: "The first poll of an agent is answered at once" failed before ("ASSERT FAILED: 500").

--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -448,6 +448,9 @@
             # An acknowledgement that stays unanswered may reach the worker's
             # next instance, so that its answer is not delayed.
             wait_ms = 0
+        if not self._has_answered:
+            # The leader grants no lease before the worker is reported.
+            wait_ms = 0
         if last_seen:
             self.registry.on_ack_sent()
         return StatusRequest(
--- a/tests/features/cell/restarted_worker.feature
+++ b/tests/features/cell/restarted_worker.feature
@@ -171,6 +171,14 @@
     When the worker answers that poll
     Then the next poll acknowledges end 0 and waits for an end
 
+  Scenario: The first poll of an agent is answered at once
+    # Load: agents restart in turn. A worker is reported, and its lease renewed,
+    # only once it has answered a poll.
+    Given an agent whose worker has not answered yet
+    Then the next poll acknowledges end 0 and is answered at once
+    When the worker answers that poll
+    Then the next poll acknowledges end 0 and waits for an end
+
   Scenario: Polls acknowledge nothing while the worker does not answer
     Given an agent whose worker lists an end as done
     When a poll is unanswered
--- a/tests/features/steps/restarted_worker_steps.py
+++ b/tests/features/steps/restarted_worker_steps.py
@@ -107,7 +107,7 @@
     context.vm_agent.on_orders(_orders(context, **orders), context.now_s)
 
 
-def make_agent(context: Context, born_ms: int = 1) -> None:
+def make_unanswered_agent(context: Context, born_ms: int = 1) -> None:
     # Past the time in which calls of a former agent may be executed.
     context.now_s = 100.0
     context.born_ms = born_ms
@@ -117,6 +117,10 @@
     context.vm_agent = VmAgent(VM, VM, 1, 0.0)
     check_in(context)
     deliver(context)
+
+
+def make_agent(context: Context, born_ms: int = 1) -> None:
+    make_unanswered_agent(context, born_ms)
     answer(context)
 
 
@@ -131,6 +135,11 @@
     context.now_s += 0.3
 
 
+@given("an agent whose worker has not answered yet")
+def not_answered(context: Context) -> None:
+    make_unanswered_agent(context)
+
+
 @given("an agent whose worker carries out a start on the second call")
 def started_on_second_call(context: Context) -> None:
     make_agent(context)
