Split modules with several classes

Each class that others use has a module of its own now. Names, messages and behaviour are unchanged; only imports follow.

--- a/src/yuccapoint/bench/request_model.py
+++ b/src/yuccapoint/bench/request_model.py
@@ -8,6 +8,8 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
+from yuccapoint.bench.model_request import ModelRequest
+from yuccapoint.bench.model_request import RequestOutcome
 from yuccapoint.connection.messages import AgentReport
 from yuccapoint.connection.messages import EndpointReport
 from yuccapoint.job.size import Size
@@ -32,38 +34,12 @@
 CROSS_REGION_HOP_S = 0.008
 FAILURE_RESPONSE_S = 0.0005
 MAX_BACKOFF_S = 0.005
-REQUEST_TIMEOUT_S = 1.0
 # Data centre and region, assigned in turn to entries and endpoints.
 LOCATIONS = (("a", "r"), ("b", "r"), ("c", "s"))
 POOL = "pool"
 SERVICE = "service"
 
 
-class ModelRequest:
-    """One request of a customer, with all its attempts."""
-
-    __slots__ = (
-        "customer",
-        "deadline_s",
-        "entry",
-        "key",
-        "sent_s",
-        "tried_endpoints",
-        "work_s",
-    )
-
-    def __init__(
-        self, key: str, customer: str, sent_s: float, work_s: float, entry: int
-    ) -> None:
-        self.key = key
-        self.customer = customer
-        self.sent_s = sent_s
-        self.deadline_s = sent_s + REQUEST_TIMEOUT_S
-        self.work_s = work_s
-        self.entry = entry
-        self.tried_endpoints: set[str] = set()
-
-
 class ModelEndpoint:
     """One endpoint: its admission, its slowdown and its failures."""
 
@@ -78,31 +54,6 @@
         self.waiting: dict[str, ModelRequest] = {}
 
 
-class RequestOutcome:
-    """Result of one request: answered in time, refused, or too late."""
-
-    __slots__ = ("answered", "customer", "ended_s", "refused", "sent_s")
-
-    def __init__(
-        self,
-        request: ModelRequest,
-        ended_s: float,
-        *,
-        answered: bool,
-        refused: bool,
-    ) -> None:
-        self.customer = request.customer
-        self.sent_s = request.sent_s
-        self.ended_s = ended_s
-        self.answered = answered
-        self.refused = refused
-
-    @property
-    def latency_s(self) -> float:
-        """Latency that the caller observes."""
-        return self.ended_s - self.sent_s
-
-
 class RequestModel:
     """Simulates entries, agents and callers in virtual time.
 
@@ -391,16 +342,3 @@
             request, self.now_s, answered=answered, refused=refused
         )
         self.outcomes.append(outcome)
-
-
-def percentile_ms(outcomes: list[RequestOutcome], share: float) -> float:
-    """Return a percentile of the latency of answered requests in ms."""
-    latencies_s = sorted(
-        outcome.latency_s for outcome in outcomes if outcome.answered
-    )
-    if not latencies_s:
-        return 0.0
-    return (
-        latencies_s[min(len(latencies_s) - 1, int(share * len(latencies_s)))]
-        * 1000
-    )
--- a/src/yuccapoint/bench/requests.py
+++ b/src/yuccapoint/bench/requests.py
@@ -8,10 +8,10 @@
 
 import msgspec
 
+from yuccapoint.bench.model_request import percentile_ms
 from yuccapoint.bench.registry import bench
 from yuccapoint.bench.request_faults import FaultFigures
 from yuccapoint.bench.request_faults import run_faults
-from yuccapoint.bench.request_model import percentile_ms
 from yuccapoint.bench.request_model import RequestModel
 from yuccapoint.bench.request_path import measure_path
 from yuccapoint.bench.request_path import PathFigures
--- a/src/yuccapoint/cell/adviser_queries.py
+++ b/src/yuccapoint/cell/adviser_queries.py
@@ -9,8 +9,8 @@
 
 if TYPE_CHECKING:
     from yuccapoint.cell.cell_leader import CellLeader
-    from yuccapoint.cell.job_run import StepRun
     from yuccapoint.cell.occurrence_state import WorkerInstance
+    from yuccapoint.cell.step_run import StepRun
     from yuccapoint.cell.vm_ledger import VmLedger
 
 
--- a/src/yuccapoint/cell/blame.py
+++ b/src/yuccapoint/cell/blame.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from yuccapoint.cell.job_run import TaskRun
+    from yuccapoint.cell.task_run import TaskRun
     from yuccapoint.cell.vm_ledger import VmLedger
 
 # A run of a long-running task that has worked for this long is a success.
--- a/src/yuccapoint/cell/cell_leader.py
+++ b/src/yuccapoint/cell/cell_leader.py
@@ -33,9 +33,9 @@
     from yuccapoint.cell.cell_records import Member
     from yuccapoint.cell.cell_view import CellView
     from yuccapoint.cell.cell_view import JobView
-    from yuccapoint.cell.job_run import OccurrenceRun
-    from yuccapoint.cell.job_run import TaskRun
+    from yuccapoint.cell.occurrence_run import OccurrenceRun
     from yuccapoint.cell.occurrence_state import WorkerInstance
+    from yuccapoint.cell.task_run import TaskRun
     from yuccapoint.job.interference.pair_report import PairEstimate
 
 # Interval at which checkpoints of running tasks are written, together with
--- a/src/yuccapoint/cell/claim_planner.py
+++ b/src/yuccapoint/cell/claim_planner.py
@@ -19,8 +19,8 @@
 
     from yuccapoint.cell.interference_model import InterferenceModel
     from yuccapoint.cell.job_run import JobRun
-    from yuccapoint.cell.job_run import StepRun
-    from yuccapoint.cell.job_run import TaskRun
+    from yuccapoint.cell.step_run import StepRun
+    from yuccapoint.cell.task_run import TaskRun
     from yuccapoint.cell.ticket_cache import TicketCache
     from yuccapoint.cell.vm_ledger import VmLedger
 
--- a/src/yuccapoint/cell/crash_counter.py
+++ b/src/yuccapoint/cell/crash_counter.py
@@ -11,7 +11,7 @@
     from yuccapoint.cell.cell_leader import CellLeader
     from yuccapoint.cell.crash_messages import CrashReport
     from yuccapoint.cell.crash_messages import CrashSuspect
-    from yuccapoint.cell.job_run import TaskRun
+    from yuccapoint.cell.task_run import TaskRun
 
 # If all suspects of a crash belong to one occurrence, it is given up after
 # this many crashes of workers that are known to have started the same task.
--- a/src/yuccapoint/cell/crash_trials.py
+++ b/src/yuccapoint/cell/crash_trials.py
@@ -7,7 +7,7 @@
 from yuccapoint.cell.obstacle import Obstacle
 
 if TYPE_CHECKING:
-    from yuccapoint.cell.job_run import TaskRun
+    from yuccapoint.cell.task_run import TaskRun
     from yuccapoint.cell.vm_candidate import VmCandidate
 
 # A run counts as starting for this long after it was first reported. Its
--- a/src/yuccapoint/cell/due_starts.py
+++ b/src/yuccapoint/cell/due_starts.py
@@ -8,7 +8,7 @@
 
 if TYPE_CHECKING:
     from yuccapoint.cell.cell_leader import CellLeader
-    from yuccapoint.cell.job_run import TaskRun
+    from yuccapoint.cell.task_run import TaskRun
     from yuccapoint.cell.vm_ledger import VmLedger
     from yuccapoint.job.size import Size
 
--- a/src/yuccapoint/cell/gang_history.py
+++ b/src/yuccapoint/cell/gang_history.py
@@ -7,7 +7,7 @@
 from yuccapoint.cell.occurrence_state import Phase
 
 if TYPE_CHECKING:
-    from yuccapoint.cell.job_run import TaskRun
+    from yuccapoint.cell.task_run import TaskRun
 
 
 class GangHistory:
--- a/src/yuccapoint/cell/interference_model.py
+++ b/src/yuccapoint/cell/interference_model.py
@@ -11,8 +11,8 @@
 from yuccapoint.job.interference.pair_report import PairEstimate
 
 if TYPE_CHECKING:
-    from yuccapoint.cell.job_run import StepRun
-    from yuccapoint.cell.job_run import TaskRun
+    from yuccapoint.cell.step_run import StepRun
+    from yuccapoint.cell.task_run import TaskRun
     from yuccapoint.cell.vm_ledger import VmLedger
 
 # Tasks of a step share their callers, so that their loads are comparable.
--- a/src/yuccapoint/cell/order_builder.py
+++ b/src/yuccapoint/cell/order_builder.py
@@ -13,7 +13,7 @@
 
 if TYPE_CHECKING:
     from yuccapoint.cell.cell_leader import CellLeader
-    from yuccapoint.cell.job_run import TaskRun
+    from yuccapoint.cell.task_run import TaskRun
     from yuccapoint.cell.vm_ledger import VmLedger
     from yuccapoint.job.interference.pair_report import PairEstimate
 
--- a/src/yuccapoint/cell/placement_rules.py
+++ b/src/yuccapoint/cell/placement_rules.py
@@ -8,8 +8,8 @@
 from yuccapoint.cell.occurrence_state import Phase
 
 if TYPE_CHECKING:
-    from yuccapoint.cell.job_run import StepRun
-    from yuccapoint.cell.job_run import TaskRun
+    from yuccapoint.cell.step_run import StepRun
+    from yuccapoint.cell.task_run import TaskRun
     from yuccapoint.cell.ticket_cache import TicketCache
     from yuccapoint.cell.vm_candidate import VmCandidate
 
--- a/src/yuccapoint/cell/preemption.py
+++ b/src/yuccapoint/cell/preemption.py
@@ -11,7 +11,7 @@
 
     from yuccapoint.cell.claim_planner import ClaimPlanner
     from yuccapoint.cell.interference_model import InterferenceModel
-    from yuccapoint.cell.job_run import TaskRun
+    from yuccapoint.cell.task_run import TaskRun
     from yuccapoint.cell.vm_ledger import VmLedger
 
 # A run is not preempted before this time, which spans several checkpoints.
--- a/src/yuccapoint/cell/report_handler.py
+++ b/src/yuccapoint/cell/report_handler.py
@@ -15,9 +15,9 @@
     from yuccapoint.cell.cell_messages import RunningTask
     from yuccapoint.cell.cell_messages import VmReport
     from yuccapoint.cell.cell_messages import WorkerReport
-    from yuccapoint.cell.job_run import TaskRun
     from yuccapoint.cell.occurrence_state import WorkerInstance
     from yuccapoint.cell.run_end_handler import RunEndHandler
+    from yuccapoint.cell.task_run import TaskRun
     from yuccapoint.cell.vm_ledger import VmLedger
 
 
--- a/src/yuccapoint/cell/run_end_handler.py
+++ b/src/yuccapoint/cell/run_end_handler.py
@@ -15,7 +15,7 @@
     from yuccapoint.cell.cell_leader import CellLeader
     from yuccapoint.cell.cell_messages import EndedRun
     from yuccapoint.cell.cell_messages import RefusedRun
-    from yuccapoint.cell.job_run import TaskRun
+    from yuccapoint.cell.task_run import TaskRun
     from yuccapoint.cell.vm_ledger import VmLedger
 
 # Delay before a failed task is retried. It keeps a worker that fails every
--- a/src/yuccapoint/cell/run_stops.py
+++ b/src/yuccapoint/cell/run_stops.py
@@ -7,7 +7,7 @@
 from yuccapoint.cell import lease_bounds
 
 if TYPE_CHECKING:
-    from yuccapoint.cell.job_run import TaskRun
+    from yuccapoint.cell.task_run import TaskRun
     from yuccapoint.cell.vm_ledger import VmLedger
 
 # A run without progress for this time has stalled. Progress is reported in
--- a/src/yuccapoint/cell/step_ranking.py
+++ b/src/yuccapoint/cell/step_ranking.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from yuccapoint.cell.job_run import TaskRun
+    from yuccapoint.cell.task_run import TaskRun
     from yuccapoint.cell.vm_candidate import VmCandidate
 
 
--- a/src/yuccapoint/cell/throttled_moves.py
+++ b/src/yuccapoint/cell/throttled_moves.py
@@ -10,7 +10,7 @@
     from collections.abc import Iterable
 
     from yuccapoint.cell.interference_model import InterferenceModel
-    from yuccapoint.cell.job_run import TaskRun
+    from yuccapoint.cell.task_run import TaskRun
     from yuccapoint.cell.vm_ledger import VmLedger
 
 # A run is not moved before this time, in which its speed is measured. It
--- a/src/yuccapoint/cell/ticket_cache.py
+++ b/src/yuccapoint/cell/ticket_cache.py
@@ -5,8 +5,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from yuccapoint.cell.job_run import StepRun
     from yuccapoint.cell.occurrence_state import WorkerInstance
+    from yuccapoint.cell.step_run import StepRun
 
 # Remaining validity that a ticket needs to reach the worker in time.
 TICKET_MARGIN_S = 0.5
--- a/src/yuccapoint/cell/vm_candidate.py
+++ b/src/yuccapoint/cell/vm_candidate.py
@@ -13,8 +13,8 @@
 
 if TYPE_CHECKING:
     from yuccapoint.cell.interference_model import InterferenceModel
-    from yuccapoint.cell.job_run import TaskRun
     from yuccapoint.cell.step_spec import StepSpec
+    from yuccapoint.cell.task_run import TaskRun
     from yuccapoint.cell.vm_ledger import VmLedger
 
 # Share of its processors that a serving task is expected to use; the rest
--- a/src/yuccapoint/cell/vm_ledger.py
+++ b/src/yuccapoint/cell/vm_ledger.py
@@ -12,8 +12,8 @@
 if TYPE_CHECKING:
     from yuccapoint.cell.cell_messages import VmReport
     from yuccapoint.cell.cell_messages import WorkerReport
-    from yuccapoint.cell.job_run import TaskRun
     from yuccapoint.cell.occurrence_state import WorkerInstance
+    from yuccapoint.cell.task_run import TaskRun
 
 # Time after the order of a start in which its calls may be executed: agents
 # repeat an unanswered call for 2 s.
--- a/src/yuccapoint/cell/waiting_log.py
+++ b/src/yuccapoint/cell/waiting_log.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from yuccapoint.cell.cell_leader import CellLeader
     from yuccapoint.cell.claim_planner import ClaimPlanner
-    from yuccapoint.cell.job_run import TaskRun
+    from yuccapoint.cell.task_run import TaskRun
 
 CHECK_INTERVAL_S = 1.0
 # A task that waits for this long is logged; most start within a second.
--- a/src/yuccapoint/connection/agent_session.py
+++ b/src/yuccapoint/connection/agent_session.py
@@ -14,7 +14,6 @@
 from yuccapoint.connection.delivery_monitor import DeliveryMonitor
 from yuccapoint.connection.delivery_monitor import MAX_PATIENCE_S
 from yuccapoint.connection.delivery_monitor import MIN_PATIENCE_S
-from yuccapoint.connection.frame_stream import CHUNK_BYTES
 from yuccapoint.connection.frame_stream import FrameStream
 from yuccapoint.connection.frames import KeyClaim
 from yuccapoint.connection.frames import KeyClaimResult
@@ -394,12 +393,3 @@
                 claim.set_exception(
                     SessionLostError("session to the agent was lost")
                 )
-
-
-def split_body(chunks: list[bytes]) -> list[bytes]:
-    """Split a body into parts that fit a frame, without joining chunks."""
-    parts = []
-    for chunk in chunks:
-        for start in range(0, len(chunk), CHUNK_BYTES):
-            parts.append(chunk[start : start + CHUNK_BYTES])
-    return parts
--- a/src/yuccapoint/job/batch_leader.py
+++ b/src/yuccapoint/job/batch_leader.py
@@ -36,8 +36,8 @@
     from yuccapoint.connection.messages import TaskReport
     from yuccapoint.job.actions import Action
     from yuccapoint.job.job_board import JobBoard
-    from yuccapoint.job.job_board import VmLeadership
     from yuccapoint.job.records import Record
+    from yuccapoint.job.vm_leadership import VmLeadership
     from yuccapoint.version.pool import Pool
 
 MIN_LEASE_TTL_S = 0.2  # a shorter lease is neither granted nor used
--- a/src/yuccapoint/job/job_board.py
+++ b/src/yuccapoint/job/job_board.py
@@ -19,6 +19,7 @@
 from yuccapoint.job.records import JobSubmitted
 from yuccapoint.job.records import VmAdopted
 from yuccapoint.job.records import VmLost
+from yuccapoint.job.vm_leadership import VmLeadership
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -29,36 +30,11 @@
 ENTRY_LEASE_MS = 900_000
 # Longer than the VM leases that the entry granted before it left.
 LEFT_ENTRY_GRACE_MS = 10_000
-FAILED_JOBS_TO_SUSPECT_VM = 3
 # Bounds the failures of a job whose failures do not count as its own.
 MAX_FAILURES_PER_ATTEMPT = 4
 MAX_FINISHED_JOBS = 20_000
 
 
-class VmLeadership:
-    """The entry that leads a VM, its term and the VM's jobs.
-
-    Attributes
-    ----------
-    failed_jobs : list of str
-        Different jobs that failed on the VM since its last success.
-    """
-
-    __slots__ = ("entry", "failed_jobs", "job_ids", "pool", "term")
-
-    def __init__(self, entry: str, term: int, pool: str) -> None:
-        self.entry = entry
-        self.term = term
-        self.pool = pool
-        self.job_ids: set[str] = set()
-        self.failed_jobs: list[str] = []
-
-    @property
-    def suspected(self) -> bool:
-        """Whether job failures are attributed to the VM."""
-        return len(self.failed_jobs) >= FAILED_JOBS_TO_SUSPECT_VM
-
-
 class JobBoard:
     """State machine over the log; all readers derive the same state.
 
--- a/src/yuccapoint/process/caller_server.py
+++ b/src/yuccapoint/process/caller_server.py
@@ -36,7 +36,7 @@
     from tornado.httputil import RequestStartLine
 
     from yuccapoint.process.entry_process import EntryProcess
-    from yuccapoint.process.request_forwarder import ForwardedResponse
+    from yuccapoint.process.forwarded_response import ForwardedResponse
 
 VERDICT_HEADER = "Yuccapoint-Verdict"
 REASON_HEADER = "Yuccapoint-Reason"
--- a/src/yuccapoint/process/cell_agent_process.py
+++ b/src/yuccapoint/process/cell_agent_process.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import time
-from typing import Protocol
 from typing import TYPE_CHECKING
 
 import xxhash
@@ -32,13 +31,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from yuccapoint.cell.occurrence_state import WorkerInstance
-    from yuccapoint.cell.worker_events import CallAnswer
     from yuccapoint.cell.worker_events import CheckIn
     from yuccapoint.cell.worker_events import StatusRequest
     from yuccapoint.cell.worker_events import WorkerCall
-    from yuccapoint.cell.worker_events import WorkerStatus
     from yuccapoint.connection.cell_store import CellStore
+    from yuccapoint.process.cell_worker_port import CellWorkerPort
     from yuccapoint.process.metrics import Metrics
     from yuccapoint.process.process_logger import ProcessLogger
 
@@ -59,28 +56,6 @@
 REGISTER_RETRY_S = 0.3
 
 
-class CellWorkerPort(Protocol):
-    """Client interface of the worker."""
-
-    async def call(
-        self, call: WorkerCall, instance: WorkerInstance
-    ) -> CallAnswer:
-        """Start, stop or throttle a run on an instance of the worker."""
-
-    async def fetch_status(
-        self, request: StatusRequest, instance: WorkerInstance
-    ) -> WorkerStatus:
-        """Renew the worker's lease and list its running and ended runs."""
-
-    async def fetch_born_ms(
-        self, worker_id: str, term: int, fence: int
-    ) -> int | None:
-        """Return when the worker's present instance was started."""
-
-    def close(self) -> None:
-        """Close the connections."""
-
-
 class CellAgentProcess:
     """Connects the agent's decision logic to worker, leader and store.
 
--- a/src/yuccapoint/process/snapshot_image.py
+++ b/src/yuccapoint/process/snapshot_image.py
@@ -20,10 +20,10 @@
 from yuccapoint.exceptions import DecodingError
 from yuccapoint.exceptions import YuccapointError
 from yuccapoint.job.job import Job
-from yuccapoint.job.job_board import VmLeadership
 from yuccapoint.job.job_entry import JobEntry
 from yuccapoint.job.job_entry import JobState
 from yuccapoint.job.job_entry import JobStep
+from yuccapoint.job.vm_leadership import VmLeadership
 from yuccapoint.request.key_claims import KeyClaim
 from yuccapoint.request.key_owners import Membership
 from yuccapoint.version.pool import Pool
--- a/tests/features/steps/cell_recovery_steps.py
+++ b/tests/features/steps/cell_recovery_steps.py
@@ -31,7 +31,7 @@
 if TYPE_CHECKING:
     from behave.runner import Context
 
-    from yuccapoint.cell.job_run import TaskRun
+    from yuccapoint.cell.task_run import TaskRun
 
 JOB_ID = "e" * 16
 STEP = StepSpec(4, Size(1_000, 2**20, 0))
--- a/tests/features/steps/cell_world_steps.py
+++ b/tests/features/steps/cell_world_steps.py
@@ -17,10 +17,10 @@
 from yuccapoint.cell import run_end_handler  # noqa: E402
 from yuccapoint.cell.crash_history import CrashHistory  # noqa: E402
 from yuccapoint.cell.job_gateway import GatewayResult  # noqa: E402
-from yuccapoint.cell.job_run import OccurrenceRun  # noqa: E402
-from yuccapoint.cell.job_run import StepRun  # noqa: E402
-from yuccapoint.cell.job_run import TaskRun  # noqa: E402
+from yuccapoint.cell.occurrence_run import OccurrenceRun  # noqa: E402
 from yuccapoint.cell.run_registry import RunRegistry  # noqa: E402
+from yuccapoint.cell.step_run import StepRun  # noqa: E402
+from yuccapoint.cell.task_run import TaskRun  # noqa: E402
 from yuccapoint.cell.vm_candidate import VmCandidate  # noqa: E402
 from yuccapoint.cell.vm_ledger import VmLedger  # noqa: E402
 from yuccapoint.job.size import Size  # noqa: E402
--- a/tests/features/steps/gang_failure_steps.py
+++ b/tests/features/steps/gang_failure_steps.py
@@ -23,7 +23,7 @@
 if TYPE_CHECKING:
     from behave.runner import Context
 
-    from yuccapoint.cell.job_run import TaskRun
+    from yuccapoint.cell.task_run import TaskRun
 
 JOB_ID = "a" * 16
 # Fields of an occurrence's record that an earlier build wrote.
--- a/tests/features/steps/odd_record_steps.py
+++ b/tests/features/steps/odd_record_steps.py
@@ -43,7 +43,7 @@
 
     from yuccapoint.cell.cell_records import CellRecord
     from yuccapoint.cell.job_run import JobRun
-    from yuccapoint.cell.job_run import OccurrenceRun
+    from yuccapoint.cell.occurrence_run import OccurrenceRun
 
 OTHER_ID = "00000000000000dd"
 # Loopback addresses that no other process of a test listens on.
--- a/tests/features/steps/slow_move_steps.py
+++ b/tests/features/steps/slow_move_steps.py
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from behave.runner import Context
 
-    from yuccapoint.cell.job_run import TaskRun
+    from yuccapoint.cell.task_run import TaskRun
 
 STEP_JOB = "d" * 16
 SERVICE_JOB = "f" * 16
--- a/tests/features/steps/suspect_wait_steps.py
+++ b/tests/features/steps/suspect_wait_steps.py
@@ -22,7 +22,7 @@
 if TYPE_CHECKING:
     from behave.runner import Context
 
-    from yuccapoint.cell.job_run import TaskRun
+    from yuccapoint.cell.task_run import TaskRun
     from yuccapoint.cell.vm_ledger import VmLedger
 
 ROUND_S = 0.05
--- a/tests/features/steps/worker_crash_steps.py
+++ b/tests/features/steps/worker_crash_steps.py
@@ -28,7 +28,7 @@
 if TYPE_CHECKING:
     from behave.runner import Context
 
-    from yuccapoint.cell.job_run import TaskRun
+    from yuccapoint.cell.task_run import TaskRun
 
 JOB = "d" * 16
 OTHER_JOB = "e" * 16
