Split the leader, the claim planner and the entry process

Changes that are not stored yet, due occurrences, lookups and the dispatch of records leave the leader and its process; costs, gangs, suspects and the order of steps leave the planner. Behaviour is unchanged.

--- a/src/yuccapoint/cell/cell_leader.py
+++ b/src/yuccapoint/cell/cell_leader.py
@@ -4,12 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-from yuccapoint.cell import cell_records
 from yuccapoint.cell import lease_bounds
 from yuccapoint.cell.adviser_queries import AdviserQueries
 from yuccapoint.cell.claim_planner import ClaimPlanner
-from yuccapoint.cell.commit_batch import CommitBatch
 from yuccapoint.cell.crash_counter import CrashCounter
+from yuccapoint.cell.due_occurrences import add_due_occurrences
 from yuccapoint.cell.exceptions import InvalidJobError
 from yuccapoint.cell.interference_model import InterferenceModel
 from yuccapoint.cell.job_run import JobRun
@@ -20,11 +19,12 @@
 from yuccapoint.cell.report_handler import ReportHandler
 from yuccapoint.cell.run_end_handler import RunEndHandler
 from yuccapoint.cell.store_maintenance import StoreMaintenance
+from yuccapoint.cell.task_lookup import find_task
 from yuccapoint.cell.ticket_cache import TicketCache
+from yuccapoint.cell.uncommitted_changes import UncommittedChanges
 from yuccapoint.cell.vm_checks import VmChecks
 from yuccapoint.cell.vm_ledger import VmLedger
 from yuccapoint.cell.waiting_log import WaitingLog
-from yuccapoint.decoding import parse_number
 from yuccapoint.job.actions import Explain
 
 if TYPE_CHECKING:
@@ -33,6 +33,7 @@
     from yuccapoint.cell.cell_records import Member
     from yuccapoint.cell.cell_view import CellView
     from yuccapoint.cell.cell_view import JobView
+    from yuccapoint.cell.commit_batch import CommitBatch
     from yuccapoint.cell.occurrence_run import OccurrenceRun
     from yuccapoint.cell.occurrence_state import WorkerInstance
     from yuccapoint.cell.task_run import TaskRun
@@ -41,8 +42,6 @@
 # Interval at which checkpoints of running tasks are written, together with
 # a leadership renewal. It bounds the work lost when all machines fail.
 PROGRESS_WRITE_INTERVAL_S = 1.0
-# Scheduled occurrences are created this long before they are due.
-SCHEDULE_LEAD_MS = 1_000
 # What a job raises whose stored state is inconsistent.
 _INCONSISTENT = (
     ArithmeticError,
@@ -84,8 +83,7 @@
         self.interference = InterferenceModel()
         self._took_over_at_s = now_s
         self._progress_written_at_s = now_s
-        self._dirty: dict[str, OccurrenceRun] = {}
-        self._uncommitted_claims: list[tuple[TaskRun, int]] = []
+        self._changes = UncommittedChanges()
         self._end_handler = RunEndHandler(self)
         self._report_handler = ReportHandler(self, self._end_handler)
         self.crash_counter = CrashCounter(self)
@@ -233,11 +231,11 @@
     def tick(self, now_s: float, wall_ms: int) -> None:
         """Release expired VMs, stop runs that stall or move, and claim."""
         self._vm_checks.run(now_s)
-        self._add_due_occurrences(now_s, wall_ms)
+        add_due_occurrences(self.jobs.values(), now_s, wall_ms)
         self._plan(now_s, wall_ms)
         if now_s - self._progress_written_at_s >= PROGRESS_WRITE_INTERVAL_S:
             self._progress_written_at_s = now_s
-            self._mark_unstored_progress()
+            self._changes.add_unstored_progress(self.vms.values())
 
     def _plan(self, now_s: float, wall_ms: int) -> None:
         planner = self.planner(now_s, wall_ms)
@@ -258,7 +256,7 @@
             task.claim(vm.worker.instance, run)
             vm.claims[task.task_id] = task
             self.mark_dirty(task.step.occurrence)
-            self._uncommitted_claims.append((task, run))
+            self._changes.add_claim(task, run)
             self.explain(
                 "place",
                 "claimed",
@@ -287,44 +285,6 @@
             wall_ms,
         )
 
-    def _mark_unstored_progress(self) -> None:
-        """Mark occurrences that have begun or saved progress unstored.
-
-        Guards against a loss of all machines at once, after which each run
-        would otherwise restart from the checkpoint of its last claim. The
-        first start is stored for the entries, which count pending jobs.
-        """
-        for vm in self.vms.values():
-            for task in vm.claims.values():
-                occurrence = task.step.occurrence
-                if (
-                    occurrence.begun != occurrence.begun_stored
-                    or task.checkpoint != task.stored_checkpoint
-                ):
-                    self.mark_dirty(occurrence)
-
-    def _add_due_occurrences(self, now_s: float, wall_ms: int) -> None:
-        for job in self.jobs.values():
-            submission = job.submission
-            if not submission.repeats or job.cancelled:
-                continue
-            room: int | None = None
-            next_number = job.next_occurrence
-            while next_number < submission.repeats:
-                due_ms = submission.due_at_ms(next_number)
-                if due_ms > wall_ms + SCHEDULE_LEAD_MS:
-                    break
-                if room is None:
-                    room = job.occurrence_room
-                if room <= 0:
-                    # The others follow as these end.
-                    break
-                room -= 1
-                occurrence = job.occurrence(next_number)
-                for task in occurrence.tasks:
-                    task.waiting_since_s = now_s + (due_ms - wall_ms) / 1000
-                next_number = job.next_occurrence
-
     def stop(self, task: TaskRun, why: str, now_s: float) -> None:
         """Stop a run; the task is released when the run ends."""
         if task.stopping:
@@ -357,26 +317,11 @@
 
     def mark_dirty(self, occurrence: OccurrenceRun) -> None:
         """Schedule an occurrence to be written with the next batch."""
-        job_id = occurrence.job.submission.job_id
-        key = cell_records.progress_key(job_id, occurrence.number)
-        self._dirty[key] = occurrence
+        self._changes.add(occurrence)
 
     def collect_batch(self) -> CommitBatch:
         """Return the records to write now; the batch may be empty."""
-        batch = CommitBatch()
-        for key, occurrence in self._dirty.items():
-            value = cell_records.encode(occurrence.snapshot())
-            batch.records.append((key, value))
-        self._dirty = {}
-        batch.claims, self._uncommitted_claims = self._uncommitted_claims, []
-        for vm in self.vms.values():
-            if (
-                vm.applied_end_number > vm.acked_end_number
-                and vm.instance is not None
-            ):
-                end_acks = (vm, vm.instance.born_ms, vm.applied_end_number)
-                batch.end_acks.append(end_acks)
-        return batch
+        return self._changes.collect(self.vms.values())
 
     def commit(self, batch: CommitBatch) -> None:
         """Apply the effects of a batch that has been stored."""
@@ -390,26 +335,8 @@
             if vm.instance is not None and vm.instance.born_ms == born_ms:
                 vm.acked_end_number = max(vm.acked_end_number, number)
                 vm.orders_due = True
-        self._remove_ended_jobs(batch)
-
-    def _remove_ended_jobs(self, batch: CommitBatch) -> None:
-        for key, _ in batch.records:
-            job_id = key[len(cell_records.PROGRESS) :].partition(".")[0]
-            job = self.jobs.get(job_id)
-            if job is None:
-                continue
-            expected = job.submission.occurrences
-            if len(job.occurrences) < expected and not job.cancelled:
-                continue
-            ended = all(
-                occurrence.outcome is not Outcome.OPEN
-                and all(t.instance is None for t in occurrence.tasks)
-                for occurrence in job.occurrences.values()
-            )
-            unwritten = any(k.startswith(f"p:{job_id}.") for k in self._dirty)
-            if not ended or unwritten:
-                continue
-            del self.jobs[job_id]
+        for job in self._changes.find_ended_jobs(batch, self.jobs):
+            del self.jobs[job.submission.job_id]
             for occurrence in job.occurrences.values():
                 for step in occurrence.steps:
                     self.interference.forget(step)
@@ -430,19 +357,7 @@
 
     def find_task(self, task_id: str) -> TaskRun | None:
         """Return the task with an id, or None."""
-        job_id, _, rest = task_id.partition(".")
-        job = self.jobs.get(job_id)
-        numbers = [parse_number(number) for number in rest.split(".")]
-        if job is None or len(numbers) != 3:
-            return None
-        occurrence, step, index = numbers
-        if occurrence is None or step is None or index is None:
-            return None
-        found = job.occurrences.get(occurrence)
-        if found is None or step >= len(found.steps):
-            return None
-        tasks = found.steps[step].tasks
-        return tasks[index] if index < len(tasks) else None
+        return find_task(self.jobs, task_id)
 
     def explain(self, part: str, text: str, **fields: str | int) -> None:
         """Log a decision."""
--- a/src/yuccapoint/cell/occurrence_run.py
+++ b/src/yuccapoint/cell/occurrence_run.py
@@ -54,6 +54,14 @@
         """All tasks of all steps."""
         return [task for step in self.steps for task in step.tasks]
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no task has a claim.
+
+        Each occurrence runs at least one task, however crowded the VMs are.
+        """
+        return all(task.phase is not Phase.CLAIMED for task in self.tasks)
+
     def is_ready(self, step: StepRun) -> bool:
         """Return whether all steps that a step depends on are done."""
         return all(self.steps[n].finished for n in step.spec.depends_on)
--- a/src/yuccapoint/cell/step_run.py
+++ b/src/yuccapoint/cell/step_run.py
@@ -35,6 +35,11 @@
         """Whether all tasks are done."""
         return self.done == len(self.tasks)
 
+    @property
+    def pool(self) -> str:
+        """Name of the pool whose VMs run the tasks."""
+        return self.occurrence.job.submission.queue.pool
+
     @property
     def gang_failures(self) -> int:
         """How many runs of the gang have failed."""
--- /dev/null
+++ b/src/yuccapoint/cell/uncommitted_changes.py
@@ -0,0 +1,103 @@
+"""Changes of a leader that are not stored yet."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from yuccapoint.cell import cell_records
+from yuccapoint.cell.commit_batch import CommitBatch
+from yuccapoint.cell.occurrence_state import Outcome
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+    from yuccapoint.cell.job_run import JobRun
+    from yuccapoint.cell.occurrence_run import OccurrenceRun
+    from yuccapoint.cell.task_run import TaskRun
+    from yuccapoint.cell.vm_ledger import VmLedger
+
+
+class UncommittedChanges:
+    """Collects changed occurrences and new claims until they are written."""
+
+    __slots__ = ("_claims", "_occurrences")
+
+    def __init__(self) -> None:
+        self._occurrences: dict[str, OccurrenceRun] = {}
+        self._claims: list[tuple[TaskRun, int]] = []
+
+    def add(self, occurrence: OccurrenceRun) -> None:
+        """Add an occurrence whose state has changed."""
+        job_id = occurrence.job.submission.job_id
+        key = cell_records.progress_key(job_id, occurrence.number)
+        self._occurrences[key] = occurrence
+
+    def add_claim(self, task: TaskRun, run: int) -> None:
+        """Add a claim, which takes effect once it is stored."""
+        self._claims.append((task, run))
+
+    def add_unstored_progress(self, vms: Iterable[VmLedger]) -> None:
+        """Add occurrences that have begun or saved progress unstored.
+
+        Guards against a loss of all machines at once, after which each run
+        would otherwise restart from the checkpoint of its last claim. The
+        first start is stored for the entries, which count pending jobs.
+        """
+        for vm in vms:
+            for task in vm.claims.values():
+                occurrence = task.step.occurrence
+                if (
+                    occurrence.begun != occurrence.begun_stored
+                    or task.checkpoint != task.stored_checkpoint
+                ):
+                    self.add(occurrence)
+
+    def collect(self, vms: Iterable[VmLedger]) -> CommitBatch:
+        """Return the records to write now; the batch may be empty."""
+        batch = CommitBatch()
+        for key, occurrence in self._occurrences.items():
+            value = cell_records.encode(occurrence.snapshot())
+            batch.records.append((key, value))
+        self._occurrences = {}
+        batch.claims, self._claims = self._claims, []
+        for vm in vms:
+            if (
+                vm.applied_end_number > vm.acked_end_number
+                and vm.instance is not None
+            ):
+                end_acks = (vm, vm.instance.born_ms, vm.applied_end_number)
+                batch.end_acks.append(end_acks)
+        return batch
+
+    def find_ended_jobs(
+        self, batch: CommitBatch, jobs: Mapping[str, JobRun]
+    ) -> list[JobRun]:
+        """Return the jobs that have ended with a batch that is stored.
+
+        Parameters
+        ----------
+        batch : CommitBatch
+            The batch.
+        jobs : mapping of str to JobRun
+            All jobs, by id.
+        """
+        found: dict[str, JobRun] = {}
+        for key, _ in batch.records:
+            job_id = key[len(cell_records.PROGRESS) :].partition(".")[0]
+            job = jobs.get(job_id)
+            if job is None or job_id in found:
+                continue
+            expected = job.submission.occurrences
+            if len(job.occurrences) < expected and not job.cancelled:
+                continue
+            ended = all(
+                occurrence.outcome is not Outcome.OPEN
+                and all(t.instance is None for t in occurrence.tasks)
+                for occurrence in job.occurrences.values()
+            )
+            prefix = cell_records.progress_key(job_id, 0)[:-1]
+            unwritten = any(k.startswith(prefix) for k in self._occurrences)
+            if ended and not unwritten:
+                found[job_id] = job
+        return list(found.values())
--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -17,14 +17,12 @@
 from yuccapoint.cell.cell_messages import RelayAnswer
 from yuccapoint.cell.cell_messages import RelayRequest
 from yuccapoint.cell.cell_messages import VmReport
-from yuccapoint.cell.cell_records import Cancellation
 from yuccapoint.cell.cell_records import EntryMember
 from yuccapoint.cell.cell_records import Leadership
-from yuccapoint.cell.cell_records import Member
 from yuccapoint.cell.cell_view import CellView
 from yuccapoint.cell.crash_messages import CrashReport
 from yuccapoint.cell.leader_election import LeaderElection
-from yuccapoint.cell.submission import Submission
+from yuccapoint.cell.record_dispatch import apply_record
 from yuccapoint.connection.cell_store import StoreFencedError
 from yuccapoint.connection.control_channel import ControlChannel
 from yuccapoint.exceptions import YuccapointError
@@ -192,17 +190,8 @@
     def _on_record(self, record: CellRecord | None) -> None:
         if self.leader is None or record is None:
             return
-        now_s = steady_s()
-        if isinstance(record, Submission):
-            view = self.view.find(record.job_id)
-            if view is not None:
-                self.leader.try_add_job(view, now_s)
-                self._wake.set()
-        if isinstance(record, Cancellation):
-            self.leader.on_cancel(record.job_id, now_s)
+        if apply_record(self.leader, self.view, record, steady_s()):
             self._wake.set()
-        if isinstance(record, Member):
-            self.leader.on_member(record)
 
     def _on_read(self) -> None:
         now_s = steady_s()
