Split the agent, its runs, the guard, the leader and the entry process

Each is split along what a part keeps (FollowedWorker, RunPacing, SentReports, WorkerPolls, LateCalls, EvictionHistory, PairExchange, RequestKeys, TablesExchange) or decides from its arguments alone (due_calls, the run lists, the choice of evictions, the contents of a grant). No behaviour is changed.

Two steps of the tests set fields of the agent that have moved; what they check is the same.

--- a/src/yuccapoint/cell/run_registry.py
+++ b/src/yuccapoint/cell/run_registry.py
@@ -4,8 +4,10 @@
 
 from typing import TYPE_CHECKING
 
-from yuccapoint.cell.cell_messages import RefusedRun
-from yuccapoint.cell.cell_messages import RunningTask
+from yuccapoint.cell.late_calls import LateCalls
+from yuccapoint.cell.late_calls import MAX_CALL_DELAY_S
+from yuccapoint.cell.late_calls import RunKey
+from yuccapoint.cell.run_listing import list_unordered
 from yuccapoint.cell.tracked_run import RunStage
 from yuccapoint.cell.tracked_run import TrackedRun
 from yuccapoint.cell.worker_events import CallResult
@@ -17,9 +19,9 @@
     from collections.abc import Iterable
 
     from yuccapoint.cell.cell_messages import EndedRun
+    from yuccapoint.cell.cell_messages import RunningTask
     from yuccapoint.cell.cell_messages import StartOrder
     from yuccapoint.cell.worker_events import WorkerStatus
-    from yuccapoint.cell.worker_lease import WorkerLease
 
 # Delay before an unanswered call is repeated.
 CALL_RETRY_S = 0.2
@@ -27,9 +29,6 @@
 MAX_LISTED_ENDS = 500
 # An unanswered start is abandoned by the agent after this time.
 START_TIMEOUT_S = 2.0
-# Longest time after which the platform's workers still execute a call that
-# was not answered, with a margin.
-MAX_CALL_DELAY_S = 13.0
 
 # Results after which a start is repeated until it times out.
 NOT_STARTED_YET = (
@@ -38,8 +37,6 @@
     CallResult.NEXT_INSTANCE,
 )
 
-RunKey = tuple[str, int]
-
 
 class RunRegistry:
     """Tracks all runs on one instance of the worker, by task and run.
@@ -76,15 +73,7 @@
         self._started_at_s = started_at_s
         self._explain = explain
         self._runs: dict[RunKey, TrackedRun] = {}
-        # Until when an unanswered start may still be executed, by its run. It
-        # outlives the run and the instance of the worker.
-        self._late_starts_until_s: dict[RunKey, float] = {}
-        # Polls with an acknowledgement that are neither answered nor failed.
-        self._pending_acks = 0
-        # Until when an unanswered acknowledgement may still be executed.
-        self._late_ack_until_s = 0.0
-        # The same for acknowledgements meant for the former instance.
-        self._former_acks_until_s = 0.0
+        self.late_calls = LateCalls()
         self._ends: dict[int, EndedRun] = {}
         # Whether the worker may have more ends than it listed.
         self._ends_truncated = False
@@ -108,16 +97,9 @@
         """
         for key, tracked in self._runs.items():
             if tracked.may_reach_new_instance:
-                self._note_late_start(key, now_s)
-        if self._pending_acks:
-            self._late_ack_until_s = now_s + MAX_CALL_DELAY_S
-        if not same_id:
-            self._late_starts_until_s = {}
-            self._late_ack_until_s = 0.0
+                self.late_calls.note_start(key, now_s)
         self._runs = {}
-        for key, until_s in self._late_starts_until_s.items():
-            if now_s > until_s:
-                continue
+        for key in self.late_calls.begin_instance(now_s, same_id=same_id):
             block = TrackedRun(*key, RunStage.STOPPING)
             block.blocks_former_start = True
             self._runs[key] = block
@@ -127,7 +109,6 @@
         self.runs_listed = False
         self.acked_end_number = 0
         self.forgotten_end_number = 0
-        self._former_acks_until_s = self._late_ack_until_s
         self.has_updates = True
         return len(self._runs)
 
@@ -136,14 +117,6 @@
         """All runs that were ordered on this instance."""
         return self._runs.values()
 
-    def _note_late_start(self, key: RunKey, now_s: float) -> None:
-        self._late_starts_until_s[key] = now_s + MAX_CALL_DELAY_S
-
-    def _discard_past_late_starts(self, now_s: float) -> None:
-        for key, until_s in list(self._late_starts_until_s.items()):
-            if now_s > until_s:
-                del self._late_starts_until_s[key]
-
     def may_get_former_calls(self, now_s: float) -> bool:
         """Return whether a call meant for the former instance may harm.
 
@@ -151,7 +124,7 @@
         acknowledgement may make the worker forget ends that it has not
         listed, as each instance numbers its ends from 1.
         """
-        if now_s <= self._former_acks_until_s:
+        if self.late_calls.may_get_former_ack(now_s):
             return True
         return any(tracked.is_open_block for tracked in self._runs.values())
 
@@ -172,14 +145,6 @@
             return 0
         return self.acked_end_number
 
-    def on_own_call_answered(self) -> None:
-        """Note that the present instance answered a call meant for it."""
-        self._former_acks_until_s = 0.0
-
-    def on_ack_sent(self) -> None:
-        """Note that an acknowledgement is sent."""
-        self._pending_acks += 1
-
     def on_ack_answered(self, number: int) -> None:
         """Note an answered acknowledgement.
 
@@ -189,14 +154,9 @@
             Ends up to this number are forgotten by the present instance; 0
             if the acknowledgement was meant for another one.
         """
-        self._pending_acks -= 1
+        self.late_calls.on_ack_answered()
         self.forgotten_end_number = max(self.forgotten_end_number, number)
 
-    def on_ack_unanswered(self, now_s: float) -> None:
-        """Note that an acknowledgement may still be executed."""
-        self._pending_acks -= 1
-        self._late_ack_until_s = now_s + MAX_CALL_DELAY_S
-
     @property
     def has_unacked_ends(self) -> bool:
         """Whether the worker lists an end that is not known to be stored."""
@@ -318,68 +278,14 @@
     def _has_ended(self, key: RunKey) -> bool:
         return any((e.task_id, e.run) == key for e in self._ends.values())
 
-    def next_calls(
-        self,
-        term: int,
-        lease: WorkerLease,
-        now_s: float,
-        *,
-        worker_is_silent: bool = False,
-    ) -> list[StartCall | StopCall]:
-        """Return the starts and stops to send now.
-
-        Parameters
-        ----------
-        term : int
-            Term of the leader.
-        lease : WorkerLease
-            Lease of the worker.
-        now_s : float
-            Steady time in seconds.
-        worker_is_silent : bool
-            Whether it left the last poll unanswered.
-        """
-        calls = []
-        for tracked in self._runs.values():
-            if now_s < tracked.next_call_at_s:
-                continue
-            if tracked.call_pending and not tracked.blocks_former_start:
-                continue
-            is_first = not tracked.first_call_at_s
-            call = self._next_call(tracked, term, lease, now_s)
-            if call is None:
-                continue
-            if is_first:
-                tracked.called_in_silence = worker_is_silent
-            tracked.call_pending = True
-            if tracked.blocks_former_start:
-                tracked.delay_next_block(now_s)
-            calls.append(call)
-        return calls
-
-    def _next_call(
-        self, tracked: TrackedRun, term: int, lease: WorkerLease, now_s: float
-    ) -> StartCall | StopCall | None:
-        if tracked.stage is RunStage.STOPPING and not tracked.stop_acked_at_s:
-            return StopCall(tracked.task_id, tracked.run, term)
-        if tracked.stage is not RunStage.STARTING or tracked.order is None:
-            return None
-        if not lease.is_valid(now_s):
-            return None
-        lease_until_ms = lease.until_clock_ms()
-        if lease_until_ms is None:
-            return None
-        tracked.first_call_at_s = tracked.first_call_at_s or now_s
-        return StartCall(tracked.order, term, lease_until_ms)
-
     def on_start_result(
         self, call: StartCall, result: CallResult, reason: str, now_s: float
     ) -> bool:
         """Apply the result of a start; return whether the run started."""
         key = (call.order.task_id, call.order.run)
         if result is CallResult.UNANSWERED:
-            self._discard_past_late_starts(now_s)
-            self._note_late_start(key, now_s)
+            self.late_calls.discard_past(now_s)
+            self.late_calls.note_start(key, now_s)
         tracked = self._runs.get(key)
         if tracked is None or tracked.order is not call.order:
             return False
@@ -451,11 +357,7 @@
 
     def _explain_unordered(self, status: WorkerStatus) -> None:
         """Log the newly listed runs that this agent did not start."""
-        listed = {(task.task_id, task.run) for task in self.running}
-        for task in status.running:
-            key = (task.task_id, task.run)
-            if key in listed or key in self._runs:
-                continue
+        for task in list_unordered(status.running, self.running, self._runs):
             self._explain(
                 "run",
                 "the worker runs what this agent did not start",
@@ -492,47 +394,6 @@
             tracked.reason = tracked.reason or "stopped"
             self.has_updates = True
 
-    def report_running(self) -> tuple[RunningTask, ...]:
-        """Return running tasks, including those started since the poll."""
-        listed = {(task.task_id, task.run) for task in self.running}
-        started = [
-            RunningTask(*key, "", 0, 0.0)
-            for key, tracked in self._runs.items()
-            if tracked.stage is RunStage.RUNNING and key not in listed
-        ]
-        return (*self.running, *started)
-
     def report_ends(self) -> tuple[EndedRun, ...]:
         """Return the ends that are not acknowledged as stored."""
         return tuple(self._ends[number] for number in sorted(self._ends))
-
-    def report_refused(
-        self, report_sequence: int, *, applied: bool
-    ) -> tuple[RefusedRun, ...]:
-        """Return the runs that did not start and never will.
-
-        Parameters
-        ----------
-        report_sequence : int
-            Sequence number of the report.
-        applied : bool
-            Whether a leader that gets the report applies its runs.
-        """
-        refused = []
-        for tracked in self._runs.values():
-            if tracked.stage is not RunStage.REFUSED:
-                continue
-            if applied and not tracked.refusal_report:
-                tracked.refusal_report = report_sequence
-            refused.append(
-                RefusedRun(tracked.task_id, tracked.run, tracked.reason)
-            )
-        return tuple(refused)
-
-    def report_pending(self) -> tuple[RunKey, ...]:
-        """Return the runs whose start is pending."""
-        return tuple(
-            key
-            for key, tracked in self._runs.items()
-            if tracked.stage is RunStage.STARTING
-        )
--- a/src/yuccapoint/cell/vm_ledger.py
+++ b/src/yuccapoint/cell/vm_ledger.py
@@ -5,8 +5,8 @@
 from typing import TYPE_CHECKING
 
 from yuccapoint.cell import lease_bounds
+from yuccapoint.cell.late_calls import MAX_CALL_DELAY_S
 from yuccapoint.cell.obstacle import Obstacle
-from yuccapoint.cell.run_registry import MAX_CALL_DELAY_S
 from yuccapoint.job.size import Size
 
 if TYPE_CHECKING:
--- a/src/yuccapoint/job/batch_leader.py
+++ b/src/yuccapoint/job/batch_leader.py
@@ -4,19 +4,21 @@
 
 from typing import TYPE_CHECKING
 
-from yuccapoint.connection.messages import AttemptAcknowledged
 from yuccapoint.connection.messages import LeaseGrant
 from yuccapoint.connection.messages import PairPriors
-from yuccapoint.connection.messages import StartAttempt
-from yuccapoint.connection.messages import StopAttempt
 from yuccapoint.job import lease_rules
 from yuccapoint.job.actions import Append
 from yuccapoint.job.actions import Explain
 from yuccapoint.job.actions import Send
 from yuccapoint.job.claimer import Claimer
+from yuccapoint.job.grant_contents import acknowledgements
+from yuccapoint.job.grant_contents import due_starts
+from yuccapoint.job.grant_contents import due_stops
+from yuccapoint.job.grant_contents import end_record
+from yuccapoint.job.grant_contents import is_current
+from yuccapoint.job.grant_contents import start_grant
 from yuccapoint.job.interference.pair_table import PairTable
 from yuccapoint.job.interference.service_class import service_class
-from yuccapoint.job.job_entry import JobState
 from yuccapoint.job.records import EntryLapsed
 from yuccapoint.job.records import EntryRenewed
 from yuccapoint.job.records import JobClaimed
@@ -198,24 +200,8 @@
         if view is None:
             view = VmView(report.vm)
             self.views[report.vm] = view
-        if report.incarnation < view.incarnation:
+        if not view.apply(report, now_s):
             return None
-        if report.incarnation > view.incarnation:
-            view.incarnation = report.incarnation
-            view.report_sequence = 0
-        if report.sequence < view.report_sequence:
-            return None
-        view.report_sequence = report.sequence
-        view.reported_at_s = now_s
-        view.pool = report.pool
-        view.rack = report.rack
-        view.data_centre = report.data_centre
-        view.address = report.control_address
-        view.capacity = report.capacity
-        view.reported_free = report.free
-        view.ready = report.ready and not report.stopping
-        view.term = report.term
-        view.reported_attempts = {t.job_id: t.attempt for t in report.tasks}
         view.service = service_class(e.service for e in report.endpoints)
         view.pairs = self.pairs
         if report.pairs is not None:
@@ -268,36 +254,18 @@
             if not task.outcome:
                 continue
             key = (task.job_id, task.attempt)
-            if key in self._pending_ends or not self._is_current(task):
+            if key in self._pending_ends or not is_current(self.board, task):
                 continue
             self._pending_ends.add(key)
             self._update_quarantine(report.vm, task, now_s, actions)
-            if task.outcome == "done":
-                done = JobFinished(task.job_id, task.attempt, report.term)
-                actions.append(Append(done))
-                continue
-            record = JobReleased(
-                task.job_id,
-                task.attempt,
-                report.term,
-                f"{task.outcome} on {report.vm}: {task.reason}",
-                task.checkpoint,
-                task.outcome == "failed",
-            )
-            actions.append(Append(record))
+            actions.append(Append(end_record(task, report)))
 
     def _update_quarantine(
         self, vm: str, task: TaskReport, now_s: float, actions: list[Action]
     ) -> None:
         quarantine = self.views[vm].quarantine
-        if task.outcome == "done":
-            quarantine.on_success()
-            return
-        failed_before = self.board.jobs[task.job_id].failures
-        if task.outcome != "failed" or failed_before:
-            quarantine.on_inconclusive_end(task.job_id)
-            return
-        if quarantine.on_failure(task.job_id, now_s):
+        failed_before = bool(self.board.jobs[task.job_id].failures)
+        if quarantine.on_task_end(task, now_s, failed_before=failed_before):
             left_s = round(quarantine.until_s - now_s, 1)
             text = f"quarantines {vm}: jobs keep failing on it"
             actions.append(
@@ -329,12 +297,6 @@
             self.views[vm] = view
         return view
 
-    def _is_current(self, task: TaskReport) -> bool:
-        entry = self.board.jobs.get(task.job_id)
-        if entry is None or entry.state is not JobState.RUNNING:
-            return False
-        return entry.attempt == task.attempt
-
     def _grant(
         self,
         view: VmView,
@@ -357,56 +319,11 @@
             term=report.term,
             reply_to=report.sequence,
             ttl_s=ttl_s,
-            starts=self._starts(report, leadership),
-            stops=self._stops(report),
-            acknowledged=self._acknowledgements(report),
+            starts=due_starts(self.board, report, leadership),
+            stops=due_stops(self.board, report),
+            acknowledged=acknowledgements(self.board, report),
         )
 
-    def _starts(
-        self, report: AgentReport, leadership: VmLeadership
-    ) -> list[StartAttempt]:
-        reported = {task.job_id: task.attempt for task in report.tasks}
-        starts = []
-        available = report.free
-        for job_id in sorted(leadership.job_ids):
-            entry = self.board.jobs[job_id]
-            if reported.get(job_id, 0) >= entry.attempt:
-                continue
-            if not entry.job.size.fits(available):
-                continue
-            available = available - entry.job.size
-            starts.append(
-                StartAttempt(
-                    entry.job, entry.attempt, entry.checkpoint, entry.term
-                )
-            )
-        return starts
-
-    def _stops(self, report: AgentReport) -> list[StopAttempt]:
-        stops = []
-        for task in report.tasks:
-            if task.outcome:
-                continue
-            if not self._is_current(task):
-                stops.append(
-                    StopAttempt(task.job_id, task.attempt, "superseded")
-                )
-                continue
-            if self.board.jobs[task.job_id].cancelling:
-                stops.append(
-                    StopAttempt(task.job_id, task.attempt, "cancelled")
-                )
-        return stops
-
-    def _acknowledgements(
-        self, report: AgentReport
-    ) -> list[AttemptAcknowledged]:
-        return [
-            AttemptAcknowledged(task.job_id, task.attempt)
-            for task in report.tasks
-            if task.outcome and not self._is_current(task)
-        ]
-
     def _append_lost_vms(self, now_s: float, actions: list[Action]) -> None:
         for view in self._failure_detector.pop_failed(now_s):
             leadership = self.board.vms.get(view.vm)
@@ -479,17 +396,5 @@
         if now_s + MIN_LEASE_TTL_S > view.granter_deadline_s:
             return []
         entry = self.board.jobs[record.job_id]
-        start = StartAttempt(
-            entry.job, entry.attempt, entry.checkpoint, entry.term
-        )
-        grant = LeaseGrant(
-            entry=self.entry,
-            vm=record.vm,
-            term=record.term,
-            reply_to=view.report_sequence,
-            ttl_s=0.0,
-            starts=[start],
-            stops=[],
-            acknowledged=[],
-        )
+        grant = start_grant(self.entry, record, entry, view.report_sequence)
         return [Send(view.address, grant)]
--- a/src/yuccapoint/job/guard.py
+++ b/src/yuccapoint/job/guard.py
@@ -7,21 +7,24 @@
 
 from yuccapoint.job.actions import Explain
 from yuccapoint.job.actions import WorkerThrottle
+from yuccapoint.job.interference.eviction_choice import costly_to_throttle
+from yuccapoint.job.interference.eviction_choice import is_throttling_exhausted
+from yuccapoint.job.interference.eviction_choice import most_slowing
+from yuccapoint.job.interference.eviction_choice import tasks_to_limit
+from yuccapoint.job.interference.eviction_history import EvictionHistory
 from yuccapoint.job.interference.guard_state import GuardState
 from yuccapoint.job.interference.neighbour import Neighbour
 from yuccapoint.job.interference.neighbour_history import NeighbourHistory
-from yuccapoint.job.interference.pair_report import PairEstimate
-from yuccapoint.job.interference.pair_report import PairReport
-from yuccapoint.job.interference.pair_table import MAX_PAIRS_PER_VM
+from yuccapoint.job.interference.pair_exchange import PairExchange
 from yuccapoint.job.interference.sample_filter import SampleFilter
-from yuccapoint.job.interference.slowdown_estimator import DEFAULT_SLOWDOWN
 from yuccapoint.job.interference.slowdown_estimator import SlowdownEstimator
-from yuccapoint.job.interference.throttle_plan import MIN_SHARE
 from yuccapoint.job.interference.throttle_plan import plan_shares
 from yuccapoint.job.interference.throttled_task import ThrottledTask
 
 if TYPE_CHECKING:
     from yuccapoint.job.actions import Action
+    from yuccapoint.job.interference.pair_report import PairEstimate
+    from yuccapoint.job.interference.pair_report import PairReport
     from yuccapoint.job.task_manager import TaskManager
     from yuccapoint.job.worker_events import UsageSample
 
@@ -32,29 +35,18 @@
 # Shares are raised towards a smaller allowance than they are lowered to,
 # which keeps the throttle from oscillating.
 RAISE_ALLOWANCE_FACTOR = 0.75
-# Run time lost to throttling that equals the cost of an eviction.
-EVICTION_COST_S = 25.0
 MIN_RUN_BEFORE_EVICTION_S = 30.0
 MIN_EVICTION_INTERVAL_S = 6.0
 # Time over the allowance before throttling counts as insufficient.
 OVER_ALLOWANCE_GRACE_S = 5.0
-# Batch work is stopped if the service is still over its allowance after
-# this many evictions within the window.
-EVICTION_WINDOW_S = 30.0
-EVICTIONS_TO_STOP = 2
 STOPPED_DURATION_S = 30.0
 # Shares are lowered again only on a sample that describes a time this long
 # after the previous lowering, when its effect shows.
 THROTTLE_SETTLE_S = 1.0
-PAIR_REPORT_INTERVAL_S = 4.0
-PRIORS_INTERVAL_S = 10.0
 # Limits are resent since a call to the worker may have been lost. A lifted
 # limit is resent only for RESEND_DURATION_S.
 RESEND_INTERVAL_S = 5.0
 RESEND_DURATION_S = 15.0
-# A throttled task is evicted only if its class slows another service by
-# less than this share of the slowdown here.
-MAX_SLOWDOWN_RATIO_ELSEWHERE = 0.5
 # Bounds the lost run time accrued over a gap between two calls.
 MAX_ACCRUAL_STEP_S = 2.0
 
@@ -92,15 +84,12 @@
         self._tasks: dict[str, ThrottledTask] = {}
         self._over_allowance_since_s = math.inf
         self._evicting_job_id = ""
-        self._evicted_at_s: list[float] = []
+        self._eviction_history = EvictionHistory()
         self._stopped_until_s = -math.inf
         self._accrued_at_s = -math.inf
         self._lowered_at_s = -math.inf
-        self._revision = 0
         self._resend_at_s = -math.inf
-        self._report_at_s = -math.inf
-        self._priors_at_s = -math.inf
-        self._slowdowns_elsewhere: dict[str, float] = {}
+        self._pairs = PairExchange(self.estimator)
 
     def configure(
         self, service: str, tail_weight: float, eviction_weight: float
@@ -123,41 +112,11 @@
 
     def pair_report(self, now_s: float) -> PairReport | None:
         """Return the VM's recent estimates; None if no report is due."""
-        if not self.service or now_s < self._report_at_s:
-            return None
-        self._report_at_s = now_s + PAIR_REPORT_INTERVAL_S
-        self._revision += 1
-        estimator = self.estimator
-        pairs = [
-            PairEstimate(
-                self.service,
-                job_class,
-                round(estimator.weight(job_class), 4),
-                round(estimator.deviation(job_class), 4),
-                round(estimator.counts[job_class], 1),
-            )
-            for job_class in estimator.recent_classes()[:MAX_PAIRS_PER_VM]
-        ]
-        return PairReport(
-            revision=self._revision,
-            wants_priors=now_s >= self._priors_at_s + PRIORS_INTERVAL_S,
-            pairs=pairs,
-        )
+        return self._pairs.report(self.service, now_s)
 
     def apply_priors(self, priors: list[PairEstimate], now_s: float) -> None:
         """Apply the estimates of other VMs."""
-        self._priors_at_s = now_s
-        self._slowdowns_elsewhere.clear()
-        for prior in priors:
-            if prior.service == self.service:
-                self.estimator.apply_prior(
-                    prior.job_class, prior.slowdown, prior.deviation
-                )
-                continue
-            least = self._slowdowns_elsewhere.get(prior.job_class, math.inf)
-            self._slowdowns_elsewhere[prior.job_class] = min(
-                least, prior.slowdown
-            )
+        self._pairs.apply_priors(self.service, priors, now_s)
 
     @property
     def allowance(self) -> float:
@@ -236,12 +195,7 @@
     ) -> list[Neighbour] | None:
         """Return the tasks that a sample describes; None if unknown."""
         del now_s
-        neighbours = self._history.at(sample.described_at_s)
-        if neighbours is None:
-            return None
-        present = set(sample.job_ids)
-        described = [n for n in neighbours if n.job_id in present]
-        return described if len(described) == len(present) else None
+        return self._history.described_by(sample)
 
     def _update_estimator(self, sample: UsageSample, now_s: float) -> None:
         neighbours = self.neighbours_at(sample, now_s)
@@ -307,27 +261,11 @@
             for job_id, share in plan.items()
             if share < self._tasks[job_id].share - 0.01
         ]
-        for task in self._tasks_to_limit(lowered):
+        for task in tasks_to_limit(lowered, estimator):
             self._lowered_at_s = now_s
             task.lower(plan[task.job_id], now_s)
             self._throttle(task, excess, actions)
 
-    def _tasks_to_limit(
-        self, tasks: list[ThrottledTask]
-    ) -> list[ThrottledTask]:
-        """Return tasks of significant classes, else one class as a trial."""
-        estimator = self.estimator
-        significant = [
-            t for t in tasks if estimator.is_significant(t.job_class)
-        ]
-        uncertain = [
-            t for t in tasks if not estimator.is_significant(t.job_class)
-        ]
-        if significant or not uncertain:
-            return significant
-        first = max(uncertain, key=lambda t: estimator.upper(t.job_class))
-        return [t for t in uncertain if t.job_class == first.job_class]
-
     def _raise_shares(
         self,
         neighbours: list[Neighbour],
@@ -370,7 +308,7 @@
         if self._evicting_job_id in self._tasks:
             return
         self._evicting_job_id = ""
-        if now_s < self._last_eviction_s() + MIN_EVICTION_INTERVAL_S:
+        if now_s < self._eviction_history.last_s + MIN_EVICTION_INTERVAL_S:
             return
         evictable = [
             task
@@ -378,63 +316,30 @@
             if now_s >= task.first_seen_at_s + MIN_RUN_BEFORE_EVICTION_S
         ]
         why = ""
-        chosen = self._most_slowing(evictable)
-        if chosen is not None and self._throttling_exhausted(
-            neighbours, excess, now_s
+        chosen = most_slowing(evictable, self.estimator)
+        over_for_long = (
+            now_s >= self._over_allowance_since_s + OVER_ALLOWANCE_GRACE_S
+            and excess > self.allowance
+        )
+        if (
+            chosen is not None
+            and over_for_long
+            and is_throttling_exhausted(neighbours, self.estimator)
         ):
             why = "throttling is not sufficient"
         else:
-            chosen = self._costly_to_throttle(evictable)
+            chosen = costly_to_throttle(
+                evictable,
+                self.estimator,
+                self.allowance,
+                self.eviction_weight,
+                self._pairs.slowdowns_elsewhere,
+            )
             why = "throttling costs more than an eviction"
         if chosen is None:
             return
         self._evict(chosen, why, excess, now_s, actions)
 
-    def _most_slowing(
-        self, tasks: list[ThrottledTask]
-    ) -> ThrottledTask | None:
-        return max(
-            tasks,
-            key=lambda task: self.estimator.lower(task.job_class),
-            default=None,
-        )
-
-    def _throttling_exhausted(
-        self, neighbours: list[Neighbour], excess: float, now_s: float
-    ) -> bool:
-        if now_s < self._over_allowance_since_s + OVER_ALLOWANCE_GRACE_S:
-            return False
-        for neighbour in neighbours:
-            weight = self.estimator.weight(neighbour.job_class)
-            if weight * neighbour.share > weight * MIN_SHARE + 0.01:
-                return False
-        return excess > self.allowance
-
-    def _costly_to_throttle(
-        self, tasks: list[ThrottledTask]
-    ) -> ThrottledTask | None:
-        max_lost_s = EVICTION_COST_S * self.eviction_weight
-        costly = [
-            task
-            for task in tasks
-            if task.lost_s >= max_lost_s and task.share < 1.0
-        ]
-        task = self._most_slowing(costly)
-        if task is None:
-            return None
-        weight = self.estimator.lower(task.job_class)
-        if weight <= self.allowance / 2:
-            return None
-        slowdown = self._slowdowns_elsewhere.get(
-            task.job_class, DEFAULT_SLOWDOWN
-        )
-        return (
-            task if slowdown < MAX_SLOWDOWN_RATIO_ELSEWHERE * weight else None
-        )
-
-    def _last_eviction_s(self) -> float:
-        return self._evicted_at_s[-1] if self._evicted_at_s else -math.inf
-
     def _evict(
         self,
         task: ThrottledTask,
@@ -450,22 +355,16 @@
             return
         self.evictions += 1
         self._evicting_job_id = task.job_id
-        self._evicted_at_s.append(now_s)
-        self._evicted_at_s = self._evicted_at_s[-EVICTIONS_TO_STOP:]
+        self._eviction_history.note(now_s)
         fields = self._log_fields(task, excess)
         text = f"evicts {task.job_id}: {why}"
         actions.append(Explain("guard", text, fields))
 
     def _update_state(self, now_s: float) -> None:
-        recent = [
-            evicted_at_s
-            for evicted_at_s in self._evicted_at_s
-            if now_s - evicted_at_s < EVICTION_WINDOW_S
-        ]
         over_for_long = (
             now_s >= self._over_allowance_since_s + OVER_ALLOWANCE_GRACE_S
         )
-        if len(recent) >= EVICTIONS_TO_STOP and over_for_long:
+        if over_for_long and self._eviction_history.is_frequent(now_s):
             self._stopped_until_s = now_s + STOPPED_DURATION_S
         if self._evicting_job_id in self._tasks:
             self.state = GuardState.MOVING
--- a/src/yuccapoint/job/interference/neighbour_history.py
+++ b/src/yuccapoint/job/interference/neighbour_history.py
@@ -7,6 +7,7 @@
 
 if TYPE_CHECKING:
     from yuccapoint.job.interference.neighbour import Neighbour
+    from yuccapoint.job.worker_events import UsageSample
 
 MAX_CHANGES = 64
 
@@ -35,6 +36,15 @@
             return None
         return self._neighbours[index]
 
+    def described_by(self, sample: UsageSample) -> list[Neighbour] | None:
+        """Return the tasks that a sample describes; None if unknown."""
+        neighbours = self.at(sample.described_at_s)
+        if neighbours is None:
+            return None
+        present = set(sample.job_ids)
+        described = [n for n in neighbours if n.job_id in present]
+        return described if len(described) == len(present) else None
+
 
 def _equal(before: list[Neighbour], after: list[Neighbour]) -> bool:
     if len(before) != len(after):
--- a/src/yuccapoint/job/vm_quarantine.py
+++ b/src/yuccapoint/job/vm_quarantine.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from yuccapoint.connection.messages import TaskReport
+
 FAILED_JOBS_TO_QUARANTINE = 3
 QUARANTINE_S = 15.0
 
@@ -41,6 +46,28 @@
         if self.probing:
             self._probe_job_id = job_id
 
+    def on_task_end(
+        self, task: TaskReport, now_s: float, *, failed_before: bool
+    ) -> bool:
+        """Record the end of a job; return whether it starts a quarantine.
+
+        Parameters
+        ----------
+        task : TaskReport
+            The job's attempt, with its outcome.
+        now_s : float
+            Monotonic time in seconds.
+        failed_before : bool
+            Whether the job has failed before.
+        """
+        if task.outcome == "done":
+            self.on_success()
+            return False
+        if task.outcome != "failed" or failed_before:
+            self.on_inconclusive_end(task.job_id)
+            return False
+        return self.on_failure(task.job_id, now_s)
+
     def on_inconclusive_end(self, job_id: str) -> None:
         """Record the end of a job that is no evidence about the VM."""
         if self._probe_job_id == job_id:
--- a/src/yuccapoint/job/vm_view.py
+++ b/src/yuccapoint/job/vm_view.py
@@ -8,6 +8,7 @@
 from yuccapoint.job.vm_quarantine import VmQuarantine
 
 if TYPE_CHECKING:
+    from yuccapoint.connection.messages import AgentReport
     from yuccapoint.job.interference.pair_table import PairTable
 
 
@@ -79,6 +80,28 @@
         self.quarantine = VmQuarantine()
         self.ready = False
 
+    def apply(self, report: AgentReport, now_s: float) -> bool:
+        """Apply an agent's report; return whether it is the newest."""
+        if report.incarnation < self.incarnation:
+            return False
+        if report.incarnation > self.incarnation:
+            self.incarnation = report.incarnation
+            self.report_sequence = 0
+        if report.sequence < self.report_sequence:
+            return False
+        self.report_sequence = report.sequence
+        self.reported_at_s = now_s
+        self.pool = report.pool
+        self.rack = report.rack
+        self.data_centre = report.data_centre
+        self.address = report.control_address
+        self.capacity = report.capacity
+        self.reported_free = report.free
+        self.ready = report.ready and not report.stopping
+        self.term = report.term
+        self.reported_attempts = {t.job_id: t.attempt for t in report.tasks}
+        return True
+
     def update_free(self, unreported: list[Size], reserve: Size) -> None:
         """Recompute the free resources.
 
--- a/src/yuccapoint/process/caller_server.py
+++ b/src/yuccapoint/process/caller_server.py
@@ -186,11 +186,11 @@
     async def _serve(self, request: ServiceRequest) -> None:
         key_claimed = False
         try:
-            await self._entry.claim_key(request)
+            await self._entry.request_keys.claim(request)
             key_claimed = True
             forwarded = await self._entry.forwarder.forward(request)
         except RequestError as error:
-            await self._entry.release_key(request, error)
+            await self._entry.request_keys.release(request, error)
             self._refuse(error)
             return
         except YuccapointError as error:
@@ -201,7 +201,7 @@
                 cancelled = RequestCancelledError(
                     "the caller closed the connection"
                 )
-                await self._entry.release_key(request, cancelled)
+                await self._entry.request_keys.release(request, cancelled)
             raise
         finally:
             request.body_chunks.clear()
--- a/src/yuccapoint/process/entry_process.py
+++ b/src/yuccapoint/process/entry_process.py
@@ -24,33 +24,30 @@
 from yuccapoint.job.batch_leader import BatchLeader
 from yuccapoint.job.records import EntryLeft
 from yuccapoint.job.records import EntryRenewed
-from yuccapoint.job.records import KeyClaimed
-from yuccapoint.job.records import KeyReleased
 from yuccapoint.job.records import SnapshotChunk
 from yuccapoint.process.agent_key_client import AgentKeyClient
 from yuccapoint.process.authenticator import Authenticator
 from yuccapoint.process.caller_server import CallerServer
 from yuccapoint.process.cell_state import CellState
+from yuccapoint.process.credentials import reload_credentials
 from yuccapoint.process.decision_history import DecisionHistory
+from yuccapoint.process.entry_heartbeat import build_heartbeat
 from yuccapoint.process.log_pump import LogPump
 from yuccapoint.process.metrics import Metrics
 from yuccapoint.process.operator_api import operator_application
 from yuccapoint.process.pending_commits import PendingCommits
 from yuccapoint.process.process_logger import ProcessLogger
 from yuccapoint.process.request_forwarder import RequestForwarder
+from yuccapoint.process.request_keys import RequestKeys
 from yuccapoint.process.snapshot_schedule import SnapshotSchedule
 from yuccapoint.process.snapshot_writer import SnapshotWriter
 from yuccapoint.process.steady_timer import SteadyTimer
+from yuccapoint.process.tables_exchange import TablesExchange
 from yuccapoint.process.tls_context import create_tls_context
 from yuccapoint.request.customer_rate_limiter import CustomerRateLimiter
-from yuccapoint.request.exceptions import RepeatedKeyError
-from yuccapoint.request.exceptions import RequestError
 from yuccapoint.request.in_flight_limit import InFlightLimit
 from yuccapoint.request.region_link_budget import RegionLinkBudget
 from yuccapoint.request.router import Router
-from yuccapoint.request.verdict import Verdict
-from yuccapoint.version.compiled_tables import CompiledTables
-from yuccapoint.version.table_feed import ALL_POOLS
 from yuccapoint.version.table_feed import TableFeed
 from yuccapoint.version.table_relay import TableRelay
 
@@ -60,7 +57,6 @@
     from yuccapoint.job.records import Record
     from yuccapoint.process.cell_state import AppliedRecord
     from yuccapoint.process.settings.sections import EntrySettings
-    from yuccapoint.request.service_request import ServiceRequest
 
 TICK_MS = 50
 HEARTBEAT_MS = 1_000
@@ -124,6 +120,9 @@
         )
         self.writer = LogWriter(self.entry_id)
         self.commits = PendingCommits(self.writer)
+        self.request_keys = RequestKeys(
+            self.agent_keys, self.commits, self.writer
+        )
         self.log = HttpLog(
             settings.log.address, settings.log.stream, settings.log.timeout_s
         )
@@ -142,11 +141,7 @@
             self.rng,
         )
         self.snapshots = SnapshotWriter(
-            self.entry_id,
-            self.cell,
-            self.pump,
-            self.writer,
-            self.schedule,
+            self.entry_id, self.cell, self.pump, self.writer, self.schedule
         )
         self._snapshot_task: asyncio.Task[None] | None = None
         self.control_channel = ControlChannel(
@@ -154,6 +149,14 @@
             self._on_message,
             self.logger.log,
         )
+        self._tables_exchange = TablesExchange(
+            self.cell,
+            self.feed,
+            self.directory,
+            self.table_relay,
+            self.control_channel,
+            self.logger,
+        )
         self._request_number = 0
         self._callers = HTTPServer(
             CallerServer(self),
@@ -242,59 +245,6 @@
         self._request_number += 1
         return f"{self.entry_id}-{self._request_number}"
 
-    async def claim_key(self, request: ServiceRequest) -> None:
-        """Claim a request's idempotency key if its route requires it.
-
-        Raises
-        ------
-        RepeatedKeyError
-            The key was claimed before.
-        RequestError
-            The claim was not decided in time; the request was not run, and
-            a claim that still reaches the log is released.
-        """
-        if not request.key:
-            return
-        if request.route.once == "agent" and not request.idempotent:
-            await self.agent_keys.claim(request)
-        if request.route.once != "log":
-            return
-        record = KeyClaimed(
-            request.customer,
-            request.route.name,
-            request.key,
-            request.request_id,
-        )
-        now_s = time.monotonic()
-        left_s = request.deadline_s - now_s
-        try:
-            refusal = await self.commits.commit(record, now_s, left_s)
-        except YuccapointError as error:
-            refused = RequestError(str(error), Verdict.NOT_RUN, 1.0)
-            await self.release_key(request, refused)
-            raise refused from None
-        if refusal:
-            raise RepeatedKeyError(
-                "a request with this key was accepted before"
-            )
-
-    async def release_key(
-        self, request: ServiceRequest, error: RequestError
-    ) -> None:
-        """Release the key of a request that has certainly not run."""
-        if not request.key or error.verdict is not Verdict.NOT_RUN:
-            return
-        self.agent_keys.release(request)
-        if request.route.once != "log":
-            return
-        record = KeyReleased(
-            request.customer,
-            request.route.name,
-            request.key,
-            request.request_id,
-        )
-        self.writer.add(record, time.monotonic())
-
     def execute(self, actions: list[Action]) -> None:
         """Execute actions of the decision logic."""
         for action in actions:
@@ -345,10 +295,9 @@
 
     async def _snapshot(self) -> None:
         fault = await self.snapshots.write()
-        text = fault or "snapshot written to the log"
         self.logger.log(
             "snapshot",
-            text,
+            fault or "snapshot written to the log",
             size_bytes=self.snapshots.size_bytes,
             held_s=round(self.snapshots.paused_s, 3),
         )
@@ -356,9 +305,11 @@
     def _on_restored(self) -> None:
         """Reset the decision logic after a restore from a snapshot."""
         now_s = time.monotonic()
-        text = f"state restored from a snapshot at {self._log_position()}"
-        self.logger.log("snapshot", text)
-        self.schedule.on_complete(self.cell.next_offset, now_s)
+        offset = self.cell.next_offset
+        self.logger.log(
+            "snapshot", f"state restored from a snapshot at offset {offset}"
+        )
+        self.schedule.on_complete(offset, now_s)
         self.commits.on_restored(self.cell)
         views = self.leader.views
         self.leader = BatchLeader(
@@ -366,27 +317,10 @@
         )
         self.leader.views.update(views)
 
-    def _log_position(self) -> str:
-        return f"offset {self.cell.next_offset}"
-
-    def _reload_access(self) -> None:
-        """Reload tokens and certificates; on failure keep the old ones."""
-        try:
-            changed = self.authenticator.reload()
-            if self.tls is not None:
-                changed = self.tls.reload() or changed
-        except YuccapointError as error:
-            self.logger.log(
-                "access", f"reload failed, previous credentials kept: {error}"
-            )
-            return
-        if changed:
-            self.logger.log("access", "credentials reloaded")
-
     def _send_heartbeats(self) -> None:
         now_s = time.monotonic()
-        self._reload_access()
-        heartbeat = self._make_heartbeat(now_s)
+        reload_credentials(self.authenticator, self.tls, self.logger)
+        heartbeat = build_heartbeat(self, now_s)
         self.router.entry_count = max(
             1, len(self.directory.live_entries(now_s))
         )
@@ -395,24 +329,6 @@
                 self.control_channel.send(address, heartbeat)
         self.directory.on_heartbeat(heartbeat, now_s)
 
-    def _make_heartbeat(self, now_s: float) -> EntryHeartbeat:
-        return EntryHeartbeat(
-            entry=self.entry_id,
-            data_centre=self.settings.process.data_centre,
-            region=self.settings.process.region,
-            control_address=self.settings.listen.control_address,
-            operator_address=self.settings.listen.operator_address,
-            tables_version=self.cell.tables.current.version,
-            log_offset=self.cell.next_offset,
-            stopping=self.leaving,
-            can_lead=self.pump.caught_up and not self.log_fault,
-            known_addresses=[
-                heartbeat.control_address
-                for heartbeat in self.directory.live_entries(now_s)
-            ],
-            demand=self.customer_rate_limiter.demand(now_s),
-        )
-
     def _on_message(self, message: ControlMessage) -> None:
         now_s = time.monotonic()
         if isinstance(message, EntryHeartbeat):
@@ -420,35 +336,18 @@
             self.customer_rate_limiter.on_peer_demand(
                 message.entry, message.demand, now_s
             )
-            self._offer_tables(message, now_s)
+            self._tables_exchange.offer(message, now_s)
             return
         if isinstance(message, TablesUpdate):
-            self._accept_tables(message)
+            self._tables_exchange.accept(message)
             return
         if isinstance(message, AgentReport):
             self._on_report(message, now_s)
 
-    def _offer_tables(self, heartbeat: EntryHeartbeat, now_s: float) -> None:
-        version = self.cell.tables.current.version
-        alive = self.directory.live_entries(now_s)
-        if not self.table_relay.should_send(heartbeat, version, alive, now_s):
-            return
-        update = self.feed.update_since(ALL_POOLS, 0)
-        if update is not None:
-            self.control_channel.send(heartbeat.control_address, update)
-
-    def _accept_tables(self, update: TablesUpdate) -> None:
-        if update.base:
-            return
-        newer = CompiledTables(update.version, update.routes, update.pools)
-        if self.cell.tables.install(newer):
-            text = f"version {update.version} adopted from another entry"
-            self.logger.log("tables", text)
-
     def _on_report(self, report: AgentReport, now_s: float) -> None:
         self.router.on_report(report, now_s)
         self.agent_versions[report.vm] = report.tables_version
-        heartbeat = self._make_heartbeat(now_s)
+        heartbeat = build_heartbeat(self, now_s)
         if report.sequence % ADDRESSES_EVERY_REPORTS:
             heartbeat = msgspec.structs.replace(heartbeat, known_addresses=[])
         self.control_channel.send(report.control_address, heartbeat)
@@ -475,14 +374,14 @@
         self.commits.on_applied(applied)
 
     def _on_renewal(self, outcome: AppliedRecord, now_s: float) -> None:
-        if isinstance(outcome.record, EntryRenewed):
-            self.directory.add_address(outcome.record.control_address, now_s)
+        if not isinstance(outcome.record, EntryRenewed):
+            return
+        self.directory.add_address(outcome.record.control_address, now_s)
         if outcome.writer != self.entry_id or outcome.refusal:
             return
-        if isinstance(outcome.record, EntryRenewed):
-            self.leader.on_renewal_acked(
-                self.writer.first_sent_at_s(outcome.sequence)
-            )
+        self.leader.on_renewal_acked(
+            self.writer.first_sent_at_s(outcome.sequence)
+        )
 
     def _on_log_status(self, text: str) -> None:
         if not text:
--- a/tests/features/steps/refused_start_steps.py
+++ b/tests/features/steps/refused_start_steps.py
@@ -44,10 +44,10 @@
 @when("it reports the refusal without the worker, and that is answered")
 def answer_without_worker(context: Context) -> None:
     agent = context.vm_agent
-    check_in, agent.check_in = agent.check_in, None
+    check_in, agent._worker.check_in = agent.check_in, None
     message = agent.build_report(context.now_s)
     assert message.worker is None
-    agent.check_in = check_in
+    agent._worker.check_in = check_in
     worker_steps.deliver(context, answers=message.sequence)
 
 
--- a/tests/features/steps/unreachable_worker_steps.py
+++ b/tests/features/steps/unreachable_worker_steps.py
@@ -140,10 +140,12 @@
 def _list_runs(context: Context, *, best_effort: bool) -> None:
     agent = context.vm_agent
     running = [RunningTask("service", 1, "", 100, 9.0)]
-    agent._traits = {"service": TaskTraits("service", "svc", 2_000, 18, False)}
+    agent._pacing.traits = {
+        "service": TaskTraits("service", "svc", 2_000, 18, False)
+    }
     if best_effort:
         running.append(RunningTask("fill", 1, "", 10, 900.0))
-        agent._traits["fill"] = TaskTraits("fill", "f", 1_000, 0, True)
+        agent._pacing.traits["fill"] = TaskTraits("fill", "f", 1_000, 0, True)
     context.now_s += 1.0
     status = WorkerStatus(
         clock_ms=2_000, born_ms=1, running=tuple(running), ends=()
