Listen in the scenarios on addresses that nothing else takes

Cause: free_address bound port 0 and closed it again. The system may give the same port to the next call, and to an outgoing connection, before the listener binds it. Ruled out: a port left by a former scenario (no fixed ports there), and the code under test (the proxy is the tests' own).

The scenarios use find_free_address now, which counts up below the ports of outgoing connections, as the deployments of the stand-ins do; one copy less. A proxy that can't listen fails its scenario with the error.

--- a/tests/features/platform/silent_connections.feature
+++ b/tests/features/platform/silent_connections.feature
@@ -21,6 +21,13 @@
     Given a platform of one entry and 3 VMs behind proxies, with 6 running tasks
     When nothing happens for 4 s
     Then at most 3 probes were sent meanwhile
+
+  Scenario: Nothing else occupies a proxy's address before the proxy listens
+    # Drawn twice, or taken by an outgoing connection: "address already in use".
+    Given a platform of one entry and 3 VMs behind proxies, with 6 running tasks
+    Then the proxies and what is behind them have addresses of their own
+    And none of their ports is one of the ports of outgoing connections
+
   Scenario Outline: Records are relayed again after a connection fell silent <way>
     # The answering entry did not reopen its connection.
     Given two entries behind proxies that have relayed a record
--- a/tests/features/steps/agent_poll_steps.py
+++ b/tests/features/steps/agent_poll_steps.py
@@ -6,7 +6,6 @@
 from behave import given
 from behave import then
 from behave import when
-from platform_path_steps import free_address
 
 from yuccapoint.cell.cell_messages import EndedRun
 from yuccapoint.cell.cell_messages import LeaderOrders
@@ -19,6 +18,7 @@
 from yuccapoint.process.cell_agent_process import CellAgentProcess
 from yuccapoint.process.metrics import Metrics
 from yuccapoint.process.process_logger import ProcessLogger
+from yuccapoint_standins.deployment import find_free_address
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -117,7 +117,7 @@
     context.sequence = 0
 
     async def start() -> None:
-        address = free_address()
+        address = find_free_address()
         context.agent = CellAgentProcess(
             VM,
             address,
--- a/tests/features/steps/delivery_steps.py
+++ b/tests/features/steps/delivery_steps.py
@@ -9,7 +9,6 @@
 from behave import then
 from behave import when
 import msgspec
-from platform_path_steps import free_address
 from platform_path_steps import run
 from platform_path_steps import wait_until
 import pynng
@@ -25,6 +24,7 @@
 from yuccapoint.connection.delivery_messages import DeliveryProbe
 from yuccapoint.connection.delivery_messages import DeliveryReceipt
 from yuccapoint.connection.delivery_monitor import DeliveryMonitor
+from yuccapoint_standins.deployment import find_free_address
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -126,7 +126,7 @@
         context.channels = []
         for _ in range(2):
             channel = ControlChannel(
-                free_address(),
+                find_free_address(),
                 context.received.append,
                 lambda *_, **__: None,
                 CellMessage,
@@ -198,7 +198,7 @@
     proxies = []
 
     def listen_behind(listen: str, **options) -> pynng.Pull0:
-        behind = free_address()
+        behind = find_free_address()
         proxies.append(Proxy(listen.removeprefix("tcp://"), behind))
         return listen_socket(listen=f"tcp://{behind}", **options)
 
@@ -266,7 +266,7 @@
 )
 def send_to_gone(context: Context, idle_s: float) -> None:
     async def send() -> None:
-        context.channels[0].send(free_address(), MESSAGE)
+        context.channels[0].send(find_free_address(), MESSAGE)
         await asyncio.sleep(idle_s)
 
     run(context, send())
--- a/tests/features/steps/late_call_steps.py
+++ b/tests/features/steps/late_call_steps.py
@@ -1,6 +1,5 @@
 from __future__ import annotations
 
-import socket
 from typing import TYPE_CHECKING
 
 from behave import given
@@ -18,6 +17,7 @@
 from yuccapoint.exceptions import FencedError
 from yuccapoint.platform import worker_client
 from yuccapoint.platform.worker_client import WorkerClient
+from yuccapoint_standins.deployment import find_free_address
 from yuccapoint_standins.platform_worker import PlatformWorker
 
 if TYPE_CHECKING:
@@ -31,9 +31,7 @@
 
 @given("a worker that has restarted under its id")
 def restarted_worker(context: Context) -> None:
-    with socket.socket() as free:
-        free.bind(("127.0.0.1", 0))
-        address = f"127.0.0.1:{free.getsockname()[1]}"
+    address = find_free_address()
     timeout_s = worker_client.CALL_TIMEOUT_S
     context.cleanups.append(
         lambda: setattr(worker_client, "CALL_TIMEOUT_S", timeout_s)
--- a/tests/features/steps/malformed_steps.py
+++ b/tests/features/steps/malformed_steps.py
@@ -1,7 +1,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 import struct
 from typing import TYPE_CHECKING
 
@@ -25,6 +24,7 @@
 from yuccapoint.platform.store_partition import StorePartition
 from yuccapoint.platform.worker_client import WorkerClient
 from yuccapoint.process.process_logger import ProcessLogger
+from yuccapoint_standins.deployment import find_free_address
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -226,9 +226,7 @@
         lambda _: None,
         context.rejections.append,
     )
-    with socket.socket() as free:
-        free.bind(("127.0.0.1", 0))
-        context.address = f"127.0.0.1:{free.getsockname()[1]}"
+    context.address = find_free_address()
 
     async def listen() -> None:
         server.listen(context.address)
--- a/tests/features/steps/odd_entry_steps.py
+++ b/tests/features/steps/odd_entry_steps.py
@@ -11,11 +11,11 @@
 from behave import when
 import msgspec
 from platform_path_steps import config
-from platform_path_steps import free_address
 from platform_path_steps import run
 from platform_path_steps import wait_until
 
 from yuccapoint.connection.http_client import HttpClient
+from yuccapoint_standins.deployment import find_free_address
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -33,7 +33,7 @@
     """Return what another writer says, well-formed and born later."""
     return {
         "Service": "another-service",
-        "Address": free_address(),
+        "Address": find_free_address(),
         "Zone": "zone",
         "Version": "v1",
         "Slots": 8,
@@ -84,7 +84,10 @@
         body["Address"] = context.deployment.store_address
     elif kind == "that move the worker to another address":
         worker_id = worker.worker_id
-        body = {**_own_check_in(worker, number), "Address": free_address()}
+        body = {
+            **_own_check_in(worker, number),
+            "Address": find_free_address(),
+        }
     elif kind == "that move the worker to another service":
         worker_id = worker.worker_id
         body = {**_own_check_in(worker, number), "Service": "other"}
--- a/tests/features/steps/platform_path_steps.py
+++ b/tests/features/steps/platform_path_steps.py
@@ -1,7 +1,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 import time
 from typing import TYPE_CHECKING
 
@@ -21,6 +20,7 @@
 from yuccapoint.process.cell_entry_process import CellEntryProcess
 from yuccapoint.process.metrics import Metrics
 from yuccapoint.process.process_logger import ProcessLogger
+from yuccapoint_standins.deployment import find_free_address
 from yuccapoint_standins.platform_store import PlatformStore
 from yuccapoint_standins.platform_worker import PlatformWorker
 
@@ -33,12 +33,6 @@
 RUN_S = 0.4
 
 
-def free_address() -> str:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 def config(version: int, *, routes: bool = True) -> bytes:
     route = {
         "Name": "q",
@@ -58,7 +52,7 @@
 
     def __init__(self, entries: int, vms: int) -> None:
         self.store = PlatformStore()
-        self.store_address = free_address()
+        self.store_address = find_free_address()
         self.store.listen(self.store_address)
         self.store.put("keyed.op", "config", config(2))
         self.job_addresses: list[str] = []
@@ -81,13 +75,13 @@
         name = f"entry-{number}"
         entry = CellEntryProcess(
             name,
-            free_address(),
+            find_free_address(),
             self.partition("cell"),
             ProcessLogger(name),
             Metrics(),
         )
         job_api = JobApi(entry.job_gateway)
-        address = free_address()
+        address = find_free_address()
         job_api.listen(address, address)
         feed = ConfigFeed(
             self.partition("op"),
@@ -102,9 +96,9 @@
 
     def _add_vm(self, number: int) -> None:
         vm = f"vm-{number}"
-        check_in_address = free_address()
+        check_in_address = find_free_address()
         self.check_in_addresses.append(check_in_address)
-        self.agent_addresses.append(free_address())
+        self.agent_addresses.append(find_free_address())
         self.agents.append(self.start_agent(number))
         check_in_server = CheckInServer(
             vm,
@@ -115,7 +109,7 @@
         check_in_server.listen(check_in_address)
         self._servers.append(check_in_server)
         worker = PlatformWorker(
-            f"i-{number}", "pool", free_address(), check_in_address, RUN_S
+            f"i-{number}", "pool", find_free_address(), check_in_address, RUN_S
         )
         worker.start()
         self.workers.append(worker)
--- a/tests/features/steps/proxy_steps.py
+++ b/tests/features/steps/proxy_steps.py
@@ -9,7 +9,8 @@
 from behave import given
 from behave import then
 from behave import when
-from platform_path_steps import free_address
+
+from yuccapoint_standins.deployment import find_free_address
 
 sys.path.append(str(pathlib.Path(__file__).parents[2]))
 
@@ -47,8 +48,8 @@
 def start_proxy(context: Context) -> None:
     context.received = []
     context.closed = []
-    upstream = free_address()
-    context.proxy = Proxy(free_address(), upstream)
+    upstream = find_free_address()
+    context.proxy = Proxy(find_free_address(), upstream)
     context.cleanups.append(context.proxy.close)
 
     async def serve(reader, writer) -> None:
--- a/tests/features/steps/silent_connection_steps.py
+++ b/tests/features/steps/silent_connection_steps.py
@@ -10,7 +10,6 @@
 from behave import when
 from platform_path_steps import call
 from platform_path_steps import Deployment
-from platform_path_steps import free_address
 from platform_path_steps import job_body
 from platform_path_steps import JOB_ID
 from platform_path_steps import run
@@ -23,10 +22,13 @@
 from yuccapoint.cell.cell_messages import RelayResult
 from yuccapoint.cell.lease_bounds import VM_LEASE_S
 from yuccapoint.process.steady_clock import steady_s
+from yuccapoint_standins.deployment import find_free_address
 
 if TYPE_CHECKING:
     from behave.runner import Context
 
+# The default of Linux; other systems begin later.
+FIRST_OUTGOING_PORT = 32_768
 TASKS = 6
 TASK_RUN_S = 60.0
 
@@ -36,18 +38,22 @@
 
     def __init__(self, entries: int, vms: int) -> None:
         self.proxies: dict[str, Proxy] = {}
+        self._proxy_starts: list[asyncio.Task[None]] = []
         self._real_socket = pynng.Pull0
         with mock.patch.object(pynng, "Pull0", self._listen):
             super().__init__(entries, vms)
 
     def _listen(self, listen: str, **options) -> pynng.Pull0:
         address = listen.removeprefix("tcp://")
-        behind = free_address()
+        behind = find_free_address()
         proxy = Proxy(address, behind)
         self.proxies[address] = proxy
-        asyncio.ensure_future(proxy.start())
+        self._proxy_starts.append(asyncio.ensure_future(proxy.start()))
         return self._real_socket(listen=f"tcp://{behind}", **options)
 
+    async def start_proxies(self) -> None:
+        await asyncio.gather(*self._proxy_starts)
+
     def silence_from_agents(self, vms: int) -> None:
         assert self.proxies[self.entries[0].address].silence_open(vms) == vms
 
@@ -70,6 +76,7 @@
         deployment = ProxiedDeployment(1, vms)
         context.deployment = deployment
         context.cleanups.append(deployment.close)
+        await deployment.start_proxies()
         for worker in deployment.workers:
             worker._run_s = TASK_RUN_S
         entry = deployment.entries[0]
@@ -91,6 +98,26 @@
     return sum(len(w.started) for w in context.deployment.workers)
 
 
+@then("the proxies and what is behind them have addresses of their own")
+def check_distinct(context: Context) -> None:
+    addresses = _proxy_addresses(context)
+    assert len(set(addresses)) == len(addresses), addresses
+
+
+@then("none of their ports is one of the ports of outgoing connections")
+def check_ports(context: Context) -> None:
+    for address in _proxy_addresses(context):
+        port = int(address.rpartition(":")[2])
+        assert port < FIRST_OUTGOING_PORT, address
+
+
+def _proxy_addresses(context: Context) -> list[str]:
+    addresses = []
+    for address, proxy in context.deployment.proxies.items():
+        addresses.extend((address, proxy.upstream))
+    return addresses
+
+
 @when("the open connections of {count:d} VMs fall silent {way}")
 def silence(context: Context, count: int, way: str) -> None:
     deployment = context.deployment
--- a/tests/features/steps/silent_http_steps.py
+++ b/tests/features/steps/silent_http_steps.py
@@ -7,7 +7,6 @@
 from behave import given
 from behave import then
 from behave import when
-from platform_path_steps import free_address
 from platform_path_steps import run
 
 from yuccapoint.connection.endpoint_client import EndpointClient
@@ -18,6 +17,7 @@
 from yuccapoint.platform.adviser_client import AdviserClient
 from yuccapoint.platform.store_partition import StorePartition
 from yuccapoint.request.exceptions import DeadlinePassedError
+from yuccapoint_standins.deployment import find_free_address
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -103,7 +103,7 @@
 
 @given("a peer that accepts no connection")
 def no_peer(context: Context) -> None:
-    context.client = HttpClient(free_address())
+    context.client = HttpClient(find_free_address())
 
 
 @given("a long poll of 700 ms in flight")
--- a/tests/features/steps/silent_session_steps.py
+++ b/tests/features/steps/silent_session_steps.py
@@ -7,7 +7,6 @@
 from behave import then
 from behave import when
 import msgspec
-from platform_path_steps import free_address
 from request_path_steps import _head
 from request_path_steps import _open_session
 from request_path_steps import start_session
@@ -18,6 +17,7 @@
 from yuccapoint.connection.frame_stream import FrameStream
 from yuccapoint.connection.frames import SessionHandshake
 from yuccapoint.request.exceptions import RequestError
+from yuccapoint_standins.deployment import find_free_address
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -33,7 +33,7 @@
 @given("an agent session to an agent with a scripted endpoint by a proxy")
 def make_session(context: Context) -> None:
     start_session(context)
-    context.proxy = Proxy(free_address(), context.session_address)
+    context.proxy = Proxy(find_free_address(), context.session_address)
     _run(context, context.proxy.start())
     context.cleanups.append(context.proxy.close)
     context.session_address = context.proxy.address
@@ -135,7 +135,7 @@
 def former_agent(context: Context) -> None:
     async def start() -> None:
         context.agent = FormerAgent()
-        address = free_address()
+        address = find_free_address()
         host, _, port = address.rpartition(":")
         context.agent.listen(int(port), host)
         context.cleanups.append(context.agent.stop)
--- a/tests/features/steps/silent_store_steps.py
+++ b/tests/features/steps/silent_store_steps.py
@@ -7,7 +7,6 @@
 from behave import then
 from behave import when
 from platform_path_steps import Deployment
-from platform_path_steps import free_address
 from platform_path_steps import run
 from platform_path_steps import wait_until
 
@@ -15,6 +14,7 @@
 from yuccapoint.connection.http_client import HttpClient
 from yuccapoint.platform.store_partition import StorePartition
 from yuccapoint.process.steady_clock import steady_s
+from yuccapoint_standins.deployment import find_free_address
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -29,7 +29,7 @@
 
     def partition(self, topic: str) -> StorePartition:
         if self.store_proxy is None:
-            self.store_proxy = Proxy(free_address(), self.store_address)
+            self.store_proxy = Proxy(find_free_address(), self.store_address)
             asyncio.ensure_future(self.store_proxy.start())
         return StorePartition(HttpClient(self.store_proxy.address), topic, 0)
 
--- a/tests/features/steps/silent_worker_steps.py
+++ b/tests/features/steps/silent_worker_steps.py
@@ -8,13 +8,13 @@
 from behave import when
 from platform_path_steps import call
 from platform_path_steps import Deployment
-from platform_path_steps import free_address
 from platform_path_steps import job_body
 from platform_path_steps import JOB_ID
 from platform_path_steps import run
 from platform_path_steps import wait_until
 
 from soak.proxy import Proxy
+from yuccapoint_standins.deployment import find_free_address
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -30,7 +30,7 @@
         super().__init__(1, 1)
         worker = self.workers[0]
         worker._run_s = TASK_RUN_S
-        self.worker_proxy = Proxy(free_address(), worker._address)
+        self.worker_proxy = Proxy(find_free_address(), worker._address)
         asyncio.ensure_future(self.worker_proxy.start())
         # Its check-ins name this address.
         worker._address = self.worker_proxy.address
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -35,7 +35,7 @@
         self.address = address
         self.state = LinkState.PASS
         self.delay_s = 0.0
-        self._upstream = upstream
+        self.upstream = upstream
         self._server: asyncio.Server | None = None
         # In the order of their opening.
         self._connections: list[ProxiedConnection] = []
@@ -84,7 +84,7 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        host, _, port = self._upstream.rpartition(":")
+        host, _, port = self.upstream.rpartition(":")
         try:
             upstream_reader, upstream_writer = await asyncio.open_connection(
                 host, int(port)
