Keep a VM in use after a late notice that its worker ends

Callers saw jobs that stayed pending: after a DELETE for each worker's id a job of 4 tasks was "pending" 9 s later, with all VMs idle.

Cause: the agent took a DELETE with the worker's id for the end of the present instance, and reported it as draining until the next instance; the leader gives an instance that drained no more work. A DELETE names no `born`, so that one that is held up may come after the worker is back under its id.

Why this works: the leader is told of a planned end by check-ins only, which name their instance. A DELETE keeps starts away until the next poll; the answer to a poll that was sent after it shows that the worker has not ended, and no answer counts as before. A worker that ends as planned reports draining first. The crash log still takes a DELETE that is not disproved for a planned end.

Failed before: "A late notice of a former instance's end does not close a VM", "VMs stay in use after late notices that their workers end", and the two scenarios of the rule (refused as draining).

--- a/src/yuccapoint/cell/followed_worker.py
+++ b/src/yuccapoint/cell/followed_worker.py
@@ -52,7 +52,7 @@
     __slots__ = (
         "_drain_until_s",
         "_lease",
-        "_leave_announced",
+        "_leave_announced_at_s",
         "answered_by_born_ms",
         "check_in",
         "clock",
@@ -72,13 +72,17 @@
         self.withheld_since_s = 0.0
         self._lease = lease
         self._drain_until_s = 0.0
-        self._leave_announced = False
+        self._leave_announced_at_s: float | None = None
 
     @property
     def is_draining(self) -> bool:
-        """Whether the worker has announced its end."""
-        draining = self.check_in is not None and self.check_in.draining
-        return self._leave_announced or draining
+        """Whether the worker drains before a planned end."""
+        return self.check_in is not None and self.check_in.draining
+
+    @property
+    def has_announced_end(self) -> bool:
+        """Whether the worker ends as planned."""
+        return self.is_draining or self._leave_announced_at_s is not None
 
     @property
     def is_unreachable(self) -> bool:
@@ -102,6 +106,9 @@
         if self.answered_by_born_ms is not None:
             # The instance that the leader knows is gone.
             return REASON_UNREACHABLE
+        if self._leave_announced_at_s is not None:
+            # The next poll tells whether it is gone.
+            return REASON_UNREACHABLE
         return ""
 
     def is_newer(self, check_in: CheckIn, now_s: float) -> bool:
@@ -149,7 +156,7 @@
         self.failed_status_requests = 0
         self.answered_by_born_ms = None
         self.withheld_since_s = now_s
-        self._leave_announced = False
+        self._leave_announced_at_s = None
         self.clock.reset_bound()
 
     def on_check_in(self, check_in: CheckIn, now_s: float) -> None:
@@ -158,9 +165,30 @@
         self.clock.set(check_in.clock_ms, now_s)
         self._drain_until_s = now_s + check_in.remaining_ms / 1000
 
-    def announce_leave(self) -> None:
-        """Note that the worker is about to stop as planned."""
-        self._leave_announced = True
+    def announce_leave(self, now_s: float) -> None:
+        """Note a notice that the worker ends now.
+
+        It does not name the instance, and a delayed one may be from a former
+        instance of the same id. The leader is told of a planned end by
+        check-ins only, as it gives an instance that drains no more work.
+        """
+        self._leave_announced_at_s = now_s
+
+    def withdraw_leave(self, sent_at_s: float) -> bool:
+        """Return whether an answer disproves a notice of the worker's end.
+
+        Parameters
+        ----------
+        sent_at_s : float
+            When the request was sent that the present instance answered, as
+            steady time in seconds. The worker may answer an earlier one just
+            before its end.
+        """
+        left_at_s = self._leave_announced_at_s
+        if left_at_s is None or sent_at_s <= left_at_s:
+            return False
+        self._leave_announced_at_s = None
+        return True
 
     def on_answered(
         self, status: WorkerStatus, sent_at_s: float, now_s: float
--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -124,15 +124,19 @@
         self.lease.record_clock(check_in.clock_ms, now_s)
         return True
 
-    def on_leave(self, worker_id: str) -> None:
-        """Note that the worker is about to stop as planned."""
+    def on_leave(self, worker_id: str, now_s: float) -> None:
+        """Note a notice that the worker ends now."""
         if self.check_in is None:
             return
         if self.check_in.instance.worker_id != worker_id:
             return
-        self._worker.announce_leave()
-        self.registry.has_updates = True
-        self._explain("worker", "leaves", worker=worker_id)
+        self._worker.announce_leave(now_s)
+        self._explain(
+            "worker",
+            "a notice says that it ends",
+            worker=worker_id,
+            draining=int(self._worker.is_draining),
+        )
 
     def _begin_instance(
         self, previous: CheckIn, check_in: CheckIn, now_s: float
@@ -140,7 +144,9 @@
         worker = self._worker
         same_id = previous.instance.worker_id == check_in.instance.worker_id
         suspects = self.crash_log.on_instance_ended(
-            self.registry.tracked_runs, now_s, announced=worker.is_draining
+            self.registry.tracked_runs,
+            now_s,
+            announced=worker.has_announced_end,
         )
         self.crash_log.next_starts.begin_instance(check_in.clock_ms, now_s)
         worker.fence.begin_instance(check_in.instance.born_ms)
@@ -153,7 +159,7 @@
             same_id=int(same_id),
             fence=worker.fence.number,
             blocked_starts=blocked,
-            announced=int(worker.is_draining),
+            announced=int(worker.has_announced_end),
             suspects=suspects,
         )
         worker.begin_instance(now_s)
@@ -218,17 +224,14 @@
         if self.check_in is None or not self.term:
             return []
         self._room.withdraw_outdated_starts(now_s)
-        calls: list[WorkerCall] = []
-        calls.extend(
-            due_calls(
-                self.registry.tracked_runs,
-                self.term,
-                self.lease,
-                now_s,
-                worker_is_silent=self._worker.failed_status_requests > 0,
-            )
+        run_calls = due_calls(
+            self.registry.tracked_runs,
+            self.term,
+            self.lease,
+            now_s,
+            worker_is_silent=self._worker.failed_status_requests > 0,
         )
-        calls.extend(self._pacing.take_calls())
+        calls: list[WorkerCall] = [*run_calls, *self._pacing.take_calls()]
         for call in calls:
             call.address_to(
                 self.check_in.instance,
--- a/src/yuccapoint/cell/worker_polls.py
+++ b/src/yuccapoint/cell/worker_polls.py
@@ -196,6 +196,13 @@
             # calls meant for its predecessor.
             self._pacer.reset()
             return False
+        if self._worker.withdraw_leave(sent_at_s):
+            self._explain(
+                "worker",
+                "answers after a notice of its end, which is ignored",
+                worker=current.instance.worker_id,
+                born_ms=current.instance.born_ms,
+            )
         self._worker.on_answered(status, sent_at_s, now_s)
         may_run_late_starts = self._registry.may_get_former_calls(now_s)
         self._registry.late_calls.on_own_call_answered()
--- a/src/yuccapoint/process/cell_agent_process.py
+++ b/src/yuccapoint/process/cell_agent_process.py
@@ -224,7 +224,7 @@
 
     def on_leave(self, worker_id: str) -> None:
         """Process a worker's notice that it exits."""
-        self.vm_agent.on_leave(worker_id)
+        self.vm_agent.on_leave(worker_id, steady_s())
         self._wake.set()
 
     def on_invalid_check_in(self, text: str) -> None:
--- a/tests/features/cell/instance_change.feature
+++ b/tests/features/cell/instance_change.feature
@@ -72,3 +72,28 @@
     And it lists a run that the agent did not start
     Then the worker is not reported
     And that run is stopped
+
+  Scenario: A late notice of a former instance's end does not close a VM
+    # Load: the notice of a worker that ends as planned is held up until the
+    # worker is back under its id. The VM got no more work.
+    Given an agent whose worker was started at 1 ms
+    When a notice arrives that the worker ends
+    And a poll lists no run
+    And its leader orders a second run
+    Then the worker is reported as ready and the start is sent
+
+  Scenario: No run is started between a notice and the next answer
+    Given an agent whose worker was started at 1 ms
+    When a notice arrives that the worker ends
+    And its leader orders a second run
+    Then the start is refused as "unreachable"
+    And the worker is not called
+
+  Scenario: The answer to a poll that was sent before a notice confirms nothing
+    # The worker ends at once after its notice.
+    Given an agent whose worker was started at 1 ms
+    When a notice arrives that the worker ends while a poll is under way
+    And the worker answers that poll
+    And its leader orders a second run
+    Then the start is refused as "unreachable"
+    And the worker is not called
--- a/tests/features/platform/odd_entries.feature
+++ b/tests/features/platform/odd_entries.feature
@@ -61,6 +61,14 @@
       | with a clock that is far ahead           |
       | of a later start of the worker           |
 
+  Scenario: VMs stay in use after late notices that their workers end
+    # Each VM was closed until its worker's next start.
+    Given a platform with 1 entries and 2 VMs
+    When each agent gets a notice that its worker ends
+    And a caller submits a job of 1 steps with 4 tasks each
+    Then the job is "completed" within 9 s at each entry
+    And each of its 4 tasks was started once, the first step first
+
   Scenario: A worker that restarts under a new id is followed
     Given a platform with 1 entries and 2 VMs
     When each worker restarts under a new id
--- a/tests/features/steps/crash_suspect_steps.py
+++ b/tests/features/steps/crash_suspect_steps.py
@@ -108,7 +108,7 @@
 def announced(context: Context, how: str) -> None:
     agent = context.vm_agent
     if how == "leaves":
-        agent.on_leave(agent.check_in.instance.worker_id)
+        agent.on_leave(agent.check_in.instance.worker_id, context.now_s)
         return
     _check_in(context, worker_steps.WORKER_ID, draining=True)
 
--- a/tests/features/steps/instance_change_steps.py
+++ b/tests/features/steps/instance_change_steps.py
@@ -16,6 +16,7 @@
 from yuccapoint.cell.cell_messages import RunningTask
 from yuccapoint.cell.occurrence_state import Phase
 from yuccapoint.cell.occurrence_state import WorkerInstance
+from yuccapoint.cell.worker_events import StartCall
 from yuccapoint.cell.worker_events import StopCall
 from yuccapoint.cell.worker_events import WorkerStatus
 
@@ -217,3 +218,21 @@
     stops = worker_steps.calls(context, StopCall)
     runs = [(call.task_id, call.run) for call in stops]
     assert runs == [(worker_steps.TASK_ID, 3)], runs
+
+
+@when("a notice arrives that the worker ends")
+def late_notice(context: Context) -> None:
+    context.vm_agent.on_leave(worker_steps.WORKER_ID, context.now_s)
+
+
+@when("a notice arrives that the worker ends while a poll is under way")
+def notice_during_poll(context: Context) -> None:
+    context.poll = context.vm_agent.next_status_request()
+    context.vm_agent.on_leave(worker_steps.WORKER_ID, context.now_s + 0.1)
+
+
+@then("the worker is reported as ready and the start is sent")
+def ready(context: Context) -> None:
+    message = context.vm_agent.build_report(context.now_s)
+    assert not message.worker.draining
+    assert len(worker_steps.calls(context, StartCall)) == 1
--- a/tests/features/steps/odd_entry_steps.py
+++ b/tests/features/steps/odd_entry_steps.py
@@ -219,6 +219,33 @@
         assert check_in.address == worker._address, check_in.address
 
 
+@when("each agent gets a notice that its worker ends")
+def send_notices(context: Context) -> None:
+    deployment = context.deployment
+
+    async def send() -> None:
+        for address, worker in zip(
+            deployment.check_in_addresses, deployment.workers, strict=True
+        ):
+            client = HttpClient(address)
+            response = await client.call(
+                "DELETE",
+                f"/yuccapoint/instances/{worker.worker_id}",
+                b"",
+                timeout_s=1.0,
+            )
+            client.close()
+            assert response.status == 200, response.status
+
+    run(context, wait_until(lambda: _all_followed(context), 5))
+    run(context, send())
+
+
+def _all_followed(context: Context) -> bool:
+    agents = context.deployment.agents
+    return all(agent.vm_agent.check_in is not None for agent in agents)
+
+
 @when("each worker announces that it leaves")
 def announce_leave(context: Context) -> None:
     for worker in context.deployment.workers:
