Move the idle timer out of the adapter

platform/ decodes the users' wire and decides nothing; when a stopping entry counts as idle is a decision.

--- a/src/yuccapoint/platform/roles.py
+++ b/src/yuccapoint/platform/roles.py
@@ -12,11 +12,11 @@
 from yuccapoint.exceptions import SettingsError
 from yuccapoint.platform.config_feed import ConfigFeed
 from yuccapoint.platform.http_response import send_response
-from yuccapoint.platform.idle_timer import IdleTimer
 from yuccapoint.platform.node_settings import load_node_settings
 from yuccapoint.platform.node_settings import settings_path
 from yuccapoint.platform.operator_config import CONFIG_TOPIC
 from yuccapoint.platform.store_partition import StorePartition
+from yuccapoint.process.idle_timer import IdleTimer
 from yuccapoint.process.log_output import LogOutput
 from yuccapoint.process.metrics import Metrics
 from yuccapoint.process.process_logger import ProcessLogger
--- a/tests/features/steps/held_up_stop_steps.py
+++ b/tests/features/steps/held_up_stop_steps.py
@@ -11,8 +11,8 @@
 from behave import when
 
 from yuccapoint.platform import roles
-from yuccapoint.platform.idle_timer import IdleTimer
 from yuccapoint.platform.job_api import JobApi
+from yuccapoint.process.idle_timer import IdleTimer
 from yuccapoint_standins.deployment import find_free_address
 
 if TYPE_CHECKING:
