Count former leases from the last renewal, and name silent VMs in it

What callers saw: long-running tasks of a lost VM had no run for 10.0 to 14.6 s if the leader was lost too, at once or up to 4.5 s later; LOST allows 9 s.

Cause: what one leader knows of a lease was lost with it. The next leader counted all leases of the former one from its own takeover, 2.0 to 2.7 s after the last renewal, as if each had been granted 2.5 s after that. A series of leaders began the count anew each time.

Why it is safe: a leader may grant leases for 2.5 s after it sent a renewal, and the next one has read this renewal before its own takeover; both records come in the order of the log. Until a renewal without a VM's name is stored, that VM gets no lease. Ruled out: names in the takeover record (the former leader may store a renewal without them in between), and counting from the start of a restarted entry (a second machine may have its name).

A renewal now also follows each change of the silent VMs, 0.2 s apart at least, and the first one follows the takeover at once.

--- a/src/yuccapoint/cell/cell_leader.py
+++ b/src/yuccapoint/cell/cell_leader.py
@@ -10,6 +10,7 @@
 from yuccapoint.cell.crash_counter import CrashCounter
 from yuccapoint.cell.due_occurrences import add_due_occurrences
 from yuccapoint.cell.exceptions import InvalidJobError
+from yuccapoint.cell.former_grants import FormerGrants
 from yuccapoint.cell.interference_model import InterferenceModel
 from yuccapoint.cell.job_run import JobRun
 from yuccapoint.cell.occurrence_state import Outcome
@@ -18,6 +19,7 @@
 from yuccapoint.cell.preemption import find_preemptions
 from yuccapoint.cell.report_handler import ReportHandler
 from yuccapoint.cell.run_end_handler import RunEndHandler
+from yuccapoint.cell.silent_vms import SilentVms
 from yuccapoint.cell.store_maintenance import StoreMaintenance
 from yuccapoint.cell.task_lookup import find_task
 from yuccapoint.cell.ticket_cache import TicketCache
@@ -68,10 +70,18 @@
         Term of the leadership.
     now_s : float
         Steady time of the takeover in seconds.
+    former_grants : FormerGrants or None
+        Bounds of the leases granted by former leaders; None to count them
+        from the takeover.
     """
 
     def __init__(
-        self, name: str, address: str, term: int, now_s: float
+        self,
+        name: str,
+        address: str,
+        term: int,
+        now_s: float,
+        former_grants: FormerGrants | None = None,
     ) -> None:
         self.name = name
         self.address = address
@@ -81,7 +91,8 @@
         self.explanations: list[Explain] = []
         self.ticket_cache = TicketCache()
         self.interference = InterferenceModel()
-        self._took_over_at_s = now_s
+        self.silent_vms = SilentVms(now_s)
+        self._former_grants = former_grants or FormerGrants(now_s)
         self._progress_written_at_s = now_s
         self._changes = UncommittedChanges()
         self._end_handler = RunEndHandler(self)
@@ -325,6 +336,8 @@
 
     def commit(self, batch: CommitBatch) -> None:
         """Apply the effects of a batch that has been stored."""
+        if batch.silent_vms is not None:
+            self.silent_vms.on_renewed(self.vms.values(), batch.silent_vms)
         for task, run in batch.claims:
             if task.phase is Phase.CLAIMED and task.run == run:
                 task.durable = True
@@ -366,8 +379,9 @@
     def _ensure_vm(self, name: str, address: str) -> VmLedger:
         vm = self.vms.get(name)
         if vm is None:
-            until_s = lease_bounds.former_grants_until_s(self._took_over_at_s)
+            until_s = self._former_grants.until_s(name)
             vm = VmLedger(name, address, until_s)
+            vm.named_silent = self._former_grants.is_silent(name)
             self.vms[name] = vm
         return vm
 
--- a/src/yuccapoint/cell/cell_records.py
+++ b/src/yuccapoint/cell/cell_records.py
@@ -42,6 +42,11 @@
         Number of renewals in this term.
     resigned : bool
         Whether the leader stopped as planned.
+    silent_vms : tuple or None
+        Names of VMs that get no lease before a later renewal is stored, each
+        with the time in milliseconds after which the leases granted so far
+        have expired. None in records of earlier builds, whose leaders also
+        grant leases for some time after other records.
     """
 
     term: int
@@ -49,6 +54,7 @@
     incarnation: int
     renewal: int = 0
     resigned: bool = False
+    silent_vms: tuple[tuple[str, int], ...] | None = None
 
 
 class Member(msgspec.Struct, frozen=True, array_like=True):
--- a/src/yuccapoint/cell/commit_batch.py
+++ b/src/yuccapoint/cell/commit_batch.py
@@ -21,11 +21,15 @@
     end_acks : list of tuple
         VMs, the start time of their worker, and the number of the last run
         end that is acknowledged to the worker.
+    silent_vms : tuple or None
+        The VMs that a renewal of the leadership among the records names as
+        silent; None if there is no renewal.
     """
 
-    __slots__ = ("claims", "end_acks", "records")
+    __slots__ = ("claims", "end_acks", "records", "silent_vms")
 
     def __init__(self) -> None:
         self.records: list[tuple[str, bytes | None]] = []
         self.claims: list[tuple[TaskRun, int]] = []
         self.end_acks: list[tuple[VmLedger, int, int]] = []
+        self.silent_vms: tuple[tuple[str, int], ...] | None = None
--- a/src/yuccapoint/cell/lease_bounds.py
+++ b/src/yuccapoint/cell/lease_bounds.py
@@ -9,6 +9,8 @@
 LEADER_LEASE_S = 2.5
 # Interval between renewals of the leadership; three may be lost.
 RENEW_INTERVAL_S = 0.7
+# The least interval, for renewals that tell of silent VMs.
+MIN_RENEW_INTERVAL_S = 0.2
 # Another entry takes over after this time without a renewal.
 LEADER_TIMEOUT_S = 2.0
 # A leader's silence counts only as long as reads of the store succeed; each
@@ -24,6 +26,9 @@
 # sends to a silent agent.
 REPORT_INTERVAL_S = 0.8
 PROBE_INTERVAL_S = 0.5
+# A VM without a report for this long gets no lease until a renewal is stored.
+# One report of a VM that works may be late by less.
+SILENT_AFTER_S = 1.3
 # A VM without a report for this long gets no new work.
 STALE_AFTER_S = 1.8
 # The same for a VM that has not confirmed orders for this long: a lease that
@@ -36,6 +41,17 @@
     return asked_at_s + VM_LEASE_S * MAX_CLOCK_RATIO
 
 
-def former_grants_until_s(took_over_at_s: float) -> float:
-    """Return when all leases granted by former leaders have expired."""
-    return took_over_at_s + (LEADER_LEASE_S + VM_LEASE_S) * MAX_CLOCK_RATIO
+def former_grants_until_s(renewed_at_s: float) -> float:
+    """Return when all leases granted by former leaders have expired.
+
+    Parameters
+    ----------
+    renewed_at_s : float
+        Steady time in seconds at which their last renewal was read.
+    """
+    return renewed_at_s + (LEADER_LEASE_S + VM_LEASE_S) * MAX_CLOCK_RATIO
+
+
+def remaining_until_s(read_at_s: float, remaining_ms: int) -> float:
+    """Return when a time span that another VM measures has passed."""
+    return read_at_s + remaining_ms / 1000 * MAX_CLOCK_RATIO
--- a/src/yuccapoint/cell/order_builder.py
+++ b/src/yuccapoint/cell/order_builder.py
@@ -47,6 +47,8 @@
     # Without an end of its lease, a VM that gets no orders would keep the
     # claims whose starts it never gets.
     grant = grant and vm.unconfirmed_s(now_s) < lease_bounds.VM_LEASE_S
+    # The next leader counts on it.
+    grant = grant and not vm.named_silent
     if grant:
         vm.grant()
     has_room = withdraw_excess_starts(leader, vm, now_s)
--- a/src/yuccapoint/cell/vm_ledger.py
+++ b/src/yuccapoint/cell/vm_ledger.py
@@ -65,6 +65,9 @@
     reserved_for : str
         Task suspected of crashing workers that may start until
         ``reserved_until_s``, alone.
+    named_silent : bool
+        Whether a renewal of the leader's names the VM as silent, so that it
+        gets no lease.
     """
 
     def __init__(self, name: str, address: str, leased_until_s: float) -> None:
@@ -111,6 +114,7 @@
         self.moved_at_s = 0.0
         self.reserved_for = ""
         self.reserved_until_s = 0.0
+        self.named_silent = False
 
     @property
     def instance(self) -> WorkerInstance | None:
--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -10,8 +10,6 @@
 
 import xxhash
 
-from yuccapoint.cell import cell_records
-from yuccapoint.cell import lease_bounds
 from yuccapoint.cell.cell_leader import CellLeader
 from yuccapoint.cell.cell_messages import CellMessage
 from yuccapoint.cell.cell_messages import RelayAnswer
@@ -21,6 +19,7 @@
 from yuccapoint.cell.cell_records import Leadership
 from yuccapoint.cell.cell_view import CellView
 from yuccapoint.cell.crash_messages import CrashReport
+from yuccapoint.cell.former_leadership import FormerLeadership
 from yuccapoint.cell.leader_election import LeaderElection
 from yuccapoint.cell.record_dispatch import apply_record
 from yuccapoint.connection.cell_store import StoreFencedError
@@ -33,6 +32,7 @@
 from yuccapoint.process.cell_writer import CellWriter
 from yuccapoint.process.entry_registration import register_entry
 from yuccapoint.process.group_appender import GroupAppender
+from yuccapoint.process.leadership_renewals import LeadershipRenewals
 from yuccapoint.process.steady_clock import steady_s
 from yuccapoint.process.steady_clock import wall_ms
 from yuccapoint.process.supervised_task import supervise
@@ -105,6 +105,7 @@
         self._store = store
         stagger = xxhash.xxh32_intdigest(name.encode()) / 2**32
         self._leader_election = LeaderElection(name, self.incarnation, stagger)
+        self._former_leadership = FormerLeadership()
         self.tail = CellTail(
             store, self.view, self._on_record, self._on_read, logger
         )
@@ -130,8 +131,7 @@
         )
         self._writer: CellWriter | None = None
         self._append_task: asyncio.Task[None] | None = None
-        self._renewed_at_s = 0.0
-        self._renewal = 0
+        self._renewals = LeadershipRenewals(name, self.incarnation)
         self._pairs_written_at_s = 0.0
         self._takeover_tried_at_s = 0.0
         self._wake = asyncio.Event()
@@ -188,6 +188,10 @@
         self._control_channel.close()
 
     def _on_record(self, record: CellRecord | None) -> None:
+        if isinstance(record, Leadership):
+            self._former_leadership.on_record(
+                record, steady_s(), follows_last=not self.tail.is_loading
+            )
         if self.leader is None or record is None:
             return
         if apply_record(self.leader, self.view, record, steady_s()):
@@ -216,7 +220,9 @@
         writer = CellWriter(self._store, term, self.logger)
         try:
             async with asyncio.timeout(TAKEOVER_TIMEOUT_S):
-                sent_at_s = await writer.append([self._leadership(term, 0)])
+                sent_at_s = await writer.append(
+                    [self._renewals.build_takeover(term)]
+                )
         except (YuccapointError, TimeoutError) as error:
             self.logger.log("leader", "takeover failed", error=repr(error))
             return
@@ -229,12 +235,14 @@
         # term, and a stored one may be unanswered.
         self._writer = CellWriter(self._store, term, self.logger)
         self._writer.skip_takeover()
-        leader = CellLeader(self.name, self.address, term, now_s)
+        former_grants = self._former_leadership.grants(now_s)
+        leader = CellLeader(
+            self.name, self.address, term, now_s, former_grants
+        )
         leader.load(self.view, now_s)
         self.leader = leader
         self.tail.read_pause_s = LEADER_READ_PAUSE_S
-        self._renewed_at_s = now_s
-        self._renewal = 0
+        self._renewals.begin_term()
         self.metrics.count("takeovers")
         self.logger.log(
             "leader",
@@ -264,19 +272,9 @@
             return
         if self._append_task is not None:
             await self._append_task
-        await writer.append(
-            [self._leadership(leader.term, self._renewal, resigned=True)]
-        )
+        await writer.append([self._renewals.build_resignation(leader.term)])
         self._step_down("the entry is stopping")
 
-    def _leadership(
-        self, term: int, renewal: int, *, resigned: bool = False
-    ) -> tuple[str, bytes | None]:
-        record = Leadership(
-            term, self.name, self.incarnation, renewal, resigned
-        )
-        return cell_records.LEADERSHIP, cell_records.encode(record)
-
     async def _run_rounds(self) -> None:
         while True:
             with contextlib.suppress(TimeoutError):
@@ -332,10 +330,7 @@
 
     def _start_append(self, leader: CellLeader, now_s: float) -> None:
         batch = leader.collect_batch()
-        renew = now_s - self._renewed_at_s >= lease_bounds.RENEW_INTERVAL_S
-        if renew:
-            self._renewal += 1
-            batch.records.append(self._leadership(leader.term, self._renewal))
+        self._renewals.add_due(batch, leader, now_s)
         if now_s - self._pairs_written_at_s > WRITE_PAIRS_EVERY_S:
             self._pairs_written_at_s = now_s
             batch.records.extend(leader.maintenance.encode_pairs())
@@ -346,8 +341,6 @@
             if batch.end_acks:
                 leader.commit(batch)
             return
-        if renew:
-            self._renewed_at_s = now_s
         self._append_task = asyncio.ensure_future(self._commit(leader, batch))
 
     async def _commit(self, leader: CellLeader, batch: CommitBatch) -> None:
@@ -363,7 +356,9 @@
             return
         self._append_task = None
         self.metrics.count("batches")
-        self._leader_election.on_renewed(sent_at_s)
+        if batch.silent_vms is not None:
+            # The next leader counts leases from the renewals only.
+            self._leader_election.on_renewed(sent_at_s)
         if leader is self.leader:
             leader.commit(batch)
         self._wake.set()
--- a/src/yuccapoint/process/cell_tail.py
+++ b/src/yuccapoint/process/cell_tail.py
@@ -76,6 +76,11 @@
         self._next_offset: int | None = None
         self._failing = False
 
+    @property
+    def is_loading(self) -> bool:
+        """Whether only the newest record of each key is being read."""
+        return self._next_offset is None
+
     @property
     def up_to_date(self) -> bool:
         """Whether a read succeeded recently."""
--- /dev/null
+++ b/src/yuccapoint/process/leadership_renewals.py
@@ -0,0 +1,107 @@
+"""Leadership records that an entry writes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from yuccapoint.cell import cell_records
+from yuccapoint.cell import lease_bounds
+from yuccapoint.cell.cell_records import Leadership
+
+if TYPE_CHECKING:
+    from yuccapoint.cell.cell_leader import CellLeader
+    from yuccapoint.cell.commit_batch import CommitBatch
+
+StoreItem = tuple[str, bytes | None]
+
+
+class LeadershipRenewals:
+    """Builds the records of takeovers, renewals and resignations.
+
+    Parameters
+    ----------
+    entry : str
+        Name of the entry.
+    incarnation : int
+        Start time of the entry in nanoseconds.
+    """
+
+    __slots__ = ("_entry", "_incarnation", "_renewal", "_renewed_at_s")
+
+    def __init__(self, entry: str, incarnation: int) -> None:
+        self._entry = entry
+        self._incarnation = incarnation
+        self._renewal = 0
+        self._renewed_at_s = 0.0
+
+    def begin_term(self) -> None:
+        """Begin the renewals of a term.
+
+        The first one is due at once, as it names the VMs that the former
+        leader named as silent.
+        """
+        self._renewal = 0
+        self._renewed_at_s = 0.0
+
+    def build_takeover(self, term: int) -> StoreItem:
+        """Return the record of an attempt to lead a term."""
+        return self._item(
+            Leadership(term, self._entry, self._incarnation, silent_vms=())
+        )
+
+    def build_resignation(self, term: int) -> StoreItem:
+        """Return the record of a planned end."""
+        return self._item(
+            Leadership(
+                term,
+                self._entry,
+                self._incarnation,
+                self._renewal,
+                resigned=True,
+                silent_vms=(),
+            )
+        )
+
+    def add_due(
+        self, batch: CommitBatch, leader: CellLeader, now_s: float
+    ) -> None:
+        """Add a renewal to a batch if one is due.
+
+        Parameters
+        ----------
+        batch : CommitBatch
+            Batch that is written now.
+        leader : CellLeader
+            Leader of the term.
+        now_s : float
+            Steady time in seconds.
+        """
+        if not self._is_due(leader, now_s):
+            return
+        self._renewal += 1
+        self._renewed_at_s = now_s
+        batch.silent_vms = leader.silent_vms.collect(
+            leader.vms.values(), now_s
+        )
+        batch.records.append(
+            self._item(
+                Leadership(
+                    leader.term,
+                    self._entry,
+                    self._incarnation,
+                    self._renewal,
+                    silent_vms=batch.silent_vms,
+                )
+            )
+        )
+
+    def _is_due(self, leader: CellLeader, now_s: float) -> bool:
+        since_s = now_s - self._renewed_at_s
+        if since_s < lease_bounds.MIN_RENEW_INTERVAL_S:
+            return False
+        if since_s >= lease_bounds.RENEW_INTERVAL_S:
+            return True
+        return leader.silent_vms.has_changed(leader.vms.values(), now_s)
+
+    def _item(self, record: Leadership) -> StoreItem:
+        return cell_records.LEADERSHIP, cell_records.encode(record)
--- a/tests/features/steps/cell_world_steps.py
+++ b/tests/features/steps/cell_world_steps.py
@@ -19,6 +19,7 @@
 from yuccapoint.cell.job_gateway import GatewayResult  # noqa: E402
 from yuccapoint.cell.occurrence_run import OccurrenceRun  # noqa: E402
 from yuccapoint.cell.run_registry import RunRegistry  # noqa: E402
+from yuccapoint.cell.silent_vms import SilentVms  # noqa: E402
 from yuccapoint.cell.step_run import StepRun  # noqa: E402
 from yuccapoint.cell.task_run import TaskRun  # noqa: E402
 from yuccapoint.cell.vm_candidate import VmCandidate  # noqa: E402
@@ -43,6 +44,17 @@
     return result
 
 
+_collect_silent = SilentVms.collect
+
+
+def _name_and_forget(self, vms, now_s):
+    vms = list(vms)
+    named = _collect_silent(self, vms, now_s)
+    for vm in vms:
+        vm.named_silent = False
+    return named
+
+
 SEEDED_FAULTS = {
     "leases of lost VMs ignored": lambda: mock.patch.object(
         lease_bounds, "granted_until_s", lambda at_s: at_s + 1.0
@@ -75,6 +87,12 @@
     "crashes are not counted": lambda: mock.patch.object(
         CrashHistory, "note_crash", lambda self, run, *, started: False
     ),
+    "leases of silent VMs ignored": lambda: mock.patch.object(
+        lease_bounds, "remaining_until_s", lambda at_s, remaining_ms: at_s
+    ),
+    "silent VMs get leases": lambda: mock.patch.object(
+        SilentVms, "collect", _name_and_forget
+    ),
     "failed runs are retried late": lambda: mock.patch.object(
         run_end_handler, "RETRY_DELAY_S", 20.0
     ),
--- a/tests/features/steps/compatibility_steps.py
+++ b/tests/features/steps/compatibility_steps.py
@@ -44,6 +44,7 @@
 # record of the earlier build gets. Earlier builds skip them.
 APPENDED: dict[tuple[str, str], list[Any]] = {
     ("cell_messages", "vm"): [0],
+    ("cell_records", "leader"): [None],
 }
 
 
--- a/tests/features/steps/lost_with_leader_steps.py
+++ b/tests/features/steps/lost_with_leader_steps.py
@@ -93,3 +93,50 @@
         _run_until(context, world, lost_at_s + limit_s + 3.0)
         waits_s = [at_s - lost_at_s for at_s in context.lost[world].values()]
         assert max(waits_s) <= limit_s, (seed, sorted(waits_s))
+
+
+def _cut_off(world: World, seed: int, seconds: float) -> str:
+    vm = world.workers[seed % len(world.workers)].vm
+    links = []
+    for entry in world.entries:
+        links += [(vm, entry.name), (entry.name, vm)]
+    world._cut(links, seconds)
+    return vm
+
+
+@when(
+    "a VM is cut off for {seconds:d} s and its leader is lost {after_s:f} s"
+    " later for {gone_s:f} s"
+)
+def cut_off_vm_and_lose_leader(
+    context: Context, seconds: int, after_s: float, gone_s: float
+) -> None:
+    for seed, world in context.worlds:
+        _cut_off(world, seed, seconds)
+        world.run(after_s)
+        _kill_leaders(world, gone_s)
+
+
+@when("a VM is cut off for {seconds:f} s")
+def cut_off_vm(context: Context, seconds: float) -> None:
+    for seed, world in context.worlds:
+        _cut_off(world, seed, seconds)
+        world.run(seconds)
+
+
+@when("it reports again for {seconds:f} s, is cut off, and its leader is lost")
+def lose_leader_after_report(context: Context, seconds: float) -> None:
+    for seed, world in context.worlds:
+        ledger = _leaders(world)[0].leader.vms[f"vm-{seed % 6}"]
+        heard_at_s = ledger.heard_at_s
+        while ledger.heard_at_s == heard_at_s:
+            world.step()
+        world.run(seconds)
+        _cut_off(world, seed, 9.0)
+        _kill_leaders(world, 5.0)
+
+
+@when("{seconds:d} s pass in the cells")
+def pass_time(context: Context, seconds: int) -> None:
+    for _, world in context.worlds:
+        world.run(seconds)
