Count the right to grant from the first attempt at a takeover

An entry whose takeover was stored without an answer and repeated 1.5 s later could grant leases for up to 1.5 s longer than its record allows, and the next leader counts from that record since. Tasks of a VM that reaches only the former leader would then be released before its lease has expired.

Cause: the store answers a repeat like the first attempt. The right to grant was counted from the call that was answered, not from the first one of its term.

Why it works: no record of a term is stored before the first attempt at it was sent.

--- a/src/yuccapoint/cell/leader_election.py
+++ b/src/yuccapoint/cell/leader_election.py
@@ -37,6 +37,8 @@
         self._read_at_s = 0.0
         self._reading_since_s: float | None = None
         self._fenced_term = 0
+        self._tried_term = 0
+        self._tried_at_s = 0.0
 
     def on_records_read(self, leader: Leadership | None, now_s: float) -> None:
         """Record the newest leadership after a successful read.
@@ -98,6 +100,20 @@
         self._fenced_term = max(self._fenced_term, term)
         self.leader_lease_until_s = 0.0
 
+    def on_takeover_sent(self, term: int, now_s: float) -> None:
+        """Note an attempt to take over a term."""
+        if term != self._tried_term:
+            self._tried_term = term
+            self._tried_at_s = now_s
+
+    def on_takeover_answered(self) -> None:
+        """Extend the right to grant leases after a stored takeover.
+
+        The store answers a repeat like the first attempt, which it may have
+        executed, and other entries may have read, long before.
+        """
+        self.on_renewed(self._tried_at_s)
+
     def on_renewed(self, sent_at_s: float) -> None:
         """Extend the right to grant leases after a stored renewal."""
         until_s = sent_at_s + lease_bounds.LEADER_LEASE_S
--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -217,16 +217,15 @@
         self._takeover_tried_at_s = now_s
         term = self._leader_election.term + 1
         self.logger.log("leader", "attempting takeover", term=term)
+        self._leader_election.on_takeover_sent(term, now_s)
         writer = CellWriter(self._store, term, self.logger)
         try:
             async with asyncio.timeout(TAKEOVER_TIMEOUT_S):
-                sent_at_s = await writer.append(
-                    [self._renewals.build_takeover(term)]
-                )
+                await writer.append([self._renewals.build_takeover(term)])
         except (YuccapointError, TimeoutError) as error:
             self.logger.log("leader", "takeover failed", error=repr(error))
             return
-        self._leader_election.on_renewed(sent_at_s)
+        self._leader_election.on_takeover_answered()
         # The next read shows whether this entry was first with the term.
 
     def _start_leading(self, now_s: float) -> None:
