Treat overlapping loads of the store as a gap in its history

What callers saw: nothing yet; TWICE is possible. After "history truncated", the tail and a caller's catch-up may both load the newest records. Once the first load ended, the records of the second counted as if they followed, and a takeover in it as if the last renewal read were the former leader's last.

Evidence: overlapping_loads.feature, red before (leases counted from 10.0 s and not from the takeover at 12.2 s), green now.

Why it works: the tail counts its loads, and the history is known again when the last of them has ended.

--- a/src/yuccapoint/process/cell_tail.py
+++ b/src/yuccapoint/process/cell_tail.py
@@ -74,12 +74,14 @@
         self._on_read = on_read
         self._logger = logger
         self._next_offset: int | None = None
+        # A caller's catch-up may load the store at the same time.
+        self._loads = 0
         self._failing = False
 
     @property
     def is_loading(self) -> bool:
         """Whether only the newest record of each key is being read."""
-        return self._next_offset is None
+        return self._next_offset is None or self._loads > 0
 
     @property
     def up_to_date(self) -> bool:
@@ -147,6 +149,14 @@
         return bool(records)
 
     async def _load(self) -> None:
+        self._loads += 1
+        try:
+            await self._load_newest()
+        finally:
+            self._loads -= 1
+        self._mark_read()
+
+    async def _load_newest(self) -> None:
         records, follow_from = await self._store.read_newest()
         self._apply(records)
         self._view.retain({record.key for record in records}, follow_from)
@@ -157,7 +167,6 @@
         self._logger.log(
             "store", "loaded", keys=len(records), offset=next_offset
         )
-        self._mark_read()
 
     def _mark_read(self) -> None:
         self.last_read_at_s = steady_s()
