--- a/src/yuccapoint/cell/cell_leader.py
+++ b/src/yuccapoint/cell/cell_leader.py
@@ -91,7 +91,7 @@
         self.explanations: list[Explain] = []
         self.ticket_cache = TicketCache()
         self.interference = InterferenceModel()
-        self.silent_vms = SilentVms(now_s)
+        self.silent_vms = SilentVms(now_s, self.explain)
         self._former_grants = former_grants or FormerGrants(now_s)
         self._progress_written_at_s = now_s
         self._changes = UncommittedChanges()
--- a/src/yuccapoint/cell/former_grants.py
+++ b/src/yuccapoint/cell/former_grants.py
@@ -26,12 +26,12 @@
         until its leases have expired.
     """
 
-    __slots__ = ("_renewed_at_s", "_silent_until_s")
+    __slots__ = ("_silent_until_s", "renewed_at_s")
 
     def __init__(
         self, renewed_at_s: float, silent_vms: Iterable[tuple[str, int]] = ()
     ) -> None:
-        self._renewed_at_s = renewed_at_s
+        self.renewed_at_s = renewed_at_s
         self._silent_until_s = {
             vm: lease_bounds.remaining_until_s(renewed_at_s, remaining_ms)
             for vm, remaining_ms in silent_vms
@@ -54,5 +54,5 @@
         float
             Steady time in seconds.
         """
-        latest_s = lease_bounds.former_grants_until_s(self._renewed_at_s)
+        latest_s = lease_bounds.former_grants_until_s(self.renewed_at_s)
         return min(latest_s, self._silent_until_s.get(vm, latest_s))
--- a/src/yuccapoint/cell/silent_vms.py
+++ b/src/yuccapoint/cell/silent_vms.py
@@ -8,6 +8,7 @@
 from yuccapoint.cell import lease_bounds
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
 
     from yuccapoint.cell.vm_ledger import VmLedger
@@ -25,12 +26,17 @@
     took_over_at_s : float
         Steady time of the takeover in seconds. VMs report to a new leader
         with a delay.
+    explain : callable
+        Logs a decision: its part, text and fields.
     """
 
-    __slots__ = ("_took_over_at_s",)
+    __slots__ = ("_explain", "_took_over_at_s")
 
-    def __init__(self, took_over_at_s: float) -> None:
+    def __init__(
+        self, took_over_at_s: float, explain: Callable[..., None]
+    ) -> None:
         self._took_over_at_s = took_over_at_s
+        self._explain = explain
 
     def collect(
         self, vms: Iterable[VmLedger], now_s: float
@@ -53,9 +59,18 @@
         for vm in vms:
             if not self._is_to_be_named(vm, now_s):
                 continue
+            leased_ms = math.ceil((vm.leased_until_s - now_s) * 1000)
+            named.append((vm.name, leased_ms))
+            if vm.named_silent:
+                continue
             vm.named_silent = True
-            remaining_s = vm.leased_until_s - now_s
-            named.append((vm.name, math.ceil(remaining_s * 1000)))
+            self._explain(
+                "vm",
+                "silent; gets no lease until a renewal tells that it is back",
+                vm=vm.name,
+                silent_ms=round((now_s - self._heard_at_s(vm)) * 1000),
+                leased_ms=leased_ms,
+            )
         return tuple(named)
 
     def has_changed(self, vms: Iterable[VmLedger], now_s: float) -> bool:
@@ -85,6 +100,11 @@
                 continue
             vm.named_silent = False
             vm.orders_due = True
+            self._explain(
+                "vm",
+                "reports again, or its leases have expired; may get leases",
+                vm=vm.name,
+            )
 
     def _is_to_be_named(self, vm: VmLedger, now_s: float) -> bool:
         """Return whether a silent VM has claims under a lease."""
@@ -96,5 +116,8 @@
         if vm.named_silent and not vm.heard_at_s:
             # A former leader named it.
             return True
-        heard_at_s = max(vm.heard_at_s, self._took_over_at_s)
-        return now_s - heard_at_s >= lease_bounds.SILENT_AFTER_S
+        silent_s = now_s - self._heard_at_s(vm)
+        return silent_s >= lease_bounds.SILENT_AFTER_S
+
+    def _heard_at_s(self, vm: VmLedger) -> float:
+        return max(vm.heard_at_s, self._took_over_at_s)
--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -250,6 +250,9 @@
             term=leader.term,
             jobs=len(leader.jobs),
             vms=len(leader.vms),
+            renewal_read_ms_ago=int(
+                (now_s - former_grants.renewed_at_s) * 1000
+            ),
         )
         self._wake.set()
 
--- a/tests/features/cell/silent_vms.feature
+++ b/tests/features/cell/silent_vms.feature
@@ -13,7 +13,8 @@
     Given a leader whose VM has claims and is silent for 1.4 s
     Then a renewal is due at once
     When a renewal that names it is sent
-    Then the next leader counts its leases until they have expired
+    Then one log line tells that it is silent, with the rest of its lease
+    And the next leader counts its leases until they have expired
 
   Scenario: A VM that has not reported to a new leader yet isn't silent
     Given a leader that took over from one whose VM had claims
--- a/tests/features/steps/silent_vm_steps.py
+++ b/tests/features/steps/silent_vm_steps.py
@@ -109,6 +109,20 @@
     assert _is_renewal_due(context)
 
 
+@then("one log line tells that it is silent, with the rest of its lease")
+def logged(context: Context) -> None:
+    context.now_s += 0.2
+    _name_silent(context)
+    lines = [
+        explanation.fields
+        for explanation in context.leader.explanations
+        if explanation.text.startswith("silent;")
+    ]
+    expected = dict(context.named)["vm-0"]
+    assert lines == [{"vm": "vm-0", "silent_ms": 1400, "leased_ms": expected}]
+    context.now_s -= 0.2
+
+
 @then("its orders grant no lease")
 def no_lease(context: Context) -> None:
     assert not _orders(context).lease_ms
