Renew the right to grant with each batch; name no VM while the store is slow

Cause: the right to grant counted from renewals only, and a batch without one could take up the 2.5 s in a slow store. A VM that was named as silent waited for two slow records.

Each batch with records now has a renewal, 0.2 s after the last at least, and no VM is named while a batch takes over 0.5 s; the next leader then counts 7.8 s for it. The check for silent VMs, which visits all, runs ten times a second at most.

--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -359,6 +359,7 @@
             return
         self._append_task = None
         self.metrics.count("batches")
+        self._renewals.on_stored(sent_at_s, steady_s())
         if batch.silent_vms is not None:
             # The next leader counts leases from the renewals only.
             self._leader_election.on_renewed(sent_at_s)
--- a/src/yuccapoint/process/leadership_renewals.py
+++ b/src/yuccapoint/process/leadership_renewals.py
@@ -14,6 +14,13 @@
 
 StoreItem = tuple[str, bytes | None]
 
+# Interval of the checks whether VMs fell silent or report again; they visit
+# all VMs.
+CHECK_INTERVAL_S = 0.1
+# While a record takes longer to be stored, no VM is named: one that reports
+# again would wait for two of them without a lease.
+MAX_STORE_DELAY_S = 0.5
+
 
 class LeadershipRenewals:
     """Builds the records of takeovers, renewals and resignations.
@@ -26,13 +33,22 @@
         Start time of the entry in nanoseconds.
     """
 
-    __slots__ = ("_entry", "_incarnation", "_renewal", "_renewed_at_s")
+    __slots__ = (
+        "_checked_at_s",
+        "_entry",
+        "_incarnation",
+        "_renewal",
+        "_renewed_at_s",
+        "_store_is_slow",
+    )
 
     def __init__(self, entry: str, incarnation: int) -> None:
         self._entry = entry
         self._incarnation = incarnation
         self._renewal = 0
         self._renewed_at_s = 0.0
+        self._checked_at_s = 0.0
+        self._store_is_slow = False
 
     def begin_term(self) -> None:
         """Begin the renewals of a term.
@@ -86,13 +102,15 @@
         now_s : float
             Steady time in seconds.
         """
-        if not self._is_due(leader, now_s):
+        if not self._is_due(batch, leader, now_s):
             return
         self._renewal += 1
         self._renewed_at_s = now_s
-        batch.silent_vms = leader.silent_vms.collect(
-            leader.vms.values(), now_s
-        )
+        batch.silent_vms = ()
+        if not self._store_is_slow:
+            batch.silent_vms = leader.silent_vms.collect(
+                leader.vms.values(), now_s
+            )
         batch.records.append(
             self._item(
                 Leadership(
@@ -105,12 +123,31 @@
             )
         )
 
-    def _is_due(self, leader: CellLeader, now_s: float) -> bool:
+    def on_stored(self, sent_at_s: float, now_s: float) -> None:
+        """Note how long the store took for a batch.
+
+        Parameters
+        ----------
+        sent_at_s, now_s : float
+            When it was sent, and steady time in seconds.
+        """
+        self._store_is_slow = now_s - sent_at_s > MAX_STORE_DELAY_S
+
+    def _is_due(
+        self, batch: CommitBatch, leader: CellLeader, now_s: float
+    ) -> bool:
         since_s = now_s - self._renewed_at_s
         if since_s < lease_bounds.MIN_RENEW_INTERVAL_S:
             return False
-        if since_s >= lease_bounds.RENEW_INTERVAL_S:
+        # The right to grant leases counts from the renewals, and a batch may
+        # take long to be stored.
+        if batch.records or since_s >= lease_bounds.RENEW_INTERVAL_S:
             return True
+        if self._store_is_slow:
+            return False
+        if now_s - self._checked_at_s < CHECK_INTERVAL_S:
+            return False
+        self._checked_at_s = now_s
         return leader.silent_vms.has_changed(leader.vms.values(), now_s)
 
     def _item(self, record: Leadership) -> StoreItem:
