Count a silent VM's lease to its end at the next leader

A renewal names silent VMs with the rest of their leases. The next leader capped that at what a leader can have granted, 7.8 s from the renewal. A lease that the worker took from a call to its former instance may last longer, so that the tasks would be started elsewhere before (TWICE). The rest that is named counts as it is; without such a lease it is below the cap by the time that the VM has been silent, so that nothing else changes.

The new scenario in silent_vms.feature failed before.

--- a/src/yuccapoint/cell/former_grants.py
+++ b/src/yuccapoint/cell/former_grants.py
@@ -54,5 +54,8 @@
         float
             Steady time in seconds.
         """
-        latest_s = lease_bounds.former_grants_until_s(self._renewed_at_s)
-        return min(latest_s, self._silent_until_s.get(vm, latest_s))
+        silent_until_s = self._silent_until_s.get(vm)
+        if silent_until_s is None:
+            return lease_bounds.former_grants_until_s(self._renewed_at_s)
+        # It may be later than any grant, by a lease for a former instance.
+        return silent_until_s
--- a/tests/features/cell/silent_vms.feature
+++ b/tests/features/cell/silent_vms.feature
@@ -15,6 +15,14 @@
     When a renewal that names it is sent
     Then the next leader counts its leases until they have expired
 
+  Scenario: A silent VM is named with a lease longer than a leader grants
+    # Load: a worker held the longest lease, meant for its former instance; the
+    # next leader counted only what the former one can have granted.
+    Given a leader whose VM has claims and is silent for 1.4 s
+    When the VM reports that runs may go on for 10205 ms
+    And a renewal that names it is sent
+    Then the next leader counts its leases until that time
+
   Scenario: A VM that has not reported to a new leader yet isn't silent
     Given a leader that took over from one whose VM had claims
     Then a renewal names no VM for 1.2 s
--- a/tests/features/steps/silent_vm_steps.py
+++ b/tests/features/steps/silent_vm_steps.py
@@ -139,6 +139,19 @@
     )
 
 
+@when("the VM reports that runs may go on for {hold_ms:d} ms")
+def report_hold(context: Context, hold_ms: int) -> None:
+    vm = context.leader.vms["vm-0"]
+    vm.hold_on(context.now_s, hold_ms)
+    context.held_until_s = context.now_s + hold_ms / 1000
+
+
+@then("the next leader counts its leases until that time")
+def counted_until_hold(context: Context) -> None:
+    grants = FormerGrants(context.now_s, context.named)
+    assert 0 <= grants.until_s("vm-0") - context.held_until_s < 1.0
+
+
 @given("a leader that took over from one whose VM had claims")
 def take_over_claims(context: Context) -> None:
     leader_with_silent_vm(context, 0.0)
