Doubt that a task crashed a worker which is back at once

Cause: run 3 began at 110.46 on vm-3, was listed at 110.58 and failed by itself at 110.62; the worker restarted at 110.68. The end was known to that instance only, so that the agent accused a run that was no longer at work.

The agent can't see such an end, but it can see the restart: the next instance's clock shows when it began at the latest, the last answered poll when the former one was still there.

Measured: two rows of worker_crashes.feature fail before, all pass after.

--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -145,10 +145,10 @@
         same_id = previous.instance.worker_id == check_in.instance.worker_id
         suspects = self.crash_log.on_instance_ended(
             self.registry.tracked_runs,
+            check_in.clock_ms,
             now_s,
             announced=worker.has_announced_end,
         )
-        self.crash_log.next_starts.begin_instance(check_in.clock_ms, now_s)
         worker.fence.begin_instance(check_in.instance.born_ms)
         blocked = self.registry.begin_instance(now_s, same_id=same_id)
         self._explain(
@@ -266,7 +266,7 @@
         if result is CallResult.DONE and call.was_answered_by_next(clock_ms):
             # The next instance answered before it has checked in.
             result = CallResult.NEXT_INSTANCE
-            self.crash_log.next_starts.note_executed(
+            self.crash_log.note_executed_by_next(
                 (call.order.task_id, call.order.run), clock_ms or 0, now_s
             )
             self._explain(
--- a/tests/features/cell/worker_crashes.feature
+++ b/tests/features/cell/worker_crashes.feature
@@ -202,6 +202,21 @@
     When the worker is back after 1 s under its id
     Then the agent doubts that "b" crashed the worker
 
+  Scenario Outline: A worker that is back at once was not crashed by its runs
+    # Load: workers restart again and again. A run that ends by itself is listed
+    # once, and its worker restarts before the next poll.
+    Given an agent whose worker has listed run "a" 2 s after
+    And the start of "b" was answered 120 ms ago
+    And the worker has listed "a b" at once
+    When its next instance begins <down_ms> ms later and checks in
+    Then the agent <judges> that "b" crashed the worker
+
+    Examples:
+      | down_ms | judges         |
+      | 100     | doubts         |
+      | 980     | doubts         |
+      | 1010    | does not doubt |
+
   Scenario: A run that was only listed at its start is not doubtful
     Given an agent whose worker has listed run "a" 2 s after
     And the start of "b" was answered 150 ms ago
--- a/tests/features/steps/crash_suspect_steps.py
+++ b/tests/features/steps/crash_suspect_steps.py
@@ -121,7 +121,15 @@
     worker_steps.check_in(context)
 
 
-def _check_in(context: Context, worker_id: str, *, draining: bool) -> None:
+def _check_in(
+    context: Context,
+    worker_id: str,
+    *,
+    draining: bool,
+    clock_ms: int | None = None,
+) -> None:
+    if clock_ms is None:
+        clock_ms = int(1000 * context.now_s)
     context.sequence += 1
     context.vm_agent.on_check_in(
         CheckIn(
@@ -134,13 +142,22 @@
             labels=(),
             draining=draining,
             remaining_ms=0,
-            clock_ms=int(1000 * context.now_s),
+            clock_ms=clock_ms,
             sequence=context.sequence,
         ),
         context.now_s,
     )
 
 
+@when("its next instance begins {millis:d} ms later and checks in")
+def next_instance_begins(context: Context, millis: int) -> None:
+    age_ms = 150
+    context.now_s += (millis + age_ms) / 1000
+    context.born_ms += 1
+    context.sequence = 0
+    _check_in(context, worker_steps.WORKER_ID, draining=False, clock_ms=age_ms)
+
+
 @when("the worker is back after {seconds:d} s under {which} id")
 def worker_back(context: Context, seconds: int, which: str) -> None:
     context.now_s += seconds
