Keep a task waiting that a withheld worker is reported to run

Cause: a new instance, 40 to 80 ms old, carries out a start that was meant for a former one. Its agent stops the run and withholds the worker from the leader until the run has ended, up to 0.9 s later. It now keeps such a task waiting for 1 s from each report, somewhat more than the interval of reports.

Ruled out: the agent calling the new instance sooner, as it doesn't know of it before its check-in or the answer to a poll.

Measured: the new scenario of restarted_worker.feature fails before, passes after.

--- a/src/yuccapoint/cell/report_handler.py
+++ b/src/yuccapoint/cell/report_handler.py
@@ -6,7 +6,9 @@
 
 import msgspec
 
+from yuccapoint.cell import lease_bounds
 from yuccapoint.cell.blame import note_work
+from yuccapoint.cell.occurrence_state import Phase
 from yuccapoint.cell.throttled_moves import track_speed
 from yuccapoint.job.size import Size
 
@@ -20,6 +22,10 @@
     from yuccapoint.cell.task_run import TaskRun
     from yuccapoint.cell.vm_ledger import VmLedger
 
+# A task that a withheld instance runs is started elsewhere at the earliest
+# after this time, in which the agent reports again.
+LATE_START_HOLD_S = 1.25 * lease_bounds.REPORT_INTERVAL_S
+
 
 class ReportHandler:
     """Applies reports to the leader's ledgers.
@@ -41,7 +47,10 @@
     def apply(self, vm: VmLedger, report: VmReport, now_s: float) -> None:
         """Apply a report that is newer than all earlier ones."""
         self._apply_worker(vm, report, now_s)
-        if not report.runs_listed or report.worker is None:
+        if report.worker is None:
+            self._hold_late_starts(report, now_s)
+            return
+        if not report.runs_listed:
             return
         for ended in report.ends:
             self._end_handler.on_ended(vm, ended, now_s)
@@ -50,6 +59,20 @@
         self._apply_running(vm, report, now_s)
         self._leader.interference.on_report(vm, now_s)
 
+    def _hold_late_starts(self, report: VmReport, now_s: float) -> None:
+        """Keep tasks waiting that an instance runs which isn't reported.
+
+        It has executed starts that were meant for a former instance, and
+        its agent stops them.
+        """
+        for running in report.running:
+            task = self._leader.find_task(running.task_id)
+            if task is None or task.phase is Phase.DONE:
+                continue
+            task.not_before_s = max(
+                task.not_before_s, now_s + LATE_START_HOLD_S
+            )
+
     def release_claims(self, vm: VmLedger, why: str, now_s: float) -> None:
         """Release all tasks of a VM that can't run them any more."""
         if not vm.claims:
--- a/tests/features/cell/restarted_worker.feature
+++ b/tests/features/cell/restarted_worker.feature
@@ -199,6 +199,18 @@
     When the worker of "vm-0" restarts under its id
     Then all its tasks are claimed with a higher run
 
+  Scenario: A task does not start elsewhere while a late start of it runs
+    # Load: all workers restart again and again. A late start is carried out by
+    # a new instance, and the task's claim elsewhere is released meanwhile.
+    Given a leader with 2 VMs that work on a job of 4 tasks
+    When the worker of "vm-1", not reported yet, runs a task of "vm-0"
+    And the worker of "vm-0" restarts under its id
+    Then that task waits, and the other one is claimed with a higher run
+    When 900 ms pass without another such report
+    Then that task waits, and the other one is claimed with a higher run
+    When 200 ms pass without another such report
+    Then all its tasks are claimed with a higher run
+
   Scenario: An order from before the report of an expired lease starts nothing
     # The leader has released the claim when it arrives, and may have claimed
     # the task elsewhere.
--- a/tests/features/steps/restarted_worker_steps.py
+++ b/tests/features/steps/restarted_worker_steps.py
@@ -578,3 +578,26 @@
         assert task.phase is Phase.CLAIMED, task.phase
         assert task.run == 2, task.run
         assert task.instance.born_ms == 2 or task.instance.vm != VM
+
+
+@when('the worker of "{vm}", not reported yet, runs a task of "{other}"')
+def late_start_runs(context: Context, vm: str, other: str) -> None:
+    context.late_task, *_ = context.leader.vms[other].claims.values()
+    running = (RunningTask(context.late_task.task_id, 0, "", 5, 0.0),)
+    message = report(vm, 40, worker=None, running=running)
+    work_on(context, message)
+
+
+@when("{millis:d} ms pass without another such report")
+def pass_without_report(context: Context, millis: int) -> None:
+    context.now_s += millis / 1000
+    context.leader.tick(context.now_s, WALL_MS)
+    context.leader.commit(context.leader.collect_batch())
+
+
+@then("that task waits, and the other one is claimed with a higher run")
+def late_task_waits(context: Context) -> None:
+    assert context.late_task.phase is Phase.WAITING, context.late_task.phase
+    [other] = [task for task in context.lost if task is not context.late_task]
+    assert other.phase is Phase.CLAIMED, other.phase
+    assert other.run == 2, other.run
