--- a/tests/features/steps/one_way_cut_steps.py
+++ b/tests/features/steps/one_way_cut_steps.py
@@ -37,7 +37,10 @@
     def run(self, seconds: float) -> None:
         world = self.world
         world.run(3.0)
-        world.submit(steps=(StepSpec(tasks=TASKS, size=TASK_SIZE),))
+        # A job that is drawn hopeless would have no end to acknowledge.
+        world.submit(
+            steps=(StepSpec(tasks=TASKS, size=TASK_SIZE),), payload="sound"
+        )
         while not self.worker.running:
             world.step()
         world.cut_links.update(
