Open a VM to the next suspect once the last one is proven

Cause: in each of them the task is a suspect of two crashes, which starts alone, and waits for "starting_runs". A run counted as starting for 1 s, though the agent proves 0.6 to 0.75 s after the claim that it has not crashed its worker. That is over a third of each trial.

--- a/src/yuccapoint/cell/crash_trials.py
+++ b/src/yuccapoint/cell/crash_trials.py
@@ -32,6 +32,9 @@
     """Record which runs are starting on a VM."""
     ledger = candidate.ledger
     for task in ledger.claims.values():
+        if task.crashes.proven_run >= task.run:
+            # Its worker is known to have outlived the start.
+            continue
         run_s = now_s - task.started_at_s if task.seen_running else 0.0
         if task.is_suspect and run_s < TRIAL_TIMEOUT_S:
             candidate.on_trial = True
--- a/tests/features/cell/disruptions.feature
+++ b/tests/features/cell/disruptions.feature
@@ -55,17 +55,22 @@
       | 15-18 | worker_restarts and late_orders |
 
   Scenario Outline: Tasks that last are restarted beside others that fail
-    Given a cell of 4 VMs and 3 entries that gets only tasks that last for seeds <seeds>
+    Given a cell of <vms> VMs and 3 entries that gets only tasks that last for seeds <seeds>
     When jobs are submitted for 40 s with disruptions "<troubles>"
     And the cell is undisturbed for 45 s
     Then no guarantee of the cell is violated
     And all jobs of the cell have ended or are running
 
     Examples:
-      | seeds | troubles                          |
-      | 1-8   | hopeless_lasting and failing_runs |
-      | 9-14  | deadly_task                       |
-      | 1-2   | constrained_lasting and failing_runs and hopeless_lasting and deadly_task |
+      | vms | seeds | troubles                          |
+      | 4   | 1-8   | hopeless_lasting and failing_runs |
+      | 4   | 9-14  | deadly_task                       |
+      | 4   | 1-2   | constrained_lasting and failing_runs and hopeless_lasting and deadly_task |
+      | 2   | 8     | deadly_task                       |
+      | 2   | 14    | deadly_task                       |
+      | 2   | 23    | deadly_task                       |
+      | 2   | 26    | deadly_task                       |
+      | 2   | 18    | deadly_task                       |
 
   Scenario Outline: Tasks that last are restarted beside planned work
     Given a cell of 4 VMs and 3 entries that gets only tasks that last, with planned work taken for calm, for seeds <seeds>
--- a/tests/features/cell/suspect_waits.feature
+++ b/tests/features/cell/suspect_waits.feature
@@ -71,3 +71,18 @@
     And 20 s pass with them
     Then no other task has waited for over 6 s
     And at most 4 suspects have started together
+
+  # They start alone, as each may be to blame for one of the crashes.
+  Scenario Outline: Suspects of two crashes start as soon as the last one is sound
+    # LOST: a VM stayed closed to the next suspect after the last was cleared.
+    Given <vms> VMs and 0 hopeless jobs that fail after 50 ms, and a sound one on each VM
+    When 5 s pass with them
+    And a long-running job of <suspects> tasks may have crashed two workers
+    And 20 s pass with them
+    Then no suspect has waited for over 6 s
+    And each suspect has started alone
+
+    Examples:
+      | vms | suspects |
+      | 2   | 14       |
+      | 4   | 28       |
--- a/tests/features/steps/suspect_wait_steps.py
+++ b/tests/features/steps/suspect_wait_steps.py
@@ -82,6 +82,14 @@
         task.waiting_since_s = context.now_s
 
 
+@when("a {kind} job of {tasks:d} tasks may have crashed two workers")
+def may_have_crashed_two(context: Context, kind: str, tasks: int) -> None:
+    may_have_crashed(context, kind, tasks)
+    for task in context.suspects:
+        task.run = 2
+        task.crashes.note_crash(2, started=True)
+
+
 @when("a long-running job of {tasks:d} tasks has lost its worker")
 def lost_its_worker(context: Context, tasks: int) -> None:
     add_job(context.leader, OTHER_JOB, StepSpec(tasks, ONE, long_running=True))
