--- a/src/yuccapoint_standins/platform_store.py
+++ b/src/yuccapoint_standins/platform_store.py
@@ -16,7 +16,10 @@
 
 PAGE_HEADER = struct.Struct(">QQ")
 RECORD_LENGTH = struct.Struct(">I")
+# Bounds of a page of newest records, and of a read that names none.
 MAX_PAGE_ITEMS = 500
+MAX_PAGE_BYTES = 1_000_000
+MAX_READ_KB = 1_024
 
 
 class PlatformPartition:
@@ -161,7 +164,12 @@
         parts = [
             PAGE_HEADER.pack(partition.end_offset, partition.first_offset)
         ]
+        left_bytes = 1_024 * int(query.get("MaxKb", MAX_READ_KB))
         for content in partition.records[start - partition.first_offset :]:
+            left_bytes -= RECORD_LENGTH.size + len(content)
+            if left_bytes < 0:
+                # No part of a record is returned.
+                break
             parts.append(RECORD_LENGTH.pack(len(content)) + content)
         return 200, b"".join(parts)
 
@@ -170,17 +178,22 @@
         after = query.get("DependsOn", "")
         newest = self._newest.get(topic, {})
         keys = sorted(key for key in newest if key > after)
-        items = [
-            {
-                "Key": key,
-                "Value": base64.b64encode(newest[key][1]).decode(),
-                "Offset": newest[key][0],
-            }
-            for key in keys[:MAX_PAGE_ITEMS]
-        ]
+        items: list[dict[str, Any]] = []
+        left_bytes = MAX_PAGE_BYTES
+        for key in keys[:MAX_PAGE_ITEMS]:
+            left_bytes -= len(newest[key][1])
+            if items and left_bytes < 0:
+                break
+            items.append(
+                {
+                    "Key": key,
+                    "Value": base64.b64encode(newest[key][1]).decode(),
+                    "Offset": newest[key][0],
+                }
+            )
         page = {
             "items": items,
-            "HasMore": len(keys) > MAX_PAGE_ITEMS,
+            "HasMore": len(keys) > len(items),
             "EndOffset": self._partition(topic).end_offset,
         }
         return _encode(page)
--- a/tests/cell_world/oracle.py
+++ b/tests/cell_world/oracle.py
@@ -25,6 +25,12 @@
 IDLE_S = 3.0
 CALM_BEFORE_S = 4.0
 ROOM_FACTOR = 2
+# The rule UNASKED for a cancelled job: its tasks are gone this long after the
+# cancellation was acknowledged, besides the time that the worker takes for a
+# stop, if the time is calm and the time before it (``ContactMs``), too.
+CANCEL_S = 4.0
+CONTACT_S = 4.0
+STOP_TIMEOUT_S = 0.2
 
 
 class Oracle:
@@ -42,6 +48,7 @@
         self._ran_at_s: dict[str, float] = {}
         self._room_since_s: dict[str, float] = {}
         self._idle_tasks: set[str] = set()
+        self._cancelled_tasks: set[str] = set()
         self.longest_idle_s = 0.0
         self.workers: list[WorkerModel] = []
         self.starts = 0
@@ -217,6 +224,27 @@
             for task_id in self.tasks_of(job_id):
                 self._check_task(task_id, now_s, runs=task_id in running)
 
+    def check_cancelled(self, now_s: float) -> None:
+        """Check that tasks of cancelled jobs don't run on in calm times."""
+        calm_since_s = self.disturbed_at_s + CONTACT_S
+        for worker in self.workers:
+            if not worker.alive:
+                continue
+            stop_s = worker.stop_takes_s + STOP_TIMEOUT_S
+            for task_id in worker.running:
+                cancelled_at_s = self.cancelled_at_s.get(
+                    task_id.partition(".")[0]
+                )
+                if cancelled_at_s is None or task_id in self._cancelled_tasks:
+                    continue
+                since_s = max(cancelled_at_s, calm_since_s)
+                if now_s - since_s <= CANCEL_S + stop_s:
+                    continue
+                self._cancelled_tasks.add(task_id)
+                self.record_violation(
+                    "UNASKED", task_id, f"cancelled at {cancelled_at_s:.1f} s"
+                )
+
     def _check_task(self, task_id: str, now_s: float, *, runs: bool) -> None:
         ran_at_s = self._ran_at_s.setdefault(task_id, now_s)
         if runs:
--- a/tests/cell_world/store_client_model.py
+++ b/tests/cell_world/store_client_model.py
@@ -28,6 +28,8 @@
     cut : str
         ``refuse`` while the entry can't connect, ``silent`` while its calls
         get lost, ``answers`` while only their answers do.
+    reads_lost : bool
+        Whether reads get no answer, as they don't fit the entry's link.
     """
 
     def __init__(
@@ -37,6 +39,7 @@
         after: Callable[[float, object], None],
     ) -> None:
         self.cut = ""
+        self.reads_lost = False
         self._store = store
         self._clock = clock
         self._after = after
@@ -70,13 +73,10 @@
         """Read from an offset on; see ``CellStore.read``."""
         future = asyncio.get_running_loop().create_future()
         until_s = self._clock.now_s + wait_ms / 1000
+        deliver = self._answer_to(future, is_read=True)
         self._send(
-            lambda: self._store.read(
-                from_offset, until_s, self._answer_to(future)
-            ),
-            lambda answer: (
-                None if answer is None else self._answer_to(future)(answer)
-            ),
+            lambda: self._store.read(from_offset, until_s, deliver),
+            lambda answer: None if answer is None else deliver(answer),
         )
         answer = await self._result(
             future, RESPONSE_TIMEOUT_S + wait_ms / 1000
@@ -115,7 +115,9 @@
         may_lose: bool = False,
     ):
         future = asyncio.get_running_loop().create_future()
-        self._send(execute, self._answer_to(future), may_lose=may_lose)
+        # Only appends may be lost.
+        answer = self._answer_to(future, is_read=not may_lose)
+        self._send(execute, answer, may_lose=may_lose)
         return await self._result(future, timeout_s)
 
     def _send(
@@ -130,8 +132,12 @@
         if self.cut != "silent":
             self._store.receive(execute, answer, may_lose=may_lose)
 
-    def _answer_to(self, future: asyncio.Future) -> Callable[[object], None]:
+    def _answer_to(
+        self, future: asyncio.Future, *, is_read: bool = False
+    ) -> Callable[[object], None]:
         def deliver(answer: object) -> None:
+            if self.reads_lost and is_read:
+                return
             if not self.cut and not future.done():
                 future.set_result(answer)
 
--- a/tests/cell_world/world.py
+++ b/tests/cell_world/world.py
@@ -207,6 +207,7 @@
             if self._is_disturbed():
                 self.oracle.disturbed_at_s = now_s
             self.oracle.check_lasting(now_s)
+            self.oracle.check_cancelled(now_s)
         for entry in self.entries:
             entry.step(now_s)
             for failure in entry.find_failures():
@@ -373,6 +374,15 @@
         self.after(stopped_s, entry.kill)
         self.after(stopped_s + 0.5, entry.restart)
 
+    def _reads_lost(self) -> None:
+        """Lose the reads of one entry, its appends are answered."""
+        client = self.rng.choice(self.entries).store_client
+        client.reads_lost = True
+        self.after(
+            self.rng.uniform(1.0, 20.0),
+            lambda: setattr(client, "reads_lost", False),
+        )
+
     def _entry_reload(self) -> None:
         """Delete the history that entries have not read yet."""
         self.store.muted = True
--- /dev/null
+++ b/tests/features/steps/blind_leader_steps.py
@@ -0,0 +1,92 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from behave import then
+from behave import when
+from lost_with_leader_steps import STEP
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+    from cell_world.world import World
+
+CANCEL_S = 4.0
+STOP_TIMEOUT_S = 0.2
+# The checks of the cell run at intervals.
+CHECK_INTERVAL_S = 0.1
+
+
+def _running(world: World, job_id: str) -> set[str]:
+    return {
+        task_id
+        for worker in world.workers
+        for task_id in worker.running
+        if task_id.startswith(job_id)
+    }
+
+
+@when("the leader's reads get no answer for {seconds:d} s")
+def lose_reads(context: Context, seconds: int) -> None:
+    for _, world in context.worlds:
+        (leader,) = [e for e in world.entries if e.leader is not None]
+        client = leader.store_client
+        client.reads_lost = True
+        world.after(
+            seconds, lambda client=client: setattr(client, "reads_lost", False)
+        )
+
+
+def _reader(world: World):
+    return next(e for e in world.entries if not e.store_client.reads_lost)
+
+
+@when("another entry accepts the cancellation of a job {seconds:f} s later")
+def cancel_job(context: Context, seconds: float) -> None:
+    context.cancelled = {}
+    for seed, world in context.worlds:
+        world.run(seconds)
+        job_id = next(j for j in world.oracle.jobs if _running(world, j))
+        context.cancelled[seed] = job_id
+        job = world.oracle.jobs[job_id]
+        world.oracle.cancels_sent.add(job_id)
+        _reader(world).cancel(
+            job, lambda result, w=world, j=job: w._note_cancel(j, result)
+        )
+
+
+@then("no task of the job runs after 4 s and the time of a stop")
+def none_runs(context: Context) -> None:
+    late = []
+    for seed, world in context.worlds:
+        job_id = context.cancelled[seed]
+        while job_id not in world.oracle.cancelled_at_s:
+            world.run(CHECK_INTERVAL_S)
+        stop_s = max(worker.stop_takes_s for worker in world.workers)
+        acked_s = world.oracle.cancelled_at_s[job_id]
+        world.run(acked_s + CANCEL_S + stop_s + STOP_TIMEOUT_S - world.now_s)
+        if _running(world, job_id):
+            late.append(seed)
+    assert not late, f"runs on with seeds {late}"
+
+
+@when("another entry accepts a job {seconds:f} s later")
+def submit_job(context: Context, seconds: float) -> None:
+    context.submitted = {}
+    for seed, world in context.worlds:
+        world.run(seconds)
+        reader = _reader(world)
+        others, world.entries[:] = list(world.entries), [reader]
+        context.submitted[seed] = world.submit(steps=(STEP,))
+        world.entries[:] = others
+
+
+@then("all tasks of the job run within {seconds:d} s")
+def all_run(context: Context, seconds: int) -> None:
+    late = []
+    for seed, world in context.worlds:
+        job_id = context.submitted[seed]
+        world.run(seconds)
+        if len(_running(world, job_id)) < STEP.tasks:
+            late.append(seed)
+    assert not late, f"waits with seeds {late}"
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -10,6 +10,8 @@
 from soak.proxied_connection import Way
 
 CHUNK_BYTES = 65_536
+# A narrow link is shared by its connections in pieces of this size.
+NARROW_CHUNK_BYTES = 8_192
 
 
 class LinkState(enum.Enum):
@@ -35,7 +37,11 @@
         self.address = address
         self.state = LinkState.PASS
         self.delay_s = 0.0
+        # Rate of all responses together in bytes a second; 0 for no limit.
+        self.response_bytes_per_s = 0.0
+        self.response_bytes = 0
         self.upstream = upstream
+        self._link_free_at_s = 0.0
         self._server: asyncio.Server | None = None
         # In the order of their opening.
         self._connections: list[ProxiedConnection] = []
@@ -115,7 +121,7 @@
     ) -> None:
         writer = connection.writers[way]
         with contextlib.suppress(OSError):
-            while data := await reader.read(CHUNK_BYTES):
+            while data := await reader.read(self._chunk_bytes(way)):
                 if self.state in _DROP_STATES[way]:
                     # A stream that lost bytes forwards nothing more.
                     connection.silence((way,))
@@ -123,7 +129,24 @@
                     continue
                 if self.state is LinkState.DELAY:
                     await asyncio.sleep(self.delay_s)
+                if way is Way.RESPONSES:
+                    self.response_bytes += len(data)
+                    await self._wait_for_link(len(data))
                 writer.write(data)
                 await writer.drain()
         if way not in connection.silent_ways:
             writer.transport.abort()
+
+    def _chunk_bytes(self, way: Way) -> int:
+        if way is Way.RESPONSES and self.response_bytes_per_s:
+            return NARROW_CHUNK_BYTES
+        return CHUNK_BYTES
+
+    async def _wait_for_link(self, size: int) -> None:
+        """Wait until all that was received before has passed the link."""
+        if not self.response_bytes_per_s:
+            return
+        now_s = asyncio.get_running_loop().time()
+        self._link_free_at_s = max(now_s, self._link_free_at_s)
+        self._link_free_at_s += size / self.response_bytes_per_s
+        await asyncio.sleep(self._link_free_at_s - now_s)
