--- a/src/yuccapoint/connection/http_client.py
+++ b/src/yuccapoint/connection/http_client.py
@@ -11,28 +11,26 @@
 import time
 from typing import TYPE_CHECKING
 
-from tornado.httputil import HTTPHeaders
 from tornado.httputil import HTTPInputError
-from tornado.httputil import parse_response_start_line
 from tornado.iostream import StreamClosedError
 from tornado.tcpclient import TCPClient
 
+from yuccapoint.connection.response_reader import ResponseReader
+from yuccapoint.connection.transfer import Transfer
 from yuccapoint.exceptions import UnreachableError
 from yuccapoint.request.verdict import Verdict
 
 if TYPE_CHECKING:
     from tornado.iostream import IOStream
 
+    from yuccapoint.connection.http_response import HttpResponse
+
 MAX_IDLE_CONNECTIONS = 8
 # The peer may close a connection that is idle for longer.
 MAX_IDLE_S = 20.0
 # A call that is unanswered for this long after its response was due, in
 # seconds, makes the other connections suspect; usual times are milliseconds.
 OVERDUE_AFTER_S = 0.4
-# Bounds on a response's head and body.
-MAX_HEAD_BYTES = 16_384
-MAX_BODY_BYTES = 16 * 1_024 * 1_024
-STATUS_NO_CONTENT = 204
 
 
 class NotSentError(UnreachableError):
@@ -47,17 +45,6 @@
     verdict = Verdict.MAY_HAVE_RUN
 
 
-class HttpResponse:
-    """A complete response."""
-
-    __slots__ = ("body", "headers", "status")
-
-    def __init__(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
-        self.status = status
-        self.headers = headers
-        self.body = body
-
-
 class IdleConnection:
     """An open connection without a request."""
 
@@ -88,8 +75,8 @@
         self._port = int(port)
         self._connector = TCPClient()
         self._idle: collections.deque[IdleConnection] = collections.deque()
-        # When the response of each call in flight is due.
-        self._due_at_s: dict[IOStream, float] = {}
+        # The calls in flight.
+        self._transfers: dict[IOStream, Transfer] = {}
 
     async def call(
         self,
@@ -99,6 +86,7 @@
         *,
         timeout_s: float,
         wait_s: float = 0.0,
+        stall_timeout_s: float = 0.0,
         headers: dict[str, str] | None = None,
     ) -> HttpResponse:
         """Send a request and return its response.
@@ -113,6 +101,10 @@
             Timeout of the whole call in seconds.
         wait_s : float, optional
             How long the peer may hold a long poll, in seconds.
+        stall_timeout_s : float, optional
+            Lets a call whose response has begun go on beyond its timeout
+            while parts of the body arrive within this time, in seconds: the
+            time for a large one depends on the link.
         headers : dict, optional
             Additional headers.
 
@@ -127,11 +119,13 @@
         head = self._encode_head(method, target, len(body), headers or {})
         stream = await self._connect(deadline_s)
         reusable = False
-        self._due_at_s[stream] = time.monotonic() + wait_s
+        now_s = time.monotonic()
+        transfer = Transfer(now_s, wait_s, max(now_s + 0.001, deadline_s))
+        self._transfers[stream] = transfer
         try:
-            left_s = max(0.001, deadline_s - time.monotonic())
-            async with asyncio.timeout(left_s):
-                response, reusable = await self._exchange(stream, head + body)
+            response, reusable = await self._exchange(
+                stream, head + body, transfer, stall_timeout_s
+            )
         except (
             HTTPInputError,
             OSError,
@@ -142,13 +136,17 @@
             text = f"no response from {self.address}: {error!r}"
             if isinstance(error, TimeoutError):
                 closed = self._close_suspects(stream)
-                text = f"{text}; closed {closed} idle connections"
+                text = (
+                    f"{text} {transfer.describe(time.monotonic())};"
+                    f" {len(self._transfers) - 1} other calls;"
+                    f" closed {closed} idle connections"
+                )
             raise ResponseLostError(text) from None
         except asyncio.CancelledError:
             self._close_suspects(stream)
             raise
         finally:
-            del self._due_at_s[stream]
+            del self._transfers[stream]
             # The next request on this connection would read the rest of an
             # abandoned response as its own.
             if not reusable:
@@ -191,7 +189,7 @@
         int
             How many were closed.
         """
-        due_at_s = self._due_at_s[unanswered]
+        due_at_s = self._transfers[unanswered].due_at_s
         if time.monotonic() - due_at_s < OVERDUE_AFTER_S:
             return 0
         return self._close_idle(due_at_s)
@@ -209,7 +207,11 @@
         # only slow.
         overdue_s = now_s - OVERDUE_AFTER_S
         suspect_s = max(
-            (due_s for due_s in self._due_at_s.values() if due_s < overdue_s),
+            (
+                transfer.due_at_s
+                for transfer in self._transfers.values()
+                if transfer.due_at_s < overdue_s
+            ),
             default=0.0,
         )
         while self._idle and self._idle[-1].answered_at_s > suspect_s:
@@ -244,40 +246,14 @@
         return stream
 
     async def _exchange(
-        self, stream: IOStream, request: bytes
+        self,
+        stream: IOStream,
+        request: bytes,
+        transfer: Transfer,
+        stall_timeout_s: float,
     ) -> tuple[HttpResponse, bool]:
-        await stream.write(request)
-        head = await stream.read_until(b"\r\n\r\n", MAX_HEAD_BYTES)
-        status_line, _, header_lines = head.decode("latin-1").partition("\r\n")
-        start = parse_response_start_line(status_line)
-        headers = HTTPHeaders.parse(header_lines)
-        body = b""
-        closes_after = headers.get("Connection", "").lower() == "close"
-        if headers.get("Transfer-Encoding", "").lower() == "chunked":
-            body = await _read_chunks(stream)
-        elif "Content-Length" in headers:
-            size = int(headers["Content-Length"])
-            if not 0 <= size <= MAX_BODY_BYTES:
-                raise ValueError(f"unacceptable Content-Length {size}")
-            body = await stream.read_bytes(size) if size else b""
-        elif start.code != STATUS_NO_CONTENT:
-            body = await stream.read_until_close()
-            closes_after = True
-        return HttpResponse(start.code, headers, body), not closes_after
-
-
-async def _read_chunks(stream: IOStream) -> bytes:
-    parts: list[bytes] = []
-    total = 0
-    while True:
-        line = await stream.read_until(b"\r\n", MAX_HEAD_BYTES)
-        size = int(line.split(b";")[0], 16)
-        if size < 0:
-            raise ValueError(f"negative chunk size {size}")
-        total += size
-        if total > MAX_BODY_BYTES:
-            raise ValueError(f"response body exceeds {MAX_BODY_BYTES} bytes")
-        chunk = await stream.read_bytes(size + 2)
-        if not size:
-            return b"".join(parts)
-        parts.append(chunk[:-2])
+        left_s = transfer.deadline_s - time.monotonic()
+        async with asyncio.timeout(left_s) as scope:
+            await stream.write(request)
+            reader = ResponseReader(stream, transfer, stall_timeout_s, scope)
+            return await reader.read()
--- a/src/yuccapoint/platform/store_partition.py
+++ b/src/yuccapoint/platform/store_partition.py
@@ -24,7 +24,7 @@
 from yuccapoint.platform.exceptions import MalformedMessageError
 
 if TYPE_CHECKING:
-    from yuccapoint.connection.http_client import HttpResponse
+    from yuccapoint.connection.http_response import HttpResponse
 
 # Many times the usual 13 ms, and short enough to retry within a caller's
 # deadline.
--- a/src/yuccapoint/platform/worker_client.py
+++ b/src/yuccapoint/platform/worker_client.py
@@ -28,7 +28,7 @@
     from yuccapoint.cell.occurrence_state import WorkerInstance
     from yuccapoint.cell.worker_events import StatusRequest
     from yuccapoint.cell.worker_events import WorkerCall
-    from yuccapoint.connection.http_client import HttpResponse
+    from yuccapoint.connection.http_response import HttpResponse
 
 # The worker is on the same VM and usually responds in about a millisecond; a
 # busy one may take longer.
--- a/tests/fuzzing/decode_sites.py
+++ b/tests/fuzzing/decode_sites.py
@@ -33,8 +33,8 @@
 from yuccapoint.connection.control_channel import ControlChannel
 from yuccapoint.connection.frame_stream import FrameStream
 from yuccapoint.connection.frames import RequestFailed
-from yuccapoint.connection.http_client import HttpResponse
 from yuccapoint.connection.http_log import HttpLog
+from yuccapoint.connection.http_response import HttpResponse
 from yuccapoint.connection.http_worker import HttpWorker
 from yuccapoint.connection.log_port import LogUnavailableError
 from yuccapoint.connection.worker_port import WorkerError
