--- a/src/yuccapoint/cell/leader_election.py
+++ b/src/yuccapoint/cell/leader_election.py
@@ -40,7 +40,9 @@
         self._tried_term = 0
         self._tried_at_s = 0.0
 
-    def on_records_read(self, leader: Leadership | None, now_s: float) -> None:
+    def on_records_read(
+        self, leader: Leadership | None, now_s: float, *, at_end: bool = True
+    ) -> None:
         """Record the newest leadership after a successful read.
 
         Parameters
@@ -49,13 +51,16 @@
             Newest record in the store.
         now_s : float
             Steady time, counted through suspension, in seconds.
+        at_end : bool
+            Whether no later record was in the store.
         """
         # After a gap between reads, missed renewals say nothing.
         gap_s = now_s - self._read_at_s
         if self._reading_since_s is None or gap_s > lease_bounds.STALE_AFTER_S:
             self._reading_since_s = now_s
             self._changed_at_s = now_s
-        self._read_at_s = now_s
+        if at_end:
+            self._read_at_s = now_s
         if leader != self._newest:
             self._newest = leader
             self._changed_at_s = now_s
--- a/src/yuccapoint/connection/cell_store.py
+++ b/src/yuccapoint/connection/cell_store.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 from typing import Protocol
+from typing import TYPE_CHECKING
 
 import msgspec
 
 from yuccapoint.exceptions import YuccapointError
 from yuccapoint.request.verdict import Verdict
 
+if TYPE_CHECKING:
+    from yuccapoint.connection.newest_page import NewestPage
+    from yuccapoint.connection.stored_page import StoredPage
+
 
 class StoreRefusedError(YuccapointError):
     """The store did nothing; the call may be retried."""
@@ -88,16 +93,9 @@
             The records may have been written.
         """
 
-    async def read(
-        self, from_offset: int, wait_ms: int
-    ) -> tuple[list[StoredRecord], int]:
+    async def read(self, from_offset: int, wait_ms: int) -> StoredPage:
         """Read from an offset on, waiting up to ``wait_ms`` for records.
 
-        Returns
-        -------
-        tuple
-            The records, and the offset to continue from.
-
         Raises
         ------
         StoreRecordsExpiredError
@@ -106,12 +104,19 @@
             The store is unavailable or did not respond.
         """
 
-    async def read_newest(self) -> tuple[list[StoredRecord], int]:
-        """Read the newest record of each key.
+    async def read_newest(self, after: str = "") -> NewestPage:
+        """Read a page of the newest record of each key.
+
+        Pages are no snapshot: records that are appended meanwhile are to be
+        read from the end offset of the first page.
+
+        Parameters
+        ----------
+        after : str
+            Last key of the previous page; empty for the first page.
 
-        Returns
-        -------
-        tuple
-            The records, and the offset from which to read the records that
-            were appended meanwhile.
+        Raises
+        ------
+        StoreRefusedError, StoreResponseLostError
+            The store is unavailable or did not respond.
         """
--- a/src/yuccapoint/platform/config_feed.py
+++ b/src/yuccapoint/platform/config_feed.py
@@ -10,6 +10,8 @@
 from yuccapoint.platform.exceptions import MalformedMessageError
 from yuccapoint.platform.operator_config import CONFIG_KEY
 from yuccapoint.platform.operator_config import decode_config
+from yuccapoint.process.steady_clock import steady_s
+from yuccapoint.process.store_load import StoreLoad
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -48,6 +50,7 @@
         self._install = install
         self._logger = logger
         self._next_offset: int | None = None
+        self._load = StoreLoad(steady_s())
         self._failing = False
 
     async def run(self) -> None:
@@ -59,7 +62,7 @@
                 self._logger.log(
                     "config", "history truncated; reloading", error=str(error)
                 )
-                self._next_offset = None
+                self._reload()
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
             except YuccapointError as error:
@@ -76,15 +79,31 @@
 
     async def _read_once(self) -> None:
         if self._next_offset is None:
-            records, self._next_offset = await self._store.read_newest()
-        else:
-            records, self._next_offset = await self._store.read(
-                self._next_offset, READ_WAIT_MS
-            )
+            await self._load_page()
+            return
+        page = await self._store.read(self._next_offset, READ_WAIT_MS)
+        self._apply(page.records)
+        self._next_offset = page.next_offset
+        if page.behind:
+            # The newest version replaces all others.
+            self._reload()
+
+    async def _load_page(self) -> None:
+        page = await self._store.read_newest(self._load.after)
+        self._load.add(page)
+        self._apply(page.records)
+        if self._load.complete:
+            self._next_offset = self._load.began_at_offset
+
+    def _reload(self) -> None:
+        self._next_offset = None
+        self._load = StoreLoad(steady_s())
+
+    def _apply(self, records: list[StoredRecord]) -> None:
         for record in records:
-            self._apply(record)
+            self._apply_record(record)
 
-    def _apply(self, record: StoredRecord) -> None:
+    def _apply_record(self, record: StoredRecord) -> None:
         if record.key != CONFIG_KEY or record.value is None:
             return
         try:
--- a/src/yuccapoint/platform/store_partition.py
+++ b/src/yuccapoint/platform/store_partition.py
@@ -19,6 +19,8 @@
 from yuccapoint.connection.http_client import HttpClient
 from yuccapoint.connection.http_client import NotSentError
 from yuccapoint.connection.http_client import ResponseLostError
+from yuccapoint.connection.newest_page import NewestPage
+from yuccapoint.connection.stored_page import StoredPage
 from yuccapoint.decoding import decode_json
 from yuccapoint.exceptions import DecodingError
 from yuccapoint.platform.exceptions import MalformedMessageError
@@ -26,9 +28,17 @@
 if TYPE_CHECKING:
     from yuccapoint.connection.http_response import HttpResponse
 
-# Many times the usual 13 ms, and short enough to retry within a caller's
-# deadline.
+# Time to the response of a read, to each further part of it and to the
+# response of a small append. Many times the usual 13 ms, and short enough to
+# retry within a caller's deadline.
 RESPONSE_TIMEOUT_S = 0.8
+# An append gets more time by its size: the link may be narrow and shared.
+MIN_LINK_BYTES_PER_S = 125_000
+# Size of a page of a read. Other calls on the same link wait for it, and what
+# has arrived is kept.
+READ_PAGE_KB = 256
+# The store's own limit, for a record that doesn't fit the page.
+MAX_READ_KB = 1_024
 STATUS_OK = 200
 STATUS_CONFLICT = 409
 STATUS_EXPIRED = 410
@@ -94,8 +104,13 @@
         if writer:
             query = {"Producer": writer, "epoch": epoch, "Seq": sequence}
         body = b"".join(_encode_record(key, value) for key, value in records)
+        transfer_s = len(body) / MIN_LINK_BYTES_PER_S
         response = await self._call(
-            "POST", "log-append", query, body, timeout_s or RESPONSE_TIMEOUT_S
+            "POST",
+            "log-append",
+            query,
+            body,
+            (timeout_s or RESPONSE_TIMEOUT_S) + transfer_s,
         )
         if response.status == STATUS_CONFLICT:
             conflict = _decode_json(response.body, _Conflict)
@@ -110,19 +125,19 @@
             )
         return _decode_json(response.body, _Appended).offset
 
-    async def read(
-        self, from_offset: int, wait_ms: int
-    ) -> tuple[list[StoredRecord], int]:
+    async def read(self, from_offset: int, wait_ms: int) -> StoredPage:
         """Read from an offset on; see ``CellStore.read``."""
-        query = {"From": from_offset, "WaitMs": wait_ms}
-        wait_s = wait_ms / 1000
+        page = await self._read(from_offset, wait_ms, READ_PAGE_KB)
+        if page.records or not page.behind:
+            return page
+        return await self._read(from_offset, 0, MAX_READ_KB)
+
+    async def _read(
+        self, from_offset: int, wait_ms: int, max_kb: int
+    ) -> StoredPage:
+        query = {"From": from_offset, "WaitMs": wait_ms, "MaxKb": max_kb}
         response = await self._call(
-            "GET",
-            "log-read",
-            query,
-            b"",
-            RESPONSE_TIMEOUT_S + wait_s,
-            wait_s,
+            "GET", "log-read", query, wait_s=wait_ms / 1000
         )
         if response.status == STATUS_EXPIRED:
             raise StoreRecordsExpiredError(
@@ -134,50 +149,48 @@
             )
         return _decode_read(response.body, from_offset)
 
-    async def read_newest(self) -> tuple[list[StoredRecord], int]:
-        """Read each key's newest record; see ``CellStore.read_newest``."""
-        records: list[StoredRecord] = []
-        next_offset: int | None = None
-        after = ""
-        while True:
-            # On the wire, the last key of the previous page is ``DependsOn``.
-            query = {"DependsOn": after} if after else {}
-            response = await self._call(
-                "GET", "log-newest", query, b"", RESPONSE_TIMEOUT_S
+    async def read_newest(self, after: str = "") -> NewestPage:
+        """Read a page of the newest records; see ``CellStore.read_newest``."""
+        # On the wire, the last key of the previous page is ``DependsOn``.
+        query = {"DependsOn": after} if after else {}
+        response = await self._call("GET", "log-newest", query)
+        if response.status != STATUS_OK:
+            raise StoreResponseLostError(
+                f"newest-records read failed with status {response.status}"
             )
-            if response.status != STATUS_OK:
-                raise StoreResponseLostError(
-                    f"newest-records read failed with status {response.status}"
-                )
-            page = _decode_json(response.body, _NewestPage)
-            if next_offset is None:
-                next_offset = page.end_offset
-            for item in page.items:
-                value = _decode_value(item.value)
-                records.append(StoredRecord(item.offset, item.key, value))
-            if not page.has_more or not page.items:
-                return records, next_offset
-            if page.items[-1].key == after:
-                # It would be read without end.
-                raise StoreResponseLostError(
-                    f"page of newest records repeats key {after[:80]!r}"
-                )
-            after = page.items[-1].key
+        page = _decode_json(response.body, _NewestPage)
+        records = [
+            StoredRecord(item.offset, item.key, _decode_value(item.value))
+            for item in page.items
+        ]
+        if records and records[-1].key == after:
+            # It would be read without end.
+            raise StoreResponseLostError(
+                f"page of newest records repeats key {after[:80]!r}"
+            )
+        has_more = page.has_more and bool(records)
+        return NewestPage(records, page.end_offset, has_more=has_more)
 
     async def _call(
         self,
         method: str,
         operation: str,
         query: dict[str, str | int] | dict[str, int] | dict[str, str],
-        body: bytes,
-        timeout_s: float,
+        body: bytes = b"",
+        timeout_s: float = 0.0,
         wait_s: float = 0.0,
     ) -> HttpResponse:
+        """Call the store; without a timeout the response is a read's."""
         parameters = {"Topic": self._topic, "part": self._partition, **query}
         target = f"/yuccapoint/{operation}?{urlencode(parameters)}"
         try:
             response = await self._client.call(
-                method, target, body, timeout_s=timeout_s, wait_s=wait_s
+                method,
+                target,
+                body,
+                timeout_s=timeout_s or RESPONSE_TIMEOUT_S + wait_s,
+                wait_s=wait_s,
+                stall_timeout_s=0.0 if timeout_s else RESPONSE_TIMEOUT_S,
             )
         except NotSentError as error:
             raise StoreRefusedError(str(error)) from None
@@ -200,11 +213,10 @@
     return RECORD_LENGTH.pack(len(content)) + content
 
 
-def _decode_read(
-    data: bytes, from_offset: int
-) -> tuple[list[StoredRecord], int]:
+def _decode_read(data: bytes, from_offset: int) -> StoredPage:
     if len(data) < READ_HEADER.size:
         raise MalformedMessageError("read response is shorter than its header")
+    end_offset, _ = READ_HEADER.unpack_from(data)
     records: list[StoredRecord] = []
     offset = from_offset
     position = READ_HEADER.size
@@ -220,7 +232,7 @@
         position += size
         records.append(_decode_record(content, offset))
         offset += 1
-    return records, offset
+    return StoredPage(records, offset, end_offset)
 
 
 def _decode_record(content: bytes, offset: int) -> StoredRecord:
--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -199,7 +199,9 @@
 
     def _on_read(self) -> None:
         now_s = steady_s()
-        self._leader_election.on_records_read(self.view.leadership, now_s)
+        self._leader_election.on_records_read(
+            self.view.leadership, now_s, at_end=self.tail.at_end
+        )
         if self._leader_election.leads() and self.leader is None:
             self._start_leading(now_s)
         if not self._leader_election.leads() and self.leader is not None:
--- a/src/yuccapoint/process/cell_tail.py
+++ b/src/yuccapoint/process/cell_tail.py
@@ -9,7 +9,9 @@
 from yuccapoint.cell.exceptions import DamagedRecordError
 from yuccapoint.connection.cell_store import StoreRecordsExpiredError
 from yuccapoint.exceptions import YuccapointError
+from yuccapoint.process.coalesced_call import CoalescedCall
 from yuccapoint.process.steady_clock import steady_s
+from yuccapoint.process.store_load import StoreLoad
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -18,6 +20,7 @@
     from yuccapoint.cell.cell_view import CellView
     from yuccapoint.connection.cell_store import CellStore
     from yuccapoint.connection.cell_store import StoredRecord
+    from yuccapoint.connection.stored_page import StoredPage
     from yuccapoint.process.process_logger import ProcessLogger
 
 # Long-poll time of a read in milliseconds; a half-open connection is noticed
@@ -27,10 +30,8 @@
 # must succeed within two seconds after the store recovers.
 FIRST_RETRY_S = 0.1
 MAX_RETRY_S = 0.8
-# A read returns 1 MB at most and no part of a record; one that returned less
-# than this has reached the end.
-FULL_READ_BYTES = 250_000
-# The view counts as stale after this many seconds without a successful read.
+# The view counts as stale after this many seconds without a read that reached
+# the end of the log.
 STALE_AFTER_S = 2.0
 
 
@@ -55,6 +56,10 @@
     read_pause_s : float
         Pause after a read that returned records, which lets a read batch
         many small records.
+    loaded : bool
+        Whether the store has been read to the end once.
+    last_read_at_s : float
+        Steady time in seconds of the last read that reached the end.
     """
 
     def __init__(
@@ -74,18 +79,26 @@
         self._on_read = on_read
         self._logger = logger
         self._next_offset: int | None = None
-        # A caller's catch-up may load the store at the same time.
-        self._loads = 0
+        self._load: StoreLoad | None = None
+        # Held by reads that return at once, which would get the same records.
+        self._read_lock = asyncio.Lock()
+        self._behind = 0
+        self._catch_up_calls = CoalescedCall(self._catch_up)
         self._failing = False
 
     @property
     def is_loading(self) -> bool:
-        """Whether only the newest record of each key is being read."""
-        return self._next_offset is None or self._loads > 0
+        """Whether the history before the next record is unknown."""
+        return self._next_offset is None or self._load is not None
+
+    @property
+    def at_end(self) -> bool:
+        """Whether the last read reached the end of the log."""
+        return not self._behind
 
     @property
     def up_to_date(self) -> bool:
-        """Whether a read succeeded recently."""
+        """Whether a read reached the end of the log recently."""
         return self.loaded and steady_s() - self.last_read_at_s < STALE_AFTER_S
 
     async def run(self) -> None:
@@ -98,7 +111,7 @@
                 self._logger.log(
                     "store", "history truncated, reloading", error=str(error)
                 )
-                self._next_offset = None
+                self._forget_history()
                 await asyncio.sleep(retry_s)
                 retry_s = min(retry_s * 2, MAX_RETRY_S)
                 continue
@@ -111,65 +124,95 @@
             if self._failing:
                 self._failing = False
                 self._logger.log("store", "reads recovered")
-            if has_records and self.read_pause_s:
+            if has_records and self.read_pause_s and self.at_end:
                 await asyncio.sleep(self.read_pause_s)
 
     async def catch_up(self) -> None:
         """Read all records that are in the store now.
 
+        Callers share their reads.
+
         Raises
         ------
         YuccapointError
             The read failed.
         """
-        if self._next_offset is None:
-            await self._load()
-            return
-        await self._read_to_end(self._next_offset)
+        await self._catch_up_calls.run()
 
-    async def _read_to_end(self, offset: int) -> int:
-        """Apply the records from an offset on; return the end offset."""
-        while True:
-            records, offset = await self._store.read(offset, 0)
-            self._apply(records)
-            size = sum(len(stored.value or b"") for stored in records)
-            if size < FULL_READ_BYTES:
-                return offset
+    async def _catch_up(self) -> None:
+        async with self._read_lock:
+            if self.is_loading:
+                await self._load_store()
+                return
+            await self._read_to_end()
 
     async def _read_once(self) -> bool:
-        if self._next_offset is None:
-            await self._load()
-            return True
-        records, next_offset = await self._store.read(
-            self._next_offset, READ_WAIT_MS
-        )
-        self._apply(records)
-        self._next_offset = next_offset
-        self._mark_read()
-        return bool(records)
-
-    async def _load(self) -> None:
-        self._loads += 1
-        try:
-            await self._load_newest()
-        finally:
-            self._loads -= 1
-        self._mark_read()
+        if self.at_end and not self.is_loading:
+            return bool((await self._read_log(READ_WAIT_MS)).records)
+        async with self._read_lock:
+            if self.is_loading:
+                await self._load_store()
+            else:
+                await self._read_log(0)
+        return True
+
+    async def _read_to_end(self) -> None:
+        while (await self._read_log(0)).behind:
+            continue
 
-    async def _load_newest(self) -> None:
-        records, follow_from = await self._store.read_newest()
-        self._apply(records)
-        self._view.retain({record.key for record in records}, follow_from)
-        # Records that changed while the pages were read.
-        next_offset = await self._read_to_end(follow_from)
-        self._next_offset = next_offset
+    async def _read_log(self, wait_ms: int) -> StoredPage:
+        """Apply the next records; a read meanwhile may have done so, too."""
+        offset = self._next_offset
+        if offset is None:
+            raise StoreRecordsExpiredError("the store is to be read anew")
+        page = await self._store.read(offset, wait_ms)
+        self._apply(page.records)
+        if self._next_offset is not None:
+            self._next_offset = max(self._next_offset, page.next_offset)
+        self._behind = page.behind
+        if self._load is None:
+            self._mark_read()
+        return page
+
+    async def _load_store(self) -> None:
+        """Read all newest records, and then the log to its end.
+
+        A failure keeps what was read. The log is read between the pages, as
+        it expires.
+        """
+        if self._load is None:
+            self._load = StoreLoad(steady_s())
+        load = self._load
+        while not load.complete:
+            page = await self._store.read_newest(load.after)
+            load.add(page)
+            self._apply(page.records)
+            if self._next_offset is None:
+                self._next_offset = page.end_offset
+            if page.has_more:
+                await self._read_log(0)
+        await self._read_to_end()
+        if load.began_at_offset is not None:
+            self._view.retain(load.keys, load.began_at_offset)
+        self._load = None
         self.loaded = True
         self._logger.log(
-            "store", "loaded", keys=len(records), offset=next_offset
+            "store",
+            "loaded",
+            keys=len(load.keys),
+            offset=self._next_offset or 0,
+            took_ms=int((steady_s() - load.began_at_s) * 1_000),
         )
+        self._mark_read()
+
+    def _forget_history(self) -> None:
+        """Read the newest record of each key anew."""
+        self._next_offset = None
+        self._load = None
 
     def _mark_read(self) -> None:
-        self.last_read_at_s = steady_s()
+        if self.at_end:
+            self.last_read_at_s = steady_s()
         self._on_read()
 
     def _apply(self, records: list[StoredRecord]) -> None:
@@ -202,4 +245,12 @@
         if self._failing:
             return
         self._failing = True
-        self._logger.log("store", "reads fail, retrying", error=str(error))
+        self._logger.log(
+            "store",
+            "reads fail, retrying",
+            error=str(error),
+            offset=self._next_offset or 0,
+            records_behind=self._behind,
+            keys_loaded=len(self._load.keys) if self._load else 0,
+            end_read_ms_ago=int((steady_s() - self.last_read_at_s) * 1_000),
+        )
--- a/tests/cell_world/store_client_model.py
+++ b/tests/cell_world/store_client_model.py
@@ -11,6 +11,8 @@
 from yuccapoint.connection.cell_store import StoreRefusedError
 from yuccapoint.connection.cell_store import StoreResponseLostError
 from yuccapoint.connection.cell_store import StoreSequenceError
+from yuccapoint.connection.newest_page import NewestPage
+from yuccapoint.connection.stored_page import StoredPage
 from yuccapoint.platform.store_partition import RESPONSE_TIMEOUT_S
 
 if TYPE_CHECKING:
@@ -67,9 +69,7 @@
             raise StoreSequenceError(number)
         return number
 
-    async def read(
-        self, from_offset: int, wait_ms: int
-    ) -> tuple[list[StoredRecord], int]:
+    async def read(self, from_offset: int, wait_ms: int) -> StoredPage:
         """Read from an offset on; see ``CellStore.read``."""
         future = asyncio.get_running_loop().create_future()
         until_s = self._clock.now_s + wait_ms / 1000
@@ -83,29 +83,21 @@
         )
         if answer == "expired":
             raise StoreRecordsExpiredError("the records have expired")
-        first, records = answer
+        first, records, end_offset = answer
         stored = [
             StoredRecord(first + n, key, value)
             for n, (key, value) in enumerate(records)
         ]
-        return stored, first + len(stored)
-
-    async def read_newest(self) -> tuple[list[StoredRecord], int]:
-        """Read each key's newest record; see ``CellStore.read_newest``."""
-        records: list[StoredRecord] = []
-        next_offset: int | None = None
-        after = ""
-        while True:
-            page, has_more, end = await self._call(
-                lambda after=after: self._store.newest(after),
-                RESPONSE_TIMEOUT_S,
-            )
-            if next_offset is None:
-                next_offset = end
-            records.extend(StoredRecord(*item) for item in page)
-            if not has_more:
-                return records, next_offset
-            after = records[-1].key
+        next_offset = first + len(stored)
+        return StoredPage(stored, next_offset, end_offset)
+
+    async def read_newest(self, after: str = "") -> NewestPage:
+        """Read a page of the newest records; see ``CellStore.read_newest``."""
+        page, has_more, end_offset = await self._call(
+            lambda: self._store.newest(after), RESPONSE_TIMEOUT_S
+        )
+        records = [StoredRecord(*item) for item in page]
+        return NewestPage(records, end_offset, has_more=has_more)
 
     async def _call(
         self,
--- a/tests/cell_world/store_model.py
+++ b/tests/cell_world/store_model.py
@@ -142,7 +142,8 @@
                 answer("expired")
                 continue
             last = from_offset + MAX_READ_RECORDS
-            answer((from_offset, self.records[from_offset:last]))
+            end_offset = len(self.records)
+            answer((from_offset, self.records[from_offset:last], end_offset))
 
     def trim(self) -> None:
         """Delete all records but the newest of each key."""
--- a/tests/features/steps/isolation_steps.py
+++ b/tests/features/steps/isolation_steps.py
@@ -26,6 +26,7 @@
 from yuccapoint.cell.queue_rules import QueueRules
 from yuccapoint.connection.cell_store import StoreRecordsExpiredError
 from yuccapoint.connection.cell_store import StoreResponseLostError
+from yuccapoint.connection.newest_page import NewestPage
 from yuccapoint.platform.config_feed import ConfigFeed
 from yuccapoint.platform.job_body import decode_job
 from yuccapoint.process.cell_job_gateway import CellJobGateway
@@ -98,10 +99,10 @@
     def __init__(self) -> None:
         self.reads = 0
 
-    async def read_newest(self):
+    async def read_newest(self, _after: str = "") -> NewestPage:
         self.reads += 1
         await asyncio.sleep(0.001)
-        return [], 5
+        return NewestPage([], 5, has_more=False)
 
     async def read(self, from_offset: int, wait_ms: int):
         del from_offset, wait_ms
--- a/tests/features/steps/long_backlog_steps.py
+++ b/tests/features/steps/long_backlog_steps.py
@@ -13,6 +13,8 @@
 from yuccapoint.cell.cell_view import CellView
 from yuccapoint.cell.queue_rules import QueueRules
 from yuccapoint.connection.cell_store import StoredRecord
+from yuccapoint.connection.newest_page import NewestPage
+from yuccapoint.connection.stored_page import StoredPage
 from yuccapoint.platform.job_body import decode_job
 from yuccapoint.process.cell_job_gateway import CellJobGateway
 from yuccapoint.process.cell_tail import CellTail
@@ -37,12 +39,10 @@
     def put(self, key: str, value: bytes) -> None:
         self.records.append(StoredRecord(len(self.records), key, value))
 
-    async def read_newest(self) -> tuple[list[StoredRecord], int]:
-        return [], 0
+    async def read_newest(self, _after: str = "") -> NewestPage:
+        return NewestPage([], 0, has_more=False)
 
-    async def read(
-        self, from_offset: int, wait_ms: int
-    ) -> tuple[list[StoredRecord], int]:
+    async def read(self, from_offset: int, wait_ms: int) -> StoredPage:
         del wait_ms
         self.reads += 1
         found: list[StoredRecord] = []
@@ -52,7 +52,8 @@
             if found and size > MAX_READ_BYTES:
                 break
             found.append(record)
-        return found, from_offset + len(found)
+        next_offset = from_offset + len(found)
+        return StoredPage(found, next_offset, len(self.records))
 
 
 def _set_up(context: Context) -> None:
--- a/tests/features/steps/malformed_steps.py
+++ b/tests/features/steps/malformed_steps.py
@@ -143,7 +143,8 @@
 @when("its newest records are read")
 def read_newest(context: Context) -> None:
     async def read() -> None:
-        context.records, _ = await _partition(context).read_newest()
+        page = await _partition(context).read_newest()
+        context.records = page.records
 
     run(context, read())
 
@@ -153,11 +154,12 @@
     async def read() -> None:
         partition = _partition(context)
         try:
-            records, next_offset = await partition.read(offset, 0)
+            page = await partition.read(offset, 0)
         except MalformedMessageError as error:
             context.error = error
             return
-        context.records, context.next_offset = records, next_offset
+        context.records = page.records
+        context.next_offset = page.next_offset
 
     run(context, read())
 
--- a/tests/features/steps/overlapping_load_steps.py
+++ b/tests/features/steps/overlapping_load_steps.py
@@ -13,6 +13,9 @@
 from yuccapoint.cell.cell_view import CellView
 from yuccapoint.cell.former_leadership import FormerLeadership
 from yuccapoint.connection.cell_store import StoredRecord
+from yuccapoint.connection.cell_store import StoreRecordsExpiredError
+from yuccapoint.connection.newest_page import NewestPage
+from yuccapoint.connection.stored_page import StoredPage
 from yuccapoint.process.cell_tail import CellTail
 
 if TYPE_CHECKING:
@@ -22,24 +25,26 @@
 
 
 class _Store:
-    """Answers the second read of the newest records last."""
+    """Has another leader at the second read of its newest records."""
 
     def __init__(self) -> None:
-        self._reads = 0
+        self.reads = 0
+        self.history_is_deleted = False
 
-    async def read_newest(self) -> tuple[list[StoredRecord], int]:
-        self._reads += 1
-        term, offset = (4, 5) if self._reads == 1 else (5, 9)
-        await asyncio.sleep(0.05 * (self._reads - 1))
+    async def read_newest(self, _after: str = "") -> NewestPage:
+        self.reads += 1
+        term, offset = (4, 5) if self.reads == 1 else (5, 9)
+        await asyncio.sleep(0.05)
         leadership = Leadership(term, "e-0", 1, silent_vms=())
         value = cell_records.encode(leadership)
         record = StoredRecord(offset, cell_records.LEADERSHIP, value)
-        return [record], offset + 1
+        return NewestPage([record], offset + 1, has_more=False)
 
-    async def read(
-        self, from_offset: int, _wait_ms: int
-    ) -> tuple[list[StoredRecord], int]:
-        return [], from_offset
+    async def read(self, from_offset: int, wait_ms: int) -> StoredPage:
+        await asyncio.sleep(wait_ms / 1_000)
+        if self.history_is_deleted and from_offset < 10:
+            raise StoreRecordsExpiredError("the history is deleted")
+        return StoredPage([], from_offset, from_offset)
 
 
 class _Log:
@@ -58,18 +63,28 @@
             follows_last=not context.tail.is_loading,
         )
 
+    context.store = _Store()
     context.tail = CellTail(
-        _Store(), CellView(), on_record, lambda: None, _Log()
+        context.store, CellView(), on_record, lambda: None, _Log()
     )
 
 
-@when("a tail loads both at the same time and the second one ends later")
-def load_both(context: Context) -> None:
+@when("a tail loads it, while two callers ask, and its history is deleted")
+def load_twice(context: Context) -> None:
+    store, tail = context.store, context.tail
+
     async def load() -> None:
-        await asyncio.gather(context.tail.catch_up(), context.tail.catch_up())
+        running = asyncio.ensure_future(tail.run())
+        await asyncio.gather(tail.catch_up(), tail.catch_up())
+        assert store.reads == 1, store.reads
+        assert not tail.is_loading
+        store.history_is_deleted = True
+        async with asyncio.timeout(5.0):
+            while store.reads < 2 or tail.is_loading:
+                await asyncio.sleep(0.02)
+        running.cancel()
 
     asyncio.run(load())
-    assert not context.tail.is_loading
 
 
 @then("the leases of the former leader are counted from the takeover")
