--- a/src/yuccapoint/cell/leader_election.py
+++ b/src/yuccapoint/cell/leader_election.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from yuccapoint.cell import lease_bounds
+from yuccapoint.cell.unread_renewals import UnreadRenewals
 
 if TYPE_CHECKING:
     from yuccapoint.cell.cell_records import Leadership
@@ -25,6 +26,11 @@
         Start time of this entry in nanoseconds.
     stagger : float
         Position of this entry, 0 to 1, in the spread of takeover attempts.
+
+    Attributes
+    ----------
+    unread_renewals : UnreadRenewals
+        Stored renewals of this entry that it has not read back.
     """
 
     def __init__(self, entry: str, incarnation: int, stagger: float) -> None:
@@ -39,6 +45,7 @@
         self._fenced_term = 0
         self._tried_term = 0
         self._tried_at_s = 0.0
+        self.unread_renewals = UnreadRenewals()
 
     def on_records_read(
         self, leader: Leadership | None, now_s: float, *, at_end: bool = True
@@ -64,6 +71,8 @@
         if leader != self._newest:
             self._newest = leader
             self._changed_at_s = now_s
+        if leader is not None:
+            self.unread_renewals.on_read(leader.term, leader.renewal)
 
     def leads(self) -> bool:
         """Return whether this entry leads according to the store."""
--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -22,9 +22,9 @@
 from yuccapoint.cell.former_leadership import FormerLeadership
 from yuccapoint.cell.leader_election import LeaderElection
 from yuccapoint.cell.record_dispatch import apply_record
+from yuccapoint.cell.unread_renewals import MAX_UNREAD_S
 from yuccapoint.connection.cell_store import StoreFencedError
 from yuccapoint.connection.control_channel import ControlChannel
-from yuccapoint.exceptions import YuccapointError
 from yuccapoint.process.adviser_loop import AdviserLoop
 from yuccapoint.process.append_relay import AppendRelay
 from yuccapoint.process.cell_job_gateway import CellJobGateway
@@ -36,6 +36,7 @@
 from yuccapoint.process.steady_clock import steady_s
 from yuccapoint.process.steady_clock import wall_ms
 from yuccapoint.process.supervised_task import supervise
+from yuccapoint.process.term_changes import TermChanges
 
 if TYPE_CHECKING:
     from yuccapoint.cell.cell_records import CellRecord
@@ -58,13 +59,6 @@
 # Interval at which measured interference between images is stored, in
 # seconds; a new leader learns the missing part in about the same time.
 WRITE_PAIRS_EVERY_S = 5.0
-# Minimum time between two takeover attempts, in seconds.
-TAKEOVER_RETRY_S = 0.5
-
-# Longest time that a planned stop waits for the resignation to be stored, and
-# that a takeover waits for the store, in seconds.
-RESIGN_TIMEOUT_S = 1.5
-TAKEOVER_TIMEOUT_S = 1.5
 
 
 class CellEntryProcess:
@@ -132,8 +126,10 @@
         self._writer: CellWriter | None = None
         self._append_task: asyncio.Task[None] | None = None
         self._renewals = LeadershipRenewals(name, self.incarnation)
+        self._term_changes = TermChanges(
+            store, self._leader_election, self._renewals, logger
+        )
         self._pairs_written_at_s = 0.0
-        self._takeover_tried_at_s = 0.0
         self._wake = asyncio.Event()
         self._adviser_loop = AdviserLoop(
             lambda: self.leader, self._wake.set, logger
@@ -170,14 +166,7 @@
         self._stopping = True
         self.job_gateway.stopping = True
         self.logger.log("entry", "stopping", leads=self.leader is not None)
-        if self.leader is None:
-            return
-        try:
-            async with asyncio.timeout(RESIGN_TIMEOUT_S):
-                await self._resign()
-        except (YuccapointError, TimeoutError) as error:
-            # Another entry takes over once the renewals stop.
-            self.logger.log("leader", "resignation failed", error=repr(error))
+        await self._resign("the entry is stopping")
 
     def stop(self) -> None:
         """Stop all components."""
@@ -212,24 +201,6 @@
         ):
             self._wake.set()
 
-    async def _take_over(self) -> None:
-        now_s = steady_s()
-        if now_s - self._takeover_tried_at_s < TAKEOVER_RETRY_S:
-            return
-        self._takeover_tried_at_s = now_s
-        term = self._leader_election.term + 1
-        self.logger.log("leader", "attempting takeover", term=term)
-        self._leader_election.on_takeover_sent(term, now_s)
-        writer = CellWriter(self._store, term, self.logger)
-        try:
-            async with asyncio.timeout(TAKEOVER_TIMEOUT_S):
-                await writer.append([self._renewals.build_takeover(term)])
-        except (YuccapointError, TimeoutError) as error:
-            self.logger.log("leader", "takeover failed", error=repr(error))
-            return
-        self._leader_election.on_takeover_answered()
-        # The next read shows whether this entry was first with the term.
-
     def _start_leading(self, now_s: float) -> None:
         term = self._leader_election.term
         # An answered takeover does not show whose record was first with its
@@ -270,15 +241,32 @@
             self._append_task.cancel()
             self._append_task = None
 
-    async def _resign(self) -> None:
+    async def _resign(self, why: str) -> None:
         leader, writer = self.leader, self._writer
         if leader is None or writer is None:
             return
-        if self._append_task is not None:
-            await self._append_task
-        resignation = self._renewals.build_resignation(leader, steady_s())
-        await writer.append([resignation])
-        self._step_down("the entry is stopping")
+        if await self._term_changes.resign(leader, writer, self._append_task):
+            self._step_down(why)
+
+    async def _leave_term(self, leader: CellLeader, lag_s: float) -> None:
+        """Resign, so that an entry that can read the store leads.
+
+        Renewals are appends: nobody would take over from a leader that reads
+        no cancellation and no new job.
+        """
+        self.metrics.count("blind_terms")
+        self.logger.log(
+            "leader",
+            "own renewals are not read back; resigning",
+            term=leader.term,
+            renewal=self._renewals.renewal,
+            unread_ms=int(lag_s * 1_000),
+            at_end=int(self.tail.at_end),
+        )
+        why = "its reads lag behind its appends"
+        await self._resign(why)
+        self._leader_election.on_fenced(leader.term)
+        self._step_down(why)
 
     async def _run_rounds(self) -> None:
         while True:
@@ -289,13 +277,16 @@
             if self._stopping:
                 return
             pause_s = MIN_ROUND_S
-            if self.leader is not None:
+            unread_s = self._leader_election.unread_renewals.lag_s(steady_s())
+            if self.leader is not None and unread_s > MAX_UNREAD_S:
+                await self._leave_term(self.leader, unread_s)
+            elif self.leader is not None:
                 started_at_s = steady_s()
                 self._try_round(self.leader)
                 spent_s = steady_s() - started_at_s
                 pause_s = max(pause_s, ROUND_PAUSE_RATIO * spent_s)
             elif self._leader_election.should_take_over(steady_s()):
-                await self._take_over()
+                await self._term_changes.take_over()
             await asyncio.sleep(pause_s)
 
     def _try_round(self, leader: CellLeader) -> None:
@@ -365,6 +356,9 @@
         if batch.silent_vms is not None:
             # The next leader counts leases from the renewals only.
             self._leader_election.on_renewed(sent_at_s)
+            self._leader_election.unread_renewals.on_stored(
+                leader.term, self._renewals.renewal, steady_s()
+            )
         if leader is self.leader:
             leader.commit(batch)
         self._wake.set()
--- a/src/yuccapoint/process/leadership_renewals.py
+++ b/src/yuccapoint/process/leadership_renewals.py
@@ -31,21 +31,26 @@
         Name of the entry.
     incarnation : int
         Start time of the entry in nanoseconds.
+
+    Attributes
+    ----------
+    renewal : int
+        Number of the last renewal of the term.
     """
 
     __slots__ = (
         "_checked_at_s",
         "_entry",
         "_incarnation",
-        "_renewal",
         "_renewed_at_s",
         "_store_is_slow",
+        "renewal",
     )
 
     def __init__(self, entry: str, incarnation: int) -> None:
         self._entry = entry
         self._incarnation = incarnation
-        self._renewal = 0
+        self.renewal = 0
         self._renewed_at_s = 0.0
         self._checked_at_s = 0.0
         self._store_is_slow = False
@@ -56,7 +61,7 @@
         The first one is due at once, as it names the VMs that the former
         leader named as silent.
         """
-        self._renewal = 0
+        self.renewal = 0
         self._renewed_at_s = 0.0
 
     def build_takeover(self, term: int) -> StoreItem:
@@ -80,7 +85,7 @@
                 leader.term,
                 self._entry,
                 self._incarnation,
-                self._renewal,
+                self.renewal,
                 resigned=True,
                 silent_vms=leader.silent_vms.collect(
                     leader.vms.values(), now_s
@@ -104,7 +109,7 @@
         """
         if not self._is_due(batch, leader, now_s):
             return
-        self._renewal += 1
+        self.renewal += 1
         self._renewed_at_s = now_s
         batch.silent_vms = ()
         if not self._store_is_slow:
@@ -117,7 +122,7 @@
                     leader.term,
                     self._entry,
                     self._incarnation,
-                    self._renewal,
+                    self.renewal,
                     silent_vms=batch.silent_vms,
                 )
             )
