--- a/src/yuccapoint/platform/config_feed.py
+++ b/src/yuccapoint/platform/config_feed.py
@@ -82,7 +82,7 @@
             await self._load_page()
             return
         page = await self._store.read(self._next_offset, READ_WAIT_MS)
-        self._apply(page.records)
+        self._apply_page(page.records)
         self._next_offset = page.next_offset
         if page.behind:
             # The newest version replaces all others.
@@ -91,7 +91,7 @@
     async def _load_page(self) -> None:
         page = await self._store.read_newest(self._load.after)
         self._load.add(page)
-        self._apply(page.records)
+        self._apply_page(page.records)
         if self._load.complete:
             self._next_offset = self._load.began_at_offset
 
@@ -99,11 +99,11 @@
         self._next_offset = None
         self._load = StoreLoad(steady_s())
 
-    def _apply(self, records: list[StoredRecord]) -> None:
+    def _apply_page(self, records: list[StoredRecord]) -> None:
         for record in records:
-            self._apply_record(record)
+            self._apply(record)
 
-    def _apply_record(self, record: StoredRecord) -> None:
+    def _apply(self, record: StoredRecord) -> None:
         if record.key != CONFIG_KEY or record.value is None:
             return
         try:
--- a/src/yuccapoint/platform/store_partition.py
+++ b/src/yuccapoint/platform/store_partition.py
@@ -36,7 +36,7 @@
 MIN_LINK_BYTES_PER_S = 125_000
 # Size of a page of a read. Other calls on the same link wait for it, and what
 # has arrived is kept.
-READ_PAGE_KB = 256
+READ_PAGE_KB = 64
 # The store's own limit, for a record that doesn't fit the page.
 MAX_READ_KB = 1_024
 STATUS_OK = 200
