--- a/src/yuccapoint/cell/cell_messages.py
+++ b/src/yuccapoint/cell/cell_messages.py
@@ -177,6 +177,40 @@
     result: RelayResult
 
 
+class LookupResult(enum.StrEnum):
+    """What an entry can tell of a job."""
+
+    KNOWN = "known"
+    ABSENT = "absent"
+    UNREADABLE = "unreadable"
+
+
+class JobLookup(msgspec.Struct, frozen=True, tag="jl", array_like=True):
+    """A question for a job that the sender can't look up in the store.
+
+    The answer goes to ``address`` and repeats ``number``.
+    """
+
+    address: str
+    number: int
+    route: str
+    job_id: str
+
+
+class JobLookupAnswer(msgspec.Struct, frozen=True, tag="ja", array_like=True):
+    """The state of a job; empty unless the job is known."""
+
+    number: int
+    result: LookupResult
+    state: str = ""
+
+
 CellMessage = (
-    VmReport | LeaderOrders | RelayRequest | RelayAnswer | CrashReport
+    VmReport
+    | LeaderOrders
+    | RelayRequest
+    | RelayAnswer
+    | CrashReport
+    | JobLookup
+    | JobLookupAnswer
 )
--- a/src/yuccapoint/cell/job_gateway.py
+++ b/src/yuccapoint/cell/job_gateway.py
@@ -53,7 +53,9 @@
     ) -> GatewayResult:
         """Cancel a job durably."""
 
-    async def state(self, route: str, job_id: str) -> str | None:
+    async def state(
+        self, route: str, job_id: str, deadline_s: float
+    ) -> str | None:
         """Return the state of a job; None when there is no such job."""
 
     def count_pending(self, route: str) -> int:
--- a/src/yuccapoint/platform/job_api.py
+++ b/src/yuccapoint/platform/job_api.py
@@ -138,7 +138,7 @@
         if request.method == "POST":
             return await self._submit(route, rest, request.body, deadline_s)
         if request.method == "GET":
-            return await self._state_response(route, rest)
+            return await self._state_response(route, rest, deadline_s)
         if request.method == "DELETE":
             verdict = await self._gateway.cancel(
                 route.rules.route, rest, deadline_s
@@ -165,10 +165,12 @@
         return JobApiResponse(_STATUS_BY_VERDICT[verdict], None, retry_after_s)
 
     async def _state_response(
-        self, route: QueueRoute, job_id: str
+        self, route: QueueRoute, job_id: str, deadline_s: float
     ) -> JobApiResponse:
         try:
-            state = await self._gateway.state(route.rules.route, job_id)
+            state = await self._gateway.state(
+                route.rules.route, job_id, deadline_s
+            )
         except YuccapointError:
             # The gateway has logged the reason.
             return JobApiResponse(
--- a/src/yuccapoint/process/append_relay.py
+++ b/src/yuccapoint/process/append_relay.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
-import time
 from typing import TYPE_CHECKING
 
 from yuccapoint.cell import cell_records
@@ -14,7 +12,7 @@
 from yuccapoint.cell.exceptions import DamagedRecordError
 from yuccapoint.connection.cell_store import StoreRefusedError
 from yuccapoint.connection.cell_store import StoreResponseLostError
-from yuccapoint.process.steady_clock import steady_s
+from yuccapoint.process.peer_calls import PeerCalls
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -67,9 +65,7 @@
         self._list_peers = list_peers
         self._has_leader_peer = has_leader_peer
         self._logger = logger
-        # A peer may still answer requests of this entry's former process.
-        self._numbers = itertools.count(time.time_ns())
-        self._waiting: dict[int, asyncio.Future[RelayResult]] = {}
+        self._calls: PeerCalls[RelayResult] = PeerCalls(control_channel)
         self._serving_tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -112,29 +108,18 @@
     async def _request_append(
         self, address: str, key: str, value: bytes, timeout_s: float
     ) -> RelayResult:
-        number = next(self._numbers)
-        answered = asyncio.get_running_loop().create_future()
-        self._waiting[number] = answered
-        request = RelayRequest(
-            self._control_channel.address, number, key, value
+        result = await self._calls.call(
+            address,
+            lambda number: RelayRequest(
+                self._control_channel.address, number, key, value
+            ),
+            timeout_s,
         )
-        sent_at_s = steady_s()
-        self._control_channel.send(address, request)
-        try:
-            async with asyncio.timeout(timeout_s):
-                result: RelayResult = await answered
-                return result
-        except TimeoutError:
-            self._control_channel.note_unanswered(address, sent_at_s)
-            return RelayResult.UNKNOWN
-        finally:
-            del self._waiting[number]
+        return RelayResult.UNKNOWN if result is None else result
 
     def on_answer(self, answer: RelayAnswer) -> None:
         """Resolve the request of a peer's answer; ignore a late one."""
-        answered = self._waiting.get(answer.number)
-        if answered is not None and not answered.done():
-            answered.set_result(answer.result)
+        self._calls.on_answer(answer.number, answer.result)
 
     def on_request(self, request: RelayRequest) -> None:
         """Append a record for a peer."""
--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -12,8 +12,6 @@
 
 from yuccapoint.cell.cell_leader import CellLeader
 from yuccapoint.cell.cell_messages import CellMessage
-from yuccapoint.cell.cell_messages import RelayAnswer
-from yuccapoint.cell.cell_messages import RelayRequest
 from yuccapoint.cell.cell_messages import VmReport
 from yuccapoint.cell.cell_records import EntryMember
 from yuccapoint.cell.cell_records import Leadership
@@ -26,13 +24,13 @@
 from yuccapoint.connection.cell_store import StoreFencedError
 from yuccapoint.connection.control_channel import ControlChannel
 from yuccapoint.process.adviser_loop import AdviserLoop
-from yuccapoint.process.append_relay import AppendRelay
 from yuccapoint.process.cell_job_gateway import CellJobGateway
 from yuccapoint.process.cell_tail import CellTail
 from yuccapoint.process.cell_writer import CellWriter
 from yuccapoint.process.entry_registration import register_entry
 from yuccapoint.process.group_appender import GroupAppender
 from yuccapoint.process.leadership_renewals import LeadershipRenewals
+from yuccapoint.process.peer_services import PeerServices
 from yuccapoint.process.steady_clock import steady_s
 from yuccapoint.process.steady_clock import wall_ms
 from yuccapoint.process.supervised_task import supervise
@@ -113,15 +111,17 @@
             self._on_reopened,
         )
         appender = GroupAppender(store)
-        self._relay = AppendRelay(
-            appender,
-            self._control_channel,
-            lambda: self.view.peers_of(name),
-            lambda: self.view.is_led_by_other(name),
-            logger,
+        self._peer_services = PeerServices(
+            name, self.view, self.tail, appender, self._control_channel, logger
         )
         self.job_gateway = CellJobGateway(
-            self.view, self.tail, appender, self._relay, logger, metrics
+            self.view,
+            self.tail,
+            appender,
+            self._peer_services.relay,
+            self._peer_services.lookups,
+            logger,
+            metrics,
         )
         self._writer: CellWriter | None = None
         self._append_task: asyncio.Task[None] | None = None
@@ -370,11 +370,7 @@
             self._wake.set()
 
     def _on_message(self, message: CellMessage) -> None:
-        if isinstance(message, RelayRequest):
-            self._relay.on_request(message)
-            return
-        if isinstance(message, RelayAnswer):
-            self._relay.on_answer(message)
+        if self._peer_services.handle(message):
             return
         if self.leader is None:
             return
--- a/src/yuccapoint/process/cell_job_gateway.py
+++ b/src/yuccapoint/process/cell_job_gateway.py
@@ -10,18 +10,17 @@
 from yuccapoint.cell.cell_messages import RelayResult
 from yuccapoint.cell.cell_records import Cancellation
 from yuccapoint.cell.job_gateway import GatewayResult
-from yuccapoint.cell.occurrence_state import Outcome
 from yuccapoint.connection.cell_store import StoreRefusedError
 from yuccapoint.exceptions import YuccapointError
 from yuccapoint.process.steady_clock import wall_ms
 
 if TYPE_CHECKING:
     from yuccapoint.cell.cell_view import CellView
-    from yuccapoint.cell.cell_view import JobView
     from yuccapoint.cell.submission import Submission
     from yuccapoint.process.append_relay import AppendRelay
     from yuccapoint.process.cell_tail import CellTail
     from yuccapoint.process.group_appender import GroupAppender
+    from yuccapoint.process.job_lookups import JobLookups
     from yuccapoint.process.metrics import Metrics
     from yuccapoint.process.process_logger import ProcessLogger
     from yuccapoint.version.queue_table import QueueTable
@@ -62,6 +61,8 @@
         Appends accepted jobs to the store.
     relay : AppendRelay
         Path to the store through peers when the store refuses this entry.
+    lookups : JobLookups
+        Finds the states of jobs.
     logger : ProcessLogger
         Receives the log lines.
     metrics : Metrics
@@ -74,6 +75,7 @@
         tail: CellTail,
         appender: GroupAppender,
         relay: AppendRelay,
+        lookups: JobLookups,
         logger: ProcessLogger,
         metrics: Metrics,
     ) -> None:
@@ -89,6 +91,7 @@
         self._tail = tail
         self._appender = appender
         self._relay = relay
+        self._lookups = lookups
         self._logger = logger
         self._metrics = metrics
 
@@ -137,37 +140,38 @@
         self, route: str, job_id: str, deadline_s: float
     ) -> GatewayResult:
         """Cancel a job; accepted after the cancellation is stored."""
-        try:
-            job = await self._find_or_catch_up(route, job_id)
-        except YuccapointError:
-            return GatewayResult.REFUSED
-        if job is None:
-            self._log_outcome("cancelled", job_id, GatewayResult.UNKNOWN_JOB)
-            return GatewayResult.UNKNOWN_JOB
-        if job.cancelled:
+        job = self._lookups.find(route, job_id)
+        if job is not None and job.cancelled:
             return GatewayResult.ACCEPTED
+        if job is None:
+            try:
+                state = await self._lookups.find_state(
+                    route, job_id, deadline_s
+                )
+            except YuccapointError:
+                return GatewayResult.REFUSED
+            if state is None:
+                self._log_outcome(
+                    "cancelled", job_id, GatewayResult.UNKNOWN_JOB
+                )
+                return GatewayResult.UNKNOWN_JOB
         key = cell_records.CANCELLATION + job_id
         value = cell_records.encode(Cancellation(job_id, wall_ms()))
         verdict = await self._append(key, value, deadline_s)
         self._log_outcome("cancelled", job_id, verdict, route=route)
         return verdict
 
-    async def state(self, route: str, job_id: str) -> str | None:
+    async def state(
+        self, route: str, job_id: str, deadline_s: float
+    ) -> str | None:
         """Return the state of a job; None if there is no such job.
 
         Raises
         ------
         YuccapointError
-            The job is not in the view and the store can't be read.
+            Neither the store nor another entry can be asked for the job.
         """
-        job = await self._find_or_catch_up(route, job_id)
-        if job is None:
-            return None
-        if job.outcome is not Outcome.OPEN:
-            return job.outcome.value
-        if job.has_started or job.has_claims:
-            return "running"
-        return "pending"
+        return await self._lookups.find_state(route, job_id, deadline_s)
 
     def count_pending(self, route: str) -> int:
         """Count the accepted jobs without a started task."""
@@ -189,28 +193,6 @@
             "front", "caller disconnected", path=path, status=status
         )
 
-    async def _find_or_catch_up(
-        self, route: str, job_id: str
-    ) -> JobView | None:
-        job = self._find(route, job_id)
-        if job is None:
-            try:
-                # Another entry may have accepted the job just now.
-                await self._tail.catch_up()
-            except YuccapointError as error:
-                self._logger.log(
-                    "job", "state lookup failed", job=job_id, error=str(error)
-                )
-                raise
-            job = self._find(route, job_id)
-        return job
-
-    def _find(self, route: str, job_id: str) -> JobView | None:
-        job = self._view.find(job_id)
-        if job is None or job.submission.queue.route != route:
-            return None
-        return job
-
     async def _append(
         self, key: str, value: bytes, deadline_s: float
     ) -> GatewayResult:
--- a/tests/features/steps/isolation_steps.py
+++ b/tests/features/steps/isolation_steps.py
@@ -9,6 +9,7 @@
 from behave import when
 from cell_leader_steps import deliver_report
 from cell_leader_steps import report
+from long_backlog_steps import NoChannel
 import msgspec
 from platform_path_steps import job_body
 from platform_path_steps import JOB_ID
@@ -32,6 +33,7 @@
 from yuccapoint.process.cell_job_gateway import CellJobGateway
 from yuccapoint.process.cell_tail import CellTail
 from yuccapoint.process.group_appender import GroupAppender
+from yuccapoint.process.job_lookups import JobLookups
 from yuccapoint.process.metrics import Metrics
 from yuccapoint.process.process_logger import ProcessLogger
 
@@ -194,6 +196,7 @@
         tail,
         GroupAppender(context.store),
         UnknownRelay(),
+        JobLookups(view, tail, NoChannel(), list, logger),
         logger,
         Metrics(),
     )
--- a/tests/features/steps/long_backlog_steps.py
+++ b/tests/features/steps/long_backlog_steps.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING
 
 from behave import given
@@ -18,6 +19,7 @@
 from yuccapoint.platform.job_body import decode_job
 from yuccapoint.process.cell_job_gateway import CellJobGateway
 from yuccapoint.process.cell_tail import CellTail
+from yuccapoint.process.job_lookups import JobLookups
 from yuccapoint.process.metrics import Metrics
 from yuccapoint.process.process_logger import ProcessLogger
 
@@ -27,6 +29,13 @@
 MAX_READ_BYTES = 1_048_576
 RECORD_BYTES = 300_000
 ROUTE = "q"
+DEADLINE_S = 3.0
+
+
+class NoChannel:
+    """Has no peers to send to."""
+
+    address = ""
 
 
 class PagedStore:
@@ -63,8 +72,9 @@
     context.tail = CellTail(
         context.store, view, lambda _: None, lambda: None, logger
     )
+    lookups = JobLookups(view, context.tail, NoChannel(), list, logger)
     context.gateway = CellJobGateway(
-        view, context.tail, None, None, logger, Metrics()
+        view, context.tail, None, None, lookups, logger, Metrics()
     )
 
 
@@ -94,7 +104,8 @@
 @then("the entry knows the job")
 def job_known(context: Context) -> None:
     async def ask() -> str | None:
-        return await context.gateway.state(ROUTE, JOB_ID)
+        deadline_s = time.monotonic() + DEADLINE_S
+        return await context.gateway.state(ROUTE, JOB_ID, deadline_s)
 
     state = run(context, ask())
     assert state == "pending", state
--- a/tests/features/steps/silent_connection_steps.py
+++ b/tests/features/steps/silent_connection_steps.py
@@ -206,7 +206,7 @@
 async def _relay_record(context: Context) -> RelayResult:
     job_id = f"{next(context.job_numbers):016x}"
     record = cell_records.Cancellation(job_id, 1)
-    return await context.deployment.entries[0]._relay.append(
+    return await context.deployment.entries[0]._peer_services.relay.append(
         cell_records.CANCELLATION + job_id, cell_records.encode(record), 3.0
     )
 
--- a/tests/features/steps/slow_store_steps.py
+++ b/tests/features/steps/slow_store_steps.py
@@ -7,6 +7,7 @@
 from behave import given
 from behave import then
 from behave import when
+from long_backlog_steps import NoChannel
 from platform_path_steps import job_body
 from platform_path_steps import run
 
@@ -19,6 +20,7 @@
 from yuccapoint.process.cell_job_gateway import CellJobGateway
 from yuccapoint.process.cell_tail import CellTail
 from yuccapoint.process.group_appender import GroupAppender
+from yuccapoint.process.job_lookups import JobLookups
 from yuccapoint.process.metrics import Metrics
 from yuccapoint.process.process_logger import ProcessLogger
 from yuccapoint.process.steady_clock import steady_s
@@ -115,6 +117,7 @@
         tail,
         GroupAppender(context.store),
         context.relay,
+        JobLookups(view, tail, NoChannel(), list, logger),
         logger,
         Metrics(),
     )
