--- a/src/yuccapoint/connection/transfer.py
+++ b/src/yuccapoint/connection/transfer.py
@@ -73,14 +73,16 @@
 
     def describe(self, now_s: float) -> str:
         """Return what tells a slow link from a silent peer or a busy loop."""
-        first = "none"
+        received = "no response"
         if self._first_part_at_s is not None:
             began_s = self._first_part_at_s - self._sent_at_s
-            first = f"the first after {began_s:.2f} s"
+            received = (
+                f"a response after {began_s:.2f} s,"
+                f" {self.received_bytes} bytes of its body"
+            )
         late_s = max(0.0, now_s - self.deadline_s)
         return (
-            f"after {now_s - self._sent_at_s:.2f} s:"
-            f" {self.received_bytes} bytes received, {first};"
+            f"after {now_s - self._sent_at_s:.2f} s: {received};"
             f" event loop {late_s:.2f} s late"
         )
 
