--- a/src/yuccapoint/platform/store_partition.py
+++ b/src/yuccapoint/platform/store_partition.py
@@ -130,7 +130,13 @@
         page = await self._read(from_offset, wait_ms, READ_PAGE_KB)
         if page.records or not page.behind:
             return page
-        return await self._read(from_offset, 0, MAX_READ_KB)
+        page = await self._read(from_offset, 0, MAX_READ_KB)
+        if not page.records and page.behind:
+            # It would be read without end.
+            raise StoreResponseLostError(
+                f"read from offset {from_offset} returned no whole record"
+            )
+        return page
 
     async def _read(
         self, from_offset: int, wait_ms: int, max_kb: int
@@ -147,7 +153,7 @@
             raise StoreResponseLostError(
                 f"read failed with status {response.status}"
             )
-        return _decode_read(response.body, from_offset)
+        return _decode_read(response.body, from_offset, 1_024 * max_kb)
 
     async def read_newest(self, after: str = "") -> NewestPage:
         """Read a page of the newest records; see ``CellStore.read_newest``."""
@@ -213,7 +219,7 @@
     return RECORD_LENGTH.pack(len(content)) + content
 
 
-def _decode_read(data: bytes, from_offset: int) -> StoredPage:
+def _decode_read(data: bytes, from_offset: int, max_bytes: int) -> StoredPage:
     if len(data) < READ_HEADER.size:
         raise MalformedMessageError("read response is shorter than its header")
     end_offset, _ = READ_HEADER.unpack_from(data)
@@ -225,7 +231,7 @@
         position += RECORD_LENGTH.size
         content = data[position : position + size]
         if len(content) < size:
-            if not records:
+            if not records and len(data) < max_bytes:
                 raise MalformedMessageError("read response is cut off")
             # The record is read again.
             break
--- a/src/yuccapoint/process/cell_tail.py
+++ b/src/yuccapoint/process/cell_tail.py
@@ -47,7 +47,7 @@
     on_record : callable
         Called with the record of each change.
     on_read : callable
-        Called after each successful read.
+        Called after each successful read of ``run``.
     logger : ProcessLogger
         Receives the log lines.
 
@@ -82,7 +82,7 @@
         self._load: StoreLoad | None = None
         # Held by reads that return at once, which would get the same records.
         self._read_lock = asyncio.Lock()
-        self._behind = 0
+        self._end_offset = 0
         self._catch_up_calls = CoalescedCall(self._catch_up)
         self._failing = False
 
@@ -93,9 +93,13 @@
 
     @property
     def at_end(self) -> bool:
-        """Whether the last read reached the end of the log."""
+        """Whether all records that reads have told of are applied."""
         return not self._behind
 
+    @property
+    def _behind(self) -> int:
+        return max(0, self._end_offset - (self._next_offset or 0))
+
     @property
     def up_to_date(self) -> bool:
         """Whether a read reached the end of the log recently."""
@@ -147,14 +151,18 @@
             await self._read_to_end()
 
     async def _read_once(self) -> bool:
+        has_records = True
         if self.at_end and not self.is_loading:
-            return bool((await self._read_log(READ_WAIT_MS)).records)
-        async with self._read_lock:
-            if self.is_loading:
-                await self._load_store()
-            else:
-                await self._read_log(0)
-        return True
+            page = await self._read_log(READ_WAIT_MS)
+            has_records = bool(page.records)
+        else:
+            async with self._read_lock:
+                if self.is_loading:
+                    await self._load_store()
+                else:
+                    await self._read_log(0)
+        self._on_read()
+        return has_records
 
     async def _read_to_end(self) -> None:
         while (await self._read_log(0)).behind:
@@ -169,9 +177,10 @@
         self._apply(page.records)
         if self._next_offset is not None:
             self._next_offset = max(self._next_offset, page.next_offset)
-        self._behind = page.behind
-        if self._load is None:
-            self._mark_read()
+        # A read that began earlier may be answered later.
+        self._end_offset = max(self._end_offset, page.end_offset)
+        if self.at_end and self._load is None:
+            self.last_read_at_s = steady_s()
         return page
 
     async def _load_store(self) -> None:
@@ -203,18 +212,14 @@
             offset=self._next_offset or 0,
             took_ms=int((steady_s() - load.began_at_s) * 1_000),
         )
-        self._mark_read()
+        self.last_read_at_s = steady_s()
 
     def _forget_history(self) -> None:
         """Read the newest record of each key anew."""
         self._next_offset = None
+        self._end_offset = 0
         self._load = None
 
-    def _mark_read(self) -> None:
-        if self.at_end:
-            self.last_read_at_s = steady_s()
-        self._on_read()
-
     def _apply(self, records: list[StoredRecord]) -> None:
         for stored in records:
             try:
--- a/src/yuccapoint_standins/platform_store.py
+++ b/src/yuccapoint_standins/platform_store.py
@@ -54,11 +54,14 @@
         Whether the response to all calls is 503.
     lose_answers : bool
         Whether appends are executed without a response.
+    cut_pages : bool
+        Whether a read returns the part of a record that fits.
     """
 
     def __init__(self) -> None:
         self.refuse = False
         self.lose_answers = False
+        self.cut_pages = False
         self.appends = 0
         self._topics: dict[str, PlatformPartition] = {}
         self._newest: dict[str, dict[str, tuple[int, bytes]]] = {}
@@ -166,11 +169,13 @@
         ]
         left_bytes = 1_024 * int(query.get("MaxKb", MAX_READ_KB))
         for content in partition.records[start - partition.first_offset :]:
-            left_bytes -= RECORD_LENGTH.size + len(content)
-            if left_bytes < 0:
-                # No part of a record is returned.
+            record = RECORD_LENGTH.pack(len(content)) + content
+            if len(record) > left_bytes:
+                if self.cut_pages:
+                    parts.append(record[:left_bytes])
                 break
-            parts.append(RECORD_LENGTH.pack(len(content)) + content)
+            left_bytes -= len(record)
+            parts.append(record)
         return 200, b"".join(parts)
 
     def _serve_newest(self, query: dict[str, str]) -> bytes:
--- a/tests/features/platform/narrow_link.feature
+++ b/tests/features/platform/narrow_link.feature
@@ -37,6 +37,18 @@
     Then it has loaded all of them within twice the time that the link needs
     And the link carried no more than 1.5 times the size of the keys
 
+  Scenario Outline: A record that is larger than a page is read
+    # A page of a read is smaller than the largest record of the store.
+    Given a reader of the store behind a link of 10 Mbit/s
+    And the store <returns> the part of a record that fits
+    When it is away while a record of 250 kB is written
+    Then it has read all of them within twice the time that the link needs
+
+    Examples:
+      | returns         |
+      | returns         |
+      | does not return |
+
   Scenario: Lookups of unknown jobs share their reads
     Given a store with 200 keys of 1 kB behind a link of 5 Mbit/s
     And an entry that has loaded it
--- a/tests/features/steps/long_backlog_steps.py
+++ b/tests/features/steps/long_backlog_steps.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import asyncio
+import struct
 import time
 from typing import TYPE_CHECKING
 
@@ -14,14 +16,18 @@
 from yuccapoint.cell.cell_view import CellView
 from yuccapoint.cell.queue_rules import QueueRules
 from yuccapoint.connection.cell_store import StoredRecord
+from yuccapoint.connection.http_client import HttpClient
 from yuccapoint.connection.newest_page import NewestPage
 from yuccapoint.connection.stored_page import StoredPage
 from yuccapoint.platform.job_body import decode_job
+from yuccapoint.platform.store_partition import StorePartition
 from yuccapoint.process.cell_job_gateway import CellJobGateway
 from yuccapoint.process.cell_tail import CellTail
 from yuccapoint.process.job_lookups import JobLookups
 from yuccapoint.process.metrics import Metrics
 from yuccapoint.process.process_logger import ProcessLogger
+from yuccapoint_standins.deployment import find_free_address
+from yuccapoint_standins.platform_store import PlatformStore
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -115,3 +121,79 @@
 def reads_made(context: Context, count: int) -> None:
     made = context.store.reads - context.reads_before
     assert made == count, made
+
+
+@when("a long read is answered after a later one has told of 3 MB of records")
+def answer_late(context: Context) -> None:
+    store, tail = context.store, context.tail
+    released = asyncio.Event()
+    read = store.read
+
+    async def read_late(from_offset: int, wait_ms: int) -> StoredPage:
+        page = await read(from_offset, wait_ms)
+        await released.wait()
+        return page
+
+    async def play() -> None:
+        store.put("p:1.0", b"\xc1")
+        store.read = read_late
+        late = asyncio.ensure_future(tail._read_once())
+        await asyncio.sleep(0)
+        append_backlog(context, 3)
+        store.read = read
+        # The first page of several.
+        await tail._read_log(0)
+        released.set()
+        await late
+
+    run(context, play())
+
+
+@then("the entry has not read to the end")
+def not_at_end(context: Context) -> None:
+    assert not context.tail.at_end
+
+
+@given("a store whose reads return nothing though there are records")
+def empty_pages(context: Context) -> None:
+    server = PlatformStore()
+    server.put("keyed.cell", "p:1.0", b"\xc1")
+    server._serve_read = _serve_nothing
+    address = find_free_address()
+    server.listen(address)
+    context.cleanups.append(server.stop)
+    context.reads = 0
+    partition = StorePartition(HttpClient(address), "cell", 0)
+    read = partition._read
+
+    async def count(*args: int) -> StoredPage:
+        context.reads += 1
+        return await read(*args)
+
+    partition._read = count
+    context.tail = CellTail(
+        partition,
+        CellView(),
+        lambda _: None,
+        lambda: None,
+        ProcessLogger("entry"),
+    )
+
+
+async def _serve_nothing(_query: dict[str, str]) -> tuple[int, bytes]:
+    return 200, struct.pack(">QQ", 9, 0)
+
+
+@when("an entry follows it for {seconds:d} s")
+def follow(context: Context, seconds: int) -> None:
+    async def play() -> None:
+        task = asyncio.ensure_future(context.tail.run())
+        await asyncio.sleep(seconds)
+        task.cancel()
+
+    run(context, play())
+
+
+@then("it has made at most {most:d} reads")
+def few_reads(context: Context, most: int) -> None:
+    assert 0 < context.reads <= most, context.reads
--- a/tests/features/steps/narrow_link_steps.py
+++ b/tests/features/steps/narrow_link_steps.py
@@ -161,13 +161,27 @@
     run(context, load())
 
 
+@given("the store {returns} the part of a record that fits")
+def cut_pages(context: Context, returns: str) -> None:
+    context.link.store.cut_pages = returns == "returns"
+
+
 @when("it is away while {kb} kB of records are written")
 def write_while_away(context: Context, kb: str) -> None:
+    _write_while_away(context, int(kb), 1)
+
+
+@when("it is away while a record of {kb:d} kB is written")
+def write_large_while_away(context: Context, kb: int) -> None:
+    _write_while_away(context, 1, kb)
+
+
+def _write_while_away(context: Context, count: int, kb: int) -> None:
     link = context.link
     link.proxy.state = LinkState.DROP_RESPONSES
     link.proxy.reset_all()
-    link.put(int(kb))
-    link.transfer_bytes = int(kb) * 1_000.0
+    link.put(count, kb * 1_000)
+    link.transfer_bytes = count * kb * 1_000.0
     link.proxy.state = LinkState.PASS
     link.begin()
 
