--- a/src/yuccapoint/cell/cell_records.py
+++ b/src/yuccapoint/cell/cell_records.py
@@ -41,7 +41,8 @@
     renewal : int
         Number of renewals in this term.
     resigned : bool
-        Whether the leader stopped as planned.
+        Whether any entry may take over at once. The leader has stopped, or
+        leads on until then, as it reads no records.
     silent_vms : tuple or None
         Names of VMs that get no lease before a later renewal is stored, each
         with the time in milliseconds after which the leases granted so far
--- a/src/yuccapoint/cell/leader_election.py
+++ b/src/yuccapoint/cell/leader_election.py
@@ -31,6 +31,9 @@
     ----------
     unread_renewals : UnreadRenewals
         Stored renewals of this entry that it has not read back.
+    yields : bool
+        Whether this entry, as the leader, lets any other take over at once.
+        It leads on until then.
     """
 
     def __init__(self, entry: str, incarnation: int, stagger: float) -> None:
@@ -46,6 +49,7 @@
         self._tried_term = 0
         self._tried_at_s = 0.0
         self.unread_renewals = UnreadRenewals()
+        self.yields = False
 
     def on_records_read(
         self, leader: Leadership | None, now_s: float, *, at_end: bool = True
@@ -77,11 +81,9 @@
     def leads(self) -> bool:
         """Return whether this entry leads according to the store."""
         newest = self._newest
-        if (
-            newest is None
-            or newest.resigned
-            or newest.term <= self._fenced_term
-        ):
+        if newest is None or newest.term <= self._fenced_term:
+            return False
+        if newest.resigned and not self.yields:
             return False
         return (newest.entry, newest.incarnation) == (
             self.entry,
--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -235,6 +235,7 @@
             "leader", "stepping down", term=self.leader.term, why=why
         )
         self.leader = None
+        self._leader_election.yields = False
         self._writer = None
         self.tail.read_pause_s = READ_PAUSE_S
         if self._append_task is not None:
@@ -248,25 +249,29 @@
         if await self._term_changes.resign(leader, writer, self._append_task):
             self._step_down(why)
 
-    async def _leave_term(self, leader: CellLeader, lag_s: float) -> None:
-        """Resign, so that an entry that can read the store leads.
+    def _yield_or_keep_term(self, leader: CellLeader, now_s: float) -> None:
+        """Let an entry that can read the store take over, if there is one.
 
         Renewals are appends: nobody would take over from a leader that reads
-        no cancellation and no new job.
+        no cancellation and no new job. It leads on until the next term, as
+        the others may not read either.
         """
-        self.metrics.count("blind_terms")
+        unread_s = self._leader_election.unread_renewals.lag_s(now_s)
+        yields = unread_s > MAX_UNREAD_S
+        if yields == self._renewals.yields:
+            return
+        self._renewals.yields = self._leader_election.yields = yields
+        self.metrics.count("yielded_terms", amount=int(yields))
         self.logger.log(
             "leader",
-            "own renewals are not read back; resigning",
+            "own renewals are not read back; any entry may take over"
+            if yields
+            else "own renewals are read back; keeping the term",
             term=leader.term,
             renewal=self._renewals.renewal,
-            unread_ms=int(lag_s * 1_000),
+            unread_ms=int(unread_s * 1_000),
             at_end=int(self.tail.at_end),
         )
-        why = "its reads lag behind its appends"
-        await self._resign(why)
-        self._leader_election.on_fenced(leader.term)
-        self._step_down(why)
 
     async def _run_rounds(self) -> None:
         while True:
@@ -277,10 +282,7 @@
             if self._stopping:
                 return
             pause_s = MIN_ROUND_S
-            unread_s = self._leader_election.unread_renewals.lag_s(steady_s())
-            if self.leader is not None and unread_s > MAX_UNREAD_S:
-                await self._leave_term(self.leader, unread_s)
-            elif self.leader is not None:
+            if self.leader is not None:
                 started_at_s = steady_s()
                 self._try_round(self.leader)
                 spent_s = steady_s() - started_at_s
@@ -310,6 +312,7 @@
 
     def _run_round(self, leader: CellLeader) -> None:
         now_s = steady_s()
+        self._yield_or_keep_term(leader, now_s)
         leader.tick(now_s, wall_ms())
         if self._append_task is None:
             self._start_append(leader, now_s)
--- a/src/yuccapoint/process/leadership_renewals.py
+++ b/src/yuccapoint/process/leadership_renewals.py
@@ -36,6 +36,8 @@
     ----------
     renewal : int
         Number of the last renewal of the term.
+    yields : bool
+        Whether renewals let any other entry take over at once.
     """
 
     __slots__ = (
@@ -45,12 +47,14 @@
         "_renewed_at_s",
         "_store_is_slow",
         "renewal",
+        "yields",
     )
 
     def __init__(self, entry: str, incarnation: int) -> None:
         self._entry = entry
         self._incarnation = incarnation
         self.renewal = 0
+        self.yields = False
         self._renewed_at_s = 0.0
         self._checked_at_s = 0.0
         self._store_is_slow = False
@@ -62,6 +66,7 @@
         leader named as silent.
         """
         self.renewal = 0
+        self.yields = False
         self._renewed_at_s = 0.0
 
     def build_takeover(self, term: int) -> StoreItem:
@@ -123,6 +128,7 @@
                     self._entry,
                     self._incarnation,
                     self.renewal,
+                    resigned=self.yields,
                     silent_vms=batch.silent_vms,
                 )
             )
--- a/tests/features/cell/blind_leader.feature
+++ b/tests/features/cell/blind_leader.feature
@@ -21,3 +21,27 @@
     And 25 s pass in the cells
     Then no VM was released
     And no guarantee of the cell is violated
+
+  # Nobody can take over; without a leader all leases would end.
+  Scenario Outline: No lease ends where the reads of all entries fail
+    Given <cells> cells of <vms> VMs and <entries> entries that work on long-running jobs
+    And the releases of VMs whose lease expired are counted
+    When the reads of all entries get no answer for 9 s
+    And 14 s pass in the cells
+    Then no VM was released
+    And no run has lapsed
+    And no guarantee of the cell is violated
+
+    Examples:
+      | cells | vms | entries |
+      | 4     | 4   | 3       |
+      | 4     | 4   | 1       |
+
+  Scenario: No lease ends where the log grows faster than all links carry it
+    Given 4 cells of 4 VMs that work on long-running jobs
+    And the releases of VMs whose lease expired are counted
+    When the log grows by 1_000 kB a second for 8 s, of which links carry 625
+    And 14 s pass in the cells
+    Then no VM was released
+    And no run has lapsed
+    And no guarantee of the cell is violated
--- a/tests/features/steps/blind_leader_steps.py
+++ b/tests/features/steps/blind_leader_steps.py
@@ -1,20 +1,29 @@
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
+from unittest import mock
 
+from behave import given
 from behave import then
 from behave import when
+from lost_with_leader_steps import JOBS
 from lost_with_leader_steps import STEP
 
+from cell_world.store_client_model import StoreClientModel
+from cell_world.worker_model import WorkerModel
+from cell_world.world import World
+
 if TYPE_CHECKING:
     from behave.runner import Context
 
-    from cell_world.world import World
+    from yuccapoint.connection.stored_page import StoredPage
 
 CANCEL_S = 4.0
 STOP_TIMEOUT_S = 0.2
 # The checks of the cell run at intervals.
 CHECK_INTERVAL_S = 0.1
+GROWTH_STEP_S = 0.1
 
 
 def _running(world: World, job_id: str) -> set[str]:
@@ -92,3 +101,78 @@
         if len(_running(world, job_id)) < STEP.tasks:
             late.append(seed)
     assert not late, f"waits with seeds {late}"
+
+
+@given(
+    "{count:d} cells of {vms:d} VMs and {entries:d} entries that work on"
+    " long-running jobs"
+)
+def make_cells(context: Context, count: int, vms: int, entries: int) -> None:
+    context.worlds = [
+        (seed, World(seed, vms, entries, lasting_only=True))
+        for seed in range(1, count + 1)
+    ]
+    for _, world in context.worlds:
+        world.run(3.0)
+        for _ in range(JOBS):
+            world.submit(steps=(STEP,))
+        world.run(8.0)
+
+
+@when("the reads of all entries get no answer for {seconds:d} s")
+def lose_all_reads(context: Context, seconds: int) -> None:
+    _count_lapses(context)
+    for _, world in context.worlds:
+        for entry in world.entries:
+            entry.store_client.reads_lost = True
+        world.run(seconds)
+        for entry in world.entries:
+            entry.store_client.reads_lost = False
+
+
+@when(
+    "the log grows by {grows_kb} kB a second for {seconds:d} s, of which links"
+    " carry {carried_kb:d}"
+)
+def grow_log(
+    context: Context, grows_kb: str, seconds: int, carried_kb: int
+) -> None:
+    _count_lapses(context)
+    read = StoreClientModel.read
+
+    async def read_slowly(
+        client: StoreClientModel, from_offset: int, wait_ms: int
+    ) -> StoredPage:
+        page = await read(client, from_offset, wait_ms)
+        size = sum(len(stored.value or b"") for stored in page.records)
+        await asyncio.sleep(size / (carried_kb * 1_000))
+        return page
+
+    patch = mock.patch.object(StoreClientModel, "read", read_slowly)
+    patch.start()
+    context.cleanups.append(patch.stop)
+    steps = round(seconds / GROWTH_STEP_S)
+    records = round(int(grows_kb) * GROWTH_STEP_S)
+    for _, world in context.worlds:
+        for _ in range(steps):
+            world.store.append([("x", b"x" * 1_000)] * records)
+            world.run(GROWTH_STEP_S)
+
+
+def _count_lapses(context: Context) -> None:
+    context.lapsed = []
+    end = WorkerModel._end
+
+    def count(worker: WorkerModel, task_id: str, how: str) -> None:
+        if how == "lapsed":
+            context.lapsed.append((worker.vm, task_id))
+        end(worker, task_id, how)
+
+    patch = mock.patch.object(WorkerModel, "_end", count)
+    patch.start()
+    context.cleanups.append(patch.stop)
+
+
+@then("no run has lapsed")
+def none_lapsed(context: Context) -> None:
+    assert not context.lapsed, context.lapsed
