--- a/src/yuccapoint/process/group_appender.py
+++ b/src/yuccapoint/process/group_appender.py
@@ -16,12 +16,15 @@
 # Timeout of an append in seconds; a working store refuses an append that
 # would have to wait for two seconds.
 APPEND_TIMEOUT_S = 2.2
-# A further append starts while others are unanswered for this long, as their
-# connection may be silent.
+# A further append starts while the last one is unanswered for this long, as
+# its connection may be silent, and for the time that a narrow link needs to
+# carry it.
 OVERLAP_AFTER_S = 0.6
+NARROW_LINK_BYTES_PER_S = 250_000
 MAX_IN_FLIGHT = 3
-# Bound of the records of one append, below the store's limit.
-MAX_BATCH_BYTES = 1_000_000
+# Bound of the records of one append, unless it has only one. Those that come
+# next wait for it on a narrow link.
+MAX_BATCH_BYTES = 128_000
 # A store counts as slow for a while after an append that took this long; the
 # usual time is 0.013 s.
 SLOW_APPEND_S = 0.15
@@ -41,6 +44,10 @@
         self.appended = appended
 
 
+def _value_bytes(record: _PendingRecord) -> int:
+    return len(record.value)
+
+
 class GroupAppender:
     """Appends the records that wait at one moment with one call.
 
@@ -59,6 +66,7 @@
         self._pending: list[_PendingRecord] = []
         self._in_flight: set[asyncio.Task[None]] = set()
         self._sender: asyncio.Task[None] | None = None
+        self._overlap_at_s = 0.0
         self._slow_until_s = 0.0
 
     @property
@@ -95,29 +103,45 @@
     async def _send_pending(self) -> None:
         while self._pending:
             if self._in_flight:
-                await asyncio.wait(
-                    self._in_flight,
-                    timeout=OVERLAP_AFTER_S,
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
-            if len(self._in_flight) >= MAX_IN_FLIGHT:
-                continue
+                await self._wait_for_turn()
             batch = self._next_batch()
             if not batch:
                 continue
+            size = sum(len(record.value) for record in batch)
+            transfer_s = size / NARROW_LINK_BYTES_PER_S
+            self._overlap_at_s = steady_s() + OVERLAP_AFTER_S + transfer_s
             task = asyncio.ensure_future(self._send(batch))
             self._in_flight.add(task)
             task.add_done_callback(self._in_flight.discard)
         self._sender = None
 
+    async def _wait_for_turn(self) -> None:
+        """Wait until an append ends or a further one may start."""
+        wait_s: float | None = None
+        if len(self._in_flight) < MAX_IN_FLIGHT:
+            wait_s = max(0.0, self._overlap_at_s - steady_s())
+        await asyncio.wait(
+            self._in_flight,
+            timeout=wait_s,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+
     def _next_batch(self) -> list[_PendingRecord]:
-        batch: list[_PendingRecord] = []
-        size = 0
-        while self._pending:
-            size += len(self._pending[0].value)
-            if batch and size > MAX_BATCH_BYTES:
+        """Take the oldest record and, as far as they fit, the smallest ones.
+
+        A small record would wait for all large ones before it otherwise.
+        """
+        if not self._pending:
+            return []
+        batch = [self._pending[0]]
+        size = len(batch[0].value)
+        for record in sorted(self._pending[1:], key=_value_bytes):
+            size += len(record.value)
+            if size > MAX_BATCH_BYTES:
                 break
-            batch.append(self._pending.pop(0))
+            batch.append(record)
+        sent = set(batch)
+        self._pending = [r for r in self._pending if r not in sent]
         return batch
 
     async def _send(self, batch: list[_PendingRecord]) -> None:
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -37,11 +37,14 @@
         self.address = address
         self.state = LinkState.PASS
         self.delay_s = 0.0
-        # Rate of all responses together in bytes a second; 0 for no limit.
+        # Rates of all requests together, and of all responses, in bytes a
+        # second; 0 for no limit.
+        self.request_bytes_per_s = 0.0
         self.response_bytes_per_s = 0.0
+        self.request_bytes = 0
         self.response_bytes = 0
         self.upstream = upstream
-        self._link_free_at_s = 0.0
+        self._free_at_s = dict.fromkeys(Way, 0.0)
         self._server: asyncio.Server | None = None
         # In the order of their opening.
         self._connections: list[ProxiedConnection] = []
@@ -131,22 +134,28 @@
                     await asyncio.sleep(self.delay_s)
                 if way is Way.RESPONSES:
                     self.response_bytes += len(data)
-                    await self._wait_for_link(len(data))
+                else:
+                    self.request_bytes += len(data)
+                await self._wait_for_link(way, len(data))
                 writer.write(data)
                 await writer.drain()
         if way not in connection.silent_ways:
             writer.transport.abort()
 
+    def _bytes_per_s(self, way: Way) -> float:
+        if way is Way.RESPONSES:
+            return self.response_bytes_per_s
+        return self.request_bytes_per_s
+
     def _chunk_bytes(self, way: Way) -> int:
-        if way is Way.RESPONSES and self.response_bytes_per_s:
-            return NARROW_CHUNK_BYTES
-        return CHUNK_BYTES
+        return NARROW_CHUNK_BYTES if self._bytes_per_s(way) else CHUNK_BYTES
 
-    async def _wait_for_link(self, size: int) -> None:
+    async def _wait_for_link(self, way: Way, size: int) -> None:
         """Wait until all that was received before has passed the link."""
-        if not self.response_bytes_per_s:
+        bytes_per_s = self._bytes_per_s(way)
+        if not bytes_per_s:
             return
         now_s = asyncio.get_running_loop().time()
-        self._link_free_at_s = max(now_s, self._link_free_at_s)
-        self._link_free_at_s += size / self.response_bytes_per_s
-        await asyncio.sleep(self._link_free_at_s - now_s)
+        begins_at_s = max(now_s, self._free_at_s[way])
+        self._free_at_s[way] = begins_at_s + size / bytes_per_s
+        await asyncio.sleep(self._free_at_s[way] - now_s)
