--- a/tests/cell_world/store_client_model.py
+++ b/tests/cell_world/store_client_model.py
@@ -19,6 +19,7 @@
     from collections.abc import Callable
 
     from cell_world.simulated_clock import SimulatedClock
+    from cell_world.store_model import Record
     from cell_world.store_model import StoreModel
 
 
@@ -32,6 +33,8 @@
         get lost, ``answers`` while only their answers do.
     reads_lost : bool
         Whether reads get no answer, as they don't fit the entry's link.
+    read_bytes_per_s : float
+        Rate at which the entry's link carries what is read; 0 for no limit.
     """
 
     def __init__(
@@ -42,6 +45,8 @@
     ) -> None:
         self.cut = ""
         self.reads_lost = False
+        self.read_bytes_per_s = 0.0
+        self._link_free_at_s = 0.0
         self._store = store
         self._clock = clock
         self._after = after
@@ -84,6 +89,7 @@
         if answer == "expired":
             raise StoreRecordsExpiredError("the records have expired")
         first, records, end_offset = answer
+        await self._receive(records)
         stored = [
             StoredRecord(first + n, key, value)
             for n, (key, value) in enumerate(records)
@@ -96,9 +102,26 @@
         page, has_more, end_offset = await self._call(
             lambda: self._store.newest(after), RESPONSE_TIMEOUT_S
         )
+        await self._receive([(key, value) for _, key, value in page])
         records = [StoredRecord(*item) for item in page]
         return NewestPage(records, end_offset, has_more=has_more)
 
+    async def _receive(self, records: list[Record]) -> None:
+        """Wait until a page has passed the link, after the pages before.
+
+        A response that has begun may take as long as the link needs.
+        """
+        if not self.read_bytes_per_s:
+            return
+        size = sum(len(key) + len(value or b"") for key, value in records)
+        now_s = self._clock.now_s
+        self._link_free_at_s = max(now_s, self._link_free_at_s)
+        self._link_free_at_s += size / self.read_bytes_per_s
+        await asyncio.sleep(self._link_free_at_s - now_s)
+        if self.cut or self.reads_lost:
+            await asyncio.sleep(RESPONSE_TIMEOUT_S)
+            raise StoreResponseLostError("the store's answer stalled")
+
     async def _call(
         self,
         execute: Callable[[], object],
