--- a/src/yuccapoint/cell/uncommitted_changes.py
+++ b/src/yuccapoint/cell/uncommitted_changes.py
@@ -17,6 +17,10 @@
     from yuccapoint.cell.task_run import TaskRun
     from yuccapoint.cell.vm_ledger import VmLedger
 
+# Bound of the occurrences of one batch, unless it has only one. The renewals
+# of the leadership wait for it, on a narrow link that other appends share.
+MAX_BATCH_BYTES = 64_000
+
 
 class UncommittedChanges:
     """Collects changed occurrences and new claims until they are written."""
@@ -29,9 +33,7 @@
 
     def add(self, occurrence: OccurrenceRun) -> None:
         """Add an occurrence whose state has changed."""
-        job_id = occurrence.job.submission.job_id
-        key = cell_records.progress_key(job_id, occurrence.number)
-        self._occurrences[key] = occurrence
+        self._occurrences[_key_of(occurrence)] = occurrence
 
     def add_claim(self, task: TaskRun, run: int) -> None:
         """Add a claim, which takes effect once it is stored."""
@@ -54,13 +56,27 @@
                     self.add(occurrence)
 
     def collect(self, vms: Iterable[VmLedger]) -> CommitBatch:
-        """Return the records to write now; the batch may be empty."""
+        """Return the records to write now; the batch may be empty.
+
+        What does not fit is left for the next batch, the newest first. Run
+        ends are acknowledged only with a batch that leaves nothing.
+        """
         batch = CommitBatch()
-        for key, occurrence in self._occurrences.items():
-            value = cell_records.encode(occurrence.snapshot())
+        left_bytes = MAX_BATCH_BYTES
+        while self._occurrences:
+            key = next(iter(self._occurrences))
+            value = cell_records.encode(self._occurrences[key].snapshot())
+            left_bytes -= len(key) + len(value)
+            if batch.records and left_bytes < 0:
+                break
+            del self._occurrences[key]
             batch.records.append((key, value))
-        self._occurrences = {}
-        batch.claims, self._claims = self._claims, []
+        claims, self._claims = self._claims, []
+        for task, run in claims:
+            is_left = _key_of(task.step.occurrence) in self._occurrences
+            (self._claims if is_left else batch.claims).append((task, run))
+        if self._occurrences:
+            return batch
         for vm in vms:
             if (
                 vm.applied_end_number > vm.acked_end_number
@@ -101,3 +117,8 @@
             if ended and not unwritten:
                 found[job_id] = job
         return list(found.values())
+
+
+def _key_of(occurrence: OccurrenceRun) -> str:
+    job_id = occurrence.job.submission.job_id
+    return cell_records.progress_key(job_id, occurrence.number)
--- a/tests/features/process/narrow_uplink.feature
+++ b/tests/features/process/narrow_uplink.feature
@@ -26,3 +26,24 @@
       | mbit | seconds |
       | 5    | 0.8     |
       | 2    | 1.2     |
+
+  Scenario Outline: A leader renews while large changes of its jobs are stored
+    # One append took all changes and a renewal, which came after the lease.
+    Given a leader of <jobs> jobs that appends over a link of <mbit> Mbit/s
+    When all jobs change by 10 kB each
+    Then the leader may grant leases until all changes are stored
+    And that took no more than 1.5 times the time that the link needs
+
+    Examples:
+      | mbit | jobs |
+      | 5    | 100  |
+      | 5    | 250  |
+      | 2    | 100  |
+
+  Scenario: What a leader's batch leaves out takes no effect with it
+    # A start without a stored claim, or an acknowledged end that is not
+    # stored, would be forgotten by the next leader.
+    Given a leader of 100 jobs that appends over a link of 5 Mbit/s
+    When all jobs change by 10 kB each, with a claim and a run end
+    Then each claim comes with the batch that stores it
+    And the run end is acknowledged with the last of several batches
