--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -62,12 +62,20 @@
         Seed of the random load and faults.
     entries, vms : int
         Number of entries and VMs.
+
+    Attributes
+    ----------
+    rng : random.Random
+        Draws load and faults.
+    link_rng : random.Random
+        Draws narrow links.
     """
 
     def __init__(
         self, directory: pathlib.Path, seed: int, entries: int, vms: int
     ) -> None:
         self.rng = random.Random(seed)
+        self.link_rng = random.Random(f"links {seed}")
         self.oracle = Oracle()
         self.long_running_check = LongRunningCheck(self.oracle)
         self.store = PlatformStore()
