--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -258,9 +258,13 @@
         """
         unread_s = self._leader_election.unread_renewals.lag_s(now_s)
         yields = unread_s > MAX_UNREAD_S
+        if yields:
+            self._leader_election.yields = True
+        elif self._renewals.is_kept_by(self.view.leadership):
+            self._leader_election.yields = False
         if yields == self._renewals.yields:
             return
-        self._renewals.yields = self._leader_election.yields = yields
+        self._renewals.yields = yields
         self.metrics.count("yielded_terms", amount=int(yields))
         self.logger.log(
             "leader",
--- a/src/yuccapoint/process/leadership_renewals.py
+++ b/src/yuccapoint/process/leadership_renewals.py
@@ -98,6 +98,20 @@
             )
         )
 
+    def is_kept_by(self, newest: Leadership | None) -> bool:
+        """Return whether no renewal that lets others take over is unread.
+
+        Parameters
+        ----------
+        newest : Leadership or None
+            Newest record that was read.
+        """
+        return (
+            newest is not None
+            and not newest.resigned
+            and newest.renewal == self.renewal
+        )
+
     def add_due(
         self, batch: CommitBatch, leader: CellLeader, now_s: float
     ) -> None:
--- a/tests/features/cell/blind_leader.feature
+++ b/tests/features/cell/blind_leader.feature
@@ -37,6 +37,13 @@
       | 4     | 4   | 3       |
       | 4     | 4   | 1       |
 
+  Scenario: A leader keeps its term where no other entry has taken over
+    # It stepped down once it had read that it let others take over.
+    Given 4 cells of 4 VMs and 1 entries that work on long-running jobs
+    When the reads of all entries get no answer for 9 s
+    And others write records for 5 s
+    Then each cell has the same leader and term as before
+
   Scenario: No lease ends where the log grows faster than all links carry it
     Given 4 cells of 4 VMs that work on long-running jobs
     And the releases of VMs whose lease expired are counted
--- a/tests/features/steps/blind_leader_steps.py
+++ b/tests/features/steps/blind_leader_steps.py
@@ -24,6 +24,7 @@
 # The checks of the cell run at intervals.
 CHECK_INTERVAL_S = 0.1
 GROWTH_STEP_S = 0.1
+WRITE_STEP_S = 0.04
 
 
 def _running(world: World, job_id: str) -> set[str]:
@@ -119,9 +120,32 @@
         world.run(8.0)
 
 
+def _leaders(context: Context) -> list[tuple[str, int]]:
+    return [
+        (entry.name, entry.leader.term)
+        for _, world in context.worlds
+        for entry in world.entries
+        if entry.leader is not None
+    ]
+
+
+@when("others write records for {seconds:d} s")
+def write_records(context: Context, seconds: int) -> None:
+    for _, world in context.worlds:
+        for _ in range(round(seconds / WRITE_STEP_S)):
+            world.store.append([("x", b"x")])
+            world.run(WRITE_STEP_S)
+
+
+@then("each cell has the same leader and term as before")
+def same_leaders(context: Context) -> None:
+    assert _leaders(context) == context.leaders_before, _leaders(context)
+
+
 @when("the reads of all entries get no answer for {seconds:d} s")
 def lose_all_reads(context: Context, seconds: int) -> None:
     _count_lapses(context)
+    context.leaders_before = _leaders(context)
     for _, world in context.worlds:
         for entry in world.entries:
             entry.store_client.reads_lost = True
