--- a/src/yuccapoint/platform/job_api.py
+++ b/src/yuccapoint/platform/job_api.py
@@ -8,10 +8,10 @@
 from typing import TYPE_CHECKING
 
 import msgspec
-from tornado.httpserver import HTTPServer
 
 from yuccapoint.cell.exceptions import InvalidJobError
 from yuccapoint.cell.job_gateway import GatewayResult
+from yuccapoint.connection.draining_http_server import DrainingHttpServer
 from yuccapoint.decoding import parse_number
 from yuccapoint.exceptions import YuccapointError
 from yuccapoint.platform.exceptions import MalformedMessageError
@@ -73,8 +73,18 @@
         self.in_flight = 0
         self.last_request_at_s = 0.0
         self._gateway = gateway
-        self._job_server = HTTPServer(self._on_request)
-        self._ready_server = HTTPServer(self._on_ready_check)
+        self._job_server = DrainingHttpServer(self._on_request)
+        self._ready_server = DrainingHttpServer(self._on_ready_check)
+
+    @property
+    def open_connections(self) -> int:
+        """Number of callers' connections that are open."""
+        return self._job_server.open_connections
+
+    @property
+    def busy_connections(self) -> int:
+        """Number of open connections with a request, read or not."""
+        return self._job_server.busy_connections
 
     def listen(self, job_address: str, ready_address: str) -> None:
         """Listen for callers and for readiness checks.
--- a/src/yuccapoint/platform/roles.py
+++ b/src/yuccapoint/platform/roles.py
@@ -165,10 +165,23 @@
     ]
     await runtime.wait_for_stop(entry.failed)
     await _drain(entry, job_api)
+    runtime.logger.log(
+        "entry",
+        "drained",
+        in_flight=job_api.in_flight,
+        open_connections=job_api.open_connections,
+        busy_connections=job_api.busy_connections,
+    )
     entry.stop()
     for task in background_tasks:
         task.cancel()
-    runtime.logger.log("entry", "stopped", cut=job_api.in_flight)
+    runtime.logger.log(
+        "entry",
+        "stopped",
+        cut=job_api.in_flight,
+        open_connections=job_api.open_connections,
+        busy_connections=job_api.busy_connections,
+    )
     runtime.log_output.stop()
     return _exit_code(entry.failed)
 
