--- a/src/yuccapoint/connection/frame_stream.py
+++ b/src/yuccapoint/connection/frame_stream.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import fcntl
+import select
 import struct
+import sys
+import termios
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -48,6 +52,30 @@
         """Whether written frames are still in the buffer."""
         return bool(self._stream.writing())
 
+    @property
+    def delivered(self) -> bool:
+        """Whether the peer's kernel has received all written frames.
+
+        A close earlier discards the others if the peer still sends.
+        """
+        if self._stream.writing():
+            return False
+        sock = self._stream.socket
+        if sock is None:
+            return True
+        unacknowledged = fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4))
+        return not int.from_bytes(unacknowledged, sys.byteorder)
+
+    @property
+    def unread(self) -> bool:
+        """Whether a frame, or a part of one, has arrived unread."""
+        sock = self._stream.socket
+        if self._buffer or sock is None:
+            return bool(self._buffer)
+        poll = select.poll()
+        poll.register(sock, select.POLLIN)
+        return bool(poll.poll(0))
+
     def write(self, frame: Frame) -> asyncio.Future[None]:
         """Write a frame; the future is done when it has left the buffer.
 
--- a/src/yuccapoint/process/agent_process.py
+++ b/src/yuccapoint/process/agent_process.py
@@ -127,7 +127,7 @@
         while self.unfinished() and time.monotonic() < deadline_s:
             await asyncio.sleep(TICK_MS / 1000)
         cut = self.unfinished()
-        await self._requests.flush()
+        await self._requests.flush(deadline_s)
         self.kill()
         self.logger.log("agent", "stopped", cut=cut)
         return cut
--- a/src/yuccapoint/process/request_server.py
+++ b/src/yuccapoint/process/request_server.py
@@ -38,7 +38,9 @@
 # Reported instead of a memory span while the agent holds no valid lease; its
 # key memory then proves nothing about earlier claims.
 NO_MEMORY_S = -1.0
+# Time in which requests that are on their way arrive and are refused.
 FLUSH_WAIT_S = 0.2
+FLUSH_POLL_INTERVAL_S = 0.02
 
 
 class RequestServer(TCPServer):
@@ -66,9 +68,22 @@
         """Number of received requests that are not answered."""
         return sum(session.in_flight for session in self._sessions)
 
-    async def flush(self) -> None:
-        """Wait until the last written answers are sent."""
+    async def flush(self, deadline_s: float) -> None:
+        """Close each session after its entry has received all answers.
+
+        Parameters
+        ----------
+        deadline_s : float
+            Steady time in seconds at which the wait is given up.
+        """
         await asyncio.sleep(FLUSH_WAIT_S)
+        self.stop()
+        while True:
+            for session in list(self._sessions):
+                session.close_if_idle()
+            if not self._sessions or time.monotonic() >= deadline_s:
+                return
+            await asyncio.sleep(FLUSH_POLL_INTERVAL_S)
 
     def close_all(self) -> None:
         """Close all sessions."""
@@ -110,6 +125,12 @@
         for request in list(self._requests.values()):
             request.cancel()
 
+    def close_if_idle(self) -> None:
+        """Close the session unless that cuts off a request or an answer."""
+        frames = self.frames
+        if not self._requests and frames.delivered and not frames.unread:
+            self.close()
+
     def close(self) -> None:
         """Close the session."""
         self.frames.close()
--- a/tests/features/process/planned_stops.feature
+++ b/tests/features/process/planned_stops.feature
@@ -23,3 +23,8 @@
     Given the deployment caribfert with 1 VMs and 1 entries
     When an entry with a request of 3 s receives two stop signals
     Then the process exits with code 5 and prints "1 requests in flight"
+
+  Scenario: Responses on a slow link are not cut off by their agent's exit
+    Given an agent with an endpoint and a session of an entry on a slow link
+    When it stops while 40 responses of 60000 bytes are on their way to the entry
+    Then the entry received 40 complete responses before the agent left
--- a/tests/fuzzing/network.py
+++ b/tests/fuzzing/network.py
@@ -158,6 +158,8 @@
 class ScriptedStream:
     """One end of a request session; it replaces a tornado stream."""
 
+    socket = None
+
     def __init__(self, network: Network, member: Member) -> None:
         self.member = member
         self._network = network
@@ -175,6 +177,9 @@
     def closed(self) -> bool:
         return self._closed
 
+    def writing(self) -> bool:
+        return bool(self.outbound)
+
     def write(self, data: bytes) -> asyncio.Future[None]:
         if self._closed:
             raise StreamClosedError
