--- a/tests/features/steps/held_up_stop_steps.py
+++ b/tests/features/steps/held_up_stop_steps.py
@@ -21,6 +21,7 @@
 REQUEST = b"GET /q/ HTTP/1.1\r\nHost: h\r\n\r\n"
 HELD_UP_S = 0.5
 CHECK_INTERVAL_S = 0.02
+WAITING_CALLERS = 3
 
 
 class UnconfiguredGateway:
@@ -79,6 +80,77 @@
     assert answer.startswith(b"HTTP/1.1 503"), answer
 
 
+@when("callers connect and send requests right before it stops listening")
+def stop_with_waiting_callers(context: Context) -> None:
+    asyncio.run(_stop_with_waiting_callers(context))
+
+
+async def _stop_with_waiting_callers(context: Context) -> None:
+    job_api = JobApi(UnconfiguredGateway())
+    job_api.listen(context.address, context.address)
+    # The kernel completes these connections while the loop does not run.
+    callers = [_connect(context) for _ in range(WAITING_CALLERS)]
+    for caller in callers:
+        caller.sendall(REQUEST)
+    job_api.stop_listening()
+    context.answers = await asyncio.gather(
+        *(asyncio.to_thread(_receive, caller) for caller in callers)
+    )
+
+
+@then("each waiting caller gets a response")
+def waiting_are_answered(context: Context) -> None:
+    assert len(context.answers) == WAITING_CALLERS
+    for answer in context.answers:
+        assert answer.startswith(b"HTTP/1.1 503"), context.answers
+
+
+@when("it stops with a new connection and one kept after a response")
+def stop_with_open_connections(context: Context) -> None:
+    asyncio.run(_stop_with_open_connections(context))
+
+
+async def _stop_with_open_connections(context: Context) -> None:
+    gateway = UnconfiguredGateway()
+    gateway.stopping = False
+    job_api = JobApi(gateway)
+    job_api.listen(context.address, context.address)
+    new, kept = _connect(context), _connect(context)
+    kept.sendall(REQUEST)
+    answer = await asyncio.to_thread(_receive, kept)
+    assert answer.startswith(b"HTTP/1.1 503"), answer
+    gateway.stopping = True
+    await roles._drain(QuietEntry(), job_api)
+    context.closed = {"new": _is_closed(new), "kept": _is_closed(kept)}
+
+
+@then("both connections are closed when it has drained")
+def both_closed(context: Context) -> None:
+    assert all(context.closed.values()), context.closed
+
+
+def _connect(context: Context) -> socket.socket:
+    host, _, port = context.address.rpartition(":")
+    caller = socket.create_connection((host, int(port)))
+    caller.settimeout(1.0)
+    context.cleanups.append(caller.close)
+    return caller
+
+
+def _receive(caller: socket.socket) -> bytes:
+    with contextlib.suppress(OSError):
+        return caller.recv(1000)
+    return b""
+
+
+def _is_closed(caller: socket.socket) -> bool:
+    caller.setblocking(False)
+    try:
+        return not caller.recv(1000)
+    except BlockingIOError:
+        return False
+
+
 @given("a stopping entry that has been idle for {seconds:f} s")
 def idle_entry(context: Context, seconds: float) -> None:
     context.now_s = 100.0
