--- a/src/yuccapoint/cell/job_gateway.py
+++ b/src/yuccapoint/cell/job_gateway.py
@@ -67,5 +67,8 @@
     def log_fault(self, path: str, error: str) -> None:
         """Log an internal error."""
 
+    def log_interrupted(self, path: str) -> None:
+        """Log a request that is answered unfinished at the end of a stop."""
+
     def log_caller_gone(self, path: str, status: int) -> None:
         """Log that a caller did not wait for its answer."""
--- a/src/yuccapoint/connection/open_connection.py
+++ b/src/yuccapoint/connection/open_connection.py
@@ -34,7 +34,7 @@
         if not self.awaits_request or not stream.reading():
             return False
         # A part of a header has arrived.
-        if stream.writing() or stream._read_buffer_size:
+        if stream._read_buffer_size:
             return False
         return not self._has_unread_bytes()
 
--- a/src/yuccapoint/platform/job_api.py
+++ b/src/yuccapoint/platform/job_api.py
@@ -63,29 +63,27 @@
 
     Attributes
     ----------
-    in_flight : int
-        Requests without a response so far.
-    last_request_at_s : float
-        Monotonic time at which the last request arrived.
+    serves : bool
+        Whether requests are served; all are refused at the end of a stop.
     """
 
     def __init__(self, gateway: JobGateway) -> None:
-        self.in_flight = 0
-        self.last_request_at_s = 0.0
+        self.serves = True
         self._gateway = gateway
+        self._in_flight: set[asyncio.Task[None]] = set()
         self._job_server = DrainingHttpServer(self._on_request)
         self._ready_server = DrainingHttpServer(self._on_ready_check)
 
+    @property
+    def in_flight(self) -> int:
+        """Number of requests without a response so far."""
+        return len(self._in_flight)
+
     @property
     def open_connections(self) -> int:
         """Number of callers' connections that are open."""
         return self._job_server.open_connections
 
-    @property
-    def busy_connections(self) -> int:
-        """Number of open connections with a request, read or not."""
-        return self._job_server.busy_connections
-
     def listen(self, job_address: str, ready_address: str) -> None:
         """Listen for callers and for readiness checks.
 
@@ -101,6 +99,16 @@
         """Accept no new connections; open ones are still served."""
         self._job_server.stop()
 
+    def close_idle_connections(self) -> int:
+        """Close connections without a request; return how many are left."""
+        return self._job_server.close_idle_connections()
+
+    def end_service(self) -> None:
+        """Answer the requests in flight, and refuse those that follow."""
+        self.serves = False
+        for task in self._in_flight:
+            task.cancel()
+
     def _on_ready_check(self, request: HTTPServerRequest) -> None:
         if request.path == READY_PATH:
             self._send(
@@ -114,21 +122,33 @@
         if request.path == READY_PATH:
             self._on_ready_check(request)
             return
-        self.in_flight += 1
-        self.last_request_at_s = time.monotonic()
-        asyncio.ensure_future(self._serve(request))
+        if not self.serves:
+            self._send(request, JobApiResponse(503, retry_after_s=1))
+            return
+        task = asyncio.ensure_future(self._serve(request))
+        self._in_flight.add(task)
+        task.add_done_callback(self._in_flight.discard)
 
     async def _serve(self, request: HTTPServerRequest) -> None:
         try:
-            try:
-                response = await self._respond(request)
-            except Exception as error:  # noqa: BLE001
-                # After an internal error the caller still gets a response.
-                self._gateway.log_fault(request.path, repr(error))
-                response = JobApiResponse(500)
-            self._send(request, response)
-        finally:
-            self.in_flight -= 1
+            response = await self._respond(request)
+        except asyncio.CancelledError:
+            response = self._interrupted_response(request)
+        except Exception as error:  # noqa: BLE001
+            # After an internal error the caller still gets a response.
+            self._gateway.log_fault(request.path, repr(error))
+            response = JobApiResponse(500)
+        self._send(request, response)
+
+    def _interrupted_response(
+        self, request: HTTPServerRequest
+    ) -> JobApiResponse:
+        """Return the response to a request that the stop interrupts."""
+        self._gateway.log_interrupted(request.path)
+        if request.method == "GET":
+            return JobApiResponse(503, retry_after_s=1)
+        # The record may have been stored.
+        return self._verdict_response(GatewayResult.MAY_BE_ACCEPTED)
 
     async def _respond(self, request: HTTPServerRequest) -> JobApiResponse:
         table = self._gateway.table
--- a/src/yuccapoint/platform/roles.py
+++ b/src/yuccapoint/platform/roles.py
@@ -16,10 +16,11 @@
 from yuccapoint.platform.node_settings import settings_path
 from yuccapoint.platform.operator_config import CONFIG_TOPIC
 from yuccapoint.platform.store_partition import StorePartition
-from yuccapoint.process.idle_timer import IdleTimer
+from yuccapoint.process.caller_drain import drain_callers
 from yuccapoint.process.log_output import LogOutput
 from yuccapoint.process.metrics import Metrics
 from yuccapoint.process.process_logger import ProcessLogger
+from yuccapoint.process.stop_deadlines import StopDeadlines
 from yuccapoint.process.supervised_task import supervise
 
 if TYPE_CHECKING:
@@ -37,17 +38,8 @@
 METRICS_PORT = 9_611
 # The settings file may change without a signal, so its mtime is polled.
 SETTINGS_POLL_INTERVAL_S = 2.0
-# New connections are accepted for this long after a planned stop begins: the
-# platform checks readiness once a second and stops routing to an entry after
-# two failed checks.
-STOP_ACCEPT_S = 2.6
-# Upper bound on a planned stop, even with responses still in flight; well
-# below the time that the platform grants.
-MAX_STOP_S = 4.8
-# A drained entry exits after this long without a request, which closes its
-# open connections.
-IDLE_BEFORE_EXIT_S = 0.3
-DRAIN_POLL_INTERVAL_S = 0.02
+# Time in seconds in which a process with a failed component stops.
+FAILED_GRACE_S = 1.0
 
 
 class RoleRuntime:
@@ -164,24 +156,13 @@
         for job in (feed.run(), runtime.watch_settings())
     ]
     await runtime.wait_for_stop(entry.failed)
-    await _drain(entry, job_api)
-    runtime.logger.log(
-        "entry",
-        "drained",
-        in_flight=job_api.in_flight,
-        open_connections=job_api.open_connections,
-        busy_connections=job_api.busy_connections,
+    await _drain(
+        entry, job_api, runtime.logger, runtime.settings.bounds.grace_s
     )
     entry.stop()
     for task in background_tasks:
         task.cancel()
-    runtime.logger.log(
-        "entry",
-        "stopped",
-        cut=job_api.in_flight,
-        open_connections=job_api.open_connections,
-        busy_connections=job_api.busy_connections,
-    )
+    runtime.logger.log("entry", "stopped", cut=job_api.open_connections)
     runtime.log_output.stop()
     return _exit_code(entry.failed)
 
@@ -190,25 +171,20 @@
     return EXIT_COMPONENT_FAILED if failed.is_set() else 0
 
 
-async def _drain(entry: CellEntryProcess, job_api: JobApi) -> None:
-    """Hand over leadership and serve callers until requests stop."""
+async def _drain(
+    entry: CellEntryProcess,
+    job_api: JobApi,
+    logger: ProcessLogger,
+    grace_s: float,
+) -> None:
+    """Hand over leadership and serve callers until they are gone."""
     loop = asyncio.get_running_loop()
-    stop_started_s = loop.time()
+    deadlines = StopDeadlines(loop.time(), grace_s)
     await entry.hand_over()
     if entry.failed.is_set():
         # The platform restarts a failed process.
-        job_api.stop_listening()
-        return
-    await asyncio.sleep(stop_started_s + STOP_ACCEPT_S - loop.time())
-    job_api.stop_listening()
-    idle_timer = IdleTimer(loop.time())
-    while loop.time() < stop_started_s + MAX_STOP_S:
-        idle_s = idle_timer.check(
-            loop.time(), job_api.in_flight, job_api.last_request_at_s
-        )
-        if idle_s > IDLE_BEFORE_EXIT_S:
-            return
-        await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+        deadlines = StopDeadlines(loop.time(), FAILED_GRACE_S)
+    await drain_callers(job_api, deadlines, logger)
 
 
 async def run_agent() -> int:
--- a/src/yuccapoint/process/cell_job_gateway.py
+++ b/src/yuccapoint/process/cell_job_gateway.py
@@ -187,6 +187,11 @@
         self._metrics.count("faults")
         self._logger.log("front", "internal error", path=path, error=error)
 
+    def log_interrupted(self, path: str) -> None:
+        """Log a request that is answered unfinished at the end of a stop."""
+        self._metrics.count("interrupted")
+        self._logger.log("front", "interrupted by the stop", path=path)
+
     def log_caller_gone(self, path: str, status: int) -> None:
         """Log an answer whose caller had disconnected."""
         self._logger.log(
