--- a/src/yuccapoint/process/entry_process.py
+++ b/src/yuccapoint/process/entry_process.py
@@ -11,6 +11,7 @@
 from tornado.httpserver import HTTPServer
 
 from yuccapoint.connection.control_channel import ControlChannel
+from yuccapoint.connection.draining_http_server import DrainingHttpServer
 from yuccapoint.connection.entry_directory import EntryDirectory
 from yuccapoint.connection.http_log import HttpLog
 from yuccapoint.connection.log_writer import LogWriter
@@ -62,6 +63,9 @@
 HEARTBEAT_MS = 1_000
 LEAVE_TIMEOUT_S = 2.0
 LEAVE_GRACE_S = 2.0
+# Callers whose connections were accepted last send their first request within
+# this time, by TLS after a handshake.
+FIRST_REQUEST_S = 0.5
 ADDRESSES_EVERY_REPORTS = 8
 MAX_HEADER_BYTES = 65_536
 
@@ -158,7 +162,7 @@
             self.logger,
         )
         self._request_number = 0
-        self._callers = HTTPServer(
+        self._callers = DrainingHttpServer(
             CallerServer(self),
             max_body_size=1 << 40,
             max_header_size=MAX_HEADER_BYTES,
@@ -213,6 +217,7 @@
         await asyncio.sleep(LEAVE_GRACE_S)
         self.stopping = True
         self._callers.stop()
+        await asyncio.sleep(FIRST_REQUEST_S)
         while self.in_flight and time.monotonic() < deadline_s:
             await asyncio.sleep(TICK_MS / 1000)
         cut = self.unfinished()
--- a/tests/features/process/planned_stops.feature
+++ b/tests/features/process/planned_stops.feature
@@ -24,6 +24,22 @@
     When an entry with a request of 3 s receives two stop signals
     Then the process exits with code 5 and prints "1 requests in flight"
 
+  Scenario Outline: A connection that waits to be accepted at a stop is served
+    # Closing the listening socket resets what waits in its queue.
+    Given an entry that serves callers by <protocol>
+    When a caller connects right before the entry stops listening
+    Then it is answered 429 with "not-run"
+
+    Examples:
+      | protocol |
+      | HTTP     |
+      | HTTPS    |
+
+  Scenario: A connection reset while it waits does not end a planned stop
+    Given an entry that serves callers by HTTPS
+    When a caller resets its connection right before the entry stops listening
+    Then the entry stops with nothing aborted and no caller connected
+
   Scenario: Responses on a slow link are not cut off by their agent's exit
     Given an agent with an endpoint and a session of an entry on a slow link
     When it stops while 40 responses of 60000 bytes are on their way to the entry
