--- a/src/yuccapoint/process/decision_history.py
+++ b/src/yuccapoint/process/decision_history.py
@@ -28,6 +28,11 @@
         )
         self._subscribers: list[asyncio.Queue[Explain]] = []
 
+    @property
+    def subscriber_count(self) -> int:
+        """Number of queues that receive new decisions."""
+        return len(self._subscribers)
+
     def add(self, decision: Explain) -> None:
         """Record a decision and pass it to the subscribers."""
         decisions = self._routed if decision.part == "route" else self._newest
--- a/src/yuccapoint/process/entry_process.py
+++ b/src/yuccapoint/process/entry_process.py
@@ -8,7 +8,6 @@
 from typing import TYPE_CHECKING
 
 import msgspec
-from tornado.httpserver import HTTPServer
 
 from yuccapoint.connection.control_channel import ControlChannel
 from yuccapoint.connection.draining_http_server import DrainingHttpServer
@@ -35,6 +34,7 @@
 from yuccapoint.process.entry_heartbeat import build_heartbeat
 from yuccapoint.process.log_pump import LogPump
 from yuccapoint.process.metrics import Metrics
+from yuccapoint.process.operator_api import COMMIT_TIMEOUT_S
 from yuccapoint.process.operator_api import operator_application
 from yuccapoint.process.pending_commits import PendingCommits
 from yuccapoint.process.process_logger import ProcessLogger
@@ -53,6 +53,8 @@
 from yuccapoint.version.table_relay import TableRelay
 
 if TYPE_CHECKING:
+    from tornado.httpserver import HTTPServer
+
     from yuccapoint.connection.messages import ControlMessage
     from yuccapoint.job.actions import Action
     from yuccapoint.job.records import Record
@@ -168,7 +170,7 @@
             max_header_size=MAX_HEADER_BYTES,
             ssl_options=self.tls.context if self.tls else None,
         )
-        self._operators = HTTPServer(
+        self._operators = DrainingHttpServer(
             operator_application(self),
             ssl_options=self.tls.context if self.tls else None,
         )
@@ -224,6 +226,7 @@
                 break
             await asyncio.sleep(TICK_MS / 1000)
         cut = self.unfinished()
+        await self._drain_operators(deadline_s)
         await self._record_departure()
         self.kill()
         self.logger.log("entry", "stopped", cut=cut)
@@ -276,6 +279,18 @@
             return EntryRenewed(record.entry, address)
         return record
 
+    async def _drain_operators(self, deadline_s: float) -> None:
+        deadline_s = min(deadline_s, time.monotonic() + COMMIT_TIMEOUT_S)
+        self._operators.stop()
+        # Operators who watch decisions do so until the process ends.
+        while (
+            self._operators.close_idle_connections()
+            > self.decisions.subscriber_count
+        ):
+            if time.monotonic() >= deadline_s:
+                return
+            await asyncio.sleep(TICK_MS / 1000)
+
     async def _record_departure(self) -> None:
         record = EntryLeft(self.entry_id)
         try:
--- a/tests/features/process/planned_stops.feature
+++ b/tests/features/process/planned_stops.feature
@@ -53,6 +53,22 @@
     When a caller resets its connection right before the entry stops listening
     Then the entry stops with nothing aborted and no caller connected
 
+  Scenario: No operator's request is taken that an exiting entry does not read
+    Given an entry that serves callers by HTTPS
+    And an operator whose request on a kept connection was answered
+    When it sends another one at the last moment before the entry exits
+    Then the entry has closed the connection before
+
+  Scenario: An operator's edit in progress is answered before the entry exits
+    Given an entry that serves callers by HTTP
+    When an operator cancels a job late in a stop while the log is down
+    Then the operator is answered that the log does not answer
+
+  Scenario: An operator who watches decisions does not delay a planned stop
+    Given an entry that serves callers by HTTP
+    When it stops while an operator watches its decisions
+    Then it has stopped within 4 s
+
   Scenario: Responses on a slow link are not cut off by their agent's exit
     Given an agent with an endpoint and a session of an entry on a slow link
     When it stops while 40 responses of 60000 bytes are on their way to the entry
--- a/tests/features/steps/stopping_entry_steps.py
+++ b/tests/features/steps/stopping_entry_steps.py
@@ -33,6 +33,8 @@
 
 REQUEST = b"GET /quotes HTTP/1.1\r\nHost: h\r\n\r\n"
 START_TIMEOUT_S = 5.0
+CANCELLATION = b"DELETE /v1/jobs/j1 HTTP/1.1\r\nHost: h\r\n\r\n"
+WATCH = b"GET /v1/watch HTTP/1.1\r\nHost: h\r\n\r\n"
 ANSWER_TIMEOUT_S = 2.0
 HELD_UP_S = 0.3
 
@@ -55,9 +57,9 @@
         tls.verify_mode = ssl.CERT_NONE
         self._stream = tls.wrap_socket(self._stream)
 
-    def send(self) -> None:
+    def send(self, request: bytes = REQUEST) -> None:
         """Send a whole request; it fails on a closed connection."""
-        self._stream.sendall(REQUEST)
+        self._stream.sendall(request)
 
     def receive(self) -> bytes:
         """Return what the entry answers; empty if the connection ended."""
@@ -125,7 +127,7 @@
 [entries]
 seeds = {control_address}
 [limits]
-drain_timeout_s = 6
+drain_timeout_s = 12
 """
     if context.secure:
         text += _access(context)
@@ -185,6 +187,16 @@
     assert answer.startswith(b"HTTP/1.1 503"), answer
 
 
+@given("an operator whose request on a kept connection was answered")
+def answered_operator(context: Context) -> None:
+    address = context.entry.settings.listen.operator_address
+    context.caller = _connect(context, address)
+    answer = context.loop.run_until_complete(
+        asyncio.to_thread(context.caller.ask)
+    )
+    assert answer.startswith(b"HTTP/1.1 404"), answer
+
+
 @when("it sends another one at the last moment before the entry exits")
 def request_at_exit(context: Context) -> None:
     entry = context.entry
@@ -263,3 +275,52 @@
 def stops(context: Context) -> None:
     assert context.cut == [], context.cut
     assert context.entry._callers.open_connections == 0
+
+
+@when("an operator cancels a job late in a stop while the log is down")
+def cancel_late(context: Context) -> None:
+    entry = context.entry
+    address = entry.settings.listen.operator_address
+    operator = _connect(context, address)
+    context.log.faults.down = True
+
+    async def run() -> None:
+        stopping = asyncio.ensure_future(entry.stop())
+        while not entry.stopping:
+            await asyncio.sleep(0.01)
+        operator.send(CANCELLATION)
+        await stopping
+
+    context.loop.run_until_complete(run())
+    # The event loop does not run again: the process is gone.
+    with contextlib.suppress(OSError):
+        context.answer = operator.receive()
+
+
+@then("the operator is answered that the log does not answer")
+def log_fault(context: Context) -> None:
+    answer = getattr(context, "answer", b"")
+    assert b"log did not answer" in answer or (
+        b"log does not answer" in answer
+    ), answer or "no answer"
+
+
+@when("it stops while an operator watches its decisions")
+def stop_while_watched(context: Context) -> None:
+    entry = context.entry
+    operator = _connect(context, entry.settings.listen.operator_address)
+
+    async def run() -> None:
+        operator.send(WATCH)
+        while not entry.decisions.subscriber_count:
+            await asyncio.sleep(0.01)
+        started_s = time.monotonic()
+        await entry.stop()
+        context.stop_s = time.monotonic() - started_s
+
+    context.loop.run_until_complete(run())
+
+
+@then("it has stopped within {seconds:d} s")
+def stopped_within(context: Context, seconds: int) -> None:
+    assert context.stop_s < seconds, context.stop_s
