--- a/src/yuccapoint/connection/draining_http_server.py
+++ b/src/yuccapoint/connection/draining_http_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -22,6 +23,9 @@
 
 # Bounds the time that a flood of new connections takes at a stop.
 MAX_ACCEPTED_AT_STOP = 1_024
+# A client sends its first request within this time in seconds after its
+# connection is accepted, by TLS after a handshake.
+FIRST_REQUEST_S = 0.5
 
 
 class DrainingHttpServer(HTTPServer):
@@ -65,13 +69,15 @@
         -------
         int
             The number of connections that are still open: a request is being
-            read or served on them, or waits to be read.
+            read or served on them, waits to be read, or is about to come as
+            the first one.
         """
+        now_s = time.monotonic()
         open_connections = 0
         for connection in list(self._open.values()):
             if connection.stream.closed():
                 continue
-            if connection.is_idle:
+            if connection.is_idle(now_s):
                 connection.stream.close()
                 continue
             open_connections += 1
@@ -81,7 +87,9 @@
         self, stream: IOStream, address: tuple[Any, ...]
     ) -> None:
         """Serve a new connection."""
-        self._open[stream] = OpenConnection(stream)
+        self._open[stream] = OpenConnection(
+            stream, time.monotonic() + FIRST_REQUEST_S
+        )
         super().handle_stream(stream, address)
 
     def start_request(
--- a/src/yuccapoint/connection/observed_request.py
+++ b/src/yuccapoint/connection/observed_request.py
@@ -41,7 +41,7 @@
         headers: HTTPHeaders,
     ) -> Awaitable[None] | None:
         """Note that a request is on the connection."""
-        self._connection.awaits_request = False
+        self._connection.on_request()
         return self._delegate.headers_received(start_line, headers)
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
--- a/src/yuccapoint/connection/open_connection.py
+++ b/src/yuccapoint/connection/open_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import select
 from typing import TYPE_CHECKING
 
@@ -16,19 +17,35 @@
     ----------
     stream : IOStream
         The connection's stream.
+    first_request_until_s : float
+        Steady time in seconds until which the first request is expected;
+        minus infinity after its header has arrived.
     awaits_request : bool
         Whether the header of the next request has not been read yet.
     """
 
-    __slots__ = ("awaits_request", "stream")
+    __slots__ = ("awaits_request", "first_request_until_s", "stream")
 
-    def __init__(self, stream: IOStream) -> None:
+    def __init__(self, stream: IOStream, first_request_until_s: float) -> None:
         self.stream = stream
+        self.first_request_until_s = first_request_until_s
         self.awaits_request = True
 
-    @property
-    def is_idle(self) -> bool:
-        """Whether closing the connection now aborts no request."""
+    def on_request(self) -> None:
+        """Note that the header of a request has arrived."""
+        self.awaits_request = False
+        self.first_request_until_s = -math.inf
+
+    def is_idle(self, now_s: float) -> bool:
+        """Return whether closing the connection now aborts no request.
+
+        Parameters
+        ----------
+        now_s : float
+            Steady time in seconds.
+        """
+        if now_s < self.first_request_until_s:
+            return False
         stream = self.stream
         # A stream that isn't reading has passed on a header just now.
         if not self.awaits_request or not stream.reading():
--- a/tests/features/connection/draining_http_server.feature
+++ b/tests/features/connection/draining_http_server.feature
@@ -8,6 +8,19 @@
     When the idle connections are closed
     Then no connection is left open
 
+  Scenario: A client that has just connected still sends its first request
+    # Load: callers connect right before a stopping entry closes its listener.
+    Given a connection that was just opened
+    When the idle connections are closed
+    Then 1 connection is left open
+    When a request is sent on it
+    Then the request is answered
+
+  Scenario: A connection on which no request comes is closed
+    Given a connection that was opened 0.6 s ago
+    When the idle connections are closed
+    Then no connection is left open
+
   Scenario Outline: A request that has begun to arrive is not cut off
     # LOST: a stopping entry left with requests unread in its sockets.
     Given an open connection
