--- a/src/yuccapoint/process/entry_process.py
+++ b/src/yuccapoint/process/entry_process.py
@@ -65,9 +65,6 @@
 HEARTBEAT_MS = 1_000
 LEAVE_TIMEOUT_S = 2.0
 LEAVE_GRACE_S = 2.0
-# Callers whose connections were accepted last send their first request within
-# this time, by TLS after a handshake.
-FIRST_REQUEST_S = 0.5
 ADDRESSES_EVERY_REPORTS = 8
 MAX_HEADER_BYTES = 65_536
 
@@ -219,7 +216,6 @@
         await asyncio.sleep(LEAVE_GRACE_S)
         self.stopping = True
         self._callers.stop()
-        await asyncio.sleep(FIRST_REQUEST_S)
         # Until a connection is closed, the kernel takes requests on it.
         while self._callers.close_idle_connections() or self.in_flight:
             if time.monotonic() >= deadline_s:
