--- a/src/yuccapoint/connection/draining_http_server.py
+++ b/src/yuccapoint/connection/draining_http_server.py
@@ -83,6 +83,11 @@
             open_connections += 1
         return open_connections
 
+    def close_at_once(self) -> None:
+        """Close all connections, also those with a request on them."""
+        for stream in list(self._open):
+            stream.close()
+
     def handle_stream(
         self, stream: IOStream, address: tuple[Any, ...]
     ) -> None:
--- a/src/yuccapoint/connection/open_connection.py
+++ b/src/yuccapoint/connection/open_connection.py
@@ -50,8 +50,9 @@
         # A stream that isn't reading has passed on a header just now.
         if not self.awaits_request or not stream.reading():
             return False
-        # A part of a header has arrived.
-        if stream._read_buffer_size:
+        # A part of a header has arrived; blank lines between requests are
+        # no part of one.
+        if stream._read_buffer.strip(b"\r\n"):
             return False
         return not self._has_unread_bytes()
 
--- a/src/yuccapoint/platform/job_api.py
+++ b/src/yuccapoint/platform/job_api.py
@@ -103,6 +103,10 @@
         """Close connections without a request; return how many are left."""
         return self._job_server.close_idle_connections()
 
+    def close_all_connections(self) -> None:
+        """Close all connections at once."""
+        self._job_server.close_at_once()
+
     def end_service(self) -> None:
         """Answer the requests in flight, and refuse those that follow."""
         self.serves = False
@@ -123,17 +127,23 @@
             self._on_ready_check(request)
             return
         if not self.serves:
-            self._send(request, JobApiResponse(503, retry_after_s=1))
+            self._send(request, self._interrupted_response(request))
             return
         task = asyncio.ensure_future(self._serve(request))
         self._in_flight.add(task)
-        task.add_done_callback(self._in_flight.discard)
+        task.add_done_callback(lambda task: self._on_served(request, task))
+
+    def _on_served(
+        self, request: HTTPServerRequest, task: asyncio.Task[None]
+    ) -> None:
+        self._in_flight.discard(task)
+        # A task that is cancelled before its first step can't respond.
+        if task.cancelled():
+            self._send(request, self._interrupted_response(request))
 
     async def _serve(self, request: HTTPServerRequest) -> None:
         try:
             response = await self._respond(request)
-        except asyncio.CancelledError:
-            response = self._interrupted_response(request)
         except Exception as error:  # noqa: BLE001
             # After an internal error the caller still gets a response.
             self._gateway.log_fault(request.path, repr(error))
@@ -147,7 +157,7 @@
         self._gateway.log_interrupted(request.path)
         if request.method == "GET":
             return JobApiResponse(503, retry_after_s=1)
-        # The record may have been stored.
+        # The record, or an earlier copy of it, may have been stored.
         return self._verdict_response(GatewayResult.MAY_BE_ACCEPTED)
 
     async def _respond(self, request: HTTPServerRequest) -> JobApiResponse:
--- a/src/yuccapoint/platform/roles.py
+++ b/src/yuccapoint/platform/roles.py
@@ -180,7 +180,11 @@
     """Hand over leadership and serve callers until they are gone."""
     loop = asyncio.get_running_loop()
     deadlines = StopDeadlines(loop.time(), grace_s)
-    await entry.hand_over()
+    try:
+        await entry.hand_over()
+    except Exception as error:  # noqa: BLE001
+        # Callers are answered all the same.
+        logger.log("entry", "hand-over failed", error=repr(error))
     if entry.failed.is_set():
         # The platform restarts a failed process.
         deadlines = StopDeadlines(loop.time(), FAILED_GRACE_S)
--- a/src/yuccapoint/process/caller_drain.py
+++ b/src/yuccapoint/process/caller_drain.py
@@ -11,6 +11,9 @@
     from yuccapoint.process.stop_deadlines import StopDeadlines
 
 POLL_INTERVAL_S = 0.02
+# Turns of the event loop after the end of service in which requests that wait
+# unread are read and answered, also if the deadlines have passed by then.
+LAST_TURNS = 3
 
 
 class CallerService(Protocol):
@@ -33,6 +36,9 @@
     def end_service(self) -> None:
         """Answer the requests in flight, and refuse those that follow."""
 
+    def close_all_connections(self) -> None:
+        """Close all connections at once."""
+
 
 async def drain_callers(
     service: CallerService, deadlines: StopDeadlines, logger: ProcessLogger
@@ -53,6 +59,8 @@
     """
     loop = asyncio.get_running_loop()
     await asyncio.sleep(deadlines.accept_until_s - loop.time())
+    # Connections that wait to be accepted need descriptors.
+    service.close_idle_connections()
     service.stop_listening()
     logger.log(
         "callers",
@@ -61,6 +69,7 @@
         in_flight=service.in_flight,
     )
     serves = True
+    turns_left = LAST_TURNS
     while service.close_idle_connections():
         now_s = loop.time()
         if serves and now_s >= deadlines.serve_until_s:
@@ -71,9 +80,9 @@
                 in_flight=service.in_flight,
             )
             service.end_service()
-            deadlines.end_service(now_s)
-        if now_s >= deadlines.close_at_s:
+        if not turns_left and now_s >= deadlines.close_at_s:
             break
+        turns_left -= int(not serves and turns_left > 0)
         await asyncio.sleep(POLL_INTERVAL_S)
     logger.log(
         "callers",
@@ -81,3 +90,4 @@
         cut=service.open_connections,
         in_flight=service.in_flight,
     )
+    service.close_all_connections()
--- a/src/yuccapoint/process/stop_deadlines.py
+++ b/src/yuccapoint/process/stop_deadlines.py
@@ -5,12 +5,10 @@
 # The platform checks readiness once a second and stops routing to an entry
 # after two failed checks.
 ACCEPT_S = 2.6
-# Time in seconds before the process is killed: for answers that the stop
-# interrupts, and for the interpreter's exit.
-ANSWER_MARGIN_S = 1.0
-EXIT_MARGIN_S = 0.6
-# Requests that wait unread still get a refusal after service has ended.
-REFUSE_S = 0.1
+# Time in seconds before the process is killed: for answers to requests that
+# the stop interrupts, and for the interpreter's exit.
+ANSWER_MARGIN_S = 1.5
+EXIT_MARGIN_S = 1.0
 
 
 class StopDeadlines:
@@ -28,7 +26,8 @@
     accept_until_s : float
         New connections are accepted until then.
     serve_until_s : float
-        Requests are served until then, and refused afterwards.
+        Requests are served until then; later ones and those in flight are
+        answered unfinished.
     close_at_s : float
         Connections are closed then, even with a request on them.
     """
@@ -41,7 +40,3 @@
         self.accept_until_s = started_s + min(ACCEPT_S, serve_s)
         self.serve_until_s = started_s + serve_s
         self.close_at_s = started_s + close_s
-
-    def end_service(self, now_s: float) -> None:
-        """Leave time for refusals if service ends late."""
-        self.close_at_s = max(self.close_at_s, now_s + REFUSE_S)
--- a/src/yuccapoint/process/term_changes.py
+++ b/src/yuccapoint/process/term_changes.py
@@ -90,7 +90,8 @@
         try:
             async with asyncio.timeout(RESIGN_TIMEOUT_S):
                 if last_append is not None:
-                    await last_append
+                    # It is cancelled if another entry leads meanwhile.
+                    await asyncio.wait({last_append})
                 resignation = self._renewals.build_resignation(
                     leader, steady_s()
                 )
