--- a/src/yuccapoint/cell/cell_view.py
+++ b/src/yuccapoint/cell/cell_view.py
@@ -190,13 +190,19 @@
         """Return the addresses of the other entries.
 
         The leader comes first, as it reached the store most recently, then
-        the entries that started last.
+        the entries that started last. A leader that has resigned comes last:
+        it exits soon, or reads no records.
         """
-        leader = "" if self.leadership is None else self.leadership.entry
         others = [e for e in self.entries.values() if e.entry != entry]
-        others.sort(key=lambda e: (e.entry != leader, -e.incarnation))
+        others.sort(key=lambda e: (self._peer_rank(e.entry), -e.incarnation))
         return [other.address for other in others]
 
+    def _peer_rank(self, entry: str) -> int:
+        leadership = self.leadership
+        if leadership is None or leadership.entry != entry:
+            return 1
+        return 2 if leadership.resigned else 0
+
     def is_led_by_other(self, entry: str) -> bool:
         """Return whether another registered entry leads the cell."""
         leadership = self.leadership
--- a/tests/features/steps/append_relay_steps.py
+++ b/tests/features/steps/append_relay_steps.py
@@ -10,6 +10,9 @@
 
 from yuccapoint.cell.cell_messages import RelayAnswer
 from yuccapoint.cell.cell_messages import RelayResult
+from yuccapoint.cell.cell_records import EntryMember
+from yuccapoint.cell.cell_records import Leadership
+from yuccapoint.cell.cell_view import CellView
 from yuccapoint.connection.cell_store import StoreRefusedError
 from yuccapoint.process.append_relay import AppendRelay
 from yuccapoint.process.process_logger import ProcessLogger
@@ -98,3 +101,29 @@
 @then("the other record is called appended")
 def appended(context: Context) -> None:
     assert context.result is RelayResult.APPENDED, context.result
+
+
+@given('the entries "a", "b" and "c", started in this order')
+def started_entries(context: Context) -> None:
+    context.view = CellView()
+    for number, name in enumerate(("a", "b", "c")):
+        member = EntryMember(name, f"address of {name}", number)
+        context.view.apply(name, member, number)
+
+
+@when('"b" leads')
+def leads(context: Context) -> None:
+    context.view.apply("leader", Leadership(1, "b", 1), 10)
+
+
+@when('"b" leads and has resigned')
+def has_resigned(context: Context) -> None:
+    leads(context)
+    record = Leadership(1, "b", 1, renewal=1, resigned=True)
+    context.view.apply("leader", record, 11)
+
+
+@then('"a" asks the entries "{names}"')
+def asks(context: Context, names: str) -> None:
+    expected = [f"address of {name}" for name in names.split(", ")]
+    assert context.view.peers_of("a") == expected, context.view.peers_of("a")
