--- a/src/yuccapoint/process/entry_process.py
+++ b/src/yuccapoint/process/entry_process.py
@@ -244,8 +244,9 @@
         self.log.close()
         self.control_channel.close()
         self.forwarder.close()
-        self._callers.stop()
-        self._operators.stop()
+        for server in (self._callers, self._operators):
+            server.stop()
+            server.close_at_once()
 
     def next_request_id(self) -> str:
         """Return a request id that is unique across entries."""
--- a/tests/features/process/planned_stops.feature
+++ b/tests/features/process/planned_stops.feature
@@ -36,6 +36,13 @@
       | HTTP     |
       | HTTPS    |
 
+  Scenario: A process that is closed at once takes no more requests
+    # Its connections were open through the teardown of the interpreter.
+    Given an entry that serves callers by HTTP
+    And a caller whose request on a kept connection was answered
+    When the entry closes everything at once
+    Then no caller is connected
+
   Scenario Outline: A connection that waits to be accepted at a stop is served
     # Closing the listening socket resets what waits in its queue.
     Given an entry that serves callers by <protocol>
--- a/tests/features/steps/stopping_entry_steps.py
+++ b/tests/features/steps/stopping_entry_steps.py
@@ -273,6 +273,20 @@
     context.cut = context.loop.run_until_complete(entry.stop())
 
 
+@when("the entry closes everything at once")
+def close_at_once(context: Context) -> None:
+    async def kill() -> None:
+        context.entry.kill()
+
+    context.loop.run_until_complete(kill())
+
+
+@then("no caller is connected")
+def none_connected(context: Context) -> None:
+    assert context.entry._callers.open_connections == 0
+    assert context.caller.ended
+
+
 @then("the entry stops with nothing aborted and no caller connected")
 def stops(context: Context) -> None:
     assert context.cut == [], context.cut
