--- a/tests/features/proof/soak.feature
+++ b/tests/features/proof/soak.feature
@@ -17,6 +17,10 @@
     When the soak runs seed 1 for 12 s with the faults "worker_crash"
     Then no guarantee is violated and tasks were started
 
+  Scenario: Planned stops of entries lose no request on a kept connection
+    When the soak runs seed 1 for 6 s with the faults "planned_stops and reload"
+    Then no guarantee is violated and tasks were started
+
   Scenario Outline: A proxy silences open connections and serves new ones
     Given a proxy before a server that answers each line
     When a connection from 127.0.0.9 is silenced for its <way>
@@ -50,6 +54,7 @@
       | accepted   | start 0.0 at a, end 0.0 at a, start 0.0 at b, seen 9 at a | TWICE |
       | accepted   | counted 0 at entry                            | MIXED   |
       | accepted   | unreadable 500 at entry                       | MIXED   |
+      | accepted   | closed 0.21 at entry                          | LOST    |
 
   Scenario Outline: the soak oracle allows what the rules allow
     Given a soak job with two steps of one task each that was accepted
@@ -63,6 +68,7 @@
       | start 0.0 at a, end 0.0 at a, lapse 0 at a, seen 1 at a, start 0.0 at b |
       | start 0.0 at a, counted 0 at entry                                      |
       | counted 1 at entry                                                      |
+      | closed 0.2 at entry                                                     |
 
   Scenario Outline: the soak reports a long-running task that waits
     Given a soak job of one long-running task and two workers with room
--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -158,6 +158,9 @@
         if what == "counted":
             oracle.on_pending(oracle.waiting_jobs(), "entry", int(detail))
             continue
+        if what == "closed":
+            oracle.on_close("entry", float(detail))
+            continue
         if what == "unreadable":
             oracle.on_unreadable(job.job_id, int(detail))
             continue
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,6 +9,7 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
+from soak.planned_stops import stop_entry
 from soak.proxied_connection import BOTH_WAYS
 from soak.proxied_connection import Way
 from soak.proxy import LinkState
@@ -22,6 +23,9 @@
 FAULTS: dict[str, Fault] = {}
 # Played only if they are named, so that a seed draws the others as before.
 LINK_FAULTS: dict[str, Fault] = {}
+STOP_FAULTS: dict[str, Fault] = {}
+# Work that the operator does as planned: no request may be lost around it.
+PLANNED_WORK = {"planned_stops", "reload"}
 
 MAX_FAULT_DURATION_S = 7.0
 # Bounds of the rate of a narrow link in bytes per second.
@@ -45,6 +49,12 @@
     return inject
 
 
+def stop_fault(inject: Fault) -> Fault:
+    """Register planned stops under the name of their function."""
+    STOP_FAULTS[inject.__name__] = inject
+    return inject
+
+
 def _random_duration_s(world: World) -> float:
     return world.rng.uniform(0.3, MAX_FAULT_DURATION_S)
 
@@ -277,3 +287,21 @@
 @link_fault
 async def links_narrow(world: World) -> None:
     await _narrow_links(world, world.entries)
+
+
+@stop_fault
+async def planned_stops(world: World) -> None:
+    """Stop some entries under calls, one by one or overlapping."""
+    rng = world.stop_rng
+    if rng.random() < 0.5:
+        for name in rng.sample(world.entries, 2):
+            await stop_entry(world, name)
+        return
+
+    async def stop_later(name: str) -> None:
+        await asyncio.sleep(rng.uniform(0.0, 2.0))
+        await stop_entry(world, name)
+
+    count = rng.randint(2, len(world.entries))
+    names = rng.sample(world.entries, count)
+    await asyncio.gather(*(stop_later(name) for name in names))
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -6,6 +6,8 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
+from soak.kept_connection import LOSS_SLACK_S
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -241,6 +243,23 @@
         """Record an answer that tells a caller nothing."""
         self.record_violation("MIXED", f"{what} got status {status}")
 
+    def on_close(self, entry: str, unanswered_for_s: float) -> None:
+        """Check how an entry that stops as planned closed a connection.
+
+        Parameters
+        ----------
+        entry : str
+            Name of the entry.
+        unanswered_for_s : float
+            How long before the close a request without an answer was sent.
+        """
+        if unanswered_for_s > LOSS_SLACK_S:
+            self.record_violation(
+                "LOST",
+                f"{entry} closed a connection {unanswered_for_s:.2f} s after"
+                " a request on it",
+            )
+
     def check_refusals(self) -> None:
         """Check that no job runs whose submissions were all refused."""
         for task in [*self._running, *self._done]:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import pathlib
 import random
@@ -25,6 +26,8 @@
 from yuccapoint_standins.platform_store import PlatformStore
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from soak.proxied_connection import ProxiedConnection
 
 ROLE_PROGRAM = pathlib.Path(__file__).with_name("proxied_role.py")
@@ -35,6 +38,8 @@
 TASK_RUN_S = 0.5
 CALL_TIMEOUT_S = 3.0
 STOP_GRACE_S = 6.0
+# A fault explains a lost request until this long after its end.
+CONTACT_S = 3.0
 START_TIMEOUT_S = 20.0
 
 
@@ -69,6 +74,14 @@
         Draws load and faults.
     link_rng : random.Random
         Draws narrow links.
+    stop_rng : random.Random
+        Draws planned stops and the requests around them.
+    stopping : set of str
+        Entries that are being stopped as planned.
+    kept_answers : int
+        Requests that were answered on connections kept during such stops.
+    excused_closes : int
+        Requests lost there that an unplanned fault explains.
     """
 
     def __init__(
@@ -76,6 +89,12 @@
     ) -> None:
         self.rng = random.Random(seed)
         self.link_rng = random.Random(f"links {seed}")
+        self.stop_rng = random.Random(f"stops {seed}")
+        self.stopping: set[str] = set()
+        self.kept_answers = 0
+        self.excused_closes = 0
+        self._unplanned_faults = 0
+        self._unplanned_until_s = 0.0
         self.oracle = Oracle()
         self.long_running_check = LongRunningCheck(self.oracle)
         self.store = PlatformStore()
@@ -203,6 +222,25 @@
         if self.alive(name):
             self._processes[name].send_signal(number)
 
+    @contextlib.contextmanager
+    def unplanned_fault(self) -> Iterator[None]:
+        """Record an unplanned fault, which may overlap others."""
+        self._unplanned_faults += 1
+        try:
+            yield
+        finally:
+            self._unplanned_faults -= 1
+            self.on_unplanned_fault()
+
+    def on_unplanned_fault(self) -> None:
+        """Record that there was an unplanned fault until now."""
+        self._unplanned_until_s = time.monotonic()
+
+    def unplanned_since(self, at_s: float) -> bool:
+        """Whether an unplanned fault explains what happened since a time."""
+        calm_s = at_s - self._unplanned_until_s
+        return self._unplanned_faults > 0 or calm_s < CONTACT_S
+
     def usable_workers(self) -> list[SoakWorker]:
         """Return the workers that may run tasks, whose agents are up."""
         return [
