--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -125,6 +125,7 @@
         )
         self._writer: CellWriter | None = None
         self._append_task: asyncio.Task[None] | None = None
+        self._late_resignation: asyncio.Task[None] | None = None
         self._renewals = LeadershipRenewals(name, self.incarnation)
         self._term_changes = TermChanges(
             store, self._leader_election, self._renewals, logger
@@ -170,10 +171,9 @@
 
     def stop(self) -> None:
         """Stop all components."""
-        for task in self._tasks:
-            task.cancel()
-        if self._append_task is not None:
-            self._append_task.cancel()
+        for task in (*self._tasks, self._append_task, self._late_resignation):
+            if task is not None:
+                task.cancel()
         self._control_channel.close()
 
     def _on_record(self, record: CellRecord | None) -> None:
@@ -226,6 +226,11 @@
                 (now_s - former_grants.renewed_at_s) * 1000
             ),
         )
+        if self._stopping:
+            # The takeover was sent before the stop began.
+            self._late_resignation = asyncio.ensure_future(
+                self._resign("the entry is stopping")
+            )
         self._wake.set()
 
     def _step_down(self, why: str) -> None:
--- a/tests/features/platform/stopping.feature
+++ b/tests/features/platform/stopping.feature
@@ -65,6 +65,12 @@
     Then the caller gets status 504 before the entry exits
     And it has stopped within 1.0 s
 
+  Scenario: A term that begins during a stop is resigned
+    # The cell had no leader until the term of an exited entry had lapsed.
+    Given an entry that stops while its takeover is on the way
+    When it reads that it leads
+    Then it has resigned
+
   Scenario Outline: The steps of a stop fit into the time that is granted
     Given a process that is killed <grace> s after its stop began
     Then it accepts connections for <accept> s, serves for <serve> s and closes connections after <close> s
--- a/tests/features/steps/held_up_stop_steps.py
+++ b/tests/features/steps/held_up_stop_steps.py
@@ -10,6 +10,7 @@
 from behave import then
 from behave import when
 
+from yuccapoint.cell import cell_records
 from yuccapoint.cell.cell_leader import CellLeader
 from yuccapoint.connection.cell_store import StoreFencedError
 from yuccapoint.platform import roles
@@ -76,6 +77,19 @@
         raise StoreFencedError("another entry leads")
 
 
+class RecordingStore:
+    """Stores what is appended."""
+
+    def __init__(self) -> None:
+        self.records: list[tuple[str, bytes]] = []
+
+    async def append(
+        self, records: list[tuple[str, bytes]], **fields: object
+    ) -> None:
+        """Store records."""
+        self.records.extend(records)
+
+
 class QuietEntry:
     """An entry that leads no cell."""
 
@@ -281,6 +295,41 @@
     context.loop.run_until_complete(stop())
 
 
+@given("an entry that stops while its takeover is on the way")
+def takeover_on_the_way(context: Context) -> None:
+    async def stop() -> None:
+        context.entry = CellEntryProcess(
+            "entry",
+            find_free_address(),
+            context.store,
+            ProcessLogger("entry"),
+            Metrics(),
+        )
+        await context.entry.hand_over()
+
+    context.store = RecordingStore()
+    context.loop.run_until_complete(stop())
+
+
+@when("it reads that it leads")
+def begin_term(context: Context) -> None:
+    async def read() -> None:
+        context.entry._start_leading(100.0)
+        await asyncio.sleep(0.05)
+
+    context.loop.run_until_complete(read())
+
+
+@then("it has resigned")
+def has_resigned(context: Context) -> None:
+    values = [value for _, value in context.store.records]
+    terms = [
+        cell_records.decode(cell_records.LEADERSHIP, value) for value in values
+    ]
+    assert [term.resigned for term in terms] == [True], terms
+    assert context.entry.leader is None
+
+
 @then("the hand-over ends without an error")
 def hand_over_ends(context: Context) -> None:
     assert context.handed_over == [None], context.handed_over
