--- a/review/kit2/deployment.py
+++ b/review/kit2/deployment.py
@@ -136,15 +136,7 @@
         if not (ROOT / "target/deps/yuccapoint").is_dir():
             raise CannotRun("run the build of the deploy file first")
         self.store.listen(self.store_ip, STORE)
-        config = {
-            "Version": 7,
-            "Routes": self._routes,
-            "Services": [
-                {"Name": SERVICE, "RejectsOverload": True, "Standby": False}
-            ],
-            "Limits": {"MaxBodyBytes": 262144},
-        }
-        self.store.put("keyed.op", "config", msgspec.json.encode(config))
+        self.put_config(7, self._routes)
         for name in (*self.entries, *self.vms):
             self.spawn(name)
         for name in self.vms:
@@ -167,6 +159,23 @@
                 await asyncio.sleep(0.1)
         self.record("all entries are ready")
 
+    def put_config(self, version, routes):
+        """Write a config as the operator does."""
+        config = {
+            "Version": version,
+            "Routes": routes,
+            "Services": [
+                {"Name": SERVICE, "RejectsOverload": True, "Standby": False}
+            ],
+            "Limits": {"MaxBodyBytes": 262144},
+        }
+        self.store.put("keyed.op", "config", msgspec.json.encode(config))
+        self.record(
+            "operator writes a config",
+            version=version,
+            routes=[(r["Name"], r["PathPrefix"]) for r in routes],
+        )
+
     def node_settings(self, name):
         """Return the settings of a process."""
         ip = self.ip(name)
--- a/review/kit2/worker.py
+++ b/review/kit2/worker.py
@@ -49,6 +49,7 @@
         self.checkpoint = lambda task, number: ""
         self.needs_ticket = None
         self.starts = []
+        self.specs = set()
         self.ends_log = []
         self._service = service
         self._address = address
@@ -207,6 +208,7 @@
             task, run, body.get("Spec", ""), body.get("LastCheckpoint", "")
         )
         self.starts.append((time.monotonic(), task, run))
+        self.specs.add(body.get("Spec", ""))
         self._record("run starts", worker=self.worker_id, task=task, run=run)
         return 200, {}
 
