--- a/review/kit2/worker.py
+++ b/review/kit2/worker.py
@@ -60,6 +60,7 @@
         self._control = control
         self._record = record
         self.lifetime = 0
+        self.cut = False
         self._changed = asyncio.Event()
         self._tasks = set()
         self._begin_lifetime()
@@ -97,6 +98,32 @@
         self._server.stop()
         await self._server.close_all_connections()
 
+    def cut_off(self):
+        """Cut the worker off from all machines; it runs on."""
+        self.cut = True
+        self._record("worker is cut off", worker=self.worker_id)
+
+    def reconnect(self):
+        """End the cut."""
+        self.cut = False
+        self._record("the cut ends", worker=self.worker_id)
+
+    def restart_behind_cut(self):
+        """Crash and start again while cut off; no packet tells of it."""
+        self._record(
+            "worker crashes behind the cut",
+            worker=self.worker_id,
+            running=list(self.running),
+        )
+        server = self._server
+        self._begin_lifetime()
+        self._server = server
+        self._spawn(self._check_in(0.0, self.lifetime))
+        self._spawn(self._work())
+        self._record(
+            "worker starts again", worker=self.worker_id, born=self._born_ms
+        )
+
     def restart(self, first_check_in_s):
         """Begin another lifetime under the same id."""
         self._begin_lifetime()
@@ -122,6 +149,9 @@
     async def _check_in(self, first_s, lifetime):
         await asyncio.sleep(first_s)
         while self.up and self.lifetime == lifetime:
+            if self.cut:
+                await asyncio.sleep(TICK_S)
+                continue
             self._seq += 1
             body = {
                 "Service": self._service,
@@ -191,6 +221,9 @@
             self._answer(request, 400, {})
             return
         name = request.path.rpartition("/")[2]
+        if self.cut:
+            # It doesn't arrive, and the connection stays silent.
+            await asyncio.sleep(3600)
         late_s = self.late_s(name, body)
         if late_s is not None:
             self._record(
@@ -307,5 +340,7 @@
         return min(99, int(100 * run.work_s / needed_s))
 
     def _answer(self, request, status, fields):
+        if self.cut:
+            return
         body = {"ClockMs": self.clock_ms, "born": self._born_ms, **fields}
         respond(request, status, msgspec.json.encode(body))
