--- a/review/6/case.py
+++ b/review/6/case.py
@@ -31,7 +31,10 @@
         # Other consumers' submissions, whose writes are answered.
         for number in range(6):
             await cell.request(
-                cell.entries[number % 3], "POST", f"/quotes/{number:016x}", job(1)
+                cell.entries[number % 3],
+                "POST",
+                f"/quotes/{number:016x}",
+                job(1),
             )
         loses_from_s = time.monotonic()
         stored_at_s = []
@@ -83,7 +86,9 @@
             for at_s, task, run, how in worker.ends_log:
                 over_s = at_s - cancelled_at_s - CANCEL_S - STOP_S
                 if task.startswith(JOB) and over_s > 0 and at_s > steady_s:
-                    record("runs on", task=task, run=run, over_s=round(over_s, 1))
+                    record(
+                        "runs on", task=task, run=run, over_s=round(over_s, 1)
+                    )
         record("state at the end", state=state)
         return broken
     finally:
--- a/review/kit2/deployment.py
+++ b/review/kit2/deployment.py
@@ -13,6 +13,7 @@
 import sys
 import tempfile
 import time
+import tomllib
 
 import msgspec
 
@@ -113,6 +114,12 @@
         self._processes = {}
         self._logs = []
         self._subnet = self._find_subnet()
+        roles = tomllib.loads(
+            (ROOT / "deploy/system.toml").read_text("utf-8")
+        )["roles"]
+        self._commands = {
+            name: role["run"].split(" ") for name, role in roles.items()
+        }
 
     def _find_subnet(self):
         names = 1 + len(self.entries) + len(self.vms)
@@ -238,7 +245,7 @@
         self._logs.append(log)
         kept = ("PATH", "HOME", "LANG")
         self._processes[name] = subprocess.Popen(
-            ["python3", "-m", "yuccapoint.platform", role],
+            self._commands[role],
             cwd=ROOT,
             stdin=subprocess.DEVNULL,
             stdout=log,
@@ -293,7 +300,9 @@
         for name in self.entries:
             if not self.is_alive(name):
                 continue
-            for line in (self._folder / f"{name}.log").read_bytes().split(b"\n"):
+            for line in (
+                (self._folder / f"{name}.log").read_bytes().split(b"\n")
+            ):
                 if b"leadership acquired" not in line:
                     continue
                 fields = msgspec.json.decode(line)
--- a/review/kit2/worker.py
+++ b/review/kit2/worker.py
@@ -200,10 +200,16 @@
         del self.running[run.task]
         self._close_run(run.task, run.run)
         self._number += 1
-        self._ends.append([self._number, run.task, run.run, how, run.checkpoint])
+        self._ends.append(
+            [self._number, run.task, run.run, how, run.checkpoint]
+        )
         self.ends_log.append((time.monotonic(), run.task, run.run, how))
         self._record(
-            "run ends", worker=self.worker_id, task=run.task, run=run.run, how=how
+            "run ends",
+            worker=self.worker_id,
+            task=run.task,
+            run=run.run,
+            how=how,
         )
         self._changed.set()
         self._changed = asyncio.Event()
