--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,7 +1,6 @@
 """A cancellation that is answered 410 while the submission is still stored."""
 
 import asyncio
-import os
 import pathlib
 import sys
 import time
--- a/review/kit2/deployment.py
+++ b/review/kit2/deployment.py
@@ -24,7 +24,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = "prices.example"
 SERVICE = "bulletin-desk"
-FRONT, READY, CONTROL, APP, STORE, ADVISOR = 8161, 8167, 8166, 8165, 8169, 8171
+FRONT, READY, CONTROL, APP, STORE = 8161, 8167, 8166, 8165, 8169
 PEER, METRICS = 7720, 9611
 START_TIMEOUT_S = 30.0
 # Bounds of the small site file ``cmi-bulletin``.
@@ -101,15 +101,22 @@
 class Deployment:
     """Entries and agents as processes; store and workers are stand-ins."""
 
-    def __init__(self, record, entries=3, vms=3, routes=None, advisor=False):
+    def __init__(
+        self,
+        record,
+        entries=3,
+        vms=3,
+        routes=None,
+        services=None,
+    ):
         self.record = record
         self.entries = [f"edge-{n}" for n in range(1, entries + 1)]
         self.vms = [f"side-{n}" for n in range(1, vms + 1)]
         self.workers = {}
         self.store = Store(record)
-        self.settings = {}
         self._routes = routes or [route("quotes", "/quotes/")]
-        self._advisor = advisor
+        # Service of a VM's worker, where it isn't the usual one.
+        self._services = services or {}
         self._folder = pathlib.Path(tempfile.mkdtemp(prefix="yuccapoint-"))
         self._processes = {}
         self._logs = []
@@ -150,7 +157,7 @@
             ip = self.ip(name)
             worker = Worker(
                 f"i-{name}",
-                SERVICE,
+                self._services.get(name, SERVICE),
                 f"{ip}:{APP}",
                 f"{ip}:{CONTROL}",
                 self.record,
@@ -172,7 +179,8 @@
             "Version": version,
             "Routes": routes,
             "Services": [
-                {"Name": SERVICE, "RejectsOverload": True, "Standby": False}
+                {"Name": name, "RejectsOverload": True, "Standby": False}
+                for name in sorted({SERVICE, *self._services.values()})
             ],
             "Limits": {"MaxBodyBytes": 262144},
         }
@@ -180,7 +188,9 @@
         self.record(
             "operator writes a config",
             version=version,
-            routes=[(r["Name"], r["PathPrefix"]) for r in routes],
+            routes=[
+                (r["Name"], r["PathPrefix"], r["Service"]) for r in routes
+            ],
         )
 
     def node_settings(self, name):
@@ -223,9 +233,7 @@
         }
         if not is_entry:
             settings["app"] = f"{ip}:{APP}"
-            settings["Service"] = SERVICE
-        if self._advisor:
-            settings["Advisor"] = f"{self.store_ip}:{ADVISOR}"
+            settings["Service"] = self._services.get(name, SERVICE)
         return settings
 
     def write_settings(self, name, settings):
--- a/review/kit2/worker.py
+++ b/review/kit2/worker.py
@@ -49,11 +49,9 @@
         self.size = lambda task: 960
         self.checkpoint_s = 0.0
         self.checkpoint = lambda task, number: ""
-        self.needs_ticket = None
         self.late_s = lambda name, body: None
         self.seen = {}
         self.starts = []
-        self.specs = set()
         self.ends_log = []
         self._service = service
         self._address = address
@@ -293,10 +291,6 @@
         self._extend(deadline_ms)
         if known is not None or run <= self._closed_runs.get(task, 0):
             return 409, {"Reason": "old"}
-        if self.needs_ticket is not None:
-            step = task.rpartition(".")[0]
-            if not self.needs_ticket(step, body.get("Ticket", "")):
-                return 409, {"Reason": "ticket"}
         used = sum(self.size(name) for name in self.running)
         if used + self.size(task) > self.cpu:
             return 409, {"Reason": "room"}
@@ -304,7 +298,6 @@
             task, run, body.get("Spec", ""), body.get("LastCheckpoint", "")
         )
         self.starts.append((time.monotonic(), task, run))
-        self.specs.add(body.get("Spec", ""))
         self._record("run starts", worker=self.worker_id, task=task, run=run)
         return 200, {}
 
