--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,107 +1,106 @@
-"""A late start that is carried out behind a cut by a restarted worker."""
+"""A config that sends a queue to another service while submissions wait."""
 
 import asyncio
-import os
 import pathlib
 import sys
-import time
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
+from kit2.deployment import BOUNDS  # noqa: E402
 from kit2.deployment import CannotRun  # noqa: E402
 from kit2.deployment import Deployment  # noqa: E402
+from kit2.deployment import route  # noqa: E402
 from kit2.deployment import run_case  # noqa: E402
 
-JOB = "c0e7a21d94b36f85"
-TASK = f"{JOB}.0.0.0"
-WORK_S = 25.0
-# The workers have run for some time, as on any day.
-WARM_UP_S = 15.0
-# Orders are carried out 2 to 12 s late.
-LATE_S = 7.0
-# The cut begins then, counted from the order; the worker is back 0.5 s later.
-CUT_AT_S = 2.0
-CUT_FOR_S = 12.0
-
-
-# With TROUBLE=cut the worker is cut off, and no order is late.
-ONLY_CUT = os.environ.get("TROUBLE") == "cut"
+NEW_SERVICE = "quote-desk"
+WATCH = "f85c0e7a21d94b36"
+WAITING = [f"{number:016x}" for number in range(1, 6)]
+LATER = f"{99:016x}"
+APPLY_S = BOUNDS["ConfigApplyMs"] / 1000
+FINISH_S = BOUNDS["finish_s"]
+IDLE_S = 3.0
 
 
 async def scenario(record, trouble):
-    # One worker of seven is cut off: a share of 0.143, of 0.17.
-    cell = Deployment(record, vms=7)
+    watches = route("watches", "/watches/")
+    services = {"side-4": NEW_SERVICE, "side-5": NEW_SERVICE}
+    cell = Deployment(
+        record,
+        vms=5,
+        routes=[watches, route("quotes", "/quotes/")],
+        services=services,
+    )
     try:
         await cell.start()
-        ordered = []
-
-        def late_once(worker):
-            def late_s(name, body):
-                if not trouble or ONLY_CUT or ordered or name != "run-start":
-                    return None
-                ordered.append((worker, time.monotonic()))
-                return LATE_S
-
-            return late_s
-
         for worker in cell.workers.values():
-            worker.plan = lambda task, run, spec: (WORK_S, "done")
-            worker.late_s = late_once(worker)
-        await asyncio.sleep(WARM_UP_S)
-        step = {
-            "Count": 1,
-            "Cpu": 960,
-            "MemMb": 64,
-            "EstimateMs": int(WORK_S * 1000),
-        }
-        status, _ = await cell.request(
-            cell.entries[0],
-            "POST",
-            f"/quotes/{JOB}",
-            {"Spec": "quote", "Steps": [step]},
-        )
-        if status != 200:
-            raise CannotRun(f"the submission got {status}")
-        await asyncio.sleep(1.2)
-        if trouble and not ONLY_CUT and not ordered:
-            raise CannotRun("no start was ordered")
-        if ordered:
-            worker, at_s = ordered[0]
-        else:
-            worker = next(w for w in cell.workers.values() if w.starts)
-            at_s = worker.starts[0][0]
-        await asyncio.sleep(at_s + CUT_AT_S - time.monotonic())
-        if not worker.running:
-            raise CannotRun("the task doesn't run before the cut")
-        if trouble:
-            worker.cut_off()
-            await asyncio.sleep(0.5)
-            worker.restart_behind_cut()
-        both_s = 0.0
-        until_s = at_s + CUT_AT_S + CUT_FOR_S
-        while time.monotonic() < until_s:
-            runs = [
-                (w.worker_id, w.running[TASK].run)
-                for w in cell.workers.values()
-                if TASK in w.running
-            ]
-            if len(runs) > 1:
-                if not both_s:
-                    record("two runs at the same time", runs=runs)
-                both_s += 0.05
-            await asyncio.sleep(0.05)
+            worker.plan = plan
+            worker.size = size
+        new = [cell.workers[name] for name in services]
+        # Tasks that last take up the first service's three workers.
+        step = {"Count": 3, "Cpu": 60_000, "MemMb": 1000, "Persistent": True}
+        await submit(cell, f"/watches/{WATCH}", step)
+        await asyncio.sleep(3)
+        if sum(len(w.running) for w in cell.workers.values()) != 3:
+            raise CannotRun("the tasks that last don't run")
+        step = {"Count": 2, "Cpu": 8000, "MemMb": 1000, "EstimateMs": 1000}
+        for job in WAITING:
+            await submit(cell, f"/quotes/{job}", step)
+        await asyncio.sleep(3)
         if trouble:
-            worker.reconnect()
-        await asyncio.sleep(5)
-        if both_s:
+            moved = route("quotes", "/quotes/", Service=NEW_SERVICE)
+            cell.put_config(8, [watches, moved])
+            await asyncio.sleep(APPLY_S + 1.0)
+            await submit(cell, f"/quotes/{LATER}", step)
+        await asyncio.sleep(FINISH_S)
+        record("finish_s after the end of the traffic")
+        used = 0
+        started = set()
+        for _ in range(int(IDLE_S / 0.1)):
+            for worker in cell.workers.values():
+                started |= {task.split(".")[0] for _, task, _ in worker.starts}
+            used = max(used, sum(len(w.running) for w in new))
+            await asyncio.sleep(0.1)
+        states = {}
+        for job in (*WAITING, LATER):
+            states[job] = await cell.request(
+                cell.entries[1], "GET", f"/quotes/{job}"
+            )
+        record("submissions that were started", jobs=sorted(started))
+        if not trouble:
+            # The service of the queue is in use by more than nine tenths.
+            return []
+        if LATER not in started:
+            raise CannotRun("the new service runs nothing")
+        waiting = [job for job in WAITING if job not in started]
+        if waiting and not used:
             return [
-                f"TWICE: two runs of {TASK} at the same time, on workers that"
-                f" are up, for {both_s:.1f} s"
+                f"LOST: {len(waiting)} accepted submissions have never started"
+                f" for {APPLY_S + 1 + FINISH_S + IDLE_S:.1f} s after their queue"
+                " was sent to a service without load, where a later one ran"
             ]
         return []
     finally:
         cell.close()
 
 
+async def submit(cell, path, step):
+    """Submit a job of one step, which has to be accepted."""
+    status, _ = await cell.request(
+        cell.entries[0], "POST", path, {"Spec": "job", "Steps": [step]}
+    )
+    if status != 200:
+        raise CannotRun(f"{path} got {status}")
+
+
+def plan(task, run, spec):
+    """Return how long a run works, and how it ends."""
+    return (float("inf") if task.startswith(WATCH) else 1.0), "done"
+
+
+def size(task):
+    """Return the room of a task in thousandths of a core."""
+    return 60_000 if task.startswith(WATCH) else 8000
+
+
 if __name__ == "__main__":
     run_case(HERE, scenario)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,8 +1,7 @@
-"""The later times of a scheduled submission after a change of the leader."""
+"""A config that replaces a queue by another one at the same address."""
 
 import asyncio
 import pathlib
-import signal
 import sys
 import time
 
@@ -11,87 +10,80 @@
 from kit2.deployment import BOUNDS  # noqa: E402
 from kit2.deployment import CannotRun  # noqa: E402
 from kit2.deployment import Deployment  # noqa: E402
+from kit2.deployment import route  # noqa: E402
 from kit2.deployment import run_case  # noqa: E402
 
-JOB = "71d94b36f85c0e7a"
-TIMES = 6
-INTERVAL_S = 5.0
-WORK_S = 0.5
-# The platform restarts a killed process after a short delay.
-DOWN_S = 2.0
-FINISH_S = BOUNDS["finish_s"]
-IDLE_S = 3.0
+JOB = "36f85c0e7a21d94b"
+STEPS = 25
+CANCEL_S = BOUNDS["cancel_ms"] / 1000
+VISIBLE_S = BOUNDS["visible_ms"] / 1000
+APPLY_S = BOUNDS["ConfigApplyMs"] / 1000
 
 
 async def scenario(record, trouble):
-    cell = Deployment(record)
+    kept = route("watches", "/watches/")
+    cell = Deployment(record, routes=[kept, route("quotes", "/quotes/")])
     try:
         await cell.start()
         for worker in cell.workers.values():
-            worker.plan = plan
-        first_due_s = time.time() + 2.0
-        body = {
-            "Spec": "sheet",
-            "Steps": [
-                {"Count": 1, "Cpu": 960, "MemMb": 64, "EstimateMs": 500}
-            ],
-            "Repeats": TIMES,
-            "StartAtMs": int(first_due_s * 1000),
-            "IntervalMs": int(INTERVAL_S * 1000),
-        }
+            worker.plan = lambda task, run, spec: (1.0, "done")
         status, _ = await cell.request(
-            cell.entries[0], "POST", f"/quotes/{JOB}", body
+            cell.entries[0], "POST", f"/quotes/{JOB}", job(STEPS)
         )
         if status != 200:
             raise CannotRun(f"the submission got {status}")
-        # Time 1 has ended, time 2 is to come, and nothing runs.
-        await asyncio.sleep(first_due_s + INTERVAL_S + 2.5 - time.time())
+        await asyncio.sleep(VISIBLE_S + 1.0)
         if trouble:
-            leader = cell.leader()
-            cell.signal(leader, signal.SIGKILL)
-            await asyncio.sleep(DOWN_S)
-            cell.spawn(leader)
-        last_due_s = first_due_s + INTERVAL_S * (TIMES - 1)
-        await asyncio.sleep(last_due_s + FINISH_S - time.time())
-        record("finish_s after the last time was due")
-        busy = False
-        for _ in range(int(IDLE_S / 0.1)):
-            busy = busy or any(w.running for w in cell.workers.values())
-            await asyncio.sleep(0.1)
-        ended = {}
-        for worker in cell.workers.values():
-            for _, task, _, how in worker.ends_log:
-                ended.setdefault(int(task.split(".")[1]), []).append(how)
-        for number in range(TIMES):
-            record(
-                "time", number=number, ends=ended.get(number, "never started")
-            )
-        for entry in cell.entries:
-            await cell.request(entry, "GET", f"/quotes/{JOB}")
-        # A workload of the same kind is run, so there is capacity.
-        other = {"Spec": "other", "Steps": body["Steps"]}
-        await cell.request(cell.entries[0], "POST", f"/quotes/{1:016x}", other)
-        await asyncio.sleep(3)
-        _, state = await cell.request(
-            cell.entries[0], "GET", f"/quotes/{1:016x}"
+            cell.put_config(8, [kept, route("spot-quotes", "/quotes/")])
+        await asyncio.sleep(APPLY_S + 1.0)
+        # A copy of the request arrives seconds after its 2xx response.
+        status, _ = await cell.request(
+            cell.entries[0], "POST", f"/quotes/{JOB}", job(STEPS)
         )
-        if state != {"State": "completed"}:
-            raise CannotRun(f"another submission is not run: {state}")
-        missing = [n for n in range(1, TIMES) if n not in ended]
-        if missing and not busy:
-            return [
-                f"LOST: times {missing} of {TIMES} were due and never started;"
-                f" nothing of the submission runs for {IDLE_S:.0f} s"
-            ]
-        return []
+        if status != 200:
+            return []
+        await asyncio.sleep(VISIBLE_S + 0.5)
+        broken = []
+        for entry in cell.entries:
+            status, _ = await cell.request(entry, "GET", f"/quotes/{JOB}")
+            if status == 410:
+                broken.append(
+                    f"LOST: {entry} answers 410 to a GET for an accepted"
+                    " submission that nobody has cancelled"
+                )
+        answered = 0
+        while answered not in (200, 410):
+            answered, _ = await cell.request(
+                cell.entries[0], "DELETE", f"/quotes/{JOB}"
+            )
+        cancelled_at_s = time.monotonic()
+        record("cancelling is acknowledged", status=answered)
+        await asyncio.sleep(12)
+        late = [
+            at_s - cancelled_at_s
+            for worker in cell.workers.values()
+            for at_s, task, _ in worker.starts
+            if task.startswith(JOB) and at_s - cancelled_at_s > CANCEL_S
+        ]
+        if late:
+            broken.append(
+                f"UNASKED: {len(late)} tasks start 3 to {max(late):.1f} s after"
+                f" the cancelling was acknowledged with {answered}"
+            )
+        return broken
     finally:
         cell.close()
 
 
-def plan(task, run, spec):
-    """The task of the first time fails by its own fault."""
-    is_first = task.startswith(f"{JOB}.0.")
-    return WORK_S, "failed" if is_first else "done"
+def job(steps):
+    """Return a submission of steps that follow each other."""
+    body = [
+        {"Count": 1, "Cpu": 960, "MemMb": 64, "EstimateMs": 1000}
+        for _ in range(steps)
+    ]
+    for number in range(1, steps):
+        body[number]["DependsOn"] = [number - 1]
+    return {"Spec": "quote", "Steps": body}
 
 
 if __name__ == "__main__":
--- a/review/kit2/deployment.py
+++ b/review/kit2/deployment.py
@@ -24,7 +24,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = "prices.example"
 SERVICE = "bulletin-desk"
-FRONT, READY, CONTROL, APP, STORE = 8161, 8167, 8166, 8165, 8169
+FRONT, READY, CONTROL, APP, STORE, ADVISOR = 8161, 8167, 8166, 8165, 8169, 8171
 PEER, METRICS = 7720, 9611
 START_TIMEOUT_S = 30.0
 # Bounds of the small site file ``cmi-bulletin``.
@@ -108,6 +108,7 @@
         vms=3,
         routes=None,
         services=None,
+        advisor=False,
     ):
         self.record = record
         self.entries = [f"edge-{n}" for n in range(1, entries + 1)]
@@ -117,6 +118,7 @@
         self._routes = routes or [route("quotes", "/quotes/")]
         # Service of a VM's worker, where it isn't the usual one.
         self._services = services or {}
+        self._advisor = advisor
         self._folder = pathlib.Path(tempfile.mkdtemp(prefix="yuccapoint-"))
         self._processes = {}
         self._logs = []
@@ -234,6 +236,8 @@
         if not is_entry:
             settings["app"] = f"{ip}:{APP}"
             settings["Service"] = self._services.get(name, SERVICE)
+        if self._advisor:
+            settings["Advisor"] = f"{self.store_ip}:{ADVISOR}"
         return settings
 
     def write_settings(self, name, settings):
--- a/review/kit2/worker.py
+++ b/review/kit2/worker.py
@@ -37,8 +37,6 @@
 
     ``plan`` returns for a run (task, run, spec) how long it works and how it
     ends. ``size`` returns the room in thousandths of a core that it needs.
-    ``late_s`` returns for a call (name, body) None, or after how many seconds
-    it is executed without an answer, by the lifetime that is there then.
     """
 
     def __init__(self, worker_id, service, address, control, record):
@@ -49,24 +47,13 @@
         self.size = lambda task: 960
         self.checkpoint_s = 0.0
         self.checkpoint = lambda task, number: ""
-        self.late_s = lambda name, body: None
-        self.seen = {}
+        self.needs_ticket = None
         self.starts = []
         self.ends_log = []
         self._service = service
         self._address = address
         self._control = control
         self._record = record
-        self.lifetime = 0
-        self.cut = False
-        self._changed = asyncio.Event()
-        self._tasks = set()
-        self._begin_lifetime()
-
-    def _begin_lifetime(self):
-        """Begin with nothing of before; the id and the address stay."""
-        self.lifetime += 1
-        self.up = True
         self._born_ms = time.time_ns() // 1_000_000
         self._started_s = time.monotonic()
         self._lease_ms = 0
@@ -76,60 +63,16 @@
         self.running = {}
         self._closed_runs = {}
         self._ends = []
+        self._changed = asyncio.Event()
         self._server = HTTPServer(self._on_request)
+        self._tasks = set()
 
-    def start(self, first_check_in_s=0.0):
-        """Serve calls; check in from ``first_check_in_s`` on."""
+    def start(self):
         host, _, port = self._address.rpartition(":")
         self._server.listen(int(port), host)
-        jobs = (self._check_in(first_check_in_s, self.lifetime), self._work())
-        for job in jobs:
+        for job in (self._check_in(), self._work()):
             self._spawn(job)
 
-    async def crash(self):
-        """End this lifetime at once, with all that runs."""
-        self.up = False
-        self._record(
-            "worker crashes", worker=self.worker_id, running=list(self.running)
-        )
-        self.running = {}
-        self._server.stop()
-        await self._server.close_all_connections()
-
-    def cut_off(self):
-        """Cut the worker off from all machines; it runs on."""
-        self.cut = True
-        self._record("worker is cut off", worker=self.worker_id)
-
-    def reconnect(self):
-        """End the cut."""
-        self.cut = False
-        self._record("the cut ends", worker=self.worker_id)
-
-    def restart_behind_cut(self):
-        """Crash and start again while cut off; no packet tells of it."""
-        self._record(
-            "worker crashes behind the cut",
-            worker=self.worker_id,
-            running=list(self.running),
-        )
-        server = self._server
-        self._begin_lifetime()
-        self._server = server
-        self._spawn(self._check_in(0.0, self.lifetime))
-        self._spawn(self._work())
-        self._record(
-            "worker starts again", worker=self.worker_id, born=self._born_ms
-        )
-
-    def restart(self, first_check_in_s):
-        """Begin another lifetime under the same id."""
-        self._begin_lifetime()
-        self._record(
-            "worker starts again", worker=self.worker_id, born=self._born_ms
-        )
-        self.start(first_check_in_s)
-
     def stop(self):
         self._server.stop()
         for task in self._tasks:
@@ -144,12 +87,8 @@
     def clock_ms(self):
         return int((time.monotonic() - self._started_s) * 1000)
 
-    async def _check_in(self, first_s, lifetime):
-        await asyncio.sleep(first_s)
-        while self.up and self.lifetime == lifetime:
-            if self.cut:
-                await asyncio.sleep(TICK_S)
-                continue
+    async def _check_in(self):
+        while True:
             self._seq += 1
             body = {
                 "Service": self._service,
@@ -173,11 +112,8 @@
 
     async def _work(self):
         last_s = time.monotonic()
-        lifetime = self.lifetime
-        while self.up and self.lifetime == lifetime:
+        while True:
             await asyncio.sleep(TICK_S)
-            if not self.up or self.lifetime != lifetime:
-                return
             now_s = time.monotonic()
             passed_s, last_s = now_s - last_s, now_s
             lapsed = self.clock_ms > self._lease_ms
@@ -225,31 +161,6 @@
             self._answer(request, 400, {})
             return
         name = request.path.rpartition("/")[2]
-        if self.cut:
-            # It doesn't arrive, and the connection stays silent.
-            await asyncio.sleep(3600)
-        late_s = self.late_s(name, body)
-        if late_s is not None:
-            self._record(
-                "order left unanswered",
-                worker=self.worker_id,
-                call=name,
-                task=body.get("Task", ""),
-                run=body.get("Run", ""),
-                token=body.get("FencingToken", 0),
-                executed_after_s=late_s,
-            )
-            await asyncio.sleep(late_s)
-            if not self.up:
-                return
-            self._record(
-                "order is carried out late",
-                worker=self.worker_id,
-                call=name,
-                token_seen=self._token,
-                age_s=round(time.monotonic() - self._started_s, 2),
-            )
-            request.connection = None
         expected = request.headers.get("Yuccapoint-Expect-Instance")
         if expected not in (None, self.worker_id):
             self._answer(request, 421, {})
@@ -291,6 +202,10 @@
         self._extend(deadline_ms)
         if known is not None or run <= self._closed_runs.get(task, 0):
             return 409, {"Reason": "old"}
+        if self.needs_ticket is not None:
+            step = task.rpartition(".")[0]
+            if not self.needs_ticket(step, body.get("Ticket", "")):
+                return 409, {"Reason": "ticket"}
         used = sum(self.size(name) for name in self.running)
         if used + self.size(task) > self.cpu:
             return 409, {"Reason": "room"}
@@ -311,12 +226,6 @@
         if "DeadlineMs" in body:
             self._extend(body["DeadlineMs"])
         seen = body.get("LastSeen", 0)
-        for number, task, run, how, _ in self._ends:
-            if number <= seen:
-                self.seen.setdefault((task, run), how)
-                self._record(
-                    "end is taken note of", task=task, run=run, how=how
-                )
         self._ends = [end for end in self._ends if end[0] > seen]
         wait_s = min(MAX_WAIT_S, body.get("WaitMs", 0) / 1000)
         until_s = time.monotonic() + wait_s
@@ -339,7 +248,5 @@
         return min(99, int(100 * run.work_s / needed_s))
 
     def _answer(self, request, status, fields):
-        if self.cut:
-            return
         body = {"ClockMs": self.clock_ms, "born": self._born_ms, **fields}
         respond(request, status, msgspec.json.encode(body))
