--- a/src/yuccapoint/cell/cell_records.py
+++ b/src/yuccapoint/cell/cell_records.py
@@ -10,10 +10,12 @@
 from typing import Any
 
 import msgspec
+import xxhash
 
 from yuccapoint import decoding
 from yuccapoint.cell.exceptions import DamagedRecordError
 from yuccapoint.cell.occurrence_state import OccurrenceState
+from yuccapoint.cell.queue_address import QueueAddress
 from yuccapoint.cell.submission import Submission
 from yuccapoint.exceptions import DecodingError
 from yuccapoint.job.interference.pair_report import PairEstimate
@@ -75,10 +77,43 @@
 
 
 class Cancellation(msgspec.Struct, frozen=True, array_like=True):
-    """Cancellation of a job by its submitter."""
+    """Cancellation of a job by its submitter.
+
+    Attributes
+    ----------
+    job_id : str
+        The job.
+    at_ms : int
+        Wall-clock time of the cancellation.
+    address : QueueAddress or None
+        Where the cancellation of a job that was not stored was sent to; None
+        if the job was known and its queue compared.
+    route : str
+        Name of the route there; empty without an address.
+    """
 
     job_id: str
     at_ms: int
+    address: QueueAddress | None = None
+    route: str = ""
+
+    def cancels(self, submission: Submission) -> bool:
+        """Return whether a job with this id is the cancelled one.
+
+        Only stored fields are compared, so that each entry and each later
+        leader comes to the same result. One of prefix and name may change
+        between both requests.
+        """
+        if self.address is None:
+            return True
+        if submission.address is None:
+            return self.route == submission.queue.route
+        if submission.address.host != self.address.host:
+            return False
+        return (
+            self.address.path_prefix == submission.address.path_prefix
+            or self.route == submission.queue.route
+        )
 
 
 class StoredPairs(msgspec.Struct, frozen=True, array_like=True):
@@ -112,6 +147,17 @@
 _decoders[PAIRS] = msgspec.msgpack.Decoder(StoredPairs)
 
 
+def early_cancellation_key(job_id: str, address: QueueAddress) -> str:
+    """Return the key of a cancellation that came before its job.
+
+    Callers of other queues can't overwrite it. A key has 255 bytes at most,
+    so that the address is hashed.
+    """
+    name = f"{address.host}\0{address.path_prefix}"
+    digest = xxhash.xxh3_64_hexdigest(name.encode())
+    return f"{CANCELLATION}{job_id}.{digest}"
+
+
 def progress_key(job_id: str, occurrence: int) -> str:
     """Return the key of an occurrence's state."""
     return f"{PROGRESS}{job_id}.{occurrence}"
--- a/src/yuccapoint/cell/cell_view.py
+++ b/src/yuccapoint/cell/cell_view.py
@@ -10,6 +10,7 @@
 from yuccapoint.cell.cell_records import Leadership
 from yuccapoint.cell.cell_records import Member
 from yuccapoint.cell.cell_records import StoredPairs
+from yuccapoint.cell.early_cancellations import EarlyCancellations
 from yuccapoint.cell.occurrence_state import OccurrenceState
 from yuccapoint.cell.occurrence_state import Outcome
 from yuccapoint.cell.occurrence_state import Phase
@@ -28,10 +29,13 @@
     ----------
     cancelled_offset : int or None
         Offset of the first record that cancelled the job.
+    cancellation_keys : set of str
+        Keys of all records that did.
     """
 
     __slots__ = (
         "_last_offset",
+        "cancellation_keys",
         "cancelled_offset",
         "occurrences",
         "submission",
@@ -40,6 +44,7 @@
     def __init__(self, submission: Submission) -> None:
         self.submission = submission
         self.cancelled_offset: int | None = None
+        self.cancellation_keys: set[str] = set()
         self.occurrences: dict[int, OccurrenceState] = {}
         self._last_offset = -1
 
@@ -64,6 +69,12 @@
             return outcome
         return Outcome.CANCELLED
 
+    def cancel(self, key: str, offset: int) -> None:
+        """Apply a record that cancels the job."""
+        self.cancellation_keys.add(key)
+        if self.cancelled_offset is None:
+            self.cancelled_offset = offset
+
     def set_occurrence(
         self, number: int, state: OccurrenceState, offset: int
     ) -> None:
@@ -106,7 +117,13 @@
 
 
 class CellView:
-    """Applies records in any order; the newest of each key is valid."""
+    """Applies records in any order; the newest of each key is valid.
+
+    Attributes
+    ----------
+    early_cancellations : EarlyCancellations
+        Cancellations whose job is not stored.
+    """
 
     def __init__(self) -> None:
         self.jobs: dict[str, JobView] = {}
@@ -114,6 +131,7 @@
         self.entries: dict[str, EntryMember] = {}
         self.leadership: Leadership | None = None
         self.pairs: StoredPairs | None = None
+        self.early_cancellations = EarlyCancellations()
         self._offsets: dict[str, int] = {}
         self._orphans: dict[str, dict[str, tuple[CellRecord, int]]] = {}
 
@@ -227,7 +245,10 @@
         # has ended that job and not read its outcome back.
         if submission.job_id in self.jobs:
             return False
-        self.jobs[submission.job_id] = JobView(submission)
+        job = JobView(submission)
+        self.jobs[submission.job_id] = job
+        for key, offset in self.early_cancellations.take(submission):
+            job.cancel(key, offset)
         orphans = self._orphans.pop(submission.job_id, {})
         for key, (record, offset) in orphans.items():
             self._apply_to_job(key, record, offset)
@@ -236,13 +257,15 @@
     def _apply_to_job(self, key: str, record: CellRecord, offset: int) -> None:
         job_id, _, occurrence = key[2:].partition(".")
         job = self.jobs.get(job_id)
+        if isinstance(record, Cancellation):
+            if job is not None and record.cancels(job.submission):
+                job.cancel(key, offset)
+                return
+            self.early_cancellations.add(key, job_id, record, offset)
+            return
         if job is None:
             self._orphans.setdefault(job_id, {})[key] = (record, offset)
             return
-        if isinstance(record, Cancellation):
-            if job.cancelled_offset is None:
-                job.cancelled_offset = offset
-            return
         number = parse_number(occurrence)
         if isinstance(record, OccurrenceState) and number is not None:
             job.set_occurrence(number, record, offset)
@@ -255,6 +278,10 @@
         if key.startswith(cell_records.ENTRY):
             self.entries.pop(name, None)
             return
+        if key.startswith(cell_records.CANCELLATION):
+            job_id = name.partition(".")[0]
+            self.early_cancellations.drop(key, job_id)
+            return
         if key.startswith(cell_records.SUBMISSION):
             self.jobs.pop(name, None)
             self._orphans.pop(name, None)
--- a/src/yuccapoint/cell/job_gateway.py
+++ b/src/yuccapoint/cell/job_gateway.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from yuccapoint.cell.submission import Submission
+    from yuccapoint.version.queue_table import QueueRoute
     from yuccapoint.version.queue_table import QueueTable
 
 
@@ -49,9 +50,9 @@
         """Accept a job durably, or refuse it."""
 
     async def cancel(
-        self, route: str, job_id: str, deadline_s: float
+        self, route: QueueRoute, job_id: str, deadline_s: float
     ) -> GatewayResult:
-        """Cancel a job durably."""
+        """Cancel a job durably, also one that is not stored yet."""
 
     async def state(
         self, route: str, job_id: str, deadline_s: float
--- a/src/yuccapoint/cell/record_dispatch.py
+++ b/src/yuccapoint/cell/record_dispatch.py
@@ -28,9 +28,17 @@
         job = view.find(record.job_id)
         if job is None:
             return False
+        if job.cancelled:
+            leader.explain(
+                "job", "cancelled before it was stored", job=record.job_id
+            )
         leader.try_add_job(job, now_s)
         return True
     if isinstance(record, Cancellation):
+        job = view.find(record.job_id)
+        # A caller of another queue may have named the id of this job.
+        if job is None or not job.cancelled:
+            return False
         leader.on_cancel(record.job_id, now_s)
         return True
     if isinstance(record, Member):
--- a/src/yuccapoint/cell/store_maintenance.py
+++ b/src/yuccapoint/cell/store_maintenance.py
@@ -1,4 +1,4 @@
-"""Upkeep of the store: interference estimates and expired jobs."""
+"""Upkeep of the store: interference estimates and expired records."""
 
 from __future__ import annotations
 
@@ -14,6 +14,9 @@
 # The state of an ended job is kept for this time, which is 1.5 times what
 # callers are promised.
 ENDED_JOB_RETENTION_S = 180.0
+# A cancellation without a job is kept for this time, which is five times as
+# long as the store executes unanswered appends late (12 s).
+EARLY_CANCELLATION_RETENTION_S = 60.0
 # Limit of the keys dropped with one append.
 MAX_DROPPED_KEYS = 500
 
@@ -21,7 +24,7 @@
 
 
 class StoreMaintenance:
-    """Writes interference estimates and drops jobs that ended long ago.
+    """Writes interference estimates and drops expired records.
 
     Parameters
     ----------
@@ -29,11 +32,19 @@
         Leader whose jobs are kept.
     """
 
-    __slots__ = ("_ended_at_s", "_leader")
+    __slots__ = ("_ended_at_s", "_leader", "_unmatched_since_s")
 
     def __init__(self, leader: CellLeader) -> None:
         self._leader = leader
         self._ended_at_s: dict[str, float] = {}
+        self._unmatched_since_s: dict[tuple[str, int], float] = {}
+
+    def expire_records(self, view: CellView, now_s: float) -> Records:
+        """Return records that drop all keys whose retention has passed."""
+        return [
+            *self.expire_ended_jobs(view, now_s),
+            *self.expire_early_cancellations(view, now_s),
+        ]
 
     def expire_ended_jobs(self, view: CellView, now_s: float) -> Records:
         """Return records that drop the jobs whose retention has passed."""
@@ -49,12 +60,33 @@
             for number in job.occurrences:
                 key = cell_records.progress_key(job_id, number)
                 records.append((key, None))
-            records.append((cell_records.CANCELLATION + job_id, None))
+            own_key = cell_records.CANCELLATION + job_id
+            for key in sorted({own_key, *job.cancellation_keys}):
+                records.append((key, None))
             records.append((cell_records.SUBMISSION + job_id, None))
             if len(records) >= MAX_DROPPED_KEYS:
                 break
         return records
 
+    def expire_early_cancellations(
+        self, view: CellView, now_s: float
+    ) -> Records:
+        """Return records that drop cancellations whose job never came."""
+        since_s = self._unmatched_since_s
+        # A repeated cancellation has a later offset.
+        self._unmatched_since_s = {
+            version: since_s.get(version, now_s)
+            for version in view.early_cancellations.versions
+        }
+        expired: Records = []
+        for (key, _), known_at_s in self._unmatched_since_s.items():
+            if now_s - known_at_s < EARLY_CANCELLATION_RETENTION_S:
+                continue
+            expired.append((key, None))
+            if len(expired) == MAX_DROPPED_KEYS:
+                break
+        return expired
+
     def encode_pairs(self) -> Records:
         """Return the record of all interference estimates."""
         pairs = self._leader.interference.all_estimates()
--- a/src/yuccapoint/cell/submission.py
+++ b/src/yuccapoint/cell/submission.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from yuccapoint.cell.exceptions import InvalidJobError
+from yuccapoint.cell.queue_address import QueueAddress
 from yuccapoint.cell.queue_rules import QueueRules
 from yuccapoint.cell.step_spec import StepSpec
 
@@ -36,6 +37,9 @@
         Wall-clock time of the first scheduled occurrence.
     interval_ms : int
         Time between two occurrences.
+    address : QueueAddress or None
+        Address that the job was submitted to; None in records of earlier
+        builds.
     """
 
     job_id: str
@@ -46,6 +50,7 @@
     repeats: int = 0
     first_due_ms: int = 0
     interval_ms: int = 0
+    address: QueueAddress | None = None
 
     @property
     def occurrences(self) -> int:
--- a/src/yuccapoint/platform/job_api.py
+++ b/src/yuccapoint/platform/job_api.py
@@ -180,9 +180,7 @@
         if request.method == "GET":
             return await self._state_response(route, rest, deadline_s)
         if request.method == "DELETE":
-            verdict = await self._gateway.cancel(
-                route.rules.route, rest, deadline_s
-            )
+            verdict = await self._gateway.cancel(route, rest, deadline_s)
             return self._verdict_response(verdict)
         return JobApiResponse(405)
 
@@ -190,7 +188,9 @@
         self, route: QueueRoute, job_id: str, body: bytes, deadline_s: float
     ) -> JobApiResponse:
         try:
-            submission = decode_job(body, job_id, route.rules, wall_ms())
+            submission = decode_job(
+                body, job_id, route.rules, wall_ms(), route.address
+            )
         except (MalformedMessageError, InvalidJobError) as error:
             self._gateway.log_invalid_job(job_id, str(error))
             return JobApiResponse(400, {"Error": str(error)})
--- a/src/yuccapoint/platform/job_body.py
+++ b/src/yuccapoint/platform/job_body.py
@@ -14,6 +14,7 @@
 from yuccapoint.platform.exceptions import MalformedMessageError
 
 if TYPE_CHECKING:
+    from yuccapoint.cell.queue_address import QueueAddress
     from yuccapoint.cell.queue_rules import QueueRules
 
 MEBIBYTE = 1_048_576
@@ -59,9 +60,13 @@
 
 
 def decode_job(
-    body: bytes, job_id: str, rules: QueueRules, now_ms: int
+    body: bytes,
+    job_id: str,
+    rules: QueueRules,
+    now_ms: int,
+    address: QueueAddress | None = None,
 ) -> Submission:
-    """Decode a submitted job.
+    """Decode a job that was submitted to an address.
 
     Raises
     ------
@@ -83,6 +88,7 @@
         repeats=job.repeats,
         first_due_ms=job.start_at_ms,
         interval_ms=job.interval_ms,
+        address=address,
     )
     submission.check()
     return submission
--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -343,7 +343,7 @@
             self._pairs_written_at_s = now_s
             batch.records.extend(leader.maintenance.encode_pairs())
             batch.records.extend(
-                leader.maintenance.expire_ended_jobs(self.view, now_s)
+                leader.maintenance.expire_records(self.view, now_s)
             )
         if not batch.records:
             if batch.end_acks:
--- a/src/yuccapoint/process/cell_job_gateway.py
+++ b/src/yuccapoint/process/cell_job_gateway.py
@@ -23,6 +23,7 @@
     from yuccapoint.process.job_lookups import JobLookups
     from yuccapoint.process.metrics import Metrics
     from yuccapoint.process.process_logger import ProcessLogger
+    from yuccapoint.version.queue_table import QueueRoute
     from yuccapoint.version.queue_table import QueueTable
 
 # Pause before an append is retried, in seconds, doubled up to the maximum;
@@ -42,6 +43,8 @@
 # While the store is away, one record is tried in each of these intervals, in
 # seconds, and all others are refused at once.
 PROBE_INTERVAL_S = 0.5
+# Limit of the stored cancellations of unknown jobs, which each entry loads.
+MAX_EARLY_CANCELLATIONS = 4_000
 # Limit of the records that are remembered as possibly appended.
 MAX_UNKNOWN_KEYS = 10_000
 # Retry-After of a refused caller in seconds; the store is retried by then.
@@ -137,30 +140,94 @@
         return verdict
 
     async def cancel(
-        self, route: str, job_id: str, deadline_s: float
+        self, route: QueueRoute, job_id: str, deadline_s: float
     ) -> GatewayResult:
-        """Cancel a job; accepted after the cancellation is stored."""
-        job = self._lookups.find(route, job_id)
+        """Cancel a job; accepted after the cancellation is stored.
+
+        Returns
+        -------
+        GatewayResult
+            ``UNKNOWN_JOB`` if there is no such job and none whose append is
+            on its way will run.
+        """
+        name = route.rules.route
+        job = self._lookups.find(name, job_id)
         if job is not None and job.cancelled:
             return GatewayResult.ACCEPTED
         if job is None:
             try:
                 state = await self._lookups.find_state(
-                    route, job_id, deadline_s
+                    name, job_id, deadline_s
                 )
             except YuccapointError:
                 return GatewayResult.REFUSED
             if state is None:
-                self._log_outcome(
-                    "cancelled", job_id, GatewayResult.UNKNOWN_JOB
-                )
-                return GatewayResult.UNKNOWN_JOB
+                return await self._cancel_unknown(route, job_id, deadline_s)
         key = cell_records.CANCELLATION + job_id
         value = cell_records.encode(Cancellation(job_id, wall_ms()))
         verdict = await self._append(key, value, deadline_s)
-        self._log_outcome("cancelled", job_id, verdict, route=route)
+        self._log_outcome("cancelled", job_id, verdict, route=name)
+        return verdict
+
+    async def _cancel_unknown(
+        self, route: QueueRoute, job_id: str, deadline_s: float
+    ) -> GatewayResult:
+        """Store a cancellation for a job that no entry can find.
+
+        An append of the job without an answer, here or at another entry, may
+        be executed after any lookup.
+        """
+        verdict = await self._append_early(route, job_id, deadline_s)
+        if verdict is GatewayResult.ACCEPTED:
+            verdict = await self._recheck_unknown(route, job_id, deadline_s)
+        self._log_outcome(
+            "cancelled",
+            job_id,
+            verdict,
+            route=route.rules.route,
+            why="no such job before; an append of it may follow",
+        )
         return verdict
 
+    async def _append_early(
+        self, route: QueueRoute, job_id: str, deadline_s: float
+    ) -> GatewayResult:
+        early = self._view.early_cancellations
+        key = cell_records.early_cancellation_key(job_id, route.address)
+        if key not in early and len(early) >= MAX_EARLY_CANCELLATIONS:
+            self._logger.log(
+                "job",
+                "too many cancellations of unknown jobs",
+                job=job_id,
+                stored=len(early),
+            )
+            return GatewayResult.REFUSED
+        record = Cancellation(
+            job_id, wall_ms(), route.address, route.rules.route
+        )
+        return await self._append(key, cell_records.encode(record), deadline_s)
+
+    async def _recheck_unknown(
+        self, route: QueueRoute, job_id: str, deadline_s: float
+    ) -> GatewayResult:
+        """Return the answer to a caller whose cancellation is stored."""
+        try:
+            state = await self._lookups.find_state(
+                route.rules.route, job_id, deadline_s
+            )
+        except YuccapointError as error:
+            # The job is cancelled whether or not it exists.
+            self._logger.log(
+                "job",
+                "state of a cancelled job is unknown",
+                job=job_id,
+                error=str(error),
+            )
+            return GatewayResult.ACCEPTED
+        if state is None:
+            return GatewayResult.UNKNOWN_JOB
+        return GatewayResult.ACCEPTED
+
     async def state(
         self, route: str, job_id: str, deadline_s: float
     ) -> str | None:
--- a/src/yuccapoint/version/queue_table.py
+++ b/src/yuccapoint/version/queue_table.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from yuccapoint.cell.queue_address import QueueAddress
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -19,14 +21,17 @@
         Host and path that the route matches; the longest prefix wins.
     rules : QueueRules
         Rules for the jobs of the route.
+    address : QueueAddress
+        Host and path in the form that is stored with jobs.
     """
 
-    __slots__ = ("host", "path_prefix", "rules")
+    __slots__ = ("address", "host", "path_prefix", "rules")
 
     def __init__(self, host: str, path_prefix: str, rules: QueueRules) -> None:
         self.host = host
         self.path_prefix = path_prefix
         self.rules = rules
+        self.address = QueueAddress(host.lower(), path_prefix)
 
 
 class QueueTable:
--- a/src/yuccapoint_standins/platform_store.py
+++ b/src/yuccapoint_standins/platform_store.py
@@ -54,6 +54,9 @@
         Whether the response to all calls is 503.
     lose_answers : bool
         Whether appends are executed without a response.
+    late_key : str
+        Appends with a record of this key get no response and are executed
+        ``late_s`` seconds later; empty for none.
     cut_pages : bool
         Whether a read returns the part of a record that fits.
     """
@@ -61,6 +64,8 @@
     def __init__(self) -> None:
         self.refuse = False
         self.lose_answers = False
+        self.late_key = ""
+        self.late_s = 0.0
         self.cut_pages = False
         self.appends = 0
         self._topics: dict[str, PlatformPartition] = {}
@@ -113,6 +118,13 @@
             self._respond(request, 503, b"")
             return
         if call == "log-append":
+            if self.late_key and self.late_key.encode() in request.body:
+                loop = asyncio.get_running_loop()
+                loop.call_later(
+                    self.late_s, self._serve_append, query, request.body
+                )
+                _drop_connection(request)
+                return
             status, body = self._serve_append(query, request.body)
             if self.lose_answers:
                 _drop_connection(request)
--- a/tests/features/steps/compatibility_steps.py
+++ b/tests/features/steps/compatibility_steps.py
@@ -44,7 +44,9 @@
 # record of the earlier build gets. Earlier builds skip them.
 APPENDED: dict[tuple[str, str], list[Any]] = {
     ("cell_messages", "vm"): [0, 0],
+    ("cell_records", "c:job"): [None, ""],
     ("cell_records", "leader"): [None],
+    ("cell_records", "s:job"): [None],
 }
 
 # Keys that this build reads beside those of a JSON body of the earlier one.
