--- a/src/yuccapoint/cell/adviser_queries.py
+++ b/src/yuccapoint/cell/adviser_queries.py
@@ -35,17 +35,16 @@
         advised = [
             job
             for job in self._leader.jobs.values()
-            if job.submission.queue.advice_valid_ms
+            if job.queue.rules.advice_valid_ms
         ]
         if not advised:
             return None
         for step in self._leader.planner(now_s, wall_ms).ready_steps(advised):
-            queue = step.occurrence.job.submission.queue
             vms = [
                 vm
                 for vm in self._leader.vms.values()
                 if vm.worker is not None
-                and vm.worker.pool == queue.pool
+                and vm.worker.pool == step.pool
                 and _may_get(step, vm, now_s)
             ]
             vms.sort(
@@ -75,7 +74,7 @@
         if tickets is None:
             self._leader.ticket_cache.discard_query(step)
             return
-        valid_ms = step.occurrence.job.submission.queue.advice_valid_ms
+        valid_ms = step.occurrence.job.queue.rules.advice_valid_ms
         for instance in asked:
             text = tickets.get(instance.worker_id)
             if text is not None:
--- a/src/yuccapoint/cell/cell_leader.py
+++ b/src/yuccapoint/cell/cell_leader.py
@@ -17,6 +17,8 @@
 from yuccapoint.cell.occurrence_state import Phase
 from yuccapoint.cell.order_builder import build_orders
 from yuccapoint.cell.preemption import find_preemptions
+from yuccapoint.cell.queue_changes import QueueChanges
+from yuccapoint.cell.queue_directory import QueueDirectory
 from yuccapoint.cell.report_handler import ReportHandler
 from yuccapoint.cell.run_end_handler import RunEndHandler
 from yuccapoint.cell.silent_vms import SilentVms
@@ -39,7 +41,6 @@
     from yuccapoint.cell.occurrence_run import OccurrenceRun
     from yuccapoint.cell.occurrence_state import WorkerInstance
     from yuccapoint.cell.task_run import TaskRun
-    from yuccapoint.job.interference.pair_report import PairEstimate
 
 # Interval at which checkpoints of running tasks are written, together with
 # a leadership renewal. It bounds the work lost when all machines fail.
@@ -102,29 +103,19 @@
         self._waiting_log = WaitingLog(self)
         self.maintenance = StoreMaintenance(self)
         self.adviser_queries = AdviserQueries(self)
+        self._queue_changes = QueueChanges(
+            self, QueueDirectory(), self._changes
+        )
 
     def load(self, view: CellView, now_s: float) -> None:
         """Restore the state that the store holds."""
         for member in view.members.values():
             self.on_member(member)
-        if view.pairs is not None:
-            self._load_estimates(view.pairs.pairs)
+        self.maintenance.load_pairs(view)
+        self._queue_changes = QueueChanges(self, view.queues, self._changes)
         for job in view.jobs.values():
             self.try_add_job(job, now_s)
 
-    def _load_estimates(self, pairs: tuple[PairEstimate, ...]) -> None:
-        for pair in pairs:
-            try:
-                self.interference.load_estimates((pair,))
-            except (ArithmeticError, ValueError) as error:
-                self.explain(
-                    "interference",
-                    "stored estimate skipped",
-                    service=pair.service,
-                    job_class=pair.job_class,
-                    error=repr(error),
-                )
-
     def try_add_job(self, view: JobView, now_s: float) -> None:
         """Add a job, or skip it if its stored state is inconsistent.
 
@@ -151,6 +142,7 @@
         if view.outcome is not Outcome.OPEN and not view.has_claims:
             return
         job = JobRun(submission)
+        self._queue_changes.assign(job)
         self.jobs[submission.job_id] = job
         for number, state in view.occurrences.items():
             job.occurrence(number).load(state)
@@ -241,6 +233,7 @@
 
     def tick(self, now_s: float, wall_ms: int) -> None:
         """Release expired VMs, stop runs that stall or move, and claim."""
+        self._queue_changes.run(now_s)
         self._vm_checks.run(now_s)
         add_due_occurrences(self.jobs.values(), now_s, wall_ms)
         self._plan(now_s, wall_ms)
--- a/src/yuccapoint/cell/cell_records.py
+++ b/src/yuccapoint/cell/cell_records.py
@@ -16,6 +16,7 @@
 from yuccapoint.cell.exceptions import DamagedRecordError
 from yuccapoint.cell.occurrence_state import OccurrenceState
 from yuccapoint.cell.queue_address import QueueAddress
+from yuccapoint.cell.queue_rules import QueueRules
 from yuccapoint.cell.submission import Submission
 from yuccapoint.exceptions import DecodingError
 from yuccapoint.job.interference.pair_report import PairEstimate
@@ -23,6 +24,7 @@
 SUBMISSION = "s:"
 CANCELLATION = "c:"
 PROGRESS = "p:"
+QUEUE = "q:"
 MEMBER = "m:"
 ENTRY = "e:"
 LEADERSHIP = "leader"
@@ -116,6 +118,25 @@
         )
 
 
+class StoredQueue(msgspec.Struct, frozen=True, array_like=True):
+    """A queue of unfinished jobs by the newest config that a leader used.
+
+    Attributes
+    ----------
+    address : QueueAddress or None
+        Where the queue was in that config; None for a queue that is known by
+        its name only, from records of earlier builds.
+    config_version : int
+        Version of the config.
+    rules : QueueRules
+        Rules of the queue in that config.
+    """
+
+    address: QueueAddress | None
+    config_version: int
+    rules: QueueRules
+
+
 class StoredPairs(msgspec.Struct, frozen=True, array_like=True):
     """Interference estimates that a new leader starts from."""
 
@@ -130,12 +151,14 @@
     | Submission
     | OccurrenceState
     | StoredPairs
+    | StoredQueue
 )
 
 _TYPES: dict[str, type[Any]] = {
     SUBMISSION: Submission,
     CANCELLATION: Cancellation,
     PROGRESS: OccurrenceState,
+    QUEUE: StoredQueue,
     MEMBER: Member,
     ENTRY: EntryMember,
 }
@@ -150,12 +173,27 @@
 def early_cancellation_key(job_id: str, address: QueueAddress) -> str:
     """Return the key of a cancellation that came before its job.
 
-    Callers of other queues can't overwrite it. A key has 255 bytes at most,
-    so that the address is hashed.
+    Callers of other queues can't overwrite it.
     """
-    name = f"{address.host}\0{address.path_prefix}"
-    digest = xxhash.xxh3_64_hexdigest(name.encode())
-    return f"{CANCELLATION}{job_id}.{digest}"
+    return f"{CANCELLATION}{job_id}.{_digest_of(address, '')}"
+
+
+def queue_key(submission: Submission) -> str:
+    """Return the key of the queue that a job was submitted to.
+
+    It stays the same when the queue gets another address or name.
+    """
+    digest = _digest_of(submission.address, submission.queue.route)
+    return f"{QUEUE}{digest}"
+
+
+def _digest_of(address: QueueAddress | None, route: str) -> str:
+    """Return a digest, as a key of the store has 255 bytes at most."""
+    host, path_prefix = "", ""
+    if address is not None:
+        host, path_prefix = address.host, address.path_prefix
+    name = f"{host}\0{path_prefix}\0{route}"
+    return xxhash.xxh3_64_hexdigest(name.encode())
 
 
 def progress_key(job_id: str, occurrence: int) -> str:
--- a/src/yuccapoint/cell/cell_view.py
+++ b/src/yuccapoint/cell/cell_view.py
@@ -10,10 +10,12 @@
 from yuccapoint.cell.cell_records import Leadership
 from yuccapoint.cell.cell_records import Member
 from yuccapoint.cell.cell_records import StoredPairs
+from yuccapoint.cell.cell_records import StoredQueue
 from yuccapoint.cell.early_cancellations import EarlyCancellations
 from yuccapoint.cell.occurrence_state import OccurrenceState
 from yuccapoint.cell.occurrence_state import Outcome
 from yuccapoint.cell.occurrence_state import Phase
+from yuccapoint.cell.queue_directory import QueueDirectory
 from yuccapoint.cell.submission import Submission
 from yuccapoint.decoding import parse_number
 
@@ -123,6 +125,8 @@
     ----------
     early_cancellations : EarlyCancellations
         Cancellations whose job is not stored.
+    queues : QueueDirectory
+        Queues of the jobs, also by the config that this entry has read.
     """
 
     def __init__(self) -> None:
@@ -132,6 +136,7 @@
         self.leadership: Leadership | None = None
         self.pairs: StoredPairs | None = None
         self.early_cancellations = EarlyCancellations()
+        self.queues = QueueDirectory()
         self._offsets: dict[str, int] = {}
         self._orphans: dict[str, dict[str, tuple[CellRecord, int]]] = {}
 
@@ -170,6 +175,9 @@
         if isinstance(record, StoredPairs):
             self.pairs = record
             return True
+        if isinstance(record, StoredQueue):
+            self.queues.stored[key] = record
+            return True
         if isinstance(record, Submission):
             return self._apply_submission(record)
         self._apply_to_job(key, record, offset)
@@ -278,6 +286,9 @@
         if key.startswith(cell_records.ENTRY):
             self.entries.pop(name, None)
             return
+        if key.startswith(cell_records.QUEUE):
+            self.queues.stored.pop(key, None)
+            return
         if key.startswith(cell_records.CANCELLATION):
             job_id = name.partition(".")[0]
             self.early_cancellations.drop(key, job_id)
--- a/src/yuccapoint/cell/due_starts.py
+++ b/src/yuccapoint/cell/due_starts.py
@@ -58,6 +58,44 @@
     return vm.available.valid
 
 
+def is_start_misplaced(vm: VmLedger, task: TaskRun) -> bool:
+    """Return whether a claimed task is to start in another pool by now.
+
+    Members of a gang join those at work, as the gang runs as a whole.
+    """
+    if task.seen_running or vm.worker is None:
+        return False
+    if vm.worker.pool == task.step.pool:
+        return False
+    if not task.step.spec.gang:
+        return True
+    return not any(member.seen_running for member in task.step.tasks)
+
+
+def withdraw_misplaced_starts(
+    leader: CellLeader, vm: VmLedger, now_s: float
+) -> None:
+    """Withdraw starts whose queue was sent to another pool.
+
+    A run whose start was ordered may have started unseen: its order is not
+    repeated, and the run is stopped only if nothing is heard of it.
+    """
+    for task in list(vm.claims.values()):
+        if task.stopping or task.task_id not in vm.claims:
+            continue
+        if not is_start_misplaced(vm, task):
+            continue
+        # A worker that has not listed its runs yet may have the task at work.
+        if task.ordered_at_s and not vm.runs_listed:
+            continue
+        if not _is_withdrawable(vm, task, now_s):
+            continue
+        members = task.step.tasks if task.step.spec.gang else [task]
+        for member in members:
+            if member.phase is Phase.CLAIMED:
+                leader.stop(member, "its queue has another pool", now_s)
+
+
 def _room_after_stops(vm: VmLedger) -> Size:
     room = vm.available
     for task in vm.claims.values():
--- a/src/yuccapoint/cell/job_run.py
+++ b/src/yuccapoint/cell/job_run.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from yuccapoint.cell.cell_records import StoredQueue
 from yuccapoint.cell.occurrence_run import OccurrenceRun
 from yuccapoint.cell.occurrence_state import Outcome
 from yuccapoint.cell.step_run import DEFAULT_ESTIMATE_MS
@@ -18,6 +19,8 @@
 
     Attributes
     ----------
+    queue : StoredQueue
+        The job's queue by the newest config that the leader has applied.
     blamed_vm : bool
         Whether a failure of the job has counted against a VM since one of
         its runs last succeeded.
@@ -29,11 +32,15 @@
         "cancelled",
         "critical_path_ms",
         "occurrences",
+        "queue",
         "submission",
     )
 
     def __init__(self, submission: Submission) -> None:
         self.submission = submission
+        self.queue = StoredQueue(
+            submission.address, submission.config_version, submission.queue
+        )
         self.blamed_vm = False
         self.cancelled = False
         self.occurrences: dict[int, OccurrenceRun] = {}
@@ -74,11 +81,16 @@
 
     def objective_at_ms(self, occurrence: int) -> float:
         """Return the wall-clock time by which an occurrence should end."""
-        queue = self.submission.queue
         start_ms = self.submission.due_at_ms(occurrence)
         start_ms = start_ms or self.submission.accepted_at_ms
-        work_ms = queue.objective_factor * self.critical_path_ms
-        return start_ms + work_ms + queue.objective_ms
+        return start_ms + self.objective_span_ms
+
+    @property
+    def objective_span_ms(self) -> float:
+        """The time that an occurrence should take."""
+        rules = self.queue.rules
+        work_ms = rules.objective_factor * self.critical_path_ms
+        return work_ms + rules.objective_ms
 
 
 def _critical_path_of(submission: Submission) -> int:
--- a/src/yuccapoint/cell/order_builder.py
+++ b/src/yuccapoint/cell/order_builder.py
@@ -9,7 +9,9 @@
 from yuccapoint.cell.cell_messages import StartOrder
 from yuccapoint.cell.cell_messages import TaskTraits
 from yuccapoint.cell.due_starts import is_start_due
+from yuccapoint.cell.due_starts import is_start_misplaced
 from yuccapoint.cell.due_starts import withdraw_excess_starts
+from yuccapoint.cell.due_starts import withdraw_misplaced_starts
 
 if TYPE_CHECKING:
     from yuccapoint.cell.cell_leader import CellLeader
@@ -52,6 +54,7 @@
     if grant:
         vm.grant()
     has_room = withdraw_excess_starts(leader, vm, now_s)
+    withdraw_misplaced_starts(leader, vm, now_s)
     starts: list[StartOrder] = []
     stops = [*vm.unclaimed_runs, *vm.late_starts(now_s)]
     traits = []
@@ -67,6 +70,7 @@
         if (
             has_room
             and is_start_due(vm, task, now_s)
+            and not is_start_misplaced(vm, task)
             and len(starts) < MAX_STARTS_PER_MESSAGE
         ):
             task.ordered_at_s = now_s
--- a/src/yuccapoint/cell/queue_rules.py
+++ b/src/yuccapoint/cell/queue_rules.py
@@ -1,4 +1,4 @@
-"""Rules of a job's route at the time of its submission."""
+"""Rules of a route for its jobs."""
 
 from __future__ import annotations
 
--- a/src/yuccapoint/cell/run_end_handler.py
+++ b/src/yuccapoint/cell/run_end_handler.py
@@ -223,7 +223,7 @@
         if step.spec.long_running or occurrence.outcome is not Outcome.OPEN:
             return
         failures = step.gang_failures if step.spec.gang else task.failures
-        if failures >= submission.queue.max_attempts:
+        if failures >= occurrence.job.queue.rules.max_attempts:
             self._leader.end_occurrence(occurrence, Outcome.FAILED, now_s)
 
     def _requeue(self, task: TaskRun, checkpoint: str, now_s: float) -> None:
--- a/src/yuccapoint/cell/step_run.py
+++ b/src/yuccapoint/cell/step_run.py
@@ -38,7 +38,7 @@
     @property
     def pool(self) -> str:
         """Name of the pool whose VMs run the tasks."""
-        return self.occurrence.job.submission.queue.pool
+        return self.occurrence.job.queue.rules.pool
 
     @property
     def gang_failures(self) -> int:
--- a/src/yuccapoint/cell/step_urgency.py
+++ b/src/yuccapoint/cell/step_urgency.py
@@ -36,7 +36,7 @@
     wall_ms : int
         Wall-clock time in milliseconds.
     """
-    queue = step.occurrence.job.submission.queue
+    rules_of_queue = step.occurrence.job.queue.rules
     if step.spec.long_running:
         # Tasks limited per VM are placed before those that may run on any
         # VM, which could otherwise fill the VMs they need.
@@ -47,7 +47,8 @@
         )
         return (0, 0, step.spec.max_per_vm or math.inf, since_s)
     remaining_work = step.occurrence.remaining_work()
-    return (lateness(step, wall_ms), queue.priority, remaining_work, 0.0)
+    late = lateness(step, wall_ms)
+    return (late, rules_of_queue.priority, remaining_work, 0.0)
 
 
 def lateness(step: StepRun, wall_ms: int) -> int:
@@ -69,11 +70,8 @@
     if step.spec.long_running:
         return 0
     job = step.occurrence.job
-    queue = job.submission.queue
     objective_ms = job.objective_at_ms(step.occurrence.number)
-    span_ms = (
-        queue.objective_factor * job.critical_path_ms + queue.objective_ms
-    )
+    span_ms = job.objective_span_ms
     end_ms = wall_ms + step.occurrence.critical_path_left_ms()
     if end_ms > objective_ms + (EXPIRED_AFTER_OBJECTIVES - 1) * span_ms:
         return 2
--- a/src/yuccapoint/cell/store_maintenance.py
+++ b/src/yuccapoint/cell/store_maintenance.py
@@ -44,6 +44,7 @@
         return [
             *self.expire_ended_jobs(view, now_s),
             *self.expire_early_cancellations(view, now_s),
+            *_drop_unused_queues(view),
         ]
 
     def expire_ended_jobs(self, view: CellView, now_s: float) -> Records:
@@ -87,6 +88,21 @@
                 break
         return expired
 
+    def load_pairs(self, view: CellView) -> None:
+        """Start from the stored estimates, but for damaged ones."""
+        pairs = () if view.pairs is None else view.pairs.pairs
+        for pair in pairs:
+            try:
+                self._leader.interference.load_estimates((pair,))
+            except (ArithmeticError, ValueError) as error:
+                self._leader.explain(
+                    "interference",
+                    "stored estimate skipped",
+                    service=pair.service,
+                    job_class=pair.job_class,
+                    error=repr(error),
+                )
+
     def encode_pairs(self) -> Records:
         """Return the record of all interference estimates."""
         pairs = self._leader.interference.all_estimates()
@@ -94,3 +110,15 @@
             return []
         record = cell_records.StoredPairs(pairs)
         return [(cell_records.PAIRS, cell_records.encode(record))]
+
+
+def _drop_unused_queues(view: CellView) -> Records:
+    """Return records that drop the queues of which no job is left."""
+    if not view.queues.stored:
+        return []
+    by_queue = {}
+    for job in view.jobs.values():
+        submission = job.submission
+        by_queue[(submission.address, submission.queue.route)] = submission
+    used = {cell_records.queue_key(job) for job in by_queue.values()}
+    return [(key, None) for key in view.queues.stored if key not in used]
--- a/src/yuccapoint/cell/submission.py
+++ b/src/yuccapoint/cell/submission.py
@@ -40,6 +40,9 @@
     address : QueueAddress or None
         Address that the job was submitted to; None in records of earlier
         builds.
+    config_version : int
+        Version of the config with the route's rules; 0 in records of earlier
+        builds.
     """
 
     job_id: str
@@ -51,6 +54,7 @@
     first_due_ms: int = 0
     interval_ms: int = 0
     address: QueueAddress | None = None
+    config_version: int = 0
 
     @property
     def occurrences(self) -> int:
--- a/src/yuccapoint/cell/throttled_moves.py
+++ b/src/yuccapoint/cell/throttled_moves.py
@@ -108,9 +108,9 @@
     best_s = here_s - MIN_GAIN_S
     for candidate in candidates:
         worker = candidate.ledger.worker
-        if candidate.ledger is vm or worker is None or vm.worker is None:
+        if candidate.ledger is vm or worker is None:
             continue
-        if worker.pool != vm.worker.pool or not candidate.can_run(spec):
+        if worker.pool != task.step.pool or not candidate.can_run(spec):
             continue
         count = candidate.step_counts.get(key, 0)
         if spec.max_per_vm and count >= spec.max_per_vm:
--- a/src/yuccapoint/cell/ticket_cache.py
+++ b/src/yuccapoint/cell/ticket_cache.py
@@ -56,7 +56,7 @@
         and none again while its last answer is valid.
         """
         queried_at_s = self._queried_at_s.setdefault(step_id(step), {})
-        valid_s = step.occurrence.job.submission.queue.advice_valid_ms / 1000
+        valid_s = step.occurrence.job.queue.rules.advice_valid_ms / 1000
         return [
             instance
             for instance in instances
@@ -95,7 +95,7 @@
         self, step: StepRun, instance: WorkerInstance, now_s: float
     ) -> bool:
         """Return whether a step may start on a worker."""
-        if not step.occurrence.job.submission.queue.advice_valid_ms:
+        if not step.occurrence.job.queue.rules.advice_valid_ms:
             return True
         return bool(self.ticket(step, instance, now_s))
 
--- a/src/yuccapoint/cell/uncommitted_changes.py
+++ b/src/yuccapoint/cell/uncommitted_changes.py
@@ -12,6 +12,7 @@
     from collections.abc import Iterable
     from collections.abc import Mapping
 
+    from yuccapoint.cell.cell_records import StoredQueue
     from yuccapoint.cell.job_run import JobRun
     from yuccapoint.cell.occurrence_run import OccurrenceRun
     from yuccapoint.cell.task_run import TaskRun
@@ -23,11 +24,12 @@
 
 
 class UncommittedChanges:
-    """Collects changed occurrences and new claims until they are written."""
+    """Collects changes and new claims until they are written."""
 
-    __slots__ = ("_claims", "_occurrences")
+    __slots__ = ("_claims", "_occurrences", "_queues")
 
     def __init__(self) -> None:
+        self._queues: dict[str, StoredQueue] = {}
         self._occurrences: dict[str, OccurrenceRun] = {}
         self._claims: list[tuple[TaskRun, int]] = []
 
@@ -35,6 +37,10 @@
         """Add an occurrence whose state has changed."""
         self._occurrences[_key_of(occurrence)] = occurrence
 
+    def add_queue(self, key: str, queue: StoredQueue) -> None:
+        """Add a queue; claims that follow its rules are not stored before."""
+        self._queues[key] = queue
+
     def add_claim(self, task: TaskRun, run: int) -> None:
         """Add a claim, which takes effect once it is stored."""
         self._claims.append((task, run))
@@ -63,6 +69,11 @@
         """
         batch = CommitBatch()
         left_bytes = MAX_BATCH_BYTES
+        queues, self._queues = self._queues, {}
+        for key, queue in queues.items():
+            value = cell_records.encode(queue)
+            left_bytes -= len(key) + len(value)
+            batch.records.append((key, value))
         while self._occurrences:
             key = next(iter(self._occurrences))
             value = cell_records.encode(self._occurrences[key].snapshot())
@@ -100,6 +111,8 @@
         """
         found: dict[str, JobRun] = {}
         for key, _ in batch.records:
+            if not key.startswith(cell_records.PROGRESS):
+                continue
             job_id = key[len(cell_records.PROGRESS) :].partition(".")[0]
             job = jobs.get(job_id)
             if job is None or job_id in found:
--- a/src/yuccapoint/platform/job_api.py
+++ b/src/yuccapoint/platform/job_api.py
@@ -189,7 +189,12 @@
     ) -> JobApiResponse:
         try:
             submission = decode_job(
-                body, job_id, route.rules, wall_ms(), route.address
+                body,
+                job_id,
+                route.rules,
+                wall_ms(),
+                route.address,
+                route.config_version,
             )
         except (MalformedMessageError, InvalidJobError) as error:
             self._gateway.log_invalid_job(job_id, str(error))
--- a/src/yuccapoint/platform/job_body.py
+++ b/src/yuccapoint/platform/job_body.py
@@ -65,8 +65,9 @@
     rules: QueueRules,
     now_ms: int,
     address: QueueAddress | None = None,
+    config_version: int = 0,
 ) -> Submission:
-    """Decode a job that was submitted to an address.
+    """Decode a job that was submitted to an address of a config's version.
 
     Raises
     ------
@@ -89,6 +90,7 @@
         first_due_ms=job.start_at_ms,
         interval_ms=job.interval_ms,
         address=address,
+        config_version=config_version,
     )
     submission.check()
     return submission
--- a/src/yuccapoint/platform/operator_config.py
+++ b/src/yuccapoint/platform/operator_config.py
@@ -76,5 +76,7 @@
             if route.advisor is None
             else route.advisor.validity_ms,
         )
-        routes.append(QueueRoute(route.host, route.path_prefix, rules))
+        routes.append(
+            QueueRoute(route.host, route.path_prefix, rules, config.version)
+        )
     return QueueTable(config.version, routes, config.limits.max_body_bytes)
--- a/src/yuccapoint/process/cell_job_gateway.py
+++ b/src/yuccapoint/process/cell_job_gateway.py
@@ -82,7 +82,6 @@
         logger: ProcessLogger,
         metrics: Metrics,
     ) -> None:
-        self.table: QueueTable | None = None
         self.retry_after_s = RETRY_AFTER_S
         self.stopping = False
         self._last_append_failed = False
@@ -98,6 +97,11 @@
         self._logger = logger
         self._metrics = metrics
 
+    @property
+    def table(self) -> QueueTable | None:
+        """The current routes; None before the first were read."""
+        return self._view.queues.table
+
     @property
     def ready(self) -> bool:
         """Whether this entry accepts callers."""
@@ -114,9 +118,8 @@
 
     def install(self, table: QueueTable) -> None:
         """Activate a table of routes if its version is newer."""
-        if self.table is not None and table.version <= self.table.version:
+        if not self._view.queues.install(table):
             return
-        self.table = table
         self._logger.log("config", "routes activated", version=table.version)
 
     async def submit(
--- a/src/yuccapoint/version/queue_table.py
+++ b/src/yuccapoint/version/queue_table.py
@@ -21,16 +21,25 @@
         Host and path that the route matches; the longest prefix wins.
     rules : QueueRules
         Rules for the jobs of the route.
+    config_version : int
+        Version of the config with this route.
     address : QueueAddress
         Host and path in the form that is stored with jobs.
     """
 
-    __slots__ = ("address", "host", "path_prefix", "rules")
+    __slots__ = ("address", "config_version", "host", "path_prefix", "rules")
 
-    def __init__(self, host: str, path_prefix: str, rules: QueueRules) -> None:
+    def __init__(
+        self,
+        host: str,
+        path_prefix: str,
+        rules: QueueRules,
+        config_version: int = 0,
+    ) -> None:
         self.host = host
         self.path_prefix = path_prefix
         self.rules = rules
+        self.config_version = config_version
         self.address = QueueAddress(host.lower(), path_prefix)
 
 
@@ -47,7 +56,7 @@
         Maximum size of a request body.
     """
 
-    __slots__ = ("_by_host", "max_body_bytes", "version")
+    __slots__ = ("_by_host", "_by_name", "max_body_bytes", "version")
 
     def __init__(
         self, version: int, routes: Iterable[QueueRoute], max_body_bytes: int
@@ -55,9 +64,11 @@
         self.version = version
         self.max_body_bytes = max_body_bytes
         self._by_host: dict[str, dict[str, QueueRoute]] = {}
+        self._by_name: dict[str, QueueRoute] = {}
         for route in routes:
-            prefixes = self._by_host.setdefault(route.host.lower(), {})
+            prefixes = self._by_host.setdefault(route.address.host, {})
             prefixes[route.path_prefix] = route
+            self._by_name[route.rules.route] = route
 
     def find(self, host: str, path: str) -> QueueRoute | None:
         """Return the route of a request.
@@ -77,3 +88,28 @@
             if route is not None:
                 return route
         return prefixes.get("")
+
+    def find_successor(
+        self, address: QueueAddress | None, name: str
+    ) -> QueueRoute | None:
+        """Return the route that has the jobs of a queue of another version.
+
+        Parameters
+        ----------
+        address : QueueAddress or None
+            Address of the queue in the other version; None if only its name
+            is known.
+        name : str
+            Name of its route there.
+        """
+        named = self._by_name.get(name)
+        if address is None:
+            return named
+        prefixes = self._by_host.get(address.host, {})
+        route = prefixes.get(address.path_prefix)
+        if route is not None:
+            return route
+        # A route of this name on another host may be another customer's.
+        if named is None or named.address.host != address.host:
+            return None
+        return named
--- a/tests/features/steps/compatibility_steps.py
+++ b/tests/features/steps/compatibility_steps.py
@@ -46,7 +46,7 @@
     ("cell_messages", "vm"): [0, 0],
     ("cell_records", "c:job"): [None, ""],
     ("cell_records", "leader"): [None],
-    ("cell_records", "s:job"): [None],
+    ("cell_records", "s:job"): [None, 0],
 }
 
 # Keys that this build reads beside those of a JSON body of the earlier one.
--- a/tests/features/steps/platform_path_steps.py
+++ b/tests/features/steps/platform_path_steps.py
@@ -33,12 +33,19 @@
 RUN_S = 0.4
 
 
-def config(version: int, *, routes: bool = True) -> bytes:
+def config(
+    version: int,
+    *,
+    routes: bool = True,
+    name: str = "q",
+    prefix: str = "/q/",
+    pool: str = "pool",
+) -> bytes:
     route = {
-        "Name": "q",
+        "Name": name,
         "Host": HOST,
-        "PathPrefix": "/q/",
-        "Service": "pool",
+        "PathPrefix": prefix,
+        "Service": pool,
         "MaxAttempts": 2,
         "SloFactor": 2.0,
         "SloMs": 1000,
@@ -50,7 +57,8 @@
 class Deployment:
     """Entries, agents and workers in one event loop, on loopback."""
 
-    def __init__(self, entries: int, vms: int) -> None:
+    def __init__(self, entries: int, vms: int, pool: str = "pool") -> None:
+        self.pool = pool
         self.store = PlatformStore()
         self.store_address = find_free_address()
         self.store.listen(self.store_address)
@@ -109,7 +117,11 @@
         check_in_server.listen(check_in_address)
         self._servers.append(check_in_server)
         worker = PlatformWorker(
-            f"i-{number}", "pool", find_free_address(), check_in_address, RUN_S
+            f"i-{number}",
+            self.pool,
+            find_free_address(),
+            check_in_address,
+            RUN_S,
         )
         worker.start()
         self.workers.append(worker)
@@ -196,9 +208,11 @@
 
 
 @given("a platform with {entries:d} entries and {vms:d} VMs")
-def make_platform(context: Context, entries: int, vms: int) -> None:
+def make_platform(
+    context: Context, entries: int, vms: int, pool: str = "pool"
+) -> None:
     async def start() -> None:
-        context.deployment = Deployment(entries, vms)
+        context.deployment = Deployment(entries, vms, pool)
         context.cleanups.append(context.deployment.close)
 
         def ready() -> bool:
