--- a/src/yuccapoint/cell/cell_records.py
+++ b/src/yuccapoint/cell/cell_records.py
@@ -103,19 +103,13 @@
         """Return whether a job with this id is the cancelled one.
 
         Only stored fields are compared, so that each entry and each later
-        leader comes to the same result. One of prefix and name may change
-        between both requests.
+        leader comes to the same result.
         """
         if self.address is None:
             return True
         if submission.address is None:
             return self.route == submission.queue.route
-        if submission.address.host != self.address.host:
-            return False
-        return (
-            self.address.path_prefix == submission.address.path_prefix
-            or self.route == submission.queue.route
-        )
+        return self.address == submission.address
 
 
 class StoredQueue(msgspec.Struct, frozen=True, array_like=True):
