--- a/src/yuccapoint/cell/cell_messages.py
+++ b/src/yuccapoint/cell/cell_messages.py
@@ -12,6 +12,7 @@
 
 from yuccapoint.cell.crash_messages import CrashReport
 from yuccapoint.cell.occurrence_state import WorkerInstance
+from yuccapoint.cell.queue_address import QueueAddress
 from yuccapoint.job.interference.pair_report import PairEstimate
 from yuccapoint.job.size import Size
 
@@ -188,13 +189,15 @@
 class JobLookup(msgspec.Struct, frozen=True, tag="jl", array_like=True):
     """A question for a job that the sender can't look up in the store.
 
-    The answer goes to ``address`` and repeats ``number``.
+    The answer goes to ``address`` and repeats ``number``. ``route`` names
+    the queue at ``queue_address``, which earlier builds don't send.
     """
 
     address: str
     number: int
     route: str
     job_id: str
+    queue_address: QueueAddress | None = None
 
 
 class JobLookupAnswer(msgspec.Struct, frozen=True, tag="ja", array_like=True):
--- a/src/yuccapoint/cell/cell_view.py
+++ b/src/yuccapoint/cell/cell_view.py
@@ -22,6 +22,7 @@
 if TYPE_CHECKING:
     from yuccapoint.cell.cell_records import CellRecord
     from yuccapoint.cell.occurrence_state import TaskState
+    from yuccapoint.cell.queue_address import QueueAddress
 
 
 class JobView:
@@ -202,11 +203,42 @@
         """Return the job with an id, or None."""
         return self.jobs.get(job_id)
 
-    def count_pending(self, route: str) -> int:
-        """Count a route's accepted jobs of which no task has started."""
+    def find_of_queue(
+        self, job_id: str, address: QueueAddress | None, name: str
+    ) -> JobView | None:
+        """Return the job with an id, or None if it is of another queue.
+
+        Parameters
+        ----------
+        job_id : str
+            The job.
+        address : QueueAddress or None
+            Address of the queue; None if only its name is known.
+        name : str
+            Name of its route.
+        """
+        job = self.jobs.get(job_id)
+        if job is None or not self.queues.holds(job.submission, address, name):
+            return None
+        return job
+
+    def count_pending(self, address: QueueAddress, name: str) -> int:
+        """Count a queue's accepted jobs of which no task has started."""
         count = 0
+        # Most jobs share few queues.
+        is_counted: dict[tuple[QueueAddress | None, str, int], bool] = {}
         for job in self.jobs.values():
-            if job.submission.queue.route != route:
+            submission = job.submission
+            queue = (
+                submission.address,
+                submission.queue.route,
+                submission.config_version,
+            )
+            if queue not in is_counted:
+                is_counted[queue] = self.queues.holds(
+                    submission, address, name
+                )
+            if not is_counted[queue]:
                 continue
             if job.outcome is Outcome.OPEN and not job.has_started:
                 count += 1
--- a/src/yuccapoint/cell/job_gateway.py
+++ b/src/yuccapoint/cell/job_gateway.py
@@ -19,6 +19,7 @@
     UNKNOWN_JOB = "unknown-job"
     REFUSED = "refused"
     MAY_BE_ACCEPTED = "may-be-accepted"
+    ID_IN_USE = "id-in-use"
 
 
 class JobGateway(Protocol):
@@ -47,7 +48,10 @@
     async def submit(
         self, submission: Submission, deadline_s: float
     ) -> GatewayResult:
-        """Accept a job durably, or refuse it."""
+        """Accept a job durably, or refuse it.
+
+        An id that a job of another queue has is refused for good.
+        """
 
     async def cancel(
         self, route: QueueRoute, job_id: str, deadline_s: float
@@ -55,12 +59,12 @@
         """Cancel a job durably, also one that is not stored yet."""
 
     async def state(
-        self, route: str, job_id: str, deadline_s: float
+        self, route: QueueRoute, job_id: str, deadline_s: float
     ) -> str | None:
-        """Return the state of a job; None when there is no such job."""
+        """Return the state of a job; None if the queue has no such job."""
 
-    def count_pending(self, route: str) -> int:
-        """Count accepted jobs of which no task has started."""
+    def count_pending(self, route: QueueRoute) -> int:
+        """Count a queue's accepted jobs of which no task has started."""
 
     def log_invalid_job(self, job_id: str, why: str) -> None:
         """Log a job that can't be decoded."""
--- a/src/yuccapoint/cell/queue_directory.py
+++ b/src/yuccapoint/cell/queue_directory.py
@@ -8,6 +8,7 @@
 from yuccapoint.cell.cell_records import StoredQueue
 
 if TYPE_CHECKING:
+    from yuccapoint.cell.queue_address import QueueAddress
     from yuccapoint.cell.submission import Submission
     from yuccapoint.version.queue_table import QueueTable
 
@@ -70,3 +71,29 @@
         if route is None:
             return known
         return StoredQueue(route.address, table.version, route.rules)
+
+    def holds(
+        self, submission: Submission, address: QueueAddress | None, name: str
+    ) -> bool:
+        """Return whether a queue is the one that a job belongs to.
+
+        Parameters
+        ----------
+        submission : Submission
+            The job.
+        address : QueueAddress or None
+            Address of the queue, by any config; None if only its name is
+            known.
+        name : str
+            Name of its route.
+        """
+        known = self.find_stored(submission)
+        if address is None:
+            return known.rules.route == name
+        if known.address == address:
+            return True
+        # The record may be of a newer config than the one read here.
+        if self.table is None:
+            return known.address is None and known.rules.route == name
+        route = self.table.find_successor(known.address, known.rules.route)
+        return route is not None and route.address == address
--- a/src/yuccapoint/platform/job_api.py
+++ b/src/yuccapoint/platform/job_api.py
@@ -37,6 +37,7 @@
     GatewayResult.UNKNOWN_JOB: 410,
     GatewayResult.REFUSED: 503,
     GatewayResult.MAY_BE_ACCEPTED: 504,
+    GatewayResult.ID_IN_USE: 409,
 }
 
 
@@ -213,9 +214,7 @@
         self, route: QueueRoute, job_id: str, deadline_s: float
     ) -> JobApiResponse:
         try:
-            state = await self._gateway.state(
-                route.rules.route, job_id, deadline_s
-            )
+            state = await self._gateway.state(route, job_id, deadline_s)
         except YuccapointError:
             # The gateway has logged the reason.
             return JobApiResponse(
@@ -230,7 +229,7 @@
     def _pending_response(self, route: QueueRoute) -> JobApiResponse:
         if not self._gateway.up_to_date:
             return JobApiResponse(503, retry_after_s=1)
-        pending = self._gateway.count_pending(route.rules.route)
+        pending = self._gateway.count_pending(route)
         return JobApiResponse(200, {"Pending": pending})
 
     def _send(
--- a/src/yuccapoint/process/cell_job_gateway.py
+++ b/src/yuccapoint/process/cell_job_gateway.py
@@ -127,11 +127,24 @@
     ) -> GatewayResult:
         """Accept a job after it is stored."""
         job_id = submission.job_id
-        if self._view.find(job_id) is not None:
+        known = self._view.find(job_id)
+        if known is not None:
+            same_queue = self._view.queues.holds(
+                known.submission, submission.address, submission.queue.route
+            )
+            verdict = (
+                GatewayResult.ACCEPTED
+                if same_queue
+                else GatewayResult.ID_IN_USE
+            )
             self._log_outcome(
-                "accepted before", job_id, GatewayResult.ACCEPTED
+                "accepted before",
+                job_id,
+                verdict,
+                route=submission.queue.route,
+                stored_route=known.submission.queue.route,
             )
-            return GatewayResult.ACCEPTED
+            return verdict
         started_s = time.monotonic()
         key = cell_records.SUBMISSION + job_id
         value = cell_records.encode(submission)
@@ -153,14 +166,13 @@
             ``UNKNOWN_JOB`` if there is no such job and none whose append is
             on its way will run.
         """
-        name = route.rules.route
-        job = self._lookups.find(name, job_id)
+        job = self._lookups.find(route, job_id)
         if job is not None and job.cancelled:
             return GatewayResult.ACCEPTED
         if job is None:
             try:
                 state = await self._lookups.find_state(
-                    name, job_id, deadline_s
+                    route, job_id, deadline_s
                 )
             except YuccapointError:
                 return GatewayResult.REFUSED
@@ -169,7 +181,9 @@
         key = cell_records.CANCELLATION + job_id
         value = cell_records.encode(Cancellation(job_id, wall_ms()))
         verdict = await self._append(key, value, deadline_s)
-        self._log_outcome("cancelled", job_id, verdict, route=name)
+        self._log_outcome(
+            "cancelled", job_id, verdict, route=route.rules.route
+        )
         return verdict
 
     async def _cancel_unknown(
@@ -215,9 +229,7 @@
     ) -> GatewayResult:
         """Return the answer to a caller whose cancellation is stored."""
         try:
-            state = await self._lookups.find_state(
-                route.rules.route, job_id, deadline_s
-            )
+            state = await self._lookups.find_state(route, job_id, deadline_s)
         except YuccapointError as error:
             # The job is cancelled whether or not it exists.
             self._logger.log(
@@ -232,9 +244,9 @@
         return GatewayResult.ACCEPTED
 
     async def state(
-        self, route: str, job_id: str, deadline_s: float
+        self, route: QueueRoute, job_id: str, deadline_s: float
     ) -> str | None:
-        """Return the state of a job; None if there is no such job.
+        """Return the state of a job; None if the queue has no such job.
 
         Raises
         ------
@@ -243,9 +255,9 @@
         """
         return await self._lookups.find_state(route, job_id, deadline_s)
 
-    def count_pending(self, route: str) -> int:
-        """Count the accepted jobs without a started task."""
-        return self._view.count_pending(route)
+    def count_pending(self, route: QueueRoute) -> int:
+        """Count a queue's accepted jobs without a started task."""
+        return self._view.count_pending(route.address, route.rules.route)
 
     def log_invalid_job(self, job_id: str, why: str) -> None:
         """Log an invalid job."""
--- a/src/yuccapoint/process/job_lookups.py
+++ b/src/yuccapoint/process/job_lookups.py
@@ -19,9 +19,11 @@
 
     from yuccapoint.cell.cell_view import CellView
     from yuccapoint.cell.cell_view import JobView
+    from yuccapoint.cell.queue_address import QueueAddress
     from yuccapoint.connection.control_channel import ControlChannel
     from yuccapoint.process.cell_tail import CellTail
     from yuccapoint.process.process_logger import ProcessLogger
+    from yuccapoint.version.queue_table import QueueRoute
 
 # Peers are asked too if a read of the store takes longer, in seconds.
 PEERS_AFTER_S = 0.4
@@ -66,21 +68,25 @@
         self._calls: PeerCalls[JobLookupAnswer] = PeerCalls(control_channel)
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def find(self, route: str, job_id: str) -> JobView | None:
-        """Return a job of a route from the view."""
-        job = self._view.find(job_id)
-        if job is None or job.submission.queue.route != route:
-            return None
-        return job
+    def find(self, route: QueueRoute, job_id: str) -> JobView | None:
+        """Return a job of the queue on a route from the view."""
+        return self._find(route.address, route.rules.route, job_id)
+
+    def _find(
+        self, address: QueueAddress | None, name: str, job_id: str
+    ) -> JobView | None:
+        return self._view.find_of_queue(job_id, address, name)
 
     async def find_state(
-        self, route: str, job_id: str, deadline_s: float
+        self, route: QueueRoute, job_id: str, deadline_s: float
     ) -> str | None:
-        """Return the state of a job; None if there is no such job.
+        """Return the state of a job; None if the queue has no such job.
 
         Parameters
         ----------
-        route, job_id : str
+        route : QueueRoute
+            Route that the job is asked for on.
+        job_id : str
             The job.
         deadline_s : float
             Monotonic time in seconds at which the caller gives up.
@@ -104,11 +110,11 @@
         raise UnreachableError("neither the store nor a peer answers in time")
 
     async def _ask_store_and_peers(
-        self, route: str, job_id: str, deadline_s: float
+        self, route: QueueRoute, job_id: str, deadline_s: float
     ) -> JobLookupAnswer:
         """Return the first answer that is known or absent."""
         ways = [
-            self._look_up(0, route, job_id),
+            self._look_up(0, route.address, route.rules.route, job_id),
             self._ask_peers(route, job_id, deadline_s),
         ]
         # A store that answered lately is the better source.
@@ -138,10 +144,14 @@
         return JobLookupAnswer(0, LookupResult.UNREADABLE)
 
     async def _look_up(
-        self, number: int, route: str, job_id: str
+        self,
+        number: int,
+        address: QueueAddress | None,
+        name: str,
+        job_id: str,
     ) -> JobLookupAnswer:
         """Return what the store says of a job."""
-        job = self.find(route, job_id)
+        job = self._find(address, name, job_id)
         if job is None or not self._tail.up_to_date:
             try:
                 # Another entry may have accepted the job just now.
@@ -151,13 +161,13 @@
                     "job", "state lookup failed", job=job_id, error=str(error)
                 )
                 return JobLookupAnswer(number, LookupResult.UNREADABLE)
-            job = self.find(route, job_id)
+            job = self._find(address, name, job_id)
         if job is None:
             return JobLookupAnswer(number, LookupResult.ABSENT)
         return JobLookupAnswer(number, LookupResult.KNOWN, _state_of(job))
 
     async def _ask_peers(
-        self, route: str, job_id: str, deadline_s: float
+        self, route: QueueRoute, job_id: str, deadline_s: float
     ) -> JobLookupAnswer:
         address = self._control_channel.address
         for peer in self._list_peers()[:MAX_PEERS_ASKED]:
@@ -166,7 +176,9 @@
                 break
             answer = await self._calls.call(
                 peer,
-                lambda number: JobLookup(address, number, route, job_id),
+                lambda number: JobLookup(
+                    address, number, route.rules.route, job_id, route.address
+                ),
                 left_s,
             )
             result = LookupResult.UNREADABLE
@@ -191,8 +203,9 @@
 
     async def _serve(self, lookup: JobLookup) -> None:
         number = lookup.number
-        answer = await self._look_up(number, lookup.route, lookup.job_id)
-        job = self.find(lookup.route, lookup.job_id)
+        queue = (lookup.queue_address, lookup.route)
+        answer = await self._look_up(number, *queue, lookup.job_id)
+        job = self._find(*queue, lookup.job_id)
         if answer.result is LookupResult.UNREADABLE and job is not None:
             # An old state is better than none.
             answer = JobLookupAnswer(
--- a/tests/features/steps/long_backlog_steps.py
+++ b/tests/features/steps/long_backlog_steps.py
@@ -26,6 +26,7 @@
 from yuccapoint.process.job_lookups import JobLookups
 from yuccapoint.process.metrics import Metrics
 from yuccapoint.process.process_logger import ProcessLogger
+from yuccapoint.version.queue_table import QueueRoute
 from yuccapoint_standins.deployment import find_free_address
 from yuccapoint_standins.platform_store import PlatformStore
 
@@ -111,7 +112,8 @@
 def job_known(context: Context) -> None:
     async def ask() -> str | None:
         deadline_s = time.monotonic() + DEADLINE_S
-        return await context.gateway.state(ROUTE, JOB_ID, deadline_s)
+        route = QueueRoute("", "/", QueueRules(ROUTE, "pool"))
+        return await context.gateway.state(route, JOB_ID, deadline_s)
 
     state = run(context, ask())
     assert state == "pending", state
--- a/tests/features/steps/pending_steps.py
+++ b/tests/features/steps/pending_steps.py
@@ -24,6 +24,7 @@
 from yuccapoint.cell.occurrence_state import Phase
 from yuccapoint.cell.occurrence_state import TaskState
 from yuccapoint.cell.occurrence_state import WorkerInstance
+from yuccapoint.cell.queue_address import QueueAddress
 from yuccapoint.cell.step_spec import StepSpec
 from yuccapoint.job.size import Size
 
@@ -115,7 +116,8 @@
 
 @then("{count:d} jobs are counted as pending")
 def pending_counted(context: Context, count: int) -> None:
-    counted = context.view.count_pending("route")
+    address = QueueAddress("example.org", "/route/")
+    counted = context.view.count_pending(address, "route")
     assert counted == count, counted
 
 
--- a/tests/features/steps/platform_path_steps.py
+++ b/tests/features/steps/platform_path_steps.py
@@ -40,6 +40,7 @@
     name: str = "q",
     prefix: str = "/q/",
     pool: str = "pool",
+    others: tuple[dict[str, str], ...] = (),
 ) -> bytes:
     route = {
         "Name": name,
@@ -50,7 +51,8 @@
         "SloFactor": 2.0,
         "SloMs": 1000,
     }
-    body = {"Version": version, "Routes": [route] if routes else []}
+    listed = [route, *({**route, **other} for other in others)]
+    body = {"Version": version, "Routes": listed if routes else []}
     return msgspec.json.encode(body)
 
 
