--- a/src/yuccapoint/connection/http_client.py
+++ b/src/yuccapoint/connection/http_client.py
@@ -69,15 +69,32 @@
     """
 
     def __init__(self, address: str) -> None:
-        self.address = address
         self.connections_opened = 0
-        self._host, _, port = address.rpartition(":")
-        self._port = int(port)
+        self._set_address(address)
         self._connector = TCPClient()
         self._idle: collections.deque[IdleConnection] = collections.deque()
         # The calls in flight.
         self._transfers: dict[IOStream, Transfer] = {}
 
+    def move(self, address: str) -> None:
+        """Send later requests to another address.
+
+        Calls in flight keep their connections until they end.
+
+        Raises
+        ------
+        ValueError
+            The address has no port; the former one is kept.
+        """
+        self._set_address(address)
+        self.close()
+
+    def _set_address(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        self._port = int(port)
+        self._host = host
+        self.address = address
+
     async def call(
         self,
         method: str,
@@ -116,6 +133,7 @@
             The peer may have executed the request.
         """
         deadline_s = time.monotonic() + timeout_s
+        address = self.address
         head = self._encode_head(method, target, len(body), headers or {})
         stream = await self._connect(deadline_s)
         reusable = False
@@ -149,8 +167,10 @@
             del self._transfers[stream]
             # The next request on this connection would read the rest of an
             # abandoned response as its own.
-            if not reusable:
+            if not reusable or address != self.address:
                 stream.close()
+        if address != self.address:
+            return response
         self._idle.append(IdleConnection(stream, time.monotonic()))
         if len(self._idle) > MAX_IDLE_CONNECTIONS:
             self._idle.popleft().stream.close()
--- a/src/yuccapoint/platform/adviser_client.py
+++ b/src/yuccapoint/platform/adviser_client.py
@@ -34,6 +34,16 @@
     def __init__(self, address: str) -> None:
         self._client = HttpClient(address)
 
+    def move(self, address: str) -> None:
+        """Send later queries to another address.
+
+        Raises
+        ------
+        ValueError
+            The address has no port; the former one is kept.
+        """
+        self._client.move(address)
+
     async def ask(self, step: str, worker_ids: list[str]) -> dict[str, str]:
         """Return a ticket for each worker that may run a step, by worker id.
 
--- a/src/yuccapoint/platform/roles.py
+++ b/src/yuccapoint/platform/roles.py
@@ -4,7 +4,10 @@
 
 import asyncio
 import signal
+from typing import Any
+from typing import Generic
 from typing import TYPE_CHECKING
+from typing import TypeVar
 
 from tornado.httpserver import HTTPServer
 
@@ -24,6 +27,7 @@
 from yuccapoint.process.supervised_task import supervise
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     import pathlib
 
     from tornado.httputil import HTTPServerRequest
@@ -32,6 +36,7 @@
     from yuccapoint.platform.node_settings import NodeSettings
     from yuccapoint.process.cell_entry_process import CellEntryProcess
 
+_Value = TypeVar("_Value")
 CELL_TOPIC = "cell"
 EXIT_COMPONENT_FAILED = 1
 # Metrics are served here on any path; deploy/system.toml names the port too.
@@ -42,6 +47,39 @@
 FAILED_GRACE_S = 1.0
 
 
+class _SettingFollower(Generic[_Value]):
+    """Applies one setting, and each later value of it."""
+
+    __slots__ = ("_apply", "_applied", "_select", "name")
+
+    def __init__(
+        self,
+        name: str,
+        select: Callable[[NodeSettings], _Value],
+        apply: Callable[[_Value], None],
+        applied: _Value,
+    ) -> None:
+        self.name = name
+        self._select = select
+        self._apply = apply
+        self._applied = applied
+
+    def update(self, settings: NodeSettings) -> bool:
+        """Apply the setting; return whether it has changed.
+
+        Raises
+        ------
+        ValueError
+            The value can't be used; the former one stays in use.
+        """
+        value = self._select(settings)
+        if value == self._applied:
+            return False
+        self._apply(value)
+        self._applied = value
+        return True
+
+
 class RoleRuntime:
     """Settings, logs, metrics and signal handling, shared by both roles."""
 
@@ -52,6 +90,7 @@
         self.metrics = Metrics()
         self.log_output = LogOutput()
         self.stop_requested = asyncio.Event()
+        self._followers: list[_SettingFollower[Any]] = []
         self._metrics_server = HTTPServer(self._serve_metrics)
 
     def start(self) -> None:
@@ -75,9 +114,38 @@
 
     def open_partition(self, topic: str) -> StorePartition:
         """Return a topic's first partition, with its own connections."""
-        client = HttpClient(self.settings.platform.address)
+        address = self.settings.platform.address
+        client = HttpClient(address)
+        self.follow(
+            f"store of {topic}",
+            lambda settings: settings.platform.address,
+            client.move,
+            address,
+        )
         return StorePartition(client, topic, 0)
 
+    def follow(
+        self,
+        name: str,
+        select: Callable[[NodeSettings], _Value],
+        apply: Callable[[_Value], None],
+        applied: _Value,
+    ) -> None:
+        """Apply each change of a setting that a reload finds.
+
+        Parameters
+        ----------
+        name : str
+            Name of the setting in log lines.
+        select : callable
+            Returns the setting's value.
+        apply : callable
+            Puts a value to use, or raises ValueError.
+        applied : object
+            The value in use.
+        """
+        self._followers.append(_SettingFollower(name, select, apply, applied))
+
     def reload(self) -> None:
         """Reload the settings file; keep the old settings if it is invalid."""
         try:
@@ -92,6 +160,19 @@
         changed = settings != self.settings
         self.logger.log("settings", "reloaded", changed=int(changed))
         self.settings = settings
+        for follower in self._followers:
+            try:
+                if follower.update(settings):
+                    self.logger.log(
+                        "settings", "change applied", setting=follower.name
+                    )
+            except ValueError as error:
+                self.logger.log(
+                    "settings",
+                    "change can't be applied; keeping the former value",
+                    setting=follower.name,
+                    error=str(error),
+                )
 
     async def watch_settings(self) -> None:
         """Reload the settings file whenever its mtime changes."""
@@ -126,7 +207,6 @@
     int
         The exit code; an error if a component failed.
     """
-    from yuccapoint.platform.adviser_client import AdviserClient
     from yuccapoint.platform.job_api import JobApi
     from yuccapoint.process.cell_entry_process import CellEntryProcess
 
@@ -140,8 +220,7 @@
         runtime.logger,
         runtime.metrics,
     )
-    if settings.advisor:
-        entry.use_adviser(AdviserClient(settings.advisor))
+    _follow_adviser(runtime, entry)
     job_api = JobApi(entry.job_gateway)
     listen = settings.listen_addrs
     job_api.listen(listen.front, listen.ready)
@@ -167,6 +246,27 @@
     return _exit_code(entry.failed)
 
 
+def _follow_adviser(runtime: RoleRuntime, entry: CellEntryProcess) -> None:
+    """Query the adviser that the settings name, also after a change."""
+    from yuccapoint.platform.adviser_client import AdviserClient
+
+    clients: list[AdviserClient] = []
+
+    def use(address: str | None) -> None:
+        if not address:
+            entry.use_adviser(None)
+            return
+        if clients:
+            clients[0].move(address)
+        else:
+            clients.append(AdviserClient(address))
+        entry.use_adviser(clients[0])
+
+    address = runtime.settings.advisor
+    use(address)
+    runtime.follow("adviser", lambda settings: settings.advisor, use, address)
+
+
 def _exit_code(failed: asyncio.Event) -> int:
     return EXIT_COMPONENT_FAILED if failed.is_set() else 0
 
--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -139,7 +139,7 @@
         self._stopping = False
         self.failed = asyncio.Event()
 
-    def use_adviser(self, adviser: AdviserPort) -> None:
+    def use_adviser(self, adviser: AdviserPort | None) -> None:
         """Query an adviser for steps of queues that have one."""
         self._adviser_loop.adviser = adviser
 
--- /dev/null
+++ b/tests/features/platform/settings_reload.feature
@@ -0,0 +1,40 @@
+Feature: Settings that change while an entry runs
+
+  # LOST: an entry logged that its settings were reloaded and went on to query
+  # the former adviser; once that was gone, nothing started on advised queues.
+
+  Scenario Outline: The adviser gets another address
+    Given an entry process, a VM and two advisers, of which the settings name the first
+    When a caller submits advised job 1
+    Then advised job 1 is "completed" within 8 s
+    And the first adviser was queried
+    When the settings name the second adviser, <signal>
+    And <change>
+    And a caller submits advised job 2
+    Then advised job 2 is "completed" within 8 s
+    And the second adviser was queried
+
+    Examples:
+      | signal           | change                        |
+      | with a SIGHUP    | the first adviser is gone     |
+      | with a SIGHUP    | the first adviser stays       |
+      | without a signal | the first adviser is gone     |
+
+  Scenario: An entry that started without adviser gets one
+    Given an entry process, a VM and two advisers, of which the settings name none
+    When a caller submits advised job 1
+    And the settings name the second adviser, with a SIGHUP
+    Then advised job 1 is "completed" within 8 s
+
+  Scenario: An address that can't be used leaves the former adviser
+    Given an entry process, a VM and two advisers, of which the settings name the first
+    When the settings name "nonsense" as adviser, with a SIGHUP
+    And a caller submits advised job 1
+    Then advised job 1 is "completed" within 8 s
+    And the first adviser was queried
+
+  Scenario: The store gets another address
+    Given an entry process, a VM and two advisers, of which the settings name the first
+    When the store moves to another address, and the settings name it
+    And a caller submits advised job 1
+    Then advised job 1 is "completed" within 12 s
