--- a/src/yuccapoint/cell/cell_leader.py
+++ b/src/yuccapoint/cell/cell_leader.py
@@ -6,6 +6,7 @@
 
 from yuccapoint.cell import lease_bounds
 from yuccapoint.cell.adviser_queries import AdviserQueries
+from yuccapoint.cell.cell_view import CellView
 from yuccapoint.cell.claim_planner import ClaimPlanner
 from yuccapoint.cell.crash_counter import CrashCounter
 from yuccapoint.cell.due_occurrences import add_due_occurrences
@@ -18,7 +19,6 @@
 from yuccapoint.cell.order_builder import build_orders
 from yuccapoint.cell.preemption import find_preemptions
 from yuccapoint.cell.queue_changes import QueueChanges
-from yuccapoint.cell.queue_directory import QueueDirectory
 from yuccapoint.cell.report_handler import ReportHandler
 from yuccapoint.cell.run_end_handler import RunEndHandler
 from yuccapoint.cell.silent_vms import SilentVms
@@ -35,7 +35,6 @@
     from yuccapoint.cell.cell_messages import LeaderOrders
     from yuccapoint.cell.cell_messages import VmReport
     from yuccapoint.cell.cell_records import Member
-    from yuccapoint.cell.cell_view import CellView
     from yuccapoint.cell.cell_view import JobView
     from yuccapoint.cell.commit_batch import CommitBatch
     from yuccapoint.cell.occurrence_run import OccurrenceRun
@@ -103,16 +102,14 @@
         self._waiting_log = WaitingLog(self)
         self.maintenance = StoreMaintenance(self)
         self.adviser_queries = AdviserQueries(self)
-        self._queue_changes = QueueChanges(
-            self, QueueDirectory(), self._changes
-        )
+        self._queue_changes = QueueChanges(self, CellView(), self._changes)
 
     def load(self, view: CellView, now_s: float) -> None:
         """Restore the state that the store holds."""
         for member in view.members.values():
             self.on_member(member)
         self.maintenance.load_pairs(view)
-        self._queue_changes = QueueChanges(self, view.queues, self._changes)
+        self._queue_changes = QueueChanges(self, view, self._changes)
         for job in view.jobs.values():
             self.try_add_job(job, now_s)
 
--- a/src/yuccapoint/cell/queue_changes.py
+++ b/src/yuccapoint/cell/queue_changes.py
@@ -11,8 +11,9 @@
 if TYPE_CHECKING:
     from yuccapoint.cell.cell_leader import CellLeader
     from yuccapoint.cell.cell_records import StoredQueue
+    from yuccapoint.cell.cell_view import CellView
     from yuccapoint.cell.job_run import JobRun
-    from yuccapoint.cell.queue_directory import QueueDirectory
+    from yuccapoint.cell.submission import Submission
     from yuccapoint.cell.task_run import TaskRun
     from yuccapoint.cell.uncommitted_changes import UncommittedChanges
 
@@ -27,29 +28,38 @@
     ----------
     leader : CellLeader
         Leader of the jobs.
-    directory : QueueDirectory
-        Queues by the newest config.
+    view : CellView
+        All stored jobs, also ended ones, and the queues by the newest config.
     uncommitted : UncommittedChanges
         Gets the queues to store.
     """
 
-    __slots__ = ("_applied_version", "_directory", "_leader", "_uncommitted")
+    __slots__ = (
+        "_applied_version",
+        "_directory",
+        "_leader",
+        "_resolved",
+        "_uncommitted",
+        "_view",
+    )
 
     def __init__(
         self,
         leader: CellLeader,
-        directory: QueueDirectory,
+        view: CellView,
         uncommitted: UncommittedChanges,
     ) -> None:
         self._uncommitted = uncommitted
+        self._view = view
         self._leader = leader
-        self._directory = directory
+        self._directory = view.queues
         self._applied_version: int | None = None
+        # What this leader has found, by key; the last may not be stored yet.
+        self._resolved: dict[str, StoredQueue] = {}
 
     def assign(self, job: JobRun) -> None:
         """Set the queue of a job that was added."""
-        job.queue = self._directory.find_current(job.submission)
-        self._store(job)
+        job.queue = self._resolve(job.submission)
 
     def run(self, now_s: float) -> None:
         """Apply a config that was read since the last call.
@@ -63,17 +73,17 @@
         changed: dict[str, int] = {}
         for job in self._leader.jobs.values():
             former = job.queue
-            job.queue = self._directory.find_current(job.submission)
+            job.queue = self._resolve(job.submission)
             self._end_exhausted(job, now_s)
-            if job.queue.config_version == former.config_version:
-                continue
-            self._store(job)
             if job.queue.rules == former.rules:
                 continue
             key = queue_key(job.submission)
             if key not in changed:
                 self._explain(former, job.queue)
             changed[key] = changed.get(key, 0) + 1
+        # Callers ask for ended jobs, too, whatever their queue is called then.
+        for view in self._view.jobs.values():
+            self._resolve(view.submission)
         if changed:
             self._leader.explain(
                 "config",
@@ -82,15 +92,20 @@
                 jobs=sum(changed.values()),
             )
 
-    def _store(self, job: JobRun) -> None:
-        """Store a queue that the store knows from an older config.
+    def _resolve(self, submission: Submission) -> StoredQueue:
+        """Return a job's queue in force, which is stored unless it is.
 
-        Later leaders, which may have read an older one, must not go back.
+        Later leaders, which may have read an older config, must not go back.
         """
-        known = self._directory.find_stored(job.submission)
-        if job.queue.config_version > known.config_version:
-            key = queue_key(job.submission)
-            self._uncommitted.add_queue(key, job.queue)
+        key = queue_key(submission)
+        queue = self._directory.find_current(
+            submission, self._resolved.get(key)
+        )
+        known = self._directory.find_stored(submission)
+        if queue.config_version > known.config_version:
+            self._resolved[key] = queue
+            self._uncommitted.add_queue(key, queue)
+        return queue
 
     def _explain(self, former: StoredQueue, current: StoredQueue) -> None:
         self._leader.explain(
--- a/src/yuccapoint/cell/queue_directory.py
+++ b/src/yuccapoint/cell/queue_directory.py
@@ -58,12 +58,23 @@
             )
         return stored
 
-    def find_current(self, submission: Submission) -> StoredQueue:
+    def find_current(
+        self, submission: Submission, used: StoredQueue | None = None
+    ) -> StoredQueue:
         """Return a job's queue by the newest config.
 
         A queue whose route is gone keeps its last rules.
+
+        Parameters
+        ----------
+        submission : Submission
+            The job.
+        used : StoredQueue or None
+            What was found before, which may not be stored yet.
         """
         known = self.find_stored(submission)
+        if used is not None and used.config_version > known.config_version:
+            known = used
         table = self.table
         if table is None or table.version <= known.config_version:
             return known
--- a/tests/features/cell/queue_changes.feature
+++ b/tests/features/cell/queue_changes.feature
@@ -87,6 +87,14 @@
     And a round is planned
     Then both tasks have a claim on "vm-1"
 
+  Scenario: A queue whose route is removed before its rules are stored
+    Given a waiting job that both VMs have room for
+    When version 8 sends the queue to the new pool
+    And the leader applies it and has not stored it yet
+    And version 9 has no route
+    And the leader applies it and has not stored it yet
+    Then its pool is still the changed one
+
   Scenario Outline: A queue is known by its address, then by host and name
     Given a waiting job that both VMs have room for
     When version 8 has it at <address> as <name>
--- a/tests/features/platform/queue_identity.feature
+++ b/tests/features/platform/queue_identity.feature
@@ -29,6 +29,14 @@
     And the operator has the queue at "/moved/" as "p"
     Then the job is shown at "/moved/" at each entry
 
+  Scenario: A job that has ended stays known through a rename and a move
+    Given a platform with 2 entries and 2 VMs
+    When a caller submits a job of 1 steps with 1 tasks each
+    Then the job is "completed" within 8 s at each entry
+    When the operator has the queue at "/q/" as "p"
+    And the operator has the queue at "/moved/" as "p"
+    Then the job is shown at "/moved/" at each entry
+
   Scenario: A renamed queue counts its waiting jobs
     Given a platform with 2 entries and 2 VMs of the pool "other"
     When a caller submits a job of 1 steps with 1 tasks each
--- a/tests/features/steps/queue_change_steps.py
+++ b/tests/features/steps/queue_change_steps.py
@@ -252,6 +252,16 @@
     _take_over(context, 2)
 
 
+@when("the leader applies it and has not stored it yet")
+def apply_only(context: Context) -> None:
+    context.leader.tick(context.now_s, WALL_MS)
+
+
+@then("its pool is still the changed one")
+def pool_kept(context: Context) -> None:
+    _check_rule(context, "pool")
+
+
 @then('both tasks have a claim on "{vm}"')
 def claimed_there(context: Context, vm: str) -> None:
     found = [task.instance and task.instance.vm for task in _tasks(context)]
