--- a/src/yuccapoint/cell/cell_records.py
+++ b/src/yuccapoint/cell/cell_records.py
@@ -113,7 +113,7 @@
 
 
 class StoredQueue(msgspec.Struct, frozen=True, array_like=True):
-    """A queue of unfinished jobs by the newest config that a leader used.
+    """A queue of stored jobs by the newest config that a leader used.
 
     Attributes
     ----------
--- a/src/yuccapoint/platform/job_api.py
+++ b/src/yuccapoint/platform/job_api.py
@@ -200,9 +200,13 @@
         except (MalformedMessageError, InvalidJobError) as error:
             self._gateway.log_invalid_job(job_id, str(error))
             return JobApiResponse(400, {"Error": str(error)})
-        return self._verdict_response(
-            await self._gateway.submit(submission, deadline_s)
-        )
+        verdict = await self._gateway.submit(submission, deadline_s)
+        if verdict is GatewayResult.ID_IN_USE:
+            return JobApiResponse(
+                _STATUS_BY_VERDICT[verdict],
+                {"Error": "the id belongs to a job of another queue"},
+            )
+        return self._verdict_response(verdict)
 
     def _verdict_response(self, verdict: GatewayResult) -> JobApiResponse:
         retry_after_s = 0
--- a/src/yuccapoint/platform/roles.py
+++ b/src/yuccapoint/platform/roles.py
@@ -5,9 +5,7 @@
 import asyncio
 import signal
 from typing import Any
-from typing import Generic
 from typing import TYPE_CHECKING
-from typing import TypeVar
 
 from tornado.httpserver import HTTPServer
 
@@ -18,6 +16,7 @@
 from yuccapoint.platform.node_settings import load_node_settings
 from yuccapoint.platform.node_settings import settings_path
 from yuccapoint.platform.operator_config import CONFIG_TOPIC
+from yuccapoint.platform.setting_follower import SettingFollower
 from yuccapoint.platform.store_partition import StorePartition
 from yuccapoint.process.caller_drain import drain_callers
 from yuccapoint.process.log_output import LogOutput
@@ -27,7 +26,6 @@
 from yuccapoint.process.supervised_task import supervise
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
     import pathlib
 
     from tornado.httputil import HTTPServerRequest
@@ -36,7 +34,6 @@
     from yuccapoint.platform.node_settings import NodeSettings
     from yuccapoint.process.cell_entry_process import CellEntryProcess
 
-_Value = TypeVar("_Value")
 CELL_TOPIC = "cell"
 EXIT_COMPONENT_FAILED = 1
 # Metrics are served here on any path; deploy/system.toml names the port too.
@@ -47,39 +44,6 @@
 FAILED_GRACE_S = 1.0
 
 
-class _SettingFollower(Generic[_Value]):
-    """Applies one setting, and each later value of it."""
-
-    __slots__ = ("_apply", "_applied", "_select", "name")
-
-    def __init__(
-        self,
-        name: str,
-        select: Callable[[NodeSettings], _Value],
-        apply: Callable[[_Value], None],
-        applied: _Value,
-    ) -> None:
-        self.name = name
-        self._select = select
-        self._apply = apply
-        self._applied = applied
-
-    def update(self, settings: NodeSettings) -> bool:
-        """Apply the setting; return whether it has changed.
-
-        Raises
-        ------
-        ValueError
-            The value can't be used; the former one stays in use.
-        """
-        value = self._select(settings)
-        if value == self._applied:
-            return False
-        self._apply(value)
-        self._applied = value
-        return True
-
-
 class RoleRuntime:
     """Settings, logs, metrics and signal handling, shared by both roles."""
 
@@ -90,7 +54,7 @@
         self.metrics = Metrics()
         self.log_output = LogOutput()
         self.stop_requested = asyncio.Event()
-        self._followers: list[_SettingFollower[Any]] = []
+        self._followers: list[SettingFollower[Any]] = []
         self._metrics_server = HTTPServer(self._serve_metrics)
 
     def start(self) -> None:
@@ -117,34 +81,18 @@
         address = self.settings.platform.address
         client = HttpClient(address)
         self.follow(
-            f"store of {topic}",
-            lambda settings: settings.platform.address,
-            client.move,
-            address,
+            SettingFollower(
+                f"store of {topic}",
+                lambda settings: settings.platform.address,
+                client.move,
+                address,
+            )
         )
         return StorePartition(client, topic, 0)
 
-    def follow(
-        self,
-        name: str,
-        select: Callable[[NodeSettings], _Value],
-        apply: Callable[[_Value], None],
-        applied: _Value,
-    ) -> None:
-        """Apply each change of a setting that a reload finds.
-
-        Parameters
-        ----------
-        name : str
-            Name of the setting in log lines.
-        select : callable
-            Returns the setting's value.
-        apply : callable
-            Puts a value to use, or raises ValueError.
-        applied : object
-            The value in use.
-        """
-        self._followers.append(_SettingFollower(name, select, apply, applied))
+    def follow(self, setting: SettingFollower[Any]) -> None:
+        """Apply each change of a setting that a reload finds."""
+        self._followers.append(setting)
 
     def reload(self) -> None:
         """Reload the settings file; keep the old settings if it is invalid."""
@@ -264,7 +212,11 @@
 
     address = runtime.settings.advisor
     use(address)
-    runtime.follow("adviser", lambda settings: settings.advisor, use, address)
+    runtime.follow(
+        SettingFollower(
+            "adviser", lambda settings: settings.advisor, use, address
+        )
+    )
 
 
 def _exit_code(failed: asyncio.Event) -> int:
