--- a/src/yuccapoint/cell/cell_view.py
+++ b/src/yuccapoint/cell/cell_view.py
@@ -67,7 +67,14 @@
         outcome = self._occurrences_outcome()
         if self.cancelled_offset is None:
             return outcome
-        if self._has_run_out and self._last_offset < self.cancelled_offset:
+        # A cancellation may be stored again after it has taken effect.
+        was_stopped = any(
+            occurrence.outcome is Outcome.CANCELLED
+            for occurrence in self.occurrences.values()
+        )
+        if was_stopped or not self._has_run_out:
+            return Outcome.CANCELLED
+        if self._last_offset < self.cancelled_offset:
             return outcome
         return Outcome.CANCELLED
 
--- a/tests/features/cell/recovery.feature
+++ b/tests/features/cell/recovery.feature
@@ -15,6 +15,20 @@
     When a cancellation is read at offset 7
     Then the job is shown as "cancelled"
 
+  Scenario Outline: A cancellation that is stored twice is one cancellation
+    # An entry that loads the store reads the second record only.
+    Given a view of a job whose occurrences ended as "<outcomes>"
+    When a cancellation is read at offset 9
+    Then the job is shown as "<shown>"
+
+    Examples:
+      | outcomes            | shown     |
+      | cancelled           | cancelled |
+      | failed cancelled    | cancelled |
+      | completed cancelled | cancelled |
+      | failed completed    | failed    |
+      | completed completed | completed |
+
   Scenario: A fenced leader does not lead again on records read before
     Given an entry that leads term 3
     When the store refuses its records for a newer term
--- a/tests/features/steps/cell_recovery_steps.py
+++ b/tests/features/steps/cell_recovery_steps.py
@@ -89,6 +89,24 @@
     context.view.apply(cell_records.progress_key(JOB_ID, 0), state, offset)
 
 
+@given('a view of a job whose occurrences ended as "{outcomes}"')
+def ended_view(context: Context, outcomes: str) -> None:
+    context.view = CellView()
+    names = outcomes.split()
+    job = Submission(
+        JOB_ID,
+        QueueRules("route", "pool"),
+        "payload",
+        (STEP,),
+        repeats=len(names),
+    )
+    context.view.apply(cell_records.SUBMISSION + JOB_ID, job, 1)
+    for number, name in enumerate(names):
+        key = cell_records.progress_key(JOB_ID, number)
+        state = OccurrenceState(Outcome(name), [], [])
+        context.view.apply(key, state, 2 + number)
+
+
 @when("a cancellation is read at offset {offset:d}")
 def cancelled(context: Context, offset: int) -> None:
     key = cell_records.CANCELLATION + JOB_ID
