Let the simulated cell move its queue between two pools

World(two_pools=True) has workers of two pools, and the disruption queue_moves writes a config that each entry reads at a time of its own. A start in a pool that the queue has left counts as ROUTE in calm times. It isn't among DISRUPTIONS, so that older seeds draw as before.

--- a/tests/cell_world/oracle.py
+++ b/tests/cell_world/oracle.py
@@ -51,6 +51,8 @@
         self._cancelled_tasks: set[str] = set()
         self.longest_idle_s = 0.0
         self.workers: list[WorkerModel] = []
+        # Pool of the queue by the newest config.
+        self.pool = "pool"
         self.starts = 0
         self.done: set[str] = set()
         self.acked_done: set[str] = set()
@@ -90,6 +92,11 @@
             self.record_violation("UNASKED", task_id, "no job has this task")
             return
         spec = job.steps[int(step)]
+        is_calm = now_s - self.disturbed_at_s > CALM_BEFORE_S
+        if worker.pool != self.pool and is_calm:
+            self.record_violation(
+                "ROUTE", task_id, f"{worker.vm} is of pool {worker.pool}"
+            )
         if job.payload == DEADLY and self.crashes.get(task_id, 0) >= 3:
             after = self._starts_after.get(task_id, 0) + 1
             self._starts_after[task_id] = after
@@ -274,7 +281,7 @@
         step_id = task_id.rpartition(".")[0]
         slots = 0
         for worker in self.workers:
-            if not worker.is_sound(now_s):
+            if not worker.is_sound(now_s) or worker.pool != self.pool:
                 continue
             if spec.label and spec.label not in worker.labels:
                 continue
--- a/tests/cell_world/worker_model.py
+++ b/tests/cell_world/worker_model.py
@@ -65,6 +65,7 @@
         # Former capacities, each with the time at which it ended.
         self._former: list[tuple[float, Size]] = []
         self.labels = ("a", f"r{vm[-1]}")
+        self.pool = "pool"
         self.alive = False
         self.draining = False
         self.running: dict[str, tuple[int, float, str]] = {}
@@ -146,7 +147,7 @@
         self._sequence += 1
         return CheckIn(
             instance=self.instance,
-            pool="pool",
+            pool=self.pool,
             address="",
             capacity=self.capacity,
             labels=self.labels,
--- a/tests/cell_world/world.py
+++ b/tests/cell_world/world.py
@@ -25,6 +25,8 @@
 from yuccapoint.cell.step_spec import StepSpec
 from yuccapoint.cell.submission import Submission
 from yuccapoint.job.size import Size
+from yuccapoint.version.queue_table import QueueRoute
+from yuccapoint.version.queue_table import QueueTable
 
 STEP_S = 0.02
 # The entries' views are checked every this many steps.
@@ -81,6 +83,13 @@
 # A caller whose job got no answer submits it again, at any entry, after this
 # time in seconds, up to this many times in all.
 ATTEMPT_TIMEOUT_S = 2.5
+# Pools of the workers in turn, if the cell has two. The one with the label
+# of constrained jobs has the queue at first and at last.
+POOLS = ("other", "pool")
+# Mean time after which an entry reads a config, in seconds.
+CONFIG_READ_S = 0.5
+# The LOST rule counts from the time that all entries have for it.
+CONFIG_APPLY_S = 2.5
 MAX_ATTEMPTS = 4
 
 
@@ -107,6 +116,9 @@
         (a SIGTERM, a SIGHUP, a config) is told from an unplanned disturbance
         by the rule on draining, so that it's calm by the stricter reading.
         An entry_reload loses history of the store, which is no planned work.
+    two_pools : bool
+        Whether every other worker is of a second pool, which ``queue_moves``
+        sends the queue to.
     """
 
     def __init__(
@@ -118,6 +130,7 @@
         lasting_only: bool = False,
         max_hold_ms: int = MAX_HOLD_MS,
         planned_is_calm: bool = False,
+        two_pools: bool = False,
     ) -> None:
         self.rng = random.Random(seed)
         self.clock = SimulatedClock(100.0)
@@ -132,6 +145,11 @@
             for n in range(vms)
         ]
         self.oracle.workers = self.workers
+        self.queue_table: QueueTable | None = None
+        self._config_changed_at_s = 0.0
+        if two_pools:
+            for number, worker in enumerate(self.workers):
+                worker.pool = POOLS[number % len(POOLS)]
         self.agents = {
             worker.vm: AgentModel(worker, self.rng, self.now_s)
             for worker in self.workers
@@ -212,6 +230,8 @@
                 self.oracle.disturbed_at_s = now_s
             self.oracle.check_lasting(now_s)
             self.oracle.check_cancelled(now_s)
+        if self.queue_table is not None:
+            self._read_configs(self.queue_table)
         for entry in self.entries:
             entry.step(now_s)
             for failure in entry.find_failures():
@@ -363,6 +383,34 @@
         for agent in self.agents.values():
             agent.clock_offset_s = 0.0
 
+    def move_queue(self) -> None:
+        """Send the queue to the other pool."""
+        self._write_config(POOLS[0])
+
+    def _queue_moves(self) -> None:
+        """Send the queue to the other pool for a while."""
+        self.move_queue()
+        back_s = self.rng.uniform(1.0, 16.0)
+        self.after(back_s, lambda: self._write_config(POOLS[1]))
+
+    def _write_config(self, pool: str) -> None:
+        before = 0 if self.queue_table is None else self.queue_table.version
+        version = before + self.rng.randint(1, 3)
+        rules = QueueRules("route", pool, max_attempts=3)
+        route = QueueRoute("", "/", rules, version)
+        self.queue_table = QueueTable(version, [route], 1_000_000)
+        self.oracle.pool = pool
+        self._config_changed_at_s = self.now_s
+        self.oracle.disturbed_at_s = self.now_s
+
+    def _read_configs(self, table: QueueTable) -> None:
+        """Let entries read the newest config, each at a time of its own."""
+        for entry in self.entries:
+            if not entry.alive or self.now_s < entry.frozen_until_s:
+                continue
+            if self.rng.random() < STEP_S / CONFIG_READ_S:
+                entry.process.job_gateway.install(table)
+
     def _entry_kill(self) -> None:
         entry = self.rng.choice(self.entries)
         entry.kill()
@@ -626,6 +674,8 @@
     def _is_disturbed(self) -> bool:
         """Return whether anything but jobs and their runs disturbs now."""
         store = self.store
+        if self.now_s - self._config_changed_at_s < CONFIG_APPLY_S:
+            return True
         if store.down or store.lost_share or store.muted or self.loss:
             return True
         if store.travel_factor != 1.0 or self.cut_links or self.slow_links:
--- a/tests/features/steps/cell_world_steps.py
+++ b/tests/features/steps/cell_world_steps.py
@@ -18,6 +18,7 @@
 from yuccapoint.cell.crash_history import CrashHistory  # noqa: E402
 from yuccapoint.cell.job_gateway import GatewayResult  # noqa: E402
 from yuccapoint.cell.occurrence_run import OccurrenceRun  # noqa: E402
+from yuccapoint.cell.queue_changes import QueueChanges  # noqa: E402
 from yuccapoint.cell.run_registry import RunRegistry  # noqa: E402
 from yuccapoint.cell.silent_vms import SilentVms  # noqa: E402
 from yuccapoint.cell.step_run import StepRun  # noqa: E402
@@ -100,6 +101,9 @@
     "unanswered jobs are refused": lambda: mock.patch.object(
         CellJobGateway, "_truthful", _refuse_unanswered
     ),
+    "configs are not applied to accepted jobs": lambda: mock.patch.object(
+        QueueChanges, "run", lambda self, now_s: None
+    ),
     "a leader that can't read leads on": lambda: mock.patch.object(
         cell_entry_process, "MAX_UNREAD_S", float("inf")
     ),
@@ -115,6 +119,20 @@
     ]
 
 
+@given(
+    "a cell of {vms:d} VMs in two pools and {entries:d} entries"
+    " for seeds {seeds}"
+)
+def make_two_pool_worlds(
+    context: Context, vms: int, entries: int, seeds: str
+) -> None:
+    first, _, last = seeds.partition("-")
+    context.worlds = [
+        (seed, World(seed, vms, entries, two_pools=True))
+        for seed in range(int(first), int(last or first) + 1)
+    ]
+
+
 @given(
     "a cell of {vms:d} VMs and {entries:d} entries that gets only tasks"
     " that last for seeds {seeds}"
@@ -163,6 +181,23 @@
         world.run(seconds, chosen)
 
 
+@when(
+    "the queue moves to the other pool,"
+    " and jobs are submitted for {seconds:d} s"
+)
+def move_queue(context: Context, seconds: int) -> None:
+    for _, world in context.worlds:
+        world.run(3.0)
+        # More than the other pool can start before the config is read.
+        for _ in range(30):
+            world.submit()
+        world.run(1.0)
+        world.move_queue()
+        for _ in range(seconds):
+            world.submit()
+            world.run(1.0)
+
+
 @when("the cell is undisturbed for {seconds:d} s")
 def calm(context: Context, seconds: int) -> None:
     for _, world in context.worlds:
