--- a/src/yuccapoint/cell/due_starts.py
+++ b/src/yuccapoint/cell/due_starts.py
@@ -49,11 +49,7 @@
             continue
         if not _is_withdrawable(vm, task, now_s):
             continue
-        # The other members of a gang would wait for it in vain.
-        members = task.step.tasks if task.step.spec.gang else [task]
-        for member in members:
-            if member.phase is Phase.CLAIMED:
-                leader.stop(member, "a VM's room has shrunk", now_s)
+        _withdraw(leader, task, "a VM's room has shrunk", now_s)
     # A run holds its room until it has stopped.
     return vm.available.valid
 
@@ -90,10 +86,17 @@
             continue
         if not _is_withdrawable(vm, task, now_s):
             continue
-        members = task.step.tasks if task.step.spec.gang else [task]
-        for member in members:
-            if member.phase is Phase.CLAIMED:
-                leader.stop(member, "its queue has another pool", now_s)
+        _withdraw(leader, task, "its queue has another pool", now_s)
+
+
+def _withdraw(
+    leader: CellLeader, task: TaskRun, why: str, now_s: float
+) -> None:
+    """Stop a claim; other members of a gang would wait for it in vain."""
+    members = task.step.tasks if task.step.spec.gang else [task]
+    for member in members:
+        if member.phase is Phase.CLAIMED:
+            leader.stop(member, why, now_s)
 
 
 def _room_after_stops(vm: VmLedger) -> Size:
