Test that slow runs stay out of a pool that their queue has left

The scenario fails on a scratch copy with the former comparison (the first run is stopped) and passes. No source changes.

--- a/tests/features/cell/colocation.feature
+++ b/tests/features/cell/colocation.feature
@@ -86,6 +86,13 @@
     When for 1 polls a service has a tail latency of 5 ms of 18 beside "unknown" and "light"
     Then "unknown" is throttled below 40 percent
 
+  Scenario: A slow run is not moved to a VM of a pool that its queue has left
+    # Its next run would start in the queue's new pool, which has no VM.
+    Given a leader with 2 VMs and a step of 2 best-effort runs of 8 s on "vm-0"
+    When the queue of the step is sent to another pool
+    And for 3 s its first run uses 10 percent of its processors
+    Then no run of the step is stopped
+
   Scenario: A slow run moves to a VM where it ends sooner
     # Load: one of a step's runs is throttled beside a busy service, and the
     # whole step waits for it.
--- a/tests/features/steps/slow_move_steps.py
+++ b/tests/features/steps/slow_move_steps.py
@@ -10,6 +10,7 @@
 from cell_leader_steps import make_leader
 from cell_leader_steps import report
 from cell_leader_steps import WALL_MS
+import msgspec
 
 from yuccapoint.cell.cell_messages import EndedRun
 from yuccapoint.cell.cell_messages import RunningTask
@@ -123,6 +124,17 @@
     _slow_for(context, seconds, percent)
 
 
+@when("the queue of the step is sent to another pool")
+def change_pool(context: Context) -> None:
+    job = context.leader.jobs[STEP_JOB]
+    rules = msgspec.structs.replace(job.queue.rules, pool="another")
+    # The first round resolves the queue; later ones do on a new config only.
+    context.leader.tick(context.now_s, WALL_MS)
+    job.queue = msgspec.structs.replace(
+        job.queue, config_version=1, rules=rules
+    )
+
+
 @when("the stopped run has ended")
 def stopped_run_ends(context: Context) -> None:
     task = _tasks(context)[0]
