Log what keeps a leader busy and which leases arrive late

The logs couldn't tell a leader that is slow by its processor from one that is slow by its link, or from a row of takeovers. A leader now writes one line each 2 s: the longest round, the longest delay of the loop, the longest append, renewals that it hasn't read back, claims, reports, orders, and bytes sent and received; 'leadership acquired' tells how long the load took. Agents log leases that answer a report older than 1.3 s, once a second at most.

The simulated cell can charge an entry for ratings of VMs, messages and records.

--- a/src/yuccapoint/cell/vm_agent.py
+++ b/src/yuccapoint/cell/vm_agent.py
@@ -11,6 +11,7 @@
 from yuccapoint.cell.cell_messages import WorkerReport
 from yuccapoint.cell.followed_worker import FollowedWorker
 from yuccapoint.cell.former_leases import MAX_HOLD_S
+from yuccapoint.cell.lease_delays import LeaseDelays
 from yuccapoint.cell.poll_pacer import PollPacer
 from yuccapoint.cell.reported_instance import explain_reported
 from yuccapoint.cell.run_calls import due_calls
@@ -76,6 +77,7 @@
         self._room = WorkerRoom(self.registry, self._explain)
         self._pacing = RunPacing(self._explain)
         self._reports = SentReports(incarnation, self._explain)
+        self._lease_delays = LeaseDelays(self._explain)
         self._poll_pacer = PollPacer()
         self._polls = WorkerPolls(
             self._worker,
@@ -206,6 +208,9 @@
             asked_at_s = self.answered_report_at_s(orders)
             if asked_at_s is not None and orders.lease_ms:
                 self.lease.extend(asked_at_s + orders.lease_ms / 1000)
+                self._lease_delays.on_lease(
+                    orders.leader, orders.term, asked_at_s, now_s
+                )
         else:
             self.registry.has_updates = True
         if self.check_in is None or orders.instance != self.check_in.instance:
--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -20,7 +20,6 @@
 from yuccapoint.cell.former_leadership import FormerLeadership
 from yuccapoint.cell.leader_election import LeaderElection
 from yuccapoint.cell.record_dispatch import apply_record
-from yuccapoint.cell.unread_renewals import MAX_UNREAD_S
 from yuccapoint.connection.cell_store import StoreFencedError
 from yuccapoint.connection.control_channel import ControlChannel
 from yuccapoint.process.adviser_loop import AdviserLoop
@@ -31,10 +30,12 @@
 from yuccapoint.process.group_appender import GroupAppender
 from yuccapoint.process.leadership_renewals import LeadershipRenewals
 from yuccapoint.process.peer_services import PeerServices
+from yuccapoint.process.read_lag import ReadLag
 from yuccapoint.process.steady_clock import steady_s
 from yuccapoint.process.steady_clock import wall_ms
 from yuccapoint.process.supervised_task import supervise
 from yuccapoint.process.term_changes import TermChanges
+from yuccapoint.process.term_statistics import TermStatistics
 
 if TYPE_CHECKING:
     from yuccapoint.cell.cell_records import CellRecord
@@ -130,6 +131,17 @@
         self._term_changes = TermChanges(
             store, self._leader_election, self._renewals, logger
         )
+        self._read_lag = ReadLag(
+            self._leader_election,
+            self._renewals,
+            self.tail,
+            self.view,
+            logger,
+            metrics,
+        )
+        self._statistics = TermStatistics(
+            self._control_channel, logger, metrics
+        )
         self._pairs_written_at_s = 0.0
         self._wake = asyncio.Event()
         self._adviser_loop = AdviserLoop(
@@ -213,6 +225,8 @@
         )
         leader.load(self.view, now_s)
         self.leader = leader
+        loaded_at_s = steady_s()
+        self._statistics.begin(loaded_at_s)
         self.tail.read_pause_s = LEADER_READ_PAUSE_S
         self._renewals.begin_term()
         self.metrics.count("takeovers")
@@ -225,6 +239,7 @@
             renewal_read_ms_ago=int(
                 (now_s - former_grants.renewed_at_s) * 1000
             ),
+            took_ms=int((loaded_at_s - now_s) * 1000),
         )
         if self._stopping:
             # The takeover was sent before the stop began.
@@ -254,34 +269,6 @@
         if await self._term_changes.resign(leader, writer, self._append_task):
             self._step_down(why)
 
-    def _yield_or_keep_term(self, leader: CellLeader, now_s: float) -> None:
-        """Let an entry that can read the store take over, if there is one.
-
-        Renewals are appends: nobody would take over from a leader that reads
-        no cancellation and no new job. It leads on until the next term, as
-        the others may not read either.
-        """
-        unread_s = self._leader_election.unread_renewals.lag_s(now_s)
-        yields = unread_s > MAX_UNREAD_S
-        if yields:
-            self._leader_election.yields = True
-        elif self._renewals.is_kept_by(self.view.leadership):
-            self._leader_election.yields = False
-        if yields == self._renewals.yields:
-            return
-        self._renewals.yields = yields
-        self.metrics.count("yielded_terms", amount=int(yields))
-        self.logger.log(
-            "leader",
-            "own renewals are not read back; any entry may take over"
-            if yields
-            else "own renewals are read back; keeping the term",
-            term=leader.term,
-            renewal=self._renewals.renewal,
-            unread_ms=int(unread_s * 1_000),
-            at_end=int(self.tail.at_end),
-        )
-
     async def _run_rounds(self) -> None:
         while True:
             with contextlib.suppress(TimeoutError):
@@ -295,10 +282,13 @@
                 started_at_s = steady_s()
                 self._try_round(self.leader)
                 spent_s = steady_s() - started_at_s
+                self._statistics.on_round(spent_s)
                 pause_s = max(pause_s, ROUND_PAUSE_RATIO * spent_s)
             elif self._leader_election.should_take_over(steady_s()):
                 await self._term_changes.take_over()
+            due_at_s = steady_s() + pause_s
             await asyncio.sleep(pause_s)
+            self._statistics.on_pause(steady_s() - due_at_s)
 
     def _try_round(self, leader: CellLeader) -> None:
         """Run a round, and leave the term after an unexpected error.
@@ -321,12 +311,14 @@
 
     def _run_round(self, leader: CellLeader) -> None:
         now_s = steady_s()
-        self._yield_or_keep_term(leader, now_s)
+        self._read_lag.yield_or_keep(leader.term, now_s)
         leader.tick(now_s, wall_ms())
         if self._append_task is None:
             self._start_append(leader, now_s)
         may_grant = self._leader_election.may_grant(now_s)
-        for vm, orders in leader.collect_orders(now_s, may_grant=may_grant):
+        due = leader.collect_orders(now_s, may_grant=may_grant)
+        self._statistics.on_orders(len(due))
+        for vm, orders in due:
             if vm.address:
                 self._control_channel.send(vm.address, orders)
         for explanation in leader.explanations:
@@ -335,6 +327,12 @@
             )
             self.metrics.count("decisions", part=explanation.part)
         leader.explanations.clear()
+        self._statistics.log_if_due(
+            leader.term,
+            now_s,
+            unread_s=self._leader_election.unread_renewals.lag_s(now_s),
+            records_behind=self.tail.records_behind,
+        )
 
     def _start_append(self, leader: CellLeader, now_s: float) -> None:
         batch = leader.collect_batch()
@@ -364,12 +362,14 @@
             return
         self._append_task = None
         self.metrics.count("batches")
-        self._renewals.on_stored(sent_at_s, steady_s())
+        stored_at_s = steady_s()
+        self._renewals.on_stored(sent_at_s, stored_at_s)
+        self._statistics.on_stored(stored_at_s - sent_at_s, len(batch.claims))
         if batch.silent_vms is not None:
             # The next leader counts leases from the renewals only.
             self._leader_election.on_renewed(sent_at_s)
             self._leader_election.unread_renewals.on_stored(
-                leader.term, self._renewals.renewal, steady_s()
+                leader.term, self._renewals.renewal, stored_at_s
             )
         if leader is self.leader:
             leader.commit(batch)
@@ -392,6 +392,7 @@
             return
         if not isinstance(message, VmReport):
             return
+        self._statistics.on_report()
         if self.leader.on_report(message, steady_s()):
             self._wake.set()
         sent_at_s = self.leader.heard_orders_sent_at_s(message)
--- a/src/yuccapoint/process/cell_tail.py
+++ b/src/yuccapoint/process/cell_tail.py
@@ -94,10 +94,11 @@
     @property
     def at_end(self) -> bool:
         """Whether all records that reads have told of are applied."""
-        return not self._behind
+        return not self.records_behind
 
     @property
-    def _behind(self) -> int:
+    def records_behind(self) -> int:
+        """Records that reads have told of and that are not applied."""
         return max(0, self._end_offset - (self._next_offset or 0))
 
     @property
@@ -255,7 +256,7 @@
             "reads fail, retrying",
             error=str(error),
             offset=self._next_offset or 0,
-            records_behind=self._behind,
+            records_behind=self.records_behind,
             keys_loaded=len(self._load.keys) if self._load else 0,
             end_read_ms_ago=int((steady_s() - self.last_read_at_s) * 1_000),
         )
--- a/tests/cell_world/channel_model.py
+++ b/tests/cell_world/channel_model.py
@@ -24,6 +24,9 @@
     ) -> None:
         del log, message_type, clock, on_reopened
         self.address = address
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self.dropped_messages = 0
         self.deliver = deliver
         self._send = send
 
--- a/tests/cell_world/entry_model.py
+++ b/tests/cell_world/entry_model.py
@@ -9,6 +9,7 @@
 
 from cell_world.channel_model import ChannelModel
 from cell_world.log_model import LogModel
+from cell_world.processor_model import ProcessorModel
 from cell_world.simulated_loop import SimulatedLoop
 from cell_world.store_client_model import StoreClientModel
 from yuccapoint.process import cell_entry_process
@@ -40,6 +41,10 @@
     ----------
     log : LogModel
         The last log lines of its processes.
+    processor : ProcessorModel
+        Takes no time unless the costs of its work are set.
+    busy_until_s : float
+        When the process has done the work that it has begun.
     """
 
     def __init__(
@@ -53,7 +58,11 @@
         self.name = name
         self.alive = False
         self.frozen_until_s = 0.0
-        self.store_client = StoreClientModel(store, clock, world.after)
+        self.busy_until_s = 0.0
+        self.processor = ProcessorModel(clock)
+        self.store_client = StoreClientModel(
+            store, clock, world.after, self.processor
+        )
         self.log = LogModel(clock)
         self._clock = clock
         self._rng = rng
@@ -66,9 +75,10 @@
         """Start a new process."""
         self.alive = True
         self.stopping = False
+        self.busy_until_s = 0.0
         self._inbox = []
         self.loop = SimulatedLoop(self._clock)
-        channel = functools.partial(ChannelModel, self._send)
+        channel = functools.partial(ChannelModel, self._send_message)
         with mock.patch.object(cell_entry_process, "ControlChannel", channel):
             self.process = CellEntryProcess(
                 self.name, self.name, self.store_client, self.log, Metrics()
@@ -99,15 +109,28 @@
         if now_s < self.frozen_until_s:
             self._was_frozen = True
             return
+        if now_s < self.busy_until_s:
+            return
+        self.busy_until_s = self.processor.run(self._run_due)
+
+    def _run_due(self) -> None:
         if self._was_frozen and self._rng.random() < 0.5:
             # Timers and answers may be handled before the messages.
             self.loop.run_due()
         self._was_frozen = False
         messages, self._inbox = self._inbox, []
         for message in messages:
-            self.loop.call_soon(self.process._control_channel.deliver, message)
+            self.loop.call_soon(self._deliver, message)
         self.loop.run_due()
 
+    def _deliver(self, message: Any) -> None:
+        self.processor.on_message()
+        self.process._control_channel.deliver(message)
+
+    def _send_message(self, sender: str, receiver: str, message: Any) -> None:
+        self.processor.on_message()
+        self._send(sender, receiver, message)
+
     def find_failures(self) -> list[str]:
         """Return the faults of the process so far."""
         failures = list(self.loop.errors)
--- a/tests/cell_world/store_client_model.py
+++ b/tests/cell_world/store_client_model.py
@@ -18,6 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from cell_world.processor_model import ProcessorModel
     from cell_world.simulated_clock import SimulatedClock
     from cell_world.store_model import Record
     from cell_world.store_model import StoreModel
@@ -42,6 +43,7 @@
         store: StoreModel,
         clock: SimulatedClock,
         after: Callable[[float, object], None],
+        processor: ProcessorModel,
     ) -> None:
         self.cut = ""
         self.reads_lost = False
@@ -50,6 +52,7 @@
         self._store = store
         self._clock = clock
         self._after = after
+        self._processor = processor
 
     async def append(
         self,
@@ -63,6 +66,7 @@
         """Append records; see ``CellStore.append``."""
         assert bool(writer) == bool(epoch)
         sent = list(records)
+        self._processor.on_records(len(sent))
         result, number = await self._call(
             lambda: self._store.append(sent, epoch, sequence),
             timeout_s or RESPONSE_TIMEOUT_S,
@@ -90,6 +94,7 @@
             raise StoreRecordsExpiredError("the records have expired")
         first, records, end_offset = answer
         await self._receive(records)
+        self._processor.on_records(len(records))
         stored = [
             StoredRecord(first + n, key, value)
             for n, (key, value) in enumerate(records)
@@ -103,6 +108,7 @@
             lambda: self._store.newest(after), RESPONSE_TIMEOUT_S
         )
         await self._receive([(key, value) for _, key, value in page])
+        self._processor.on_records(len(page))
         records = [StoredRecord(*item) for item in page]
         return NewestPage(records, end_offset, has_more=has_more)
 
--- /dev/null
+++ b/tests/features/cell/slow_leader.feature
@@ -0,0 +1,14 @@
+Feature: A leader whose work takes long keeps its term and its cell's leases
+
+  Scenario: The log tells how long a leader's rounds take
+    Given a cell of 40 VMs whose entries rate 10_000 VMs a second for seeds 1-1
+    And it works on 8 long-running jobs
+    When all lose power for 1 s while 300 jobs of 2 tasks wait
+    And 12 s pass in the cells
+    Then a leader's statistics tell of a round of 50 ms or more
+
+  Scenario: The log tells how old the report is that a late lease answers
+    Given an agent whose report of 2.0 s ago is answered with a lease
+    Then its log has 1 line with "arrived late" and report_ms_ago 2000
+    When another such lease arrives 0.5 s later
+    Then its log has 1 line with "arrived late" and report_ms_ago 2000
