Bound the rounds in which a leader plans

One round planned all that waited, while reports, leases, the read of the store and the answers of renewals waited behind it. With many small jobs it took longer than other entries wait for a renewal, so that one leader after another took over, loaded and began the same round, and each prolonged the time for which the tasks of lost workers stay claimed.

A round is now cut off after the ratings of VMs that the process affords in 0.1 s, by the time that earlier rounds took, or after 256 claims. The next one follows as soon as messages have been read, leaves out what the pass couldn't place, and goes on with the most urgent of the rest. A step that is no smaller than one without room in its pool rates no VM. The first task of an idle job that isn't best-effort is rated with the others of its step; its second rating of all VMs found the same. Preemption looks at the 32 most urgent steps.

--- a/src/yuccapoint/cell/cell_leader.py
+++ b/src/yuccapoint/cell/cell_leader.py
@@ -17,6 +17,7 @@
 from yuccapoint.cell.occurrence_state import Outcome
 from yuccapoint.cell.occurrence_state import Phase
 from yuccapoint.cell.order_builder import build_orders
+from yuccapoint.cell.planning_pass import PlanningPass
 from yuccapoint.cell.preemption import find_preemptions
 from yuccapoint.cell.queue_changes import QueueChanges
 from yuccapoint.cell.report_handler import ReportHandler
@@ -91,6 +92,7 @@
         self.explanations: list[Explain] = []
         self.ticket_cache = TicketCache()
         self.interference = InterferenceModel()
+        self.planning_pass = PlanningPass()
         self.silent_vms = SilentVms(now_s, self.explain)
         self._former_grants = former_grants or FormerGrants(now_s)
         self._progress_written_at_s = now_s
@@ -228,17 +230,24 @@
             if vm.address == address:
                 vm.orders_due = True
 
-    def tick(self, now_s: float, wall_ms: int) -> None:
-        """Release expired VMs, stop runs that stall or move, and claim."""
+    def tick(self, now_s: float, wall_ms: int) -> int:
+        """Release expired VMs, stop runs that stall or move, and claim.
+
+        Returns
+        -------
+        int
+            Ratings of a VM for a task that the claims took.
+        """
         self._queue_changes.run(now_s)
         self._vm_checks.run(now_s)
         add_due_occurrences(self.jobs.values(), now_s, wall_ms)
-        self._plan(now_s, wall_ms)
+        ratings = self._plan(now_s, wall_ms)
         if now_s - self._progress_written_at_s >= PROGRESS_WRITE_INTERVAL_S:
             self._progress_written_at_s = now_s
             self._changes.add_unstored_progress(self.vms.values())
+        return ratings
 
-    def _plan(self, now_s: float, wall_ms: int) -> None:
+    def _plan(self, now_s: float, wall_ms: int) -> int:
         planner = self.planner(now_s, wall_ms)
         chosen = planner.plan(self.jobs.values())
         # All members of a gang share one run number.
@@ -275,6 +284,7 @@
             planner, self.vms.values(), self.interference, now_s
         ):
             self.stop(task, "preempted by a job that is still on time", now_s)
+        return planner.ratings
 
     def planner(self, now_s: float, wall_ms: int) -> ClaimPlanner:
         """Return a planner for this point in time."""
@@ -284,6 +294,7 @@
             self.interference,
             now_s,
             wall_ms,
+            self.planning_pass,
         )
 
     def stop(self, task: TaskRun, why: str, now_s: float) -> None:
--- a/src/yuccapoint/cell/claim_planner.py
+++ b/src/yuccapoint/cell/claim_planner.py
@@ -6,11 +6,13 @@
 
 from yuccapoint.cell import crash_trials
 from yuccapoint.cell import placement_rating
+from yuccapoint.cell.full_pools import FullPools
 from yuccapoint.cell.gang_placement import place_gang
 from yuccapoint.cell.obstacle import Obstacle
 from yuccapoint.cell.occurrence_state import Outcome
 from yuccapoint.cell.placement_rating import PlacementRating
 from yuccapoint.cell.placement_rules import PlacementRules
+from yuccapoint.cell.planning_pass import PlanningPass
 from yuccapoint.cell.step_ranking import StepRanking
 from yuccapoint.cell.step_urgency import lateness
 from yuccapoint.cell.step_urgency import urgency
@@ -43,6 +45,8 @@
         Steady time in seconds.
     wall_ms : int
         Wall-clock time in milliseconds.
+    planning_pass : PlanningPass or None
+        Bounds the round; None for a round without bounds.
 
     Attributes
     ----------
@@ -57,6 +61,7 @@
         interference: InterferenceModel,
         now_s: float,
         wall_ms: int,
+        planning_pass: PlanningPass | None = None,
     ) -> None:
         self._vms = vms
         self._rules = PlacementRules(ticket_cache, now_s)
@@ -65,11 +70,19 @@
         self._now_s = now_s
         self._wall_ms = wall_ms
         self.unplaced: list[StepRun] = []
+        self._pass = planning_pass or PlanningPass()
+        self._full_pools = FullPools()
         # Tasks, by identity, that have got a VM before the suspects.
         self._placed: set[int] = set()
 
+    @property
+    def ratings(self) -> int:
+        """Ratings of a VM for a task so far."""
+        return self._rating.count
+
     def plan(self, jobs: Iterable[JobRun]) -> list[tuple[TaskRun, VmLedger]]:
         """Choose tasks and their VMs, the most urgent first."""
+        self._pass.begin_round()
         chosen: list[tuple[TaskRun, VmLedger]] = []
         steps = sorted(
             self.ready_steps(jobs),
@@ -98,11 +111,16 @@
         begun = {id(task.step) for task, _ in chosen}
         for step in steps:
             candidates = candidates_by_pool.get(step.pool)
-            if not candidates:
+            if not candidates or not self._pass.has_turn(step):
                 continue
+            if not self._pass.may_go_on(self.ratings, len(chosen)):
+                break
             if step.spec.gang:
                 if id(step) not in begun:
-                    chosen.extend(place_gang(self._rating, step, candidates))
+                    placed = place_gang(self._rating, step, candidates)
+                    if not placed:
+                        self._pass.note_unplaced(step)
+                    chosen.extend(placed)
                 continue
             tasks = [
                 task for task in step.tasks if id(task) not in self._placed
@@ -210,10 +228,14 @@
     ) -> list[tuple[TaskRun, VmLedger]]:
         chosen: list[tuple[TaskRun, VmLedger]] = []
         ranking: StepRanking | None = None
+        has_room = not self._full_pools.has_no_room(step)
         for task in tasks:
             if task.is_suspect or not self._rules.is_waiting(task):
                 continue
-            if idle and not chosen:
+            candidate = None
+            if not has_room:
+                pass
+            elif idle and not chosen and step.spec.best_effort:
                 candidate = self._rating.choose(
                     task, candidates, overcommit=True
                 )
@@ -225,6 +247,10 @@
                 candidate = ranking.best()
             if candidate is None:
                 # The step's other tasks have the same size.
+                if not is_first:
+                    self._pass.note_unplaced(step)
+                    if has_room:
+                        self._full_pools.note_unplaced(step, candidates)
                 if not is_first and not lateness(step, self._wall_ms):
                     self.unplaced.append(step)
                 break
--- a/src/yuccapoint/cell/placement_rating.py
+++ b/src/yuccapoint/cell/placement_rating.py
@@ -29,13 +29,19 @@
         Rules that keep a task off a VM.
     now_s : float
         Steady time in seconds.
+
+    Attributes
+    ----------
+    count : int
+        Ratings of a VM for a task so far.
     """
 
-    __slots__ = ("_crowded_pools", "now_s", "rules")
+    __slots__ = ("_crowded_pools", "count", "now_s", "rules")
 
     def __init__(self, rules: PlacementRules, now_s: float) -> None:
         self.rules = rules
         self.now_s = now_s
+        self.count = 0
         self._crowded_pools: set[str] = set()
 
     def note_crowded_pools(
@@ -97,6 +103,7 @@
     ) -> float | None:
         """Return the cost of placing a task on a VM; None if it can't."""
         if self.find_trial(task, candidate) is not None:
+            self.count += 1
             return None
         return self.cost_beside(task, candidate, overcommit=overcommit)
 
@@ -120,6 +127,7 @@
         overcommit: bool = False,
     ) -> float | None:
         """Return the cost of a task beside runs that are starting."""
+        self.count += 1
         obstacle = self.rules.find_obstacle(
             task, candidate, overcommit=overcommit
         )
--- a/src/yuccapoint/cell/preemption.py
+++ b/src/yuccapoint/cell/preemption.py
@@ -18,6 +18,8 @@
 MIN_RUN_TIME_S = 1.5
 # Limit of the runs being stopped at a time; rounds follow closely.
 MAX_PREEMPTIONS_PER_ROUND = 4
+# Waiting steps, the most urgent first, that are tried on each VM.
+MAX_WAITING_STEPS = 32
 
 
 def find_preemptions(
@@ -44,6 +46,7 @@
         Steady time in seconds.
     """
     waiting = [step for step in planner.unplaced if step.spec.best_effort]
+    waiting = waiting[:MAX_WAITING_STEPS]
     if not waiting:
         return []
     open_vms = [vm for vm in vms if vm.worker is not None]
--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -12,11 +12,9 @@
 
 from yuccapoint.cell.cell_leader import CellLeader
 from yuccapoint.cell.cell_messages import CellMessage
-from yuccapoint.cell.cell_messages import VmReport
 from yuccapoint.cell.cell_records import EntryMember
 from yuccapoint.cell.cell_records import Leadership
 from yuccapoint.cell.cell_view import CellView
-from yuccapoint.cell.crash_messages import CrashReport
 from yuccapoint.cell.former_leadership import FormerLeadership
 from yuccapoint.cell.leader_election import LeaderElection
 from yuccapoint.cell.record_dispatch import apply_record
@@ -26,13 +24,16 @@
 from yuccapoint.process.cell_job_gateway import CellJobGateway
 from yuccapoint.process.cell_tail import CellTail
 from yuccapoint.process.cell_writer import CellWriter
+from yuccapoint.process.decision_log import log_decisions
 from yuccapoint.process.entry_registration import register_entry
 from yuccapoint.process.group_appender import GroupAppender
+from yuccapoint.process.leader_batches import LeaderBatches
+from yuccapoint.process.leader_inbox import LeaderInbox
 from yuccapoint.process.leadership_renewals import LeadershipRenewals
 from yuccapoint.process.peer_services import PeerServices
+from yuccapoint.process.planning_pace import PlanningPace
 from yuccapoint.process.read_lag import ReadLag
 from yuccapoint.process.steady_clock import steady_s
-from yuccapoint.process.steady_clock import wall_ms
 from yuccapoint.process.supervised_task import supervise
 from yuccapoint.process.term_changes import TermChanges
 from yuccapoint.process.term_statistics import TermStatistics
@@ -55,9 +56,6 @@
 # The pause after a round is at least this multiple of the round's duration,
 # so that rounds of a large cell leave time for reports and callers.
 ROUND_PAUSE_RATIO = 1.0
-# Interval at which measured interference between images is stored, in
-# seconds; a new leader learns the missing part in about the same time.
-WRITE_PAIRS_EVERY_S = 5.0
 
 
 class CellEntryProcess:
@@ -142,8 +140,14 @@
         self._statistics = TermStatistics(
             self._control_channel, logger, metrics
         )
-        self._pairs_written_at_s = 0.0
+        self._planning_pace = PlanningPace()
+        self._batches = LeaderBatches(self.view, self._renewals)
         self._wake = asyncio.Event()
+        self._inbox = LeaderInbox(
+            self._wake.set,
+            self._control_channel.note_delivered,
+            self._statistics,
+        )
         self._adviser_loop = AdviserLoop(
             lambda: self.leader, self._wake.set, logger
         )
@@ -312,7 +316,8 @@
     def _run_round(self, leader: CellLeader) -> None:
         now_s = steady_s()
         self._read_lag.yield_or_keep(leader.term, now_s)
-        leader.tick(now_s, wall_ms())
+        if not self._planning_pace.tick(leader, now_s):
+            self._wake.set()
         if self._append_task is None:
             self._start_append(leader, now_s)
         may_grant = self._leader_election.may_grant(now_s)
@@ -321,12 +326,7 @@
         for vm, orders in due:
             if vm.address:
                 self._control_channel.send(vm.address, orders)
-        for explanation in leader.explanations:
-            self.logger.log(
-                explanation.part, explanation.text, **explanation.fields
-            )
-            self.metrics.count("decisions", part=explanation.part)
-        leader.explanations.clear()
+        log_decisions(leader.explanations, self.logger, self.metrics)
         self._statistics.log_if_due(
             leader.term,
             now_s,
@@ -335,14 +335,7 @@
         )
 
     def _start_append(self, leader: CellLeader, now_s: float) -> None:
-        batch = leader.collect_batch()
-        self._renewals.add_due(batch, leader, now_s)
-        if now_s - self._pairs_written_at_s > WRITE_PAIRS_EVERY_S:
-            self._pairs_written_at_s = now_s
-            batch.records.extend(leader.maintenance.encode_pairs())
-            batch.records.extend(
-                leader.maintenance.expire_records(self.view, now_s)
-            )
+        batch = self._batches.collect(leader, now_s)
         if not batch.records:
             if batch.end_acks:
                 leader.commit(batch)
@@ -384,17 +377,5 @@
     def _on_message(self, message: CellMessage) -> None:
         if self._peer_services.handle(message):
             return
-        if self.leader is None:
-            return
-        if isinstance(message, CrashReport):
-            if self.leader.crash_counter.apply(message, steady_s()):
-                self._wake.set()
-            return
-        if not isinstance(message, VmReport):
-            return
-        self._statistics.on_report()
-        if self.leader.on_report(message, steady_s()):
-            self._wake.set()
-        sent_at_s = self.leader.heard_orders_sent_at_s(message)
-        if sent_at_s is not None:
-            self._control_channel.note_delivered(message.address, sent_at_s)
+        if self.leader is not None:
+            self._inbox.handle(self.leader, message)
--- /dev/null
+++ b/tests/features/cell/planning_bounds.feature
@@ -0,0 +1,39 @@
+Feature: A round of planning is bounded, whatever waits
+
+  # Load: hundreds of small jobs wait as all VMs come back. Reports, leases and
+  # renewals wait while a leader plans.
+  Scenario: A burst of jobs is claimed over several rounds
+    Given a leader that plans for 20 VMs of 8 processors
+    And 60 jobs of 2 tasks of 1 processor wait
+    When the leader plans 20 rounds of 200 ratings
+    Then no round took more than 244 ratings
+    And all tasks were claimed, those of earlier jobs first
+
+  Scenario: A burst of jobs is claimed over several rounds of 256 claims
+    Given a leader that plans for 100 VMs of 8 processors
+    And 300 jobs of 2 tasks of 1 processor wait
+    When the leader plans 3 rounds of 1_000_000 ratings
+    Then the rounds claimed 256, 256 and 88 tasks
+
+  # Load: a backlog of wide tasks for which there is no room, and jobs behind it.
+  Scenario: Steps that can't be placed don't keep others from their turn
+    Given a leader that plans for 4 VMs of 8 processors
+    And 40 urgent jobs of sizes that fit no VM wait
+    And 1 jobs of 2 tasks of 1 processor wait
+    When the leader plans 45 rounds of 4 ratings
+    Then all tasks of jobs that fit were claimed
+
+  Scenario: A step that can't be placed has its turn again once there is room
+    Given a leader that plans for 1 VMs of 8 processors
+    And 10 jobs of 1 tasks of 8 processor wait
+    When the leader plans 3 rounds of 1 ratings
+    And the claimed run ends
+    And the leader plans 12 rounds of 1 ratings
+    Then 2 jobs have been claimed
+
+  Scenario: A backlog without room is not rated on all VMs step by step
+    Given a leader that plans for 20 VMs of 8 processors
+    And 500 jobs of 2 tasks of 1 processor wait
+    When the leader plans 2 rounds of 1_000_000 ratings
+    Then no round took more than 1780 ratings
+    Then the last round took no more than 20 ratings
--- /dev/null
+++ b/tests/features/steps/planning_bound_steps.py
@@ -0,0 +1,124 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from behave import given
+from behave import then
+from behave import when
+from cell_leader_steps import add_job
+from cell_leader_steps import deliver_report
+from cell_leader_steps import make_leader
+from cell_leader_steps import report
+from cell_leader_steps import WALL_MS
+
+from yuccapoint.cell.cell_messages import EndedRun
+from yuccapoint.cell.occurrence_state import Phase
+from yuccapoint.cell.step_spec import StepSpec
+from yuccapoint.job.size import Size
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+GIB = 2**30
+VM_MILLICORES = 8_000
+ROUND_S = 0.02
+FIT_PREFIX = "f"
+
+
+@given("a leader that plans for {vms:d} VMs of 8 processors")
+def make_vms(context: Context, vms: int) -> None:
+    context.leader = make_leader(vms)
+    context.now_s = 10.0
+    context.jobs = []
+    context.ratings = []
+    context.claims = []
+
+
+@given("{jobs:d} jobs of {tasks:d} tasks of {cpu:d} processor wait")
+def waiting_jobs(context: Context, jobs: int, tasks: int, cpu: int) -> None:
+    for _ in range(jobs):
+        job_id = f"{FIT_PREFIX}{len(context.jobs):015x}"
+        # Earlier ones have less work left, and are therefore more urgent.
+        size = Size(cpu * 1_000, 2**20, 0)
+        step = StepSpec(tasks, size, 1_000 + len(context.jobs))
+        add_job(context.leader, job_id, step)
+        context.jobs.append(job_id)
+
+
+@given("{jobs:d} urgent jobs of sizes that fit no VM wait")
+def misfits(context: Context, jobs: int) -> None:
+    for number in range(jobs):
+        # None of them is as large as another in both dimensions.
+        size = Size(VM_MILLICORES + 1 + number, (64 + jobs - number) * GIB, 0)
+        step = StepSpec(1, size, 1)
+        add_job(context.leader, f"{number:016x}", step)
+
+
+@when("the leader plans {rounds:d} rounds of {ratings} ratings")
+def plan_rounds(context: Context, rounds: int, ratings: str) -> None:
+    leader = context.leader
+    leader.planning_pass.max_ratings = int(ratings)
+    for _ in range(rounds):
+        context.now_s += ROUND_S
+        context.ratings.append(leader.tick(context.now_s, WALL_MS))
+        batch = leader.collect_batch()
+        context.claims.append([task.task_id for task, _ in batch.claims])
+        leader.commit(batch)
+        leader.collect_orders(context.now_s, may_grant=True)
+
+
+@when("the claimed run ends")
+def end_run(context: Context) -> None:
+    vm = context.leader.vms["vm-0"]
+    (task,) = vm.claims.values()
+    end = EndedRun(1, task.task_id, task.run, "done", "")
+    message = report("vm-0", 100, ends=(end,))
+    deliver_report(context.leader, message, context.now_s)
+    context.leader.commit(context.leader.collect_batch())
+
+
+@then("no round took more than {limit:d} ratings")
+def bounded_ratings(context: Context, limit: int) -> None:
+    assert max(context.ratings) <= limit, context.ratings
+
+
+@then("the last round took no more than {limit:d} ratings")
+def bounded_last_round(context: Context, limit: int) -> None:
+    assert context.ratings[-1] <= limit, context.ratings
+
+
+@then("the rounds claimed {first:d}, {second:d} and {third:d} tasks")
+def claims_by_round(
+    context: Context, first: int, second: int, third: int
+) -> None:
+    counts = [len(claims) for claims in context.claims]
+    assert counts == [first, second, third], counts
+
+
+@then("all tasks were claimed, those of earlier jobs first")
+def claimed_in_order(context: Context) -> None:
+    claimed = [task for claims in context.claims for task in claims]
+    jobs = list(dict.fromkeys(task.partition(".")[0] for task in claimed))
+    assert jobs == context.jobs, jobs
+    _check_all_claimed(context)
+
+
+@then("all tasks of jobs that fit were claimed")
+def fitting_claimed(context: Context) -> None:
+    _check_all_claimed(context)
+
+
+def _check_all_claimed(context: Context) -> None:
+    waiting = [
+        task.task_id
+        for job_id in context.jobs
+        for task in context.leader.jobs[job_id].occurrences[0].tasks
+        if task.phase is Phase.WAITING
+    ]
+    assert not waiting, waiting
+
+
+@then("{count:d} jobs have been claimed")
+def jobs_claimed(context: Context, count: int) -> None:
+    claimed = {task for claims in context.claims for task in claims}
+    assert len(claimed) == count, claimed
