Let the entries whose machine carries most lead the cell

Who leads was a hash of the name.

Entries register what their machine can carry, from the settings' Limits. Without Limits all stays as it was. 'attempting takeover' tells why, 'started' what the machine is.

Pinned bodies get the new key and struct, exactly.

--- a/src/yuccapoint/cell/cell_records.py
+++ b/src/yuccapoint/cell/cell_records.py
@@ -13,6 +13,7 @@
 import xxhash
 
 from yuccapoint import decoding
+from yuccapoint.cell.entry_capacity import EntryCapacity
 from yuccapoint.cell.exceptions import DamagedRecordError
 from yuccapoint.cell.occurrence_state import OccurrenceState
 from yuccapoint.cell.queue_address import QueueAddress
@@ -71,11 +72,18 @@
 
 
 class EntryMember(msgspec.Struct, frozen=True, array_like=True):
-    """Address of an entry for control messages."""
+    """Address of an entry for control messages, and what it can carry.
+
+    Attributes
+    ----------
+    capacity : EntryCapacity
+        Not known in records of earlier builds.
+    """
 
     entry: str
     address: str
     incarnation: int
+    capacity: EntryCapacity = EntryCapacity()
 
 
 class Cancellation(msgspec.Struct, frozen=True, array_like=True):
--- a/src/yuccapoint/platform/node_settings.py
+++ b/src/yuccapoint/platform/node_settings.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from yuccapoint.cell.entry_capacity import EntryCapacity
 from yuccapoint.decoding import decode_json
 from yuccapoint.exceptions import DecodingError
 from yuccapoint.exceptions import SettingsError
@@ -29,6 +30,24 @@
     control: str = ""
 
 
+class Limits(_PascalCaseStruct):
+    """What the platform lets this VM use.
+
+    Attributes
+    ----------
+    cpu_share : float or None
+        Share of a processor, if there is a limit.
+    cores : float or None
+        How many times as fast as one core that share is.
+    link_mbps : float or None
+        Rate of the link in Mbit/s, if there is a limit.
+    """
+
+    cpu_share: float | None = None
+    cores: float | None = None
+    link_mbps: float | None = None
+
+
 class Bounds(msgspec.Struct):
     """Time limits that the platform promises or requires."""
 
@@ -75,12 +94,23 @@
     bounds: Bounds = msgspec.field(default_factory=Bounds)
     advisor: str | None = None
     worker_address: str | None = msgspec.field(name="app", default=None)
+    limits: Limits = msgspec.field(default_factory=Limits)
 
     @property
     def peer_address(self) -> str:
         """Address on which this process receives control messages."""
         return f"{self.ip}:{self.port_range[0]}"
 
+    @property
+    def entry_capacity(self) -> EntryCapacity:
+        """What this VM can carry as an entry."""
+        limits = self.limits
+        processors = (limits.cpu_share or 0.0) * (limits.cores or 1.0)
+        return EntryCapacity(
+            millicores=int(1_000 * processors),
+            link_kbps=int(1_000 * (limits.link_mbps or 0.0)),
+        )
+
 
 def settings_path() -> pathlib.Path:
     """Return the path of the settings file.
--- a/src/yuccapoint/platform/roles.py
+++ b/src/yuccapoint/platform/roles.py
@@ -167,6 +167,15 @@
         runtime.open_partition(CELL_TOPIC),
         runtime.logger,
         runtime.metrics,
+        settings.entry_capacity,
+    )
+    runtime.follow(
+        SettingFollower(
+            "limits",
+            lambda settings: settings.entry_capacity,
+            entry.use_capacity,
+            settings.entry_capacity,
+        )
     )
     _follow_adviser(runtime, entry)
     job_api = JobApi(entry.job_gateway)
--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -12,9 +12,9 @@
 
 from yuccapoint.cell.cell_leader import CellLeader
 from yuccapoint.cell.cell_messages import CellMessage
-from yuccapoint.cell.cell_records import EntryMember
 from yuccapoint.cell.cell_records import Leadership
 from yuccapoint.cell.cell_view import CellView
+from yuccapoint.cell.entry_capacity import EntryCapacity
 from yuccapoint.cell.former_leadership import FormerLeadership
 from yuccapoint.cell.leader_election import LeaderElection
 from yuccapoint.cell.record_dispatch import apply_record
@@ -25,7 +25,7 @@
 from yuccapoint.process.cell_tail import CellTail
 from yuccapoint.process.cell_writer import CellWriter
 from yuccapoint.process.decision_log import log_decisions
-from yuccapoint.process.entry_registration import register_entry
+from yuccapoint.process.entry_registration import EntryRegistration
 from yuccapoint.process.group_appender import GroupAppender
 from yuccapoint.process.leader_batches import LeaderBatches
 from yuccapoint.process.leader_inbox import LeaderInbox
@@ -71,6 +71,8 @@
         Receives the log lines.
     metrics : Metrics
         Metrics of the process.
+    capacity : EntryCapacity or None
+        What its machine can carry, if known.
 
     Attributes
     ----------
@@ -85,6 +87,7 @@
         store: CellStore,
         logger: ProcessLogger,
         metrics: Metrics,
+        capacity: EntryCapacity | None = None,
     ) -> None:
         self.name = name
         self.address = address
@@ -96,6 +99,12 @@
         self._store = store
         stagger = xxhash.xxh32_intdigest(name.encode()) / 2**32
         self._leader_election = LeaderElection(name, self.incarnation, stagger)
+        self._leader_election.capacity = capacity or EntryCapacity()
+        self._registration = EntryRegistration(
+            store, name, address, self.incarnation, logger
+        )
+        self._registration.capacity = self._leader_election.capacity
+        self._leader_election.on_entries_read(self.view.entries)
         self._former_leadership = FormerLeadership()
         self.tail = CellTail(
             store, self.view, self._on_record, self._on_read, logger
@@ -164,18 +173,28 @@
         self._control_channel.open()
         jobs = (
             self.tail.run(),
-            register_entry(
-                store=self._store,
-                member=EntryMember(self.name, self.address, self.incarnation),
-                logger=self.logger,
-            ),
+            self._registration.run(),
             self._run_rounds(),
             self._adviser_loop.run(),
         )
         for job in jobs:
             self._tasks.append(supervise(job, self.logger, self.failed))
+        capacity = self._leader_election.capacity
         self.logger.log(
-            "entry", "started", incarnation=self.incarnation, at=self.address
+            "entry",
+            "started",
+            incarnation=self.incarnation,
+            at=self.address,
+            millicores=capacity.millicores,
+            link_kbps=capacity.link_kbps,
+        )
+
+    def use_capacity(self, capacity: EntryCapacity) -> None:
+        """Tell the other entries of a change of the machine."""
+        self._leader_election.capacity = capacity
+        self._registration.capacity = capacity
+        self._tasks.append(
+            supervise(self._registration.run(), self.logger, self.failed)
         )
 
     async def hand_over(self) -> None:
--- a/src/yuccapoint/process/term_changes.py
+++ b/src/yuccapoint/process/term_changes.py
@@ -62,7 +62,12 @@
             return
         self._takeover_tried_at_s = now_s
         term = self._election.term + 1
-        self._logger.log("leader", "attempting takeover", term=term)
+        self._logger.log(
+            "leader",
+            "attempting takeover",
+            term=term,
+            why=self._election.takeover_reason(now_s),
+        )
         self._election.on_takeover_sent(term, now_s)
         writer = CellWriter(self._store, term, self._logger)
         try:
--- a/tests/cell_world/entry_model.py
+++ b/tests/cell_world/entry_model.py
@@ -26,6 +26,7 @@
     from cell_world.store_model import StoreModel
     from yuccapoint.cell.cell_leader import CellLeader
     from yuccapoint.cell.cell_view import CellView
+    from yuccapoint.cell.entry_capacity import EntryCapacity
     from yuccapoint.cell.job_gateway import GatewayResult
     from yuccapoint.cell.submission import Submission
 
@@ -43,6 +44,8 @@
         The last log lines of its processes.
     processor : ProcessorModel
         Takes no time unless the costs of its work are set.
+    capacity : EntryCapacity or None
+        What the settings of its next process tell.
     busy_until_s : float
         When the process has done the work that it has begun.
     """
@@ -58,6 +61,7 @@
         self.name = name
         self.alive = False
         self.frozen_until_s = 0.0
+        self.capacity: EntryCapacity | None = None
         self.busy_until_s = 0.0
         self.processor = ProcessorModel(clock)
         self.store_client = StoreClientModel(
@@ -81,7 +85,12 @@
         channel = functools.partial(ChannelModel, self._send_message)
         with mock.patch.object(cell_entry_process, "ControlChannel", channel):
             self.process = CellEntryProcess(
-                self.name, self.name, self.store_client, self.log, Metrics()
+                self.name,
+                self.name,
+                self.store_client,
+                self.log,
+                Metrics(),
+                self.capacity,
             )
         self.loop.call_soon(self.process.start)
 
--- a/tests/features/platform/settings_reload.feature
+++ b/tests/features/platform/settings_reload.feature
@@ -38,3 +38,14 @@
     When the store moves to another address, and the settings name it
     And a caller submits advised job 1
     Then advised job 1 is "completed" within 12 s
+
+  Scenario Outline: The other entries are told what an entry's machine can carry
+    Given an entry process, a VM and two advisers, of which the settings name none
+    Then the entry is registered with 0 millicores and 0 kbit/s
+    When the settings name limits of <limits>, with a SIGHUP
+    Then the entry is registered with <millicores> millicores and <link> kbit/s
+
+    Examples:
+      | limits                                            | millicores | link   |
+      | {"CpuShare": 0.717, "Cores": 3, "LinkMbps": 200}  | 2151       | 200000 |
+      | {"CpuShare": 0.5, "Cores": null, "LinkMbps": 2.5} | 500        | 2500   |
--- a/tests/features/steps/compatibility_steps.py
+++ b/tests/features/steps/compatibility_steps.py
@@ -45,6 +45,7 @@
 APPENDED: dict[tuple[str, str], list[Any]] = {
     ("cell_messages", "vm"): [0, 0],
     ("cell_records", "c:job"): [None, ""],
+    ("cell_records", "e:entry"): [[0, 0]],
     ("cell_records", "leader"): [None],
     ("cell_records", "s:job"): [None, 0],
 }
@@ -52,6 +53,24 @@
 # Keys that this build reads beside those of a JSON body of the earlier one.
 READ_KEYS: dict[tuple[str, ...], list[str]] = {
     ("DrainMs", "GraceS", "StopTimeoutMs", "status_s"): ["MaxHoldMs"],
+    (
+        "NodeName",
+        "Ip",
+        "Zone",
+        "Region",
+        "ListenAddrs",
+        "PortRange",
+        "platform",
+        "Role",
+        "Bounds",
+        "Advisor",
+        "app",
+    ): ["Limits"],
+}
+
+# JSON bodies that this build reads and the earlier one didn't.
+READ_BODIES: dict[str, list[list[str]]] = {
+    "yuccapoint.platform": [["CpuShare", "Cores", "LinkMbps"]],
 }
 
 
@@ -134,10 +153,11 @@
             for kind in vars(module).values()
             if _is_struct_of(kind, module)
         )
-        extended = sorted(
+        extended = [
             [*keys, *READ_KEYS.get(tuple(keys), [])] for keys in expected
-        )
-        assert found == extended, name
+        ]
+        extended.extend(READ_BODIES.get(name, []))
+        assert found == sorted(extended), name
 
 
 @then("the settings have the sections and keys of the earlier build")
--- a/tests/features/steps/settings_reload_steps.py
+++ b/tests/features/steps/settings_reload_steps.py
@@ -23,6 +23,8 @@
 from tornado.httputil import HTTPServerRequest
 from tornado.httputil import ResponseStartLine
 
+from yuccapoint.cell import cell_records
+from yuccapoint.cell.entry_capacity import EntryCapacity
 from yuccapoint.connection.http_client import HttpClient
 from yuccapoint.exceptions import YuccapointError
 from yuccapoint_standins.deployment import find_free_address
@@ -229,3 +231,31 @@
         assert await wait_until(lambda: store.appends > 0, 5)
 
     run(context, move())
+
+
+@when("the settings name limits of {limits}, with a SIGHUP")
+def name_limits(context: Context, limits: str) -> None:
+    _write_settings(context, Limits=msgspec.json.decode(limits))
+    context.entry_process.send_signal(signal.SIGHUP)
+
+
+@then(
+    "the entry is registered with {millicores:d} millicores and"
+    " {link_kbps:d} kbit/s"
+)
+def registered_with(context: Context, millicores: int, link_kbps: int) -> None:
+    key = cell_records.ENTRY + context.entry_settings["NodeName"]
+
+    def find_capacities() -> list[EntryCapacity]:
+        return [
+            cell_records.decode(key, records[key][1]).capacity
+            for records in context.deployment.store._newest.values()
+            if key in records
+        ]
+
+    async def wait() -> None:
+        expected = [EntryCapacity(millicores, link_kbps)]
+        await wait_until(lambda: find_capacities() == expected, 5)
+        assert find_capacities() == expected, find_capacities()
+
+    run(context, wait())
