Bound the look for the next query to the adviser

While there was nothing to ask, the leader looked for a query ten times a second, and each look visited and sorted all VMs for each step that waits, whatever the bound of the rounds.

The workers that are open are now found once for all steps of a pool. A step whose workers all have a valid answer is skipped until one more worker opens or the first of its answers is about to expire; one look visits the workers of 128 steps at most. Which step and workers are asked doesn't change. What is known of the queries for a step is dropped with its job; it was kept for good.

--- a/src/yuccapoint/cell/adviser_queries.py
+++ b/src/yuccapoint/cell/adviser_queries.py
@@ -13,6 +13,10 @@
     from yuccapoint.cell.step_run import StepRun
     from yuccapoint.cell.vm_ledger import VmLedger
 
+# Limit of the steps for which all workers are visited at a time, as reports
+# and leases wait meanwhile. The next call visits the others.
+MAX_VISITED_STEPS = 128
+
 
 class AdviserQueries:
     """Chooses the steps and workers of each query to the adviser.
@@ -39,27 +43,51 @@
         ]
         if not advised:
             return None
+        ticket_cache = self._leader.ticket_cache
+        # The same for all steps that share a pool and last or end alike.
+        open_instances: dict[
+            tuple[str, bool],
+            tuple[list[WorkerInstance], frozenset[WorkerInstance]],
+        ] = {}
+        visited_steps = 0
         for step in self._leader.planner(now_s, wall_ms).ready_steps(advised):
-            vms = [
-                vm
-                for vm in self._leader.vms.values()
-                if vm.worker is not None
-                and vm.worker.pool == step.pool
-                and _may_get(step, vm, now_s)
-            ]
-            vms.sort(
-                key=lambda vm: (
-                    now_s < vm.quarantined_until_s,
-                    -vm.available.millicores,
-                )
-            )
-            instances = [vm.instance for vm in vms if vm.instance is not None]
-            asked = self._leader.ticket_cache.to_query(step, instances, now_s)
+            kind = (step.pool, step.spec.long_running)
+            if kind not in open_instances:
+                found = self._find_instances(step, now_s)
+                open_instances[kind] = (found, frozenset(found))
+            instances, instance_set = open_instances[kind]
+            if not instances:
+                continue
+            if ticket_cache.is_answered(step, instance_set, now_s):
+                continue
+            if visited_steps >= MAX_VISITED_STEPS:
+                break
+            visited_steps += 1
+            asked = ticket_cache.to_query(step, instances, now_s)
             if asked:
-                self._leader.ticket_cache.record_query(step, asked, now_s)
+                ticket_cache.record_query(step, asked, now_s)
                 return step, asked
         return None
 
+    def _find_instances(
+        self, step: StepRun, now_s: float
+    ) -> list[WorkerInstance]:
+        """Return the workers for a step, those with most room first."""
+        vms = [
+            vm
+            for vm in self._leader.vms.values()
+            if vm.worker is not None
+            and vm.worker.pool == step.pool
+            and _may_get(step, vm, now_s)
+        ]
+        vms.sort(
+            key=lambda vm: (
+                now_s < vm.quarantined_until_s,
+                -vm.available.millicores,
+            )
+        )
+        return [vm.instance for vm in vms if vm.instance is not None]
+
     def on_advice(
         self,
         step: StepRun,
--- a/src/yuccapoint/cell/cell_leader.py
+++ b/src/yuccapoint/cell/cell_leader.py
@@ -354,6 +354,7 @@
             for occurrence in job.occurrences.values():
                 for step in occurrence.steps:
                     self.interference.forget(step)
+                    self.ticket_cache.forget(step)
 
     def collect_orders(
         self, now_s: float, *, may_grant: bool
