Bound the search for VMs that slow runs may move to

Ten times a second each slow best-effort run was checked against each VM, until six could move. Where services are busy in all of the cell, most runs are slow at once and no VM has room, so that nothing ended the search.

VMs with room are now found once for all tasks of a kind (pool, size, label, image), the fastest first, anew after each move. A run for which even the fastest VM, with room or without, would gain nothing checks none. VMs are checked for 64 kinds at most, those of the runs with the most time left; the next checks begin with the others, until all kinds have had their turn.

--- a/src/yuccapoint/cell/throttled_moves.py
+++ b/src/yuccapoint/cell/throttled_moves.py
@@ -4,11 +4,13 @@
 
 from typing import TYPE_CHECKING
 
+from yuccapoint.cell.fitting_vms import FittingVms
 from yuccapoint.cell.vm_candidate import VmCandidate
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from yuccapoint.cell.fitting_vms import Kind
     from yuccapoint.cell.interference_model import InterferenceModel
     from yuccapoint.cell.task_run import TaskRun
     from yuccapoint.cell.vm_ledger import VmLedger
@@ -32,7 +34,10 @@
 
 
 def find_throttled_moves(
-    vms: Iterable[VmLedger], interference: InterferenceModel, now_s: float
+    vms: Iterable[VmLedger],
+    interference: InterferenceModel,
+    now_s: float,
+    tried_kinds: set[Kind],
 ) -> list[TaskRun]:
     """Choose slow runs that end sooner on another VM.
 
@@ -47,6 +52,8 @@
         Estimates of the interference between images.
     now_s : float
         Steady time in seconds.
+    tried_kinds : set of Kind
+        Kinds of tasks of earlier checks; updated.
     """
     open_vms = [vm for vm in vms if vm.is_open(now_s)]
     budget = MAX_MOVES_AT_ONCE
@@ -60,19 +67,24 @@
     if not slow or budget <= 0:
         return []
     slow.sort(key=lambda entry: entry[0])
-    candidates = [VmCandidate(vm, interference) for vm in open_vms]
+    fitting_vms = FittingVms(
+        [VmCandidate(vm, interference) for vm in open_vms],
+        MIN_SPEED,
+        tried_kinds,
+    )
     moves: list[TaskRun] = []
     for _, task, vm in slow:
         if len(moves) >= budget:
             break
         if now_s - vm.moved_at_s < MOVE_INTERVAL_S:
             continue
-        if not _place_elsewhere(task, vm, candidates):
+        if not _place_elsewhere(task, vm, fitting_vms):
             continue
         vm.moved_at_s = now_s
         task.moves += 1
         task.left_vm = vm.name
         moves.append(task)
+    fitting_vms.end()
     return moves
 
 
@@ -98,29 +110,21 @@
 
 
 def _place_elsewhere(
-    task: TaskRun, vm: VmLedger, candidates: list[VmCandidate]
+    task: TaskRun, vm: VmLedger, fitting_vms: FittingVms
 ) -> bool:
     """Reserve room on a VM where the run ends sooner, if there is one."""
-    spec = task.step.spec
-    key = id(task.step)
-    here_s = _time_left_s(task, task.speed)
-    best: VmCandidate | None = None
-    best_s = here_s - MIN_GAIN_S
-    for candidate in candidates:
-        worker = candidate.ledger.worker
-        if candidate.ledger is vm or worker is None:
-            continue
-        if worker.pool != task.step.pool or not candidate.can_run(spec):
-            continue
-        count = candidate.step_counts.get(key, 0)
-        if spec.max_per_vm and count >= spec.max_per_vm:
-            continue
-        if candidate.would_overload(spec):
-            continue
-        there_s = MOVE_COST_S + _time_left_s(task, candidate.expected_speed)
-        if there_s < best_s:
-            best, best_s = candidate, there_s
-    if best is None:
+    max_there_s = _time_left_s(task, task.speed) - MIN_GAIN_S
+    if _time_there_s(task, fitting_vms.max_speed) >= max_there_s:
         return False
-    best.place(spec, key)
-    return True
+    for candidate in fitting_vms.find(task.step):
+        if candidate.ledger is vm:
+            continue
+        if _time_there_s(task, candidate.expected_speed) >= max_there_s:
+            return False
+        fitting_vms.place(task.step, candidate)
+        return True
+    return False
+
+
+def _time_there_s(task: TaskRun, speed: float) -> float:
+    return MOVE_COST_S + _time_left_s(task, speed)
--- a/src/yuccapoint/cell/vm_checks.py
+++ b/src/yuccapoint/cell/vm_checks.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from yuccapoint.cell.cell_leader import CellLeader
+    from yuccapoint.cell.fitting_vms import Kind
     from yuccapoint.cell.report_handler import ReportHandler
     from yuccapoint.cell.vm_ledger import VmLedger
 
@@ -30,7 +31,12 @@
         Releases the tasks of VMs whose lease has expired.
     """
 
-    __slots__ = ("_checked_at_s", "_leader", "_report_handler")
+    __slots__ = (
+        "_checked_at_s",
+        "_leader",
+        "_report_handler",
+        "_tried_kinds",
+    )
 
     def __init__(
         self, leader: CellLeader, report_handler: ReportHandler
@@ -38,6 +44,8 @@
         self._leader = leader
         self._report_handler = report_handler
         self._checked_at_s = 0.0
+        # Kinds of tasks for which moves were looked for in vain.
+        self._tried_kinds: set[Kind] = set()
 
     def run(self, now_s: float) -> None:
         """Check all VMs if the interval has passed."""
@@ -48,7 +56,10 @@
         for vm in vms.values():
             self._check(vm, now_s)
         for task in find_throttled_moves(
-            vms.values(), self._leader.interference, now_s
+            vms.values(),
+            self._leader.interference,
+            now_s,
+            self._tried_kinds,
         ):
             self._leader.stop(task, "the run is throttled on this VM", now_s)
 
