Leave gangs out of a round that have no room as a whole

Now the room of the VMs is added up first, by size, label and the bound on a VM; what has too little places no member.

--- a/src/yuccapoint/cell/gang_placement.py
+++ b/src/yuccapoint/cell/gang_placement.py
@@ -51,6 +51,8 @@
 def _place_all(
     rating: PlacementRating, step: StepRun, candidates: list[VmCandidate]
 ) -> list[tuple[TaskRun, VmLedger]]:
+    if not _has_slots(step, candidates):
+        return []
     chosen = _place_members(rating, step, candidates)
     if not chosen and any(task.is_suspect for task in step.tasks):
         # Not every pool has a VM for each suspect of a gang.
@@ -62,6 +64,24 @@
     return chosen
 
 
+def _has_slots(step: StepRun, candidates: list[VmCandidate]) -> bool:
+    """Return whether the VMs have room for all members, one by one.
+
+    Otherwise members would be rated and placed until one has no room, in
+    each round.
+    """
+    spec = step.spec
+    needed = len(step.tasks)
+    for candidate in candidates:
+        if not candidate.can_run(spec):
+            continue
+        slots = spec.committed.times_in(candidate.free)
+        needed -= min(slots, spec.max_per_vm or slots)
+        if needed <= 0:
+            return True
+    return False
+
+
 def _place_members(
     rating: PlacementRating,
     step: StepRun,
--- a/src/yuccapoint/job/size.py
+++ b/src/yuccapoint/job/size.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import sys
+
 import msgspec
 
 
@@ -44,6 +46,19 @@
             and self.accelerators <= available.accelerators
         )
 
+    def times_in(self, available: Size) -> int:
+        """Return how many of this size fit into ``available``, at most."""
+        counts = [
+            room // size
+            for size, room in (
+                (self.millicores, available.millicores),
+                (self.memory_bytes, available.memory_bytes),
+                (self.accelerators, available.accelerators),
+            )
+            if size
+        ]
+        return max(0, min(counts, default=sys.maxsize))
+
     @property
     def valid(self) -> bool:
         """Whether no dimension is negative."""
--- a/tests/features/cell/planning_bounds.feature
+++ b/tests/features/cell/planning_bounds.feature
@@ -38,6 +38,23 @@
     Then no round took more than 1780 ratings
     Then the last round took no more than 20 ratings
 
+  # Load: a gang waits that is wider than the room that is left.
+  Scenario Outline: A gang is not placed member by member where it has no room
+    Given a leader that plans for 20 VMs of 8 processors
+    And a gang of <tasks> tasks of <cpu> processors, <per_vm> on a VM at most, waits
+    When the leader plans 1 rounds of 1_000_000 ratings
+    Then no round took more than <ratings> ratings
+    And <claims> tasks were claimed
+
+    Examples:
+      | tasks | cpu | per_vm | ratings | claims |
+      | 160   | 1   | 0      | 3200    | 160    |
+      | 161   | 1   | 0      | 0       | 0      |
+      | 40    | 3   | 0      | 800     | 40     |
+      | 41    | 3   | 0      | 0       | 0      |
+      | 60    | 1   | 3      | 1200    | 60     |
+      | 61    | 1   | 3      | 0       | 0      |
+
   # Load: all runs of a large cell report ends or progress at once, and batches
   # leave most of them to later ones. All were searched for each of its records.
   Scenario: A stored batch doesn't search what is not written yet
--- a/tests/features/steps/planning_bound_steps.py
+++ b/tests/features/steps/planning_bound_steps.py
@@ -48,6 +48,22 @@
         context.jobs.append(job_id)
 
 
+@given(
+    "a gang of {tasks:d} tasks of {cpu:d} processors, {per_vm:d} on a VM at"
+    " most, waits"
+)
+def waiting_gang(context: Context, tasks: int, cpu: int, per_vm: int) -> None:
+    size = Size(cpu * 1_000, 2**20, 0)
+    step = StepSpec(tasks, size, 1_000, gang=True, max_per_vm=per_vm)
+    add_job(context.leader, "0" * 16, step)
+
+
+@then("{count:d} tasks were claimed")
+def claimed_count(context: Context, count: int) -> None:
+    claimed = [task for claims in context.claims for task in claims]
+    assert len(claimed) == count, len(claimed)
+
+
 @given("{jobs:d} urgent jobs of sizes that fit no VM wait")
 def misfits(context: Context, jobs: int) -> None:
     for number in range(jobs):
