Play slow entries with random disruptions in the simulated cell

The new outline lets narrow and wide entries, whose work takes time, meet kills, freezes, cuts, a slow store, slow links, drains and crashes beside a backlog and long-running jobs, with capacities known, partly known and not known.

--- a/tests/features/cell/slow_leader.feature
+++ b/tests/features/cell/slow_leader.feature
@@ -23,3 +23,20 @@
     And 30 s pass in the cells
     Then no guarantee of the cell is violated
     And no entry has taken over from a leader that was up
+
+  Scenario Outline: Slow entries with random disruptions
+    Given a cell of <vms> VMs and <entries> entries of <capacities> capacities, of which narrow ones take <ms> ms for a message, for seed <seed>
+    And it works on 4 long-running jobs
+    And <jobs> jobs of 2 tasks wait
+    When jobs are submitted for 40 s with disruptions "<troubles>"
+    And the cell is undisturbed for 45 s
+    Then no guarantee of the cell is violated
+    And all jobs of the cell have ended or are running
+
+    Examples:
+      | vms | entries | capacities   | ms | jobs | seed | troubles |
+      | 6   | 3       | known        | 20 | 30   | 1    | power_off_all and entry_kill and worker_crash and drain |
+      | 12  | 4       | known        | 10 | 100  | 2    | power_off_all and entry_kill and entry_freeze and entry_cut and store_slow and link_slow and drain and worker_crash |
+      | 20  | 6       | partly known | 6  | 200  | 3    | power_off_all and entry_kill and entry_freeze and entry_cut and store_slow and link_slow and drain and worker_crash |
+      | 20  | 4       | known        | 6  | 100  | 4    | all |
+      | 40  | 3       | not known    | 3  | 300  | 5    | power_off_all and entry_kill and worker_crash and drain |
--- a/tests/features/steps/slow_leader_steps.py
+++ b/tests/features/steps/slow_leader_steps.py
@@ -5,6 +5,10 @@
 from behave import given
 from behave import then
 from behave import when
+from entry_capacity_steps import MS_PER_S
+from entry_capacity_steps import NARROW
+from entry_capacity_steps import WIDE
+from entry_capacity_steps import WIDE_TIME_SHARE
 
 from cell_world.world import World
 from yuccapoint.cell import lease_bounds
@@ -22,6 +26,11 @@
 RATINGS_PER_MESSAGE = 10
 RATINGS_PER_RECORD = 1
 SOUND = "sound"
+# Processor time of narrow entries for a rating and for a record.
+NARROW_RATING_S = 0.0001
+NARROW_RECORD_S = 0.0002
+# Every this many entries have settings that tell what their machine carries.
+KNOWN_CAPACITIES = {"known": 1, "partly known": 2}
 
 
 @given(
@@ -43,6 +52,43 @@
         context.worlds.append((seed, world))
 
 
+@given(
+    "a cell of {vms:d} VMs and {entries:d} entries of {capacities} capacities,"
+    " of which narrow ones take {message_ms:d} ms for a message, for seed"
+    " {seed:d}"
+)
+def make_mixed_cell(
+    context: Context,
+    vms: int,
+    entries: int,
+    capacities: str,
+    message_ms: int,
+    seed: int,
+) -> None:
+    world = World(seed, vms, entries)
+    known_interval = KNOWN_CAPACITIES.get(capacities, entries + 1)
+    for number, entry in enumerate(world.entries, 1):
+        is_narrow = number % 2 == 0
+        share = 1.0 if is_narrow else WIDE_TIME_SHARE
+        entry.processor.message_s = share * message_ms / MS_PER_S
+        entry.processor.rating_s = share * NARROW_RATING_S
+        entry.processor.record_s = share * NARROW_RECORD_S
+        if number % known_interval == 0:
+            entry.capacity = NARROW if is_narrow else WIDE
+        with world.clock.installed():
+            entry.restart()
+    world.run(3.0)
+    context.worlds = [(seed, world)]
+
+
+@given("{jobs:d} jobs of {tasks:d} tasks wait")
+def submit_backlog(context: Context, jobs: int, tasks: int) -> None:
+    step = StepSpec(tasks, SIZE, 1_500)
+    for _, world in context.worlds:
+        for _ in range(jobs):
+            world.submit(steps=(step,), payload=SOUND)
+
+
 @given("it works on {jobs:d} long-running jobs")
 def submit_lasting(context: Context, jobs: int) -> None:
     for _, world in context.worlds:
