Let processes start whose limits can't be read

Limits of another form than expected ended every process at its start, though all work without them. They are decoded apart now; where they can't be, a line tells why, and the entry is not preferred as the leader. 'An entry works without limits that can be used'.

--- a/src/yuccapoint/platform/node_settings.py
+++ b/src/yuccapoint/platform/node_settings.py
@@ -4,6 +4,7 @@
 
 import os
 import pathlib
+from typing import Any
 
 import msgspec
 
@@ -13,6 +14,8 @@
 from yuccapoint.exceptions import SettingsError
 
 SETTINGS_VARIABLE = "YUCCAPOINT_NODE_FILE"
+# Limit of the figures of a machine that entries tell each other.
+MAX_COUNT = 10**12
 
 
 class _PascalCaseStruct(msgspec.Struct, rename="pascal"):
@@ -94,22 +97,37 @@
     bounds: Bounds = msgspec.field(default_factory=Bounds)
     advisor: str | None = None
     worker_address: str | None = msgspec.field(name="app", default=None)
-    limits: Limits = msgspec.field(default_factory=Limits)
+    # Decoded apart, as a process works without them.
+    limits: Any = None
 
     @property
     def peer_address(self) -> str:
         """Address on which this process receives control messages."""
         return f"{self.ip}:{self.port_range[0]}"
 
-    @property
-    def entry_capacity(self) -> EntryCapacity:
-        """What this VM can carry as an entry."""
-        limits = self.limits
-        processors = (limits.cpu_share or 0.0) * (limits.cores or 1.0)
-        return EntryCapacity(
-            millicores=int(1_000 * processors),
-            link_kbps=int(1_000 * (limits.link_mbps or 0.0)),
-        )
+    def read_capacity(self) -> EntryCapacity:
+        """Return what this VM can carry as an entry.
+
+        Raises
+        ------
+        SettingsError
+            The limits can't be used.
+        """
+        try:
+            limits = msgspec.convert(self.limits or {}, Limits)
+            processors = (limits.cpu_share or 0.0) * (limits.cores or 1.0)
+            return EntryCapacity(
+                millicores=_parse_count(1_000 * processors),
+                link_kbps=_parse_count(1_000 * (limits.link_mbps or 0.0)),
+            )
+        except (msgspec.ValidationError, OverflowError, ValueError) as error:
+            raise SettingsError(f"limits can't be used: {error}") from None
+
+
+def _parse_count(value: float) -> int:
+    if not 0 <= value <= MAX_COUNT:
+        raise ValueError(f"{value} is not between 0 and {MAX_COUNT}")
+    return int(value)
 
 
 def settings_path() -> pathlib.Path:
--- a/src/yuccapoint/platform/roles.py
+++ b/src/yuccapoint/platform/roles.py
@@ -9,6 +9,7 @@
 
 from tornado.httpserver import HTTPServer
 
+from yuccapoint.cell.entry_capacity import EntryCapacity
 from yuccapoint.connection.http_client import HttpClient
 from yuccapoint.exceptions import SettingsError
 from yuccapoint.platform.config_feed import ConfigFeed
@@ -122,6 +123,18 @@
                     error=str(error),
                 )
 
+    def read_capacity(self, settings: NodeSettings) -> EntryCapacity:
+        """Return what this VM can carry; nothing is known if it is unclear."""
+        try:
+            return settings.read_capacity()
+        except SettingsError as error:
+            self.logger.log(
+                "settings",
+                "what this machine can carry isn't known; not preferred",
+                error=str(error),
+            )
+            return EntryCapacity()
+
     async def watch_settings(self) -> None:
         """Reload the settings file whenever its mtime changes."""
         loaded_mtime_ns = self.path.stat().st_mtime_ns
@@ -167,14 +180,14 @@
         runtime.open_partition(CELL_TOPIC),
         runtime.logger,
         runtime.metrics,
-        settings.entry_capacity,
+        runtime.read_capacity(settings),
     )
     runtime.follow(
         SettingFollower(
             "limits",
-            lambda settings: settings.entry_capacity,
+            runtime.read_capacity,
             entry.use_capacity,
-            settings.entry_capacity,
+            runtime.read_capacity(settings),
         )
     )
     _follow_adviser(runtime, entry)
--- a/tests/features/platform/settings_reload.feature
+++ b/tests/features/platform/settings_reload.feature
@@ -49,3 +49,18 @@
       | limits                                            | millicores | link   |
       | {"CpuShare": 0.717, "Cores": 3, "LinkMbps": 200}  | 2151       | 200000 |
       | {"CpuShare": 0.5, "Cores": null, "LinkMbps": 2.5} | 500        | 2500   |
+
+  Scenario: An entry works without limits that can be used
+    Given an entry process, a VM and two advisers, of which the settings name none
+    When the settings name limits of {"CpuShare": 0.5, "LinkMbps": 20}, with a SIGHUP
+    Then the entry is registered with 500 millicores and 20000 kbit/s
+    When the settings name limits of [3], with a SIGHUP
+    Then the entry is registered with 0 millicores and 0 kbit/s
+    When the settings name limits of {"CpuShare": 0.5, "LinkMbps": 20}, with a SIGHUP
+    Then the entry is registered with 500 millicores and 20000 kbit/s
+    When the settings name limits of {"CpuShare": -1, "LinkMbps": 1e300}, with a SIGHUP
+    Then the entry is registered with 0 millicores and 0 kbit/s
+    When the settings name limits of null, with a SIGHUP
+    And the settings name the second adviser, with a SIGHUP
+    And a caller submits advised job 1
+    Then advised job 1 is "completed" within 8 s
