Keep entries that lose their term from replacing leaders

An entry that no report reached replaced a leader that worked, and all leases ended.

An entry that loses its term to one that doesn't exceed it replaces none for 60 s, and lets others take over 1 s earlier. One that has replaced a leader and hears, after 1.5 s, from less than half of the VMs that the leader hadn't named as silent yields its term, as a leader does that can't read the store. A leader that yields is counted from its first renewal that says so; its later ones had hidden it from entries that wait for 0.2 s or more.

--- a/src/yuccapoint/cell/leader_election.py
+++ b/src/yuccapoint/cell/leader_election.py
@@ -5,25 +5,16 @@
 from typing import TYPE_CHECKING
 
 from yuccapoint.cell import lease_bounds
-from yuccapoint.cell.entry_capacity import EntryCapacity
+from yuccapoint.cell.leader_replacement import LeaderReplacement
 from yuccapoint.cell.unread_renewals import UnreadRenewals
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
-
-    from yuccapoint.cell.cell_records import EntryMember
     from yuccapoint.cell.cell_records import Leadership
 
 # Spread of the first takeover attempts, so that entries that start together
 # do not all write.
 MAX_STAGGER_S = 0.25
-# An entry waits for this long for one that exceeds it to take over first; a
-# takeover is stored and read in less.
-OUTRANKED_DELAY_S = 0.4
-# An entry replaces a leader that it exceeds after this time in which it has
-# read the store and nobody else has taken over, plus its share of the spread.
-REPLACE_AFTER_S = 1.5
-REPLACE_SPREAD_S = 1.5
+REPLACES = "this entry can carry more than the leader"
 
 
 class LeaderElection:
@@ -45,20 +36,19 @@
     yields : bool
         Whether this entry, as the leader, lets any other take over at once.
         It leads on until then.
-    capacity : EntryCapacity
-        What this entry can carry.
+    replacement : LeaderReplacement
+        Prefers entries that can carry more.
     """
 
     def __init__(self, entry: str, incarnation: int, stagger: float) -> None:
         self.entry = entry
         self.incarnation = incarnation
         self.leader_lease_until_s = 0.0
-        self._stagger = stagger
-        self.capacity = EntryCapacity()
-        self._entries: Mapping[str, EntryMember] = {}
+        self.replacement = LeaderReplacement(entry, stagger)
+        self._stagger_s = stagger * MAX_STAGGER_S
         self._newest: Leadership | None = None
         self._changed_at_s = 0.0
-        self._term_read_at_s = 0.0
+        self._resigned_at_s = 0.0
         self._read_at_s = 0.0
         self._reading_since_s: float | None = None
         self._fenced_term = 0
@@ -88,17 +78,29 @@
             self._changed_at_s = now_s
         if at_end:
             self._read_at_s = now_s
-        if leader is not None and leader.term != self.term:
-            self._term_read_at_s = now_s
+        if leader is not None:
+            self._note_term(leader, now_s)
+            self.unread_renewals.on_read(leader.term, leader.renewal)
         if leader != self._newest:
             self._newest = leader
             self._changed_at_s = now_s
-        if leader is not None:
-            self.unread_renewals.on_read(leader.term, leader.renewal)
 
-    def on_entries_read(self, entries: Mapping[str, EntryMember]) -> None:
-        """Follow the entries that are registered, by name."""
-        self._entries = entries
+    def _note_term(self, leader: Leadership, now_s: float) -> None:
+        """Note a new term, or that its leader has just resigned."""
+        newest = self._newest
+        is_new = newest is None or leader.term != newest.term
+        if is_new:
+            led = newest is not None and self._is_of_this_process(newest)
+            self.replacement.on_term_read(leader, now_s, led=led)
+        if newest is None or is_new or not newest.resigned:
+            # A leader that yields renews its term meanwhile.
+            self._resigned_at_s = now_s
+
+    def _is_of_this_process(self, record: Leadership) -> bool:
+        return (record.entry, record.incarnation) == (
+            self.entry,
+            self.incarnation,
+        )
 
     def leads(self) -> bool:
         """Return whether this entry leads according to the store."""
@@ -107,10 +109,7 @@
             return False
         if newest.resigned and not self.yields:
             return False
-        return (newest.entry, newest.incarnation) == (
-            self.entry,
-            self.incarnation,
-        )
+        return self._is_of_this_process(newest)
 
     @property
     def term(self) -> int:
@@ -129,41 +128,23 @@
         if now_s - self._read_at_s > lease_bounds.MAX_READ_AGE_S:
             return ""
         newest = self._newest
-        silent_s = now_s - self._changed_at_s - self._patience_s()
+        patience_s = self._stagger_s + self.replacement.patience_s(now_s)
+        silent_s = now_s - self._changed_at_s - patience_s
         if newest is None:
             return "no entry has led" if silent_s >= 0.0 else ""
         if newest.resigned:
-            return "the leader resigned or yields" if silent_s >= 0.0 else ""
+            if now_s - self._resigned_at_s < patience_s:
+                return ""
+            return "the leader resigned or yields"
         if newest.entry == self.entry and newest.term > self._fenced_term:
             # The leader was a former incarnation of this entry, now gone.
             return "a former process led" if silent_s >= 0.0 else ""
         if silent_s >= lease_bounds.LEADER_TIMEOUT_S:
             return "the leader is silent"
-        if self._should_replace(newest, self._reading_since_s, now_s):
-            return "this entry can carry more than the leader"
+        if self.replacement.is_due(newest, self._reading_since_s, now_s):
+            return REPLACES
         return ""
 
-    def _patience_s(self) -> float:
-        """Return how long other entries may take over first, in seconds."""
-        patience_s = self._stagger * MAX_STAGGER_S
-        if any(
-            member.capacity.exceeds(self.capacity)
-            for member in self._entries.values()
-        ):
-            patience_s += OUTRANKED_DELAY_S
-        return patience_s
-
-    def _should_replace(
-        self, newest: Leadership, reading_since_s: float, now_s: float
-    ) -> bool:
-        """Return whether this entry can carry much more than the leader."""
-        since_s = max(reading_since_s, self._term_read_at_s)
-        wait_s = REPLACE_AFTER_S + self._stagger * REPLACE_SPREAD_S
-        if now_s - since_s < wait_s:
-            return False
-        member = self._entries.get(newest.entry)
-        return member is not None and self.capacity.exceeds(member.capacity)
-
     def on_fenced(self, term: int) -> None:
         """Note that the store refuses further records of a term."""
         self._fenced_term = max(self._fenced_term, term)
@@ -171,6 +152,8 @@
 
     def on_takeover_sent(self, term: int, now_s: float) -> None:
         """Note an attempt to take over a term."""
+        if self.takeover_reason(now_s) == REPLACES:
+            self.replacement.on_replacement_sent(term)
         if term != self._tried_term:
             self._tried_term = term
             self._tried_at_s = now_s
--- a/src/yuccapoint/process/cell_entry_process.py
+++ b/src/yuccapoint/process/cell_entry_process.py
@@ -32,11 +32,11 @@
 from yuccapoint.process.leadership_renewals import LeadershipRenewals
 from yuccapoint.process.peer_services import PeerServices
 from yuccapoint.process.planning_pace import PlanningPace
-from yuccapoint.process.read_lag import ReadLag
 from yuccapoint.process.steady_clock import steady_s
 from yuccapoint.process.supervised_task import supervise
 from yuccapoint.process.term_changes import TermChanges
 from yuccapoint.process.term_statistics import TermStatistics
+from yuccapoint.process.term_yield import TermYield
 
 if TYPE_CHECKING:
     from yuccapoint.cell.cell_records import CellRecord
@@ -99,12 +99,13 @@
         self._store = store
         stagger = xxhash.xxh32_intdigest(name.encode()) / 2**32
         self._leader_election = LeaderElection(name, self.incarnation, stagger)
-        self._leader_election.capacity = capacity or EntryCapacity()
+        self._replacement = self._leader_election.replacement
+        self._replacement.capacity = capacity or EntryCapacity()
         self._registration = EntryRegistration(
             store, name, address, self.incarnation, logger
         )
-        self._registration.capacity = self._leader_election.capacity
-        self._leader_election.on_entries_read(self.view.entries)
+        self._registration.capacity = self._replacement.capacity
+        self._replacement.follow_entries(self.view.entries)
         self._former_leadership = FormerLeadership()
         self.tail = CellTail(
             store, self.view, self._on_record, self._on_read, logger
@@ -138,7 +139,7 @@
         self._term_changes = TermChanges(
             store, self._leader_election, self._renewals, logger
         )
-        self._read_lag = ReadLag(
+        self._term_yield = TermYield(
             self._leader_election,
             self._renewals,
             self.tail,
@@ -179,7 +180,7 @@
         )
         for job in jobs:
             self._tasks.append(supervise(job, self.logger, self.failed))
-        capacity = self._leader_election.capacity
+        capacity = self._replacement.capacity
         self.logger.log(
             "entry",
             "started",
@@ -191,7 +192,7 @@
 
     def use_capacity(self, capacity: EntryCapacity) -> None:
         """Tell the other entries of a change of the machine."""
-        self._leader_election.capacity = capacity
+        self._replacement.capacity = capacity
         self._registration.capacity = capacity
         self._tasks.append(
             supervise(self._registration.run(), self.logger, self.failed)
@@ -334,7 +335,7 @@
 
     def _run_round(self, leader: CellLeader) -> None:
         now_s = steady_s()
-        self._read_lag.yield_or_keep(leader.term, now_s)
+        self._term_yield.yield_or_keep(leader, now_s)
         if not self._planning_pace.tick(leader, now_s):
             self._wake.set()
         if self._append_task is None:
@@ -394,7 +395,6 @@
             self._wake.set()
 
     def _on_message(self, message: CellMessage) -> None:
-        if self._peer_services.handle(message):
+        if self._peer_services.handle(message) or self.leader is None:
             return
-        if self.leader is not None:
-            self._inbox.handle(self.leader, message)
+        self._inbox.handle(self.leader, message)
--- a/src/yuccapoint/process/read_lag.py
+++ b/src/yuccapoint/process/term_yield.py
@@ -1,4 +1,4 @@
-"""Keeps a leader that can't read the store from holding on to its term."""
+"""Keeps a leader that can't do its work from holding on to its term."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 from yuccapoint.cell.unread_renewals import MAX_UNREAD_S
 
 if TYPE_CHECKING:
+    from yuccapoint.cell.cell_leader import CellLeader
     from yuccapoint.cell.cell_view import CellView
     from yuccapoint.cell.leader_election import LeaderElection
     from yuccapoint.process.cell_tail import CellTail
@@ -15,12 +16,12 @@
     from yuccapoint.process.process_logger import ProcessLogger
 
 
-class ReadLag:
-    """Lets an entry that can read the store take over, if there is one.
+class TermYield:
+    """Lets an entry that can lead the cell take over, if there is one.
 
     Renewals are appends: nobody would take over from a leader that reads
-    no cancellation and no new job. It leads on until the next term, as
-    the others may not read either.
+    no cancellation and no new job, or that no report reaches. It leads on
+    until the next term, as the others may be no better.
 
     Parameters
     ----------
@@ -63,18 +64,19 @@
         self._logger = logger
         self._metrics = metrics
 
-    def yield_or_keep(self, term: int, now_s: float) -> None:
-        """Yield a term or keep it, by the renewals that were read back.
+    def yield_or_keep(self, leader: CellLeader, now_s: float) -> None:
+        """Yield a term or keep it, by the renewals and reports that came.
 
         Parameters
         ----------
-        term : int
-            Term that this entry leads.
+        leader : CellLeader
+            Leader of the term.
         now_s : float
             Steady time in seconds.
         """
         unread_s = self._election.unread_renewals.lag_s(now_s)
-        yields = unread_s > MAX_UNREAD_S
+        is_unheard = self._election.replacement.is_in_vain(leader, now_s)
+        yields = unread_s > MAX_UNREAD_S or is_unheard
         if yields:
             self._election.yields = True
         elif self._renewals.is_kept_by(self._view.leadership):
@@ -83,12 +85,15 @@
             return
         self._renewals.yields = yields
         self._metrics.count("yielded_terms", amount=int(yields))
+        text = "own renewals are read back; keeping the term"
+        if is_unheard:
+            text = "few VMs report to this entry; any entry may take over"
+        elif yields:
+            text = "own renewals are not read back; any entry may take over"
         self._logger.log(
             "leader",
-            "own renewals are not read back; any entry may take over"
-            if yields
-            else "own renewals are read back; keeping the term",
-            term=term,
+            text,
+            term=leader.term,
             renewal=self._renewals.renewal,
             unread_ms=int(unread_s * 1_000),
             at_end=int(self._tail.at_end),
--- a/tests/features/steps/cell_world_steps.py
+++ b/tests/features/steps/cell_world_steps.py
@@ -26,7 +26,7 @@
 from yuccapoint.cell.vm_candidate import VmCandidate  # noqa: E402
 from yuccapoint.cell.vm_ledger import VmLedger  # noqa: E402
 from yuccapoint.job.size import Size  # noqa: E402
-from yuccapoint.process import read_lag  # noqa: E402
+from yuccapoint.process import term_yield  # noqa: E402
 from yuccapoint.process.cell_job_gateway import CellJobGateway  # noqa: E402
 
 if TYPE_CHECKING:
@@ -105,7 +105,7 @@
         QueueChanges, "run", lambda self, now_s: None
     ),
     "a leader that can't read leads on": lambda: mock.patch.object(
-        read_lag, "MAX_UNREAD_S", float("inf")
+        term_yield, "MAX_UNREAD_S", float("inf")
     ),
 }
 
--- a/tests/features/steps/entry_capacity_steps.py
+++ b/tests/features/steps/entry_capacity_steps.py
@@ -34,7 +34,7 @@
 
 def _first(entries: list[EntryModel]) -> EntryModel:
     """Return the entry that the spread of takeovers favours."""
-    return min(entries, key=lambda e: e.process._leader_election._stagger)
+    return min(entries, key=lambda e: e.process._leader_election._stagger_s)
 
 
 @given(
@@ -111,14 +111,14 @@
 def election(context: Context, own: str, others: str) -> None:
     context.now_s = 100.0
     context.election = LeaderElection("e-0", 1, 0.0)
-    context.election.capacity = _capacity(own)
+    context.election.replacement.capacity = _capacity(own)
     members = {
         f"e-{number}": EntryMember(
             f"e-{number}", f"e-{number}", 1, _capacity(text)
         )
         for number, text in enumerate(others.split(" and "), 1)
     }
-    context.election.on_entries_read(members)
+    context.election.replacement.follow_entries(members)
 
 
 def _read(context: Context, newest: Leadership) -> None:
@@ -159,8 +159,8 @@
     context.replaced_at_s = []
     for number in range(count):
         follower = LeaderElection(f"e-{number}", 1, number / count)
-        follower.capacity = _capacity(own)
-        follower.on_entries_read({"leader": leader})
+        follower.replacement.capacity = _capacity(own)
+        follower.replacement.follow_entries({"leader": leader})
         now_s = 100.0
         for renewal in range(100):
             now_s += READ_INTERVAL_S
