--- a/tests/features/cell/entry_capacity.feature
+++ b/tests/features/cell/entry_capacity.feature
@@ -1,7 +1,7 @@
 Feature: The entry that can carry a cell leads it
 
-  # LOST: who led was a hash of the name. An entry whose reports and orders take
-  # its whole processor answered with leases that had no time left.
+  # LOST: an entry whose processor was used up by reports and orders led, and
+  # granted leases that had no time left.
   Scenario: An entry that can't carry its cell is the first to be up
     Given 3 cells of 40 VMs with a narrow entry that takes 30 ms for a message
     And it works on 8 long-running jobs
