--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -75,6 +75,8 @@
         self.vms = [f"side-{n}" for n in range(1, vms + 1)]
         self.store_address = f"{self.subnet}.1:8169"
         self.store_of = {}
+        # Set where a queue has an adviser.
+        self.adviser_address = None
 
     def ip(self, name):
         names = [*self.entries, *self.vms]
@@ -131,6 +133,8 @@
         }
         if side:
             settings["app"] = self.app(name)
+        if self.adviser_address:
+            settings["Advisor"] = self.adviser_address
         return settings
 
     def spawn(self, name):
